--- /dev/null
+++ b/core/balancer/leastoutstanding/leastoutstanding.go
@@ -0,0 +1,40 @@
+// Package leastoutstanding picks the candidate with the fewest requests of
+// this caller in flight. It needs no reports, reacts to a stall as soon as
+// answers stop, and cannot herd, since it counts what this caller itself does.
+package leastoutstanding
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"cactuspath/core/balancer"
+)
+
+type policy struct{ random *rand.Rand }
+
+// New returns the policy with its own source of randomness.
+func New(random *rand.Rand) balancer.Policy { return policy{random} }
+
+// Name names the policy.
+func (policy) Name() string { return "least-outstanding" }
+
+// Pick returns a candidate with the fewest requests per slot; ties are broken
+// at random, or callers with nothing in flight would all pick the first.
+func (p policy) Pick(_ time.Duration, candidates []*balancer.Candidate) *balancer.Candidate {
+	best := candidates[0]
+	ties := 1
+	for _, c := range candidates[1:] {
+		// a.Outstanding/a.Slots < b.Outstanding/b.Slots without division.
+		left, right := c.Outstanding*max(1, best.Slots), best.Outstanding*max(1, c.Slots)
+		switch {
+		case left < right:
+			best, ties = c, 1
+		case left == right:
+			ties++
+			if p.random.IntN(ties) == 0 {
+				best = c
+			}
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/core/balancer/twochoices/twochoices.go
@@ -0,0 +1,28 @@
+// Package twochoices draws two candidates at random and picks the one with
+// fewer of this caller's requests in flight.
+package twochoices
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"cactuspath/core/balancer"
+)
+
+type policy struct{ random *rand.Rand }
+
+// New returns the policy with its own source of randomness.
+func New(random *rand.Rand) balancer.Policy { return policy{random} }
+
+// Name names the policy.
+func (policy) Name() string { return "two-choices" }
+
+// Pick returns the less busy of two.
+func (p policy) Pick(_ time.Duration, candidates []*balancer.Candidate) *balancer.Candidate {
+	a := candidates[p.random.IntN(len(candidates))]
+	b := candidates[p.random.IntN(len(candidates))]
+	if b.Outstanding < a.Outstanding {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/core/consensus/raft.go
@@ -0,0 +1,503 @@
+// Package consensus is a replicated log: the Raft algorithm with pre-vote,
+// check-quorum, confirmed reads, snapshots, learners and one-at-a-time changes
+// of members. Names are those of the Raft paper and thesis.
+//
+// A Raft is a pure state machine: messages, ticks and proposals go in; Ready
+// returns a batch of work (what to sync, what to send, what to apply). The
+// caller does that work in the order Ready documents and then calls Advance.
+// A Raft is not safe for concurrent use.
+package consensus
+
+import (
+	"errors"
+	"math/rand/v2"
+
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "cactuspath/api/cactuspath/v1"
+)
+
+// Role is what a replica does in its term.
+type Role int
+
+// Roles of a replica.
+const (
+	Follower Role = iota
+	PreCandidate
+	Candidate
+	Leader
+)
+
+// String names the role.
+func (r Role) String() string {
+	return [...]string{"follower", "pre-candidate", "candidate", "leader"}[r]
+}
+
+// Errors of proposals. Their messages name the remedy.
+var (
+	ErrNotLeader      = errors.New("this replica is not the leader; ask the leader")
+	ErrChangePending  = errors.New("another change of members is under way; try again when it is done")
+	ErrNotReady       = errors.New("the leader has not committed an entry of its term yet; try again in a second")
+	ErrNotCaughtUp    = errors.New("the learner has not caught up with the log; try again when it has")
+	ErrUnknownMember  = errors.New("no member has this id; look at the members in status")
+	ErrLastVoter      = errors.New("the last voter cannot be removed; add another voter first")
+	ErrAlreadyMember  = errors.New("a member has this id already; nothing to add")
+	ErrTooManyEntries = errors.New("too many proposals wait for agreement; try again in a second")
+)
+
+const (
+	maxEntriesPerAppend = 64
+	maxBytesPerAppend   = 1 << 20
+	maxUncommitted      = 4096
+	// catchUpSlack is how many entries a learner may lack when it is promoted.
+	catchUpSlack = 64
+	// forcedCampaign in a vote's Hint marks a transfer the leader asked for, so
+	// that voters do not hold the election off on the leader's behalf.
+	forcedCampaign = 1
+)
+
+// Config sets up a Raft.
+type Config struct {
+	ID uint64
+	// ElectionTicks is the shortest election timeout; the timeout drawn is
+	// between one and two of it. HeartbeatTicks must be well below.
+	ElectionTicks, HeartbeatTicks int
+	Rand                          *rand.Rand
+}
+
+// Restored is what a replica finds on its disk.
+type Restored struct {
+	HardState *apiv1.HardState
+	Snapshot  *apiv1.Snapshot
+	Entries   []*apiv1.LogEntry
+	// Founders is the first membership; used only when no snapshot and no
+	// entry names one.
+	Founders *apiv1.Membership
+}
+
+// Ready is a batch of work. The caller must, in this order: save Snapshot,
+// append Entries, save HardState, sync if MustSync, send Messages, restore the
+// state machine from Snapshot, apply Committed, answer Reads, call Advance.
+// Messages sent before the sync would promise what a crash can take back.
+type Ready struct {
+	Snapshot  *apiv1.Snapshot
+	Entries   []*apiv1.LogEntry
+	HardState *apiv1.HardState
+	MustSync  bool
+	Messages  []*apiv1.RaftMessage
+	Committed []*apiv1.LogEntry
+	Reads     []Read
+}
+
+// Read is a confirmed read: once the state machine has applied Index, it may
+// answer the request that Context names. Failed reads must be asked again.
+type Read struct {
+	Context uint64
+	Index   uint64
+	Failed  bool
+}
+
+type progress struct {
+	match, next uint64
+	// active: the member answered since the last check-quorum.
+	active bool
+	// probing: one append at a time until the logs are known to agree.
+	probing, paused bool
+	// pendingSnapshot is the index of a snapshot on its way, or 0.
+	pendingSnapshot uint64
+	snapshotTicks   int
+	round           uint64
+}
+
+type pendingRead struct {
+	context, index, round uint64
+}
+
+// Raft is one replica's state.
+type Raft struct {
+	id                            uint64
+	electionTicks, heartbeatTicks int
+	random                        *rand.Rand
+
+	term, vote uint64
+	saved      apiv1.HardState
+	log        raftLog
+	snapshot   *apiv1.Snapshot
+
+	membership *apiv1.Membership
+	base       *apiv1.Membership
+	// configIndex is where the newest change of members stands in the log.
+	configIndex uint64
+
+	role             Role
+	leader           uint64
+	electionElapsed  int
+	heartbeatElapsed int
+	timeout          int
+	votes            map[uint64]bool
+	progress         map[uint64]*progress
+	transferee       uint64
+
+	round      uint64
+	wantRound  bool
+	unsentRead []pendingRead
+	reads      []pendingRead
+	readyReads []Read
+
+	messages        []*apiv1.RaftMessage
+	restoreSnapshot *apiv1.Snapshot
+	inReady         Ready
+}
+
+// New restores a replica.
+func New(c Config, from Restored) *Raft {
+	r := &Raft{id: c.ID, electionTicks: c.ElectionTicks, heartbeatTicks: c.HeartbeatTicks, random: c.Rand}
+	r.base = cloneMembership(from.Founders)
+	if s := from.Snapshot; s != nil {
+		r.log.reset(s.Index, s.Term)
+		r.base = cloneMembership(s.Membership)
+		r.snapshot = s
+	}
+	r.log.append(from.Entries...)
+	r.log.stable = r.log.lastIndex()
+	if h := from.HardState; h != nil {
+		r.term, r.vote = h.Term, h.Vote
+		r.log.committed = max(r.log.committed, min(h.Commit, r.log.lastIndex()))
+	}
+	r.saved = apiv1.HardState{Term: r.term, Vote: r.vote, Commit: r.log.committed}
+	r.loadMembership()
+	r.becomeFollower(r.term, 0)
+	return r
+}
+
+// Status is a view of the replica for operators and drivers.
+type Status struct {
+	ID, Term, Leader           uint64
+	Role                       Role
+	Commit, Applied, LastIndex uint64
+	SnapshotIndex              uint64
+	Membership                 *apiv1.Membership
+	// Match is each member's replicated index; leader only.
+	Match map[uint64]uint64
+}
+
+// Status returns the replica's view.
+func (r *Raft) Status() Status {
+	s := Status{ID: r.id, Term: r.term, Leader: r.leader, Role: r.role, Commit: r.log.committed, Applied: r.log.applied,
+		LastIndex: r.log.lastIndex(), SnapshotIndex: r.log.snapIndex, Membership: r.membership}
+	if r.role == Leader {
+		s.Match = map[uint64]uint64{}
+		for id, p := range r.progress {
+			s.Match[id] = p.match
+		}
+	}
+	return s
+}
+
+// Tick advances the replica's clock by one tick.
+func (r *Raft) Tick() {
+	r.electionElapsed++
+	if r.role == Leader {
+		r.tickLeader()
+		return
+	}
+	if r.electionElapsed >= r.timeout {
+		r.electionElapsed = 0
+		r.campaign(true, false)
+	}
+}
+
+func (r *Raft) tickLeader() {
+	r.heartbeatElapsed++
+	for _, p := range r.progress {
+		r.tickSnapshot(p)
+	}
+	if r.electionElapsed >= r.electionTicks {
+		r.electionElapsed = 0
+		r.transferee = 0
+		if !r.quorumActive() {
+			// A leader that a partition cut off would otherwise believe itself
+			// healthy for as long as the cut lasts, and operators would wait on it.
+			r.becomeFollower(r.term, 0)
+			return
+		}
+	}
+	if r.heartbeatElapsed >= r.heartbeatTicks {
+		r.heartbeatElapsed = 0
+		r.broadcastHeartbeat()
+	}
+}
+
+// tickSnapshot gives a snapshot up when no answer came, so that a lost message
+// does not leave the member without updates for ever.
+func (r *Raft) tickSnapshot(p *progress) {
+	if p.pendingSnapshot == 0 {
+		return
+	}
+	p.snapshotTicks++
+	if p.snapshotTicks > 4*r.electionTicks {
+		p.pendingSnapshot = 0
+		p.probing, p.paused = true, false
+	}
+}
+
+func (r *Raft) quorumActive() bool {
+	return r.quorum(func(id uint64) bool { return id == r.id || r.progress[id] != nil && r.progress[id].active }, true)
+}
+
+// quorum tells whether a majority of voters satisfies test; clear also resets
+// their activity for the next check.
+func (r *Raft) quorum(test func(uint64) bool, clear bool) bool {
+	voters, yes := 0, 0
+	for _, m := range r.membership.Members {
+		if !m.Learner {
+			voters++
+			if test(m.Id) {
+				yes++
+			}
+		}
+		if p := r.progress[m.Id]; clear && p != nil {
+			p.active = false
+		}
+	}
+	return yes > voters/2
+}
+
+func (r *Raft) voter(id uint64) bool {
+	m := FindMember(r.membership, id)
+	return m != nil && !m.Learner
+}
+
+func (r *Raft) resetTimeout() {
+	r.electionElapsed = 0
+	r.timeout = r.electionTicks + r.random.IntN(r.electionTicks)
+}
+
+func (r *Raft) becomeFollower(term, leader uint64) {
+	if term > r.term {
+		r.term, r.vote = term, 0
+	}
+	r.role, r.leader = Follower, leader
+	r.progress, r.votes, r.transferee = nil, nil, 0
+	r.failReads()
+	r.resetTimeout()
+}
+
+func (r *Raft) failReads() {
+	for _, p := range append(r.unsentRead, r.reads...) {
+		r.readyReads = append(r.readyReads, Read{Context: p.context, Failed: true})
+	}
+	r.unsentRead, r.reads, r.wantRound = nil, nil, false
+}
+
+// campaign starts an election; with pre it first asks whether it could win, so
+// that a replica coming back from a cut does not depose a healthy leader by
+// its higher term.
+func (r *Raft) campaign(pre, forced bool) {
+	r.resetTimeout()
+	if !r.voter(r.id) {
+		return
+	}
+	kind, term := apiv1.MessageKind_MESSAGE_KIND_VOTE, r.term+1
+	r.leader = 0
+	r.votes = map[uint64]bool{r.id: true}
+	if pre {
+		r.role = PreCandidate
+		kind = apiv1.MessageKind_MESSAGE_KIND_PRE_VOTE
+	} else {
+		r.role = Candidate
+		r.term, r.vote = term, r.id
+	}
+	if r.countVotes() {
+		return
+	}
+	hint := uint64(0)
+	if forced {
+		hint = forcedCampaign
+	}
+	for _, m := range r.membership.Members {
+		if m.Id != r.id && !m.Learner {
+			r.send(&apiv1.RaftMessage{Kind: kind, To: m.Id, Term: term, Index: r.log.lastIndex(), LogTerm: r.log.lastTerm(), Hint: hint})
+		}
+	}
+}
+
+// countVotes moves on when a majority granted; it reports whether it did.
+func (r *Raft) countVotes() bool {
+	if !r.quorum(func(id uint64) bool { return r.votes[id] }, false) {
+		return false
+	}
+	if r.role == PreCandidate {
+		r.campaign(false, false)
+	} else {
+		r.becomeLeader()
+	}
+	return true
+}
+
+func (r *Raft) becomeLeader() {
+	r.role, r.leader = Leader, r.id
+	r.heartbeatElapsed, r.electionElapsed = 0, 0
+	r.progress = map[uint64]*progress{}
+	r.syncProgress()
+	// Entries of earlier terms commit only behind one of this term (section
+	// 5.4.2); without this entry they could wait for the next proposal.
+	r.appendEntry(apiv1.EntryKind_ENTRY_KIND_EMPTY, nil)
+	r.broadcastAppend()
+}
+
+// syncProgress makes progress cover exactly the members.
+func (r *Raft) syncProgress() {
+	for id := range r.progress {
+		if FindMember(r.membership, id) == nil {
+			delete(r.progress, id)
+		}
+	}
+	for _, m := range r.membership.Members {
+		if r.progress[m.Id] == nil {
+			r.progress[m.Id] = &progress{next: r.log.lastIndex() + 1, active: true, probing: true}
+		}
+	}
+	if p := r.progress[r.id]; p != nil {
+		p.match = r.log.stable
+	}
+}
+
+func (r *Raft) appendEntry(kind apiv1.EntryKind, data []byte) *apiv1.LogEntry {
+	e := &apiv1.LogEntry{Term: r.term, Index: r.log.lastIndex() + 1, Kind: kind, Data: data}
+	r.log.append(e)
+	return e
+}
+
+// Propose appends data to the leader's log and returns where. The entry is
+// agreed on only when it comes back in Ready.Committed with the same term.
+func (r *Raft) Propose(data []byte) (index, term uint64, err error) {
+	if r.role != Leader || r.transferee != 0 {
+		return 0, 0, ErrNotLeader
+	}
+	if r.log.lastIndex()-r.log.committed >= maxUncommitted {
+		return 0, 0, ErrTooManyEntries
+	}
+	e := r.appendEntry(apiv1.EntryKind_ENTRY_KIND_CHANGE, data)
+	r.broadcastAppend()
+	return e.Index, e.Term, nil
+}
+
+// Read asks for a confirmed read. The answer comes in Ready.Reads.
+func (r *Raft) Read(context uint64) error {
+	if r.role != Leader {
+		return ErrNotLeader
+	}
+	if term, _ := r.log.term(r.log.committed); term != r.term {
+		// Until an entry of its own term commits, a new leader does not know
+		// how far the log was committed and could answer with the past.
+		return ErrNotReady
+	}
+	r.unsentRead = append(r.unsentRead, pendingRead{context: context, index: r.log.committed})
+	r.wantRound = true
+	return nil
+}
+
+// TransferLeader asks the most advanced voter to take over, for a planned stop.
+func (r *Raft) TransferLeader() bool {
+	if r.role != Leader {
+		return false
+	}
+	best := uint64(0)
+	for id, p := range r.progress {
+		if id != r.id && r.voter(id) && p.active && p.match == r.log.lastIndex() && (best == 0 || id < best) {
+			best = id
+		}
+	}
+	if best == 0 {
+		return false
+	}
+	r.transferee = best
+	r.electionElapsed = 0
+	r.send(&apiv1.RaftMessage{Kind: apiv1.MessageKind_MESSAGE_KIND_TIMEOUT_NOW, To: best, Term: r.term})
+	return true
+}
+
+// Compact drops the log up to index, which data covers. Index must be applied.
+func (r *Raft) Compact(index uint64, data []byte) *apiv1.Snapshot {
+	if index <= r.log.snapIndex || index > r.log.applied {
+		return nil
+	}
+	membership := r.membershipAt(index)
+	term, _ := r.log.term(index)
+	r.snapshot = &apiv1.Snapshot{Index: index, Term: term, Membership: membership, Data: data}
+	r.base = membership
+	r.log.compact(index)
+	return r.snapshot
+}
+
+// Ready returns the work that is due; ok is false when there is none.
+func (r *Raft) Ready() (rd Ready, ok bool) {
+	if r.wantRound && r.role == Leader {
+		r.broadcastHeartbeat()
+	}
+	rd.Snapshot = r.restoreSnapshot
+	rd.Entries = r.log.slice(r.log.stable, r.log.lastIndex())
+	hard := apiv1.HardState{Term: r.term, Vote: r.vote, Commit: r.log.committed}
+	if hard.Term != r.saved.Term || hard.Vote != r.saved.Vote || hard.Commit != r.saved.Commit {
+		rd.HardState = &apiv1.HardState{Term: hard.Term, Vote: hard.Vote, Commit: hard.Commit}
+	}
+	rd.MustSync = len(rd.Entries) > 0 || rd.Snapshot != nil || hard.Term != r.saved.Term || hard.Vote != r.saved.Vote
+	rd.Messages = r.messages
+	rd.Committed = r.log.slice(r.log.applied, r.log.committed)
+	rd.Reads = r.readyReads
+	r.inReady = rd
+	ok = rd.HardState != nil || rd.MustSync || len(rd.Messages) > 0 || len(rd.Committed) > 0 || len(rd.Reads) > 0
+	return rd, ok
+}
+
+// Advance tells that the work of the last Ready is done.
+func (r *Raft) Advance() {
+	rd := r.inReady
+	r.inReady = Ready{}
+	if rd.HardState != nil {
+		r.saved = apiv1.HardState{Term: rd.HardState.Term, Vote: rd.HardState.Vote, Commit: rd.HardState.Commit}
+	}
+	if rd.Snapshot != nil && rd.Snapshot == r.restoreSnapshot {
+		r.restoreSnapshot = nil
+	}
+	r.messages = r.messages[len(rd.Messages):]
+	r.readyReads = r.readyReads[len(rd.Reads):]
+	if n := len(rd.Committed); n > 0 {
+		r.log.applied = max(r.log.applied, rd.Committed[n-1].Index)
+	}
+	if n := len(rd.Entries); n > 0 {
+		last := rd.Entries[n-1]
+		if term, ok := r.log.term(last.Index); ok && term == last.Term {
+			r.log.stable = max(r.log.stable, last.Index)
+		}
+	}
+	if r.role == Leader && r.progress[r.id] != nil {
+		r.progress[r.id].match = r.log.stable
+		if r.maybeCommit() {
+			r.broadcastAppend()
+		}
+	}
+}
+
+func (r *Raft) send(m *apiv1.RaftMessage) {
+	m.From = r.id
+	if m.Term == 0 {
+		m.Term = r.term
+	}
+	r.messages = append(r.messages, m)
+}
+
+func (r *Raft) snapshotMessage(to uint64) *apiv1.RaftMessage {
+	if r.snapshot == nil {
+		return nil
+	}
+	s, _ := proto.Clone(r.snapshot).(*apiv1.Snapshot)
+	return &apiv1.RaftMessage{Kind: apiv1.MessageKind_MESSAGE_KIND_SNAPSHOT, To: to, Snapshot: s}
+}
+
+// EntriesAfter returns the synced entries above index, for rewriting the log
+// on disk. The caller must not modify them.
+func (r *Raft) EntriesAfter(index uint64) []*apiv1.LogEntry {
+	return r.log.slice(index, r.log.stable)
+}
--- /dev/null
+++ b/core/estate/document.go
@@ -0,0 +1,310 @@
+// Package estate reads an institution's estate text, checks it in full and
+// compiles it into one record per service. It also holds the replicated state
+// that the control replicas agree on: documents, records and audit trail.
+//
+// Nothing here does I/O. State is not safe for concurrent use; its records are
+// never modified after they were published, so they may be shared.
+package estate
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	apiv1 "cactuspath/api/cactuspath/v1"
+	"cactuspath/core/jsonc"
+)
+
+// Document is a checked estate text of one institution.
+type Document struct {
+	Institution string
+	Services    map[string]*apiv1.ServiceSpec
+}
+
+// Limits that a text may not exceed. They keep one institution's mistake from
+// costing every node its memory.
+const (
+	maxServices     = 2000
+	maxNames        = 64
+	maxSlots        = 10_000
+	maxQueue        = 100_000
+	maxAttempts     = 5
+	maxRetryPercent = 100
+	maxTimeout      = time.Hour
+	maxBudgetRate   = 10_000_000
+)
+
+// Defaults for fields that a text leaves out.
+const (
+	defaultTimeout      = 10 * time.Second
+	defaultAttempts     = 3
+	defaultRetryPercent = 10
+	defaultReports      = 5000
+	defaultBytes        = 320_000
+	defaultSlowStart    = 2 * time.Second
+	queuePerSlot        = 2
+)
+
+// terms are an institution's contract, copied into each of its services.
+type terms struct {
+	measure      *apiv1.MeasureBudget
+	retryPercent uint64
+}
+
+// Parse reads and checks a text. The Document is nil when there are problems.
+func Parse(text []byte) (*Document, []jsonc.Problem) {
+	reader, root := jsonc.Open(text)
+	if len(reader.Problems()) > 0 {
+		return nil, reader.Problems()
+	}
+	doc := &Document{Services: map[string]*apiv1.ServiceSpec{}}
+	contract := terms{
+		measure:      &apiv1.MeasureBudget{ReportsPerSecond: defaultReports, BytesPerSecond: defaultBytes},
+		retryPercent: defaultRetryPercent,
+	}
+	places := map[string]jsonc.Node{}
+	root.Object(map[string]func(jsonc.Node){
+		"institution": func(n jsonc.Node) { doc.Institution = name(n) },
+		"terms":       func(n jsonc.Node) { contract.read(n) },
+		"services":    func(n jsonc.Node) { readServices(n, doc, places) },
+	}, "institution", "services")
+	checkDependencies(doc, places)
+	checkRoutes(doc, places)
+	contract.apply(doc)
+	if problems := reader.Problems(); len(problems) > 0 {
+		return nil, problems
+	}
+	return doc, nil
+}
+
+func (t *terms) read(n jsonc.Node) {
+	n.Object(map[string]func(jsonc.Node){
+		"reportsPerSecond": func(n jsonc.Node) { t.measure.ReportsPerSecond = uint32(n.Uint(0, maxBudgetRate)) },
+		"bytesPerSecond":   func(n jsonc.Node) { t.measure.BytesPerSecond = uint32(n.Uint(0, maxBudgetRate)) },
+		"retryPercent":     func(n jsonc.Node) { t.retryPercent = n.Uint(0, maxRetryPercent) },
+	})
+}
+
+func (t *terms) apply(doc *Document) {
+	for _, spec := range doc.Services {
+		spec.Measure = t.measure
+		spec.RetryPerMille = uint32(t.retryPercent * 10)
+	}
+}
+
+func readServices(n jsonc.Node, doc *Document, places map[string]jsonc.Node) {
+	members := n.Members()
+	if len(members) > maxServices {
+		n.Fail(fmt.Sprintf("%d services, more than the %d allowed", len(members), maxServices), "split the institution's text")
+		return
+	}
+	for _, m := range members {
+		if !validName(m.Name) {
+			m.Key.Fail(fmt.Sprintf("%q is not a valid service name", m.Name), nameRemedy)
+			continue
+		}
+		places[m.Name] = m.Value
+		doc.Services[m.Name] = readService(m.Value)
+	}
+}
+
+func readService(n jsonc.Node) *apiv1.ServiceSpec {
+	spec := &apiv1.ServiceSpec{
+		TimeoutMs:         uint32(defaultTimeout.Milliseconds()),
+		MaxAttempts:       defaultAttempts,
+		SlowStartMs:       uint32(defaultSlowStart.Milliseconds()),
+		IdempotentMethods: []string{"GET", "HEAD", "OPTIONS"},
+	}
+	queueGiven := false
+	n.Object(map[string]func(jsonc.Node){
+		"hosts":        func(n jsonc.Node) { spec.Hosts = names(n) },
+		"pathPrefixes": func(n jsonc.Node) { spec.PathPrefixes = prefixes(n) },
+		"dependsOn":    func(n jsonc.Node) { spec.DependsOn = names(n) },
+		"slots":        func(n jsonc.Node) { spec.Slots = uint32(n.Uint(1, maxSlots)) },
+		"queue": func(n jsonc.Node) {
+			spec.Queue = uint32(n.Uint(0, maxQueue))
+			queueGiven = true
+		},
+		"timeout":      func(n jsonc.Node) { spec.TimeoutMs = millis(n, time.Millisecond, maxTimeout) },
+		"idempotent":   func(n jsonc.Node) { spec.IdempotentMethods = methods(n) },
+		"maxAttempts":  func(n jsonc.Node) { spec.MaxAttempts = uint32(n.Uint(1, maxAttempts)) },
+		"slowStart":    func(n jsonc.Node) { spec.SlowStartMs = millis(n, 0, maxTimeout) },
+		"maxBodyBytes": func(n jsonc.Node) { spec.MaxBodyBytes = n.Uint(0, 1<<50) },
+	}, "slots")
+	if !queueGiven {
+		spec.Queue = spec.Slots * queuePerSlot
+	}
+	return spec
+}
+
+func millis(n jsonc.Node, low, high time.Duration) uint32 {
+	return uint32(n.Duration(low, high).Milliseconds())
+}
+
+const nameRemedy = "use 1 to 63 lower-case letters, digits, dots and hyphens"
+
+func validName(s string) bool {
+	if s == "" || len(s) > 63 {
+		return false
+	}
+	for _, c := range s {
+		if !(c >= 'a' && c <= 'z' || c >= '0' && c <= '9' || c == '-' || c == '.') {
+			return false
+		}
+	}
+	return true
+}
+
+func name(n jsonc.Node) string {
+	s := n.String()
+	if !validName(s) {
+		n.Fail(fmt.Sprintf("%q is not a valid name", s), nameRemedy)
+	}
+	return s
+}
+
+func names(n jsonc.Node) []string {
+	elements := n.Elements()
+	if len(elements) > maxNames {
+		n.Fail(fmt.Sprintf("%d names, more than the %d allowed", len(elements), maxNames), "shorten the list")
+		return nil
+	}
+	seen := map[string]bool{}
+	var list []string
+	for _, e := range elements {
+		s := name(e)
+		if seen[s] {
+			e.Fail(fmt.Sprintf("%q stands twice", s), "keep one of the two")
+		}
+		seen[s] = true
+		list = append(list, s)
+	}
+	return list
+}
+
+func prefixes(n jsonc.Node) []string {
+	var list []string
+	for _, e := range n.Elements() {
+		s := e.String()
+		if !strings.HasPrefix(s, "/") {
+			e.Fail(fmt.Sprintf("path prefix %q does not start with a slash", s), `write "/…"`)
+		}
+		list = append(list, s)
+	}
+	return list
+}
+
+func methods(n jsonc.Node) []string {
+	var list []string
+	for _, e := range n.Elements() {
+		list = append(list, e.OneOf("GET", "HEAD", "OPTIONS", "PUT", "DELETE", "POST", "PATCH"))
+	}
+	return list
+}
+
+// checkDependencies refuses dependencies that do not exist, and cycles: a
+// request that can come back to its own service can wait for itself until
+// every slot on the way is taken.
+func checkDependencies(doc *Document, places map[string]jsonc.Node) {
+	for _, from := range sortedServices(doc) {
+		for _, to := range doc.Services[from].DependsOn {
+			if _, ok := doc.Services[to]; !ok {
+				places[from].Fail(fmt.Sprintf("service %q depends on %q, which is not in this text", from, to), "add the service or drop the dependency")
+			}
+		}
+	}
+	if cycle := findCycle(doc); cycle != nil {
+		places[cycle[0]].Fail("dependencies form a cycle: "+strings.Join(cycle, " → "), "remove one of these dependencies")
+	}
+}
+
+func sortedServices(doc *Document) []string {
+	list := make([]string, 0, len(doc.Services))
+	for s := range doc.Services {
+		list = append(list, s)
+	}
+	sort.Strings(list)
+	return list
+}
+
+func findCycle(doc *Document) []string {
+	const (
+		unseen = iota
+		open
+		closed
+	)
+	state := map[string]int{}
+	var path []string
+	var visit func(string) []string
+	visit = func(s string) []string {
+		state[s] = open
+		path = append(path, s)
+		for _, to := range doc.Services[s].DependsOn {
+			if doc.Services[to] == nil || state[to] == closed {
+				continue
+			}
+			if state[to] == open {
+				return cycleFrom(path, to)
+			}
+			if cycle := visit(to); cycle != nil {
+				return cycle
+			}
+		}
+		path = path[:len(path)-1]
+		state[s] = closed
+		return nil
+	}
+	for _, s := range sortedServices(doc) {
+		if state[s] == unseen {
+			if cycle := visit(s); cycle != nil {
+				return cycle
+			}
+		}
+	}
+	return nil
+}
+
+func cycleFrom(path []string, start string) []string {
+	for i, s := range path {
+		if s == start {
+			return append(append([]string{}, path[i:]...), start)
+		}
+	}
+	return nil
+}
+
+// checkRoutes refuses two services that claim the same host and path, since a
+// request would then reach one or the other by chance.
+func checkRoutes(doc *Document, places map[string]jsonc.Node) {
+	claimed := map[string]string{}
+	for _, s := range sortedServices(doc) {
+		for _, route := range routes(doc.Services[s]) {
+			if other, taken := claimed[route]; taken {
+				places[s].Fail(fmt.Sprintf("services %q and %q claim the same route %q", other, s, route), "change a host or a path prefix of one of them")
+				continue
+			}
+			claimed[route] = s
+		}
+	}
+}
+
+func routes(spec *apiv1.ServiceSpec) []string {
+	var list []string
+	hosts, paths := spec.Hosts, spec.PathPrefixes
+	if len(hosts) == 0 && len(paths) == 0 {
+		return nil
+	}
+	if len(hosts) == 0 {
+		hosts = []string{""}
+	}
+	if len(paths) == 0 {
+		paths = []string{"/"}
+	}
+	for _, h := range hosts {
+		for _, p := range paths {
+			list = append(list, h+p)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/core/estate/state.go
@@ -0,0 +1,228 @@
+package estate
+
+import (
+	"bytes"
+	"compress/gzip"
+	"fmt"
+	"io"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "cactuspath/api/cactuspath/v1"
+	"cactuspath/core/jsonc"
+	"cactuspath/core/rollout"
+)
+
+// auditKept bounds the audit trail held in memory and in snapshots. At 22,000
+// changes a day it spans two days. A change resent after that cannot apply
+// twice: its base revision is long superseded.
+const auditKept = 50_000
+
+// State is the replicated state machine. Every replica applies the same
+// changes in the same order and so holds the same State.
+type State struct {
+	documents map[string]*apiv1.Document
+	records   *rollout.Records
+	audit     []*apiv1.AuditRecord
+	byID      map[string]*apiv1.AuditRecord
+}
+
+// NewState returns the state before the first change.
+func NewState() *State {
+	return &State{
+		documents: map[string]*apiv1.Document{},
+		records:   rollout.NewRecords(),
+		byID:      map[string]*apiv1.AuditRecord{},
+	}
+}
+
+// Records gives the compiled records, for roll-out. The caller must not
+// modify them.
+func (s *State) Records() *rollout.Records { return s.records }
+
+// Revision is the newest accepted revision.
+func (s *State) Revision() uint64 { return s.records.Revision() }
+
+// Document returns an institution's newest text, or nil.
+func (s *State) Document(institution string) *apiv1.Document { return s.documents[institution] }
+
+// Institutions returns the number of documents held.
+func (s *State) Institutions() []string { return sortedDocuments(s.documents) }
+
+// Outcome returns the record of a change that was decided already, or nil.
+func (s *State) Outcome(changeID string) *apiv1.AuditRecord { return s.byID[changeID] }
+
+// Audit returns up to limit records whose log index is above after.
+func (s *State) Audit(after uint64, limit int) []*apiv1.AuditRecord {
+	var out []*apiv1.AuditRecord
+	for _, r := range s.audit {
+		if r.Index > after && len(out) < limit {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// Apply decides one change and returns its record. A change whose id was
+// decided before gets that first record: an operator who resends after a lost
+// answer must not have the change applied a second time.
+func (s *State) Apply(index uint64, change *apiv1.Change) *apiv1.AuditRecord {
+	digest := Digest(change)
+	if first := s.byID[change.Id]; first != nil {
+		if first.Digest != digest {
+			return &apiv1.AuditRecord{Id: change.Id, Digest: digest, Outcome: apiv1.Outcome_OUTCOME_ID_REUSED, Revision: first.Revision, Index: index}
+		}
+		return first
+	}
+	record := &apiv1.AuditRecord{Id: change.Id, Digest: digest, Operator: change.Operator, UnixMs: change.UnixMs, Index: index}
+	switch kind := change.Kind.(type) {
+	case *apiv1.Change_Submit:
+		s.applySubmit(kind.Submit, record)
+	case *apiv1.Change_Host:
+		s.applyHost(kind.Host, record)
+	default:
+		record.Outcome = apiv1.Outcome_OUTCOME_REFUSED
+	}
+	s.remember(record)
+	return record
+}
+
+func (s *State) applySubmit(change *apiv1.SubmitChange, record *apiv1.AuditRecord) {
+	record.What = "submit " + change.Institution
+	current := s.documents[change.Institution].GetRevision()
+	if change.BaseRevision != current {
+		record.Outcome = apiv1.Outcome_OUTCOME_CONFLICT
+		record.Revision = current
+		return
+	}
+	text, err := Gunzip(change.TextGzip)
+	if err != nil {
+		refuse(record, jsonc.Problem{Line: 1, Column: 1, Message: "the text cannot be unpacked: " + err.Error(), Remedy: "submit it again"})
+		return
+	}
+	doc, problems := Parse(text)
+	if problems == nil {
+		problems = s.clashes(doc)
+	}
+	if problems != nil {
+		refuse(record, problems...)
+		return
+	}
+	revision := s.records.Revision() + 1
+	s.records.Replace(doc.Institution, doc.Services, revision)
+	s.documents[doc.Institution] = &apiv1.Document{Institution: doc.Institution, Revision: revision, TextGzip: change.TextGzip}
+	record.Outcome = apiv1.Outcome_OUTCOME_ACCEPTED
+	record.Revision = revision
+}
+
+// clashes finds service names that another institution holds already: names
+// are the key that nodes route by, so one name must mean one service.
+func (s *State) clashes(doc *Document) []jsonc.Problem {
+	var problems []jsonc.Problem
+	for _, name := range sortedServices(doc) {
+		if held := s.records.Service(name); held != nil && !held.Removed && held.Institution != doc.Institution {
+			problems = append(problems, jsonc.Problem{Line: 1, Column: 1, Field: "services." + name,
+				Message: fmt.Sprintf("institution %q holds a service named %q", held.Institution, name), Remedy: "choose another name"})
+		}
+	}
+	return problems
+}
+
+func (s *State) applyHost(change *apiv1.HostChange, record *apiv1.AuditRecord) {
+	record.What = "undrain " + change.Host
+	if change.Draining {
+		record.What = "drain " + change.Host
+	}
+	record.Outcome = apiv1.Outcome_OUTCOME_ACCEPTED
+	if s.records.Draining(change.Host) == change.Draining {
+		record.Revision = s.records.Revision()
+		return
+	}
+	record.Revision = s.records.Revision() + 1
+	s.records.SetHost(change.Host, change.Draining, record.Revision)
+}
+
+func refuse(record *apiv1.AuditRecord, problems ...jsonc.Problem) {
+	record.Outcome = apiv1.Outcome_OUTCOME_REFUSED
+	record.Problems = Problems(problems)
+}
+
+func (s *State) remember(record *apiv1.AuditRecord) {
+	s.audit = append(s.audit, record)
+	s.byID[record.Id] = record
+	if len(s.audit) > auditKept {
+		delete(s.byID, s.audit[0].Id)
+		s.audit = s.audit[1:]
+	}
+}
+
+// Snapshot returns the whole state in a deterministic order.
+func (s *State) Snapshot() *apiv1.EstateSnapshot {
+	snap := s.records.Snapshot()
+	for _, name := range sortedDocuments(s.documents) {
+		snap.Documents = append(snap.Documents, s.documents[name])
+	}
+	snap.Audit = s.audit
+	return snap
+}
+
+// Restore replaces the state by a snapshot's.
+func (s *State) Restore(snap *apiv1.EstateSnapshot) {
+	*s = *NewState()
+	s.records.Restore(snap)
+	for _, d := range snap.Documents {
+		s.documents[d.Institution] = d
+	}
+	for _, r := range snap.Audit {
+		s.audit = append(s.audit, r)
+		s.byID[r.Id] = r
+	}
+}
+
+// Digest identifies what a change asks for, without its id, operator and time.
+// The text is unpacked first, since two compressions of one text may differ.
+func Digest(change *apiv1.Change) uint64 {
+	h := xxhash.New()
+	switch kind := change.Kind.(type) {
+	case *apiv1.Change_Submit:
+		text, _ := Gunzip(kind.Submit.TextGzip)
+		fmt.Fprintf(h, "submit\x00%s\x00%d\x00", kind.Submit.Institution, kind.Submit.BaseRevision)
+		_, _ = h.Write(text)
+	case *apiv1.Change_Host:
+		fmt.Fprintf(h, "host\x00%s\x00%t", kind.Host.Host, kind.Host.Draining)
+	}
+	return h.Sum64()
+}
+
+// Problems converts faults to their wire form.
+func Problems(problems []jsonc.Problem) []*apiv1.Problem {
+	out := make([]*apiv1.Problem, len(problems))
+	for i, p := range problems {
+		out[i] = &apiv1.Problem{Line: uint32(p.Line), Column: uint32(p.Column), Field: p.Field, Message: p.Message, Remedy: p.Remedy}
+	}
+	return out
+}
+
+// Gzip packs a text.
+func Gzip(text []byte) []byte {
+	var b bytes.Buffer
+	w := gzip.NewWriter(&b)
+	_, _ = w.Write(text)
+	_ = w.Close()
+	return b.Bytes()
+}
+
+// Gunzip unpacks a text, refusing one that unpacks past the allowed size.
+func Gunzip(packed []byte) ([]byte, error) {
+	r, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return nil, err
+	}
+	return io.ReadAll(io.LimitReader(r, jsonc.MaxBytes+1))
+}
+
+// Marshal renders a snapshot as bytes.
+func Marshal(snap *apiv1.EstateSnapshot) ([]byte, error) {
+	return proto.MarshalOptions{Deterministic: true}.Marshal(snap)
+}
--- /dev/null
+++ b/core/gate/estimate.go
@@ -0,0 +1,76 @@
+package gate
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// estimateWeight is how many recent completions the estimate rests on.
+	estimateWeight = 8
+	// memorySpans is how many mean service times it takes until what was seen
+	// loses most of its weight, so that a server that was slow and then got no
+	// work is not held to be slow for ever.
+	memorySpans = 20
+	// baselineWeight is the weight of the long-term mean beside recent data.
+	baselineWeight = 1.0
+	// baselineGain moves the long-term mean, per completion.
+	baselineGain  = 0.002
+	firstEstimate = 5 * time.Millisecond
+)
+
+// estimator tracks a server's mean service time per request. It divides the
+// time that slots were busy by the requests that completed. Requests still
+// running count by the time they have taken so far, so that a stall shows
+// within a few milliseconds and not only once the stalled requests end.
+type estimator struct {
+	busy      float64 // slot-nanoseconds, decayed
+	completed float64 // requests, decayed
+	baseline  float64 // nanoseconds
+	seen      int
+	running   int
+	last      time.Duration
+}
+
+func newEstimator() estimator { return estimator{baseline: float64(firstEstimate)} }
+
+// advance accounts for the time since the last event.
+func (e *estimator) advance(now time.Duration) {
+	elapsed := float64(now - e.last)
+	e.last = now
+	if elapsed <= 0 {
+		return
+	}
+	decay := math.Exp(-elapsed / (memorySpans * e.baseline))
+	e.busy = e.busy*decay + elapsed*float64(e.running)
+	e.completed *= decay
+}
+
+func (e *estimator) start(now time.Duration) {
+	e.advance(now)
+	e.running++
+}
+
+func (e *estimator) finish(now time.Duration, took time.Duration) {
+	e.advance(now)
+	e.running--
+	keep := 1 - 1.0/estimateWeight
+	e.busy *= keep
+	e.completed = e.completed*keep + 1
+	e.seen++
+	gain := max(baselineGain, 1/float64(e.seen))
+	e.baseline += (float64(took) - e.baseline) * gain
+	e.baseline = max(e.baseline, float64(time.Microsecond))
+}
+
+// abandon takes a request out that ended without telling of the server's speed.
+func (e *estimator) abandon(now time.Duration) {
+	e.advance(now)
+	e.running--
+}
+
+// mean is the estimated service time of one request now.
+func (e *estimator) mean(now time.Duration) time.Duration {
+	e.advance(now)
+	return time.Duration((e.busy + baselineWeight*e.baseline) / (e.completed + baselineWeight))
+}
--- /dev/null
+++ b/core/gate/gate.go
@@ -0,0 +1,418 @@
+// Package gate decides, beside one backend server, which requests run, wait,
+// move to a sibling gate, or are refused before they run.
+//
+// The gate sees every request to its backend server, so it knows the load
+// without asking. A request that it refuses or moves never reached the backend
+// server: "not run" is true by construction.
+//
+// A Gate is pure and not safe for concurrent use. Time is a duration since any
+// fixed start and must not go back. Methods return the events that follow.
+package gate
+
+import (
+	"sort"
+	"time"
+)
+
+// Handle names a request at its gate, as the driver chose it.
+type Handle uint64
+
+// Reason tells why a request was refused before it ran.
+type Reason int
+
+// Reasons.
+const (
+	// QueueFull: no room to wait.
+	QueueFull Reason = iota + 1
+	// TooLate: it could not finish before its deadline.
+	TooLate
+	// Draining: the server is leaving.
+	Draining
+	// Down: the backend server cannot be reached.
+	Down
+	// Fenced: the caller revoked this attempt.
+	Fenced
+	// Revoked: the caller revoked it while it waited.
+	Revoked
+	// Duplicate: this attempt is known here already.
+	Duplicate
+	// Canceled: the caller went away.
+	Canceled
+)
+
+// String names the reason.
+func (r Reason) String() string {
+	return [...]string{"", "queue-full", "too-late", "draining", "down", "fenced", "revoked", "duplicate", "canceled"}[r]
+}
+
+// EventKind tells what happened to a request.
+type EventKind int
+
+// Kinds of events.
+const (
+	// Started: run it now.
+	Started EventKind = iota + 1
+	// Refused: answer "not run", with Reason and RetryAfter.
+	Refused
+	// Moved: answer "not run", with the sibling to use instead.
+	Moved
+)
+
+// Event is one outcome for the driver to carry out.
+type Event struct {
+	Kind       EventKind
+	Handle     Handle
+	Reason     Reason
+	RetryAfter time.Duration
+	// To is the sibling's host.
+	To string
+}
+
+// Request is what the gate needs to know of an arriving request.
+type Request struct {
+	Handle   Handle
+	ID       AttemptID
+	Caller   string
+	Deadline time.Duration
+	// Movable is false for a request that moved as often as is allowed: without
+	// a limit two slow gates could pass a request back and forth.
+	Movable bool
+}
+
+// Config is what the estate says of the service.
+type Config struct {
+	Slots     int
+	Queue     int
+	SlowStart time.Duration
+	// Siblings turns late binding on.
+	Siblings bool
+	// ReportsPerSecond and BytesPerSecond are this gate's share of the budget.
+	ReportsPerSecond, BytesPerSecond int
+}
+
+type itemState int
+
+const (
+	stateWaiting itemState = iota
+	stateRunning
+)
+
+type item struct {
+	Request
+	caller  string
+	arrived time.Duration
+	started time.Duration
+	state   itemState
+
+	queue      *callerQueue
+	prev, next *item
+}
+
+// Gate is the admission state of one backend server.
+type Gate struct {
+	config   Config
+	estimate estimator
+	queue    fairQueue
+	memory   memory
+	items    map[Handle]*item
+	byID     map[AttemptID]*item
+	running  int
+	draining bool
+	down     bool
+	// coldSince is when a cold start began; warm when zero and not cold.
+	coldSince time.Duration
+	cold      bool
+
+	standing standing
+	siblings siblings
+	events   []Event
+	lastScan time.Duration
+}
+
+// New returns a gate named host among its siblings.
+func New(host string, config Config, now time.Duration) *Gate {
+	g := &Gate{estimate: newEstimator(), queue: newFairQueue(), memory: newMemory(), items: map[Handle]*item{}, byID: map[AttemptID]*item{}}
+	g.estimate.last = now
+	g.siblings = newSiblings(host)
+	g.Configure(now, config)
+	return g
+}
+
+// Configure changes what the estate says; requests in flight are untouched.
+func (g *Gate) Configure(now time.Duration, config Config) []Event {
+	g.begin(now)
+	g.config = config
+	g.siblings.budget.Set(config.ReportsPerSecond, config.BytesPerSecond)
+	g.fill(now)
+	return g.take()
+}
+
+// begin starts a batch of events.
+func (g *Gate) begin(now time.Duration) {
+	g.events = nil
+	g.estimate.advance(now)
+}
+
+func (g *Gate) take() []Event {
+	events := g.events
+	g.events = nil
+	return events
+}
+
+func (g *Gate) emit(e Event) { g.events = append(g.events, e) }
+
+// slots is how many requests may run now. A cold server starts with a tenth
+// and gains the rest over the slow-start time, since its first requests are
+// slow and would pile up.
+func (g *Gate) slots(now time.Duration) int {
+	all := g.config.Slots
+	if !g.cold {
+		return all
+	}
+	age := now - g.coldSince
+	if age >= g.config.SlowStart || g.config.SlowStart == 0 {
+		g.cold = false
+		return all
+	}
+	ramp := 0.1 + 0.9*float64(age)/float64(g.config.SlowStart)
+	return max(1, int(ramp*float64(all)))
+}
+
+// Arrive takes in a request.
+func (g *Gate) Arrive(now time.Duration, r Request) []Event {
+	g.begin(now)
+	if reason := g.unfit(now, r); reason != 0 {
+		g.emit(Event{Kind: Refused, Handle: r.Handle, Reason: reason, RetryAfter: g.retryAfter(now)})
+		return g.take()
+	}
+	it := &item{Request: r, caller: r.Caller, arrived: now}
+	g.admit(now, it)
+	return g.take()
+}
+
+func (g *Gate) unfit(now time.Duration, r Request) Reason {
+	switch {
+	case g.memory.fenced(now, r.ID):
+		return Fenced
+	case g.byID[r.ID] != nil:
+		return Duplicate
+	case g.draining:
+		return Draining
+	case g.down:
+		return Down
+	case now >= r.Deadline:
+		return TooLate
+	}
+	if _, ran := g.memory.finished[r.ID]; ran {
+		return Duplicate
+	}
+	return 0
+}
+
+// free counts the slots that nothing runs in.
+func (g *Gate) free(now time.Duration) int { return g.slots(now) - g.running }
+
+// wait estimates how long a request that joins the queue now would wait.
+func (g *Gate) wait(now time.Duration) time.Duration {
+	if g.free(now) > 0 && g.queue.size == 0 {
+		return 0
+	}
+	turns := float64(g.queue.size+1) / float64(max(1, g.slots(now)))
+	return time.Duration(turns * float64(g.estimate.mean(now)))
+}
+
+// finishIn estimates how long a request that arrives now would take in all.
+func (g *Gate) finishIn(now time.Duration) time.Duration {
+	return g.wait(now) + g.estimate.mean(now)
+}
+
+// room refuses a request that would not fit or not finish in time. The refusal
+// is made at once: one that came only at the deadline would cost the caller
+// the time to try elsewhere.
+func (g *Gate) room(now time.Duration, it *item) bool {
+	if g.free(now) > 0 && g.queue.size == 0 {
+		return true
+	}
+	if now+g.finishIn(now) > it.Deadline {
+		g.emit(Event{Kind: Refused, Handle: it.Handle, Reason: TooLate, RetryAfter: g.retryAfter(now)})
+		return false
+	}
+	if g.queue.size < g.config.Queue {
+		return true
+	}
+	return g.pushOut(now, it)
+}
+
+// pushOut makes room in a full queue at the cost of the caller that holds most
+// of it, if that is not the arriving one.
+func (g *Gate) pushOut(now time.Duration, it *item) bool {
+	longest := g.queue.longest()
+	if longest == nil || longest.length <= g.queue.of(it.caller)+1 {
+		g.emit(Event{Kind: Refused, Handle: it.Handle, Reason: QueueFull, RetryAfter: g.retryAfter(now)})
+		return false
+	}
+	g.drop(longest.tail, QueueFull, g.retryAfter(now))
+	return true
+}
+
+// admit starts a request, moves it, queues it, or refuses it.
+func (g *Gate) admit(now time.Duration, it *item) {
+	starts := g.free(now) > 0 && g.queue.size == 0
+	gain := gainWaiting
+	if starts {
+		gain = gainFree
+	}
+	if g.rebind(now, it, gain) || !g.room(now, it) {
+		return
+	}
+	g.items[it.Handle], g.byID[it.ID] = it, it
+	if starts {
+		g.run(now, it)
+		return
+	}
+	it.state = stateWaiting
+	g.queue.push(it)
+}
+
+func (g *Gate) run(now time.Duration, it *item) {
+	it.state, it.started = stateRunning, now
+	g.running++
+	g.estimate.start(now)
+	g.emit(Event{Kind: Started, Handle: it.Handle})
+}
+
+// fill starts waiting requests while slots are free.
+func (g *Gate) fill(now time.Duration) {
+	for g.free(now) > 0 && g.queue.size > 0 {
+		it := g.queue.pop()
+		if now >= it.Deadline {
+			g.drop(it, TooLate, g.retryAfter(now))
+			continue
+		}
+		g.run(now, it)
+	}
+}
+
+// Outcome tells how a request ended.
+type Outcome int
+
+// Outcomes.
+const (
+	// Completed: the backend server answered.
+	Completed Outcome = iota
+	// Failed: the backend server answered with a server error or broke off; the
+	// time taken says nothing about its speed.
+	Failed
+	// Abandoned: the caller went away.
+	Abandoned
+	// NeverReached: no connection to the backend server could be made, so the
+	// request did not run.
+	NeverReached
+)
+
+// Finish takes in the end of a running request.
+func (g *Gate) Finish(now time.Duration, h Handle, outcome Outcome) []Event {
+	g.begin(now)
+	it := g.items[h]
+	if it == nil || it.state != stateRunning {
+		return g.take()
+	}
+	g.running--
+	delete(g.items, h)
+	delete(g.byID, it.ID)
+	if outcome == Completed {
+		g.estimate.finish(now, now-it.started)
+	} else {
+		g.estimate.abandon(now)
+	}
+	if outcome != Abandoned {
+		g.standing.answer(outcome != Completed)
+	}
+	if outcome != NeverReached {
+		g.memory.finish(it.ID, it.arrived)
+	}
+	g.fill(now)
+	return g.take()
+}
+
+// Cancel takes out a request that has not started; one that runs is left to
+// the driver, which ends it by Finish.
+func (g *Gate) Cancel(now time.Duration, h Handle) []Event {
+	g.begin(now)
+	if it := g.items[h]; it != nil && it.state != stateRunning {
+		g.drop(it, Canceled, 0)
+		g.fill(now)
+	}
+	return g.take()
+}
+
+// drop takes out a request that has not started.
+func (g *Gate) drop(it *item, reason Reason, retryAfter time.Duration) {
+	g.forget(it)
+	g.emit(Event{Kind: Refused, Handle: it.Handle, Reason: reason, RetryAfter: retryAfter})
+}
+
+func (g *Gate) forget(it *item) {
+	g.queue.remove(it)
+	delete(g.items, it.Handle)
+	delete(g.byID, it.ID)
+}
+
+// retryAfter is when a refused caller may expect room: once the queue that
+// stands now has been worked off.
+func (g *Gate) retryAfter(now time.Duration) time.Duration {
+	const shortest, longest = 10 * time.Millisecond, 5 * time.Second
+	return min(max(g.wait(now), shortest), longest)
+}
+
+// SetDraining starts or ends a drain. Requests that wait are refused at once,
+// since they would otherwise start on a server that is leaving.
+func (g *Gate) SetDraining(now time.Duration, draining bool) []Event {
+	g.begin(now)
+	g.draining = draining
+	if draining {
+		g.refuseAll(Draining)
+	}
+	return g.take()
+}
+
+// SetDown tells whether the backend server can be reached at all.
+func (g *Gate) SetDown(now time.Duration, down bool) []Event {
+	g.begin(now)
+	g.down = down
+	if down {
+		g.refuseAll(Down)
+	}
+	return g.take()
+}
+
+func (g *Gate) refuseAll(reason Reason) {
+	var waiting []*item
+	for _, it := range g.items {
+		if it.state != stateRunning {
+			waiting = append(waiting, it)
+		}
+	}
+	sort.Slice(waiting, func(i, j int) bool { return waiting[i].Handle < waiting[j].Handle })
+	for _, it := range waiting {
+		g.drop(it, reason, 0)
+	}
+}
+
+// SetCold starts the slow start anew.
+func (g *Gate) SetCold(now time.Duration) {
+	g.cold, g.coldSince = true, now
+}
+
+// InFlight counts requests that run or wait here.
+func (g *Gate) InFlight() int { return len(g.items) }
+
+// Load is what answers and siblings are told.
+func (g *Gate) Load(now time.Duration) Load {
+	g.estimate.advance(now)
+	return Load{
+		Running: g.running, Waiting: g.queue.size, Slots: g.slots(now),
+		Service: g.estimate.mean(now), Draining: g.draining || g.down,
+		FailRatio: g.standing.ratio, Failing: g.failing(now),
+	}
+}
--- /dev/null
+++ b/core/retry/retry.go
@@ -0,0 +1,135 @@
+// Package retry decides what follows when an attempt ends without an answer.
+// Only what surely did not run, or is idempotent, is tried again, and only
+// under a budget, so that retries cannot multiply a failure.
+//
+// Types here are pure and not safe for concurrent use.
+package retry
+
+// Ended tells how an attempt ended.
+type Ended int
+
+// Ends of an attempt.
+const (
+	// Answered: the backend server's answer arrived; it is final whatever its
+	// status. Layers above retry nothing either, so a failure 22 layers deep
+	// costs one set of retries and not one per layer.
+	Answered Ended = iota
+	// Moved: the gate names a sibling that will take the request.
+	Moved
+	// NotRun: the gate refused it, no connection could be made, or a revoke
+	// established that it never started.
+	NotRun
+	// Lost: it was sent and what became of it is not known.
+	Lost
+)
+
+// Action is what to do next.
+type Action int
+
+// Actions.
+const (
+	// Deliver the answer.
+	Deliver Action = iota
+	// TryNamed sends it to the sibling that the gate named.
+	TryNamed
+	// TryOther sends it to another endpoint.
+	TryOther
+	// GiveUpNotRun tells the caller that it did not run.
+	GiveUpNotRun
+	// GiveUpUnknown tells the caller that it may have run.
+	GiveUpUnknown
+)
+
+// maxMoves bounds how often gates may move one request. The second move lets a
+// request leave a sibling that turned slow while it travelled; a third gained
+// nothing in the replays.
+const maxMoves = 2
+
+// Request follows one request through its attempts.
+type Request struct {
+	Idempotent  bool
+	MaxAttempts int
+	attempts    int
+	moves       int
+	// unknown: an earlier attempt of this idempotent request may have run.
+	unknown bool
+}
+
+// Movable tells whether a gate may still move the request.
+func (r *Request) Movable() bool { return r.moves < maxMoves }
+
+// Attempts counts the attempts that ended.
+func (r *Request) Attempts() int { return r.attempts }
+
+// Next decides after an attempt. OthersLeft tells whether an endpoint exists
+// that was not tried, or is worth trying again.
+func (r *Request) Next(ended Ended, budget *Budget, othersLeft bool) Action {
+	r.attempts++
+	switch ended {
+	case Answered:
+		return Deliver
+	case Moved:
+		r.moves++
+		if r.moves > maxMoves {
+			return r.giveUp()
+		}
+		r.attempts--
+		return TryNamed
+	case Lost:
+		if !r.Idempotent {
+			return GiveUpUnknown
+		}
+		r.unknown = true
+	}
+	if r.attempts >= r.MaxAttempts || !othersLeft || !budget.Take() {
+		return r.giveUp()
+	}
+	return TryOther
+}
+
+// giveUp is truthful about earlier attempts: one that may have run makes the
+// whole request's outcome unknown, however the last attempt ended.
+func (r *Request) giveUp() Action {
+	if r.unknown {
+		return GiveUpUnknown
+	}
+	return GiveUpNotRun
+}
+
+// budgetScale is the cost of one retry; a call earns its per-mille share.
+const budgetScale = 1000
+
+// Budget allows retries in proportion to calls. At most reserve retries can be
+// saved up, so that a quiet hour does not pay for a storm.
+type Budget struct {
+	perMille int
+	balance  int
+	// Refused counts retries that the budget did not allow.
+	Refused uint64
+}
+
+// reserve is how many retries may be saved up.
+const reserve = 10
+
+// NewBudget returns a budget of retries per thousand calls.
+func NewBudget(perMille int) *Budget {
+	return &Budget{perMille: perMille, balance: reserve * budgetScale}
+}
+
+// Set changes the ratio.
+func (b *Budget) Set(perMille int) { b.perMille = perMille }
+
+// Call counts a call that arrived.
+func (b *Budget) Call() {
+	b.balance = min(b.balance+b.perMille, reserve*budgetScale)
+}
+
+// Take spends one retry if the budget has it. A ratio of 0 allows none.
+func (b *Budget) Take() bool {
+	if b.perMille == 0 || b.balance < budgetScale {
+		b.Refused++
+		return false
+	}
+	b.balance -= budgetScale
+	return true
+}
--- /dev/null
+++ b/core/rollout/records.go
@@ -0,0 +1,175 @@
+// Package rollout holds the compiled estate as one record per service and per
+// host, each stamped with the revision that last changed it. What a receiver
+// at revision R lacks is every record stamped after R, so no history of deltas
+// is kept and a receiver may be any number of revisions behind.
+//
+// Records are never modified once published. Records (the type) is not safe
+// for concurrent use.
+package rollout
+
+import (
+	"sort"
+
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "cactuspath/api/cactuspath/v1"
+)
+
+// Records is the compiled estate at one revision.
+type Records struct {
+	revision uint64
+	services map[string]*apiv1.ServiceRecord
+	hosts    map[string]*apiv1.HostRecord
+}
+
+// NewRecords returns the records before the first revision.
+func NewRecords() *Records {
+	return &Records{services: map[string]*apiv1.ServiceRecord{}, hosts: map[string]*apiv1.HostRecord{}}
+}
+
+// Revision is the newest revision held.
+func (r *Records) Revision() uint64 { return r.revision }
+
+// Service returns a service's record, or nil. A removed service is returned
+// with Removed set.
+func (r *Records) Service(name string) *apiv1.ServiceRecord { return r.services[name] }
+
+// Services returns the records of all services that are not removed, by name.
+func (r *Records) Services() []*apiv1.ServiceRecord {
+	var list []*apiv1.ServiceRecord
+	for _, s := range r.sortedServices() {
+		if !s.Removed {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// Draining tells whether an operator announced a planned stop of the host.
+func (r *Records) Draining(host string) bool { return r.hosts[host].GetDraining() }
+
+// Hosts returns every host record, by name.
+func (r *Records) Hosts() []*apiv1.HostRecord {
+	list := make([]*apiv1.HostRecord, 0, len(r.hosts))
+	for _, h := range r.hosts {
+		list = append(list, h)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Host < list[j].Host })
+	return list
+}
+
+// Replace sets an institution's services as of revision. Records whose spec is
+// unchanged keep their stamp, so they do not travel.
+func (r *Records) Replace(institution string, specs map[string]*apiv1.ServiceSpec, revision uint64) {
+	for name, held := range r.services {
+		if _, kept := specs[name]; !kept && held.Institution == institution && !held.Removed {
+			r.services[name] = &apiv1.ServiceRecord{Name: name, Institution: institution, ChangedAt: revision, Removed: true}
+		}
+	}
+	for name, spec := range specs {
+		held := r.services[name]
+		if held != nil && !held.Removed && proto.Equal(held.Spec, spec) {
+			continue
+		}
+		r.services[name] = &apiv1.ServiceRecord{Name: name, Institution: institution, ChangedAt: revision, Spec: spec}
+	}
+	r.revision = revision
+}
+
+// SetHost records a planned stop, or its end, as of revision.
+func (r *Records) SetHost(host string, draining bool, revision uint64) {
+	r.hosts[host] = &apiv1.HostRecord{Host: host, ChangedAt: revision, Draining: draining}
+	r.revision = revision
+}
+
+// Delta returns what a receiver at revision since lacks. A non-empty filter
+// restricts services to the names in it; names in whole are sent whatever
+// their stamp. Host records travel only to the host they name, or to an
+// unfiltered receiver.
+func (r *Records) Delta(since uint64, filter, whole []string, host string) *apiv1.EstateDelta {
+	delta := &apiv1.EstateDelta{Since: since, Revision: r.revision, Complete: since == 0, Filter: filter}
+	if filter == nil {
+		r.unfiltered(since, delta)
+		return delta
+	}
+	wanted := map[string]bool{}
+	for _, name := range whole {
+		wanted[name] = true
+	}
+	for _, name := range filter {
+		if s := r.services[name]; s != nil && (s.ChangedAt > since || wanted[name]) {
+			delta.Services = append(delta.Services, s)
+		}
+	}
+	if h := r.hosts[host]; h != nil && h.ChangedAt > since {
+		delta.Hosts = append(delta.Hosts, h)
+	}
+	return delta
+}
+
+func (r *Records) unfiltered(since uint64, delta *apiv1.EstateDelta) {
+	for _, s := range r.sortedServices() {
+		if s.ChangedAt > since {
+			delta.Services = append(delta.Services, s)
+		}
+	}
+	for _, h := range r.Hosts() {
+		if h.ChangedAt > since {
+			delta.Hosts = append(delta.Hosts, h)
+		}
+	}
+}
+
+// Apply takes in a delta and reports whether anything changed.
+//
+// A delta that is older than what is held, or that starts after it, is left
+// out whole: the first would move the receiver back to a superseded
+// configuration, the second would skip the records in between. Each record is
+// also compared by its own stamp, so a delayed delta of equal revision cannot
+// bring back an older record either.
+func (r *Records) Apply(delta *apiv1.EstateDelta) bool {
+	if delta == nil || delta.Revision < r.revision || delta.Since > r.revision {
+		return false
+	}
+	changed := delta.Revision > r.revision
+	for _, s := range delta.Services {
+		if held := r.services[s.Name]; held == nil || held.ChangedAt < s.ChangedAt {
+			r.services[s.Name] = s
+			changed = true
+		}
+	}
+	for _, h := range delta.Hosts {
+		if held := r.hosts[h.Host]; held == nil || held.ChangedAt < h.ChangedAt {
+			r.hosts[h.Host] = h
+			changed = true
+		}
+	}
+	r.revision = delta.Revision
+	return changed
+}
+
+// Snapshot returns all records by name.
+func (r *Records) Snapshot() *apiv1.EstateSnapshot {
+	return &apiv1.EstateSnapshot{Revision: r.revision, Services: r.sortedServices(), Hosts: r.Hosts()}
+}
+
+// Restore replaces the records by a snapshot's.
+func (r *Records) Restore(snap *apiv1.EstateSnapshot) {
+	*r = *NewRecords()
+	r.revision = snap.Revision
+	for _, s := range snap.Services {
+		r.services[s.Name] = s
+	}
+	for _, h := range snap.Hosts {
+		r.hosts[h.Host] = h
+	}
+}
+
+func (r *Records) sortedServices() []*apiv1.ServiceRecord {
+	list := make([]*apiv1.ServiceRecord, 0, len(r.services))
+	for _, s := range r.services {
+		list = append(list, s)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	return list
+}
--- /dev/null
+++ b/internal/controlclient/client.go
@@ -0,0 +1,170 @@
+// Package controlclient reaches the leader of the control replicas: it tries
+// the known addresses in turn, follows the leader's address when a replica
+// names it, and waits between rounds. Nodes, relays and cactusctl use it.
+package controlclient
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	"cactuspath/api/cactuspath/v1/apiv1connect"
+	"cactuspath/api/fault"
+	"cactuspath/internal/transport"
+)
+
+const (
+	firstPause   = 50 * time.Millisecond
+	longestPause = 2 * time.Second
+	// attemptTimeout bounds one call, so that a frozen replica costs a moment
+	// and not the whole timeout.
+	attemptTimeout = 2 * time.Second
+)
+
+// ErrUnreachable means that no control replica could be reached.
+var ErrUnreachable = errors.New("no control replica answered; check the addresses and that a majority of the replicas runs")
+
+// Replica is the set of clients for one control replica.
+type Replica struct {
+	Address string
+	Log     apiv1connect.ReplicaServiceClient
+	Control apiv1connect.ControlServiceClient
+	Command apiv1connect.OperatorCommandServiceClient
+	Query   apiv1connect.OperatorQueryServiceClient
+}
+
+// Client reaches the leader. Safe for concurrent use.
+type Client struct {
+	security  *transport.Security
+	options   []connect.ClientOption
+	addresses []string
+
+	mu       sync.Mutex
+	leader   string
+	replicas map[string]*Replica
+}
+
+// New returns a client for the replicas at addresses. Token, if not empty, is
+// sent with every call.
+func New(security *transport.Security, addresses []string, token string) *Client {
+	c := &Client{security: security, addresses: addresses, replicas: map[string]*Replica{}}
+	if token != "" {
+		c.options = append(c.options, connect.WithInterceptors(bearer(token)))
+	}
+	return c
+}
+
+func bearer(token string) connect.UnaryInterceptorFunc {
+	return func(next connect.UnaryFunc) connect.UnaryFunc {
+		return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
+			req.Header().Set("Authorization", "Bearer "+token)
+			return next(ctx, req)
+		}
+	}
+}
+
+// At returns the clients for one address.
+func (c *Client) At(address string) *Replica {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r := c.replicas[address]; r != nil {
+		return r
+	}
+	client, url := c.security.ControlClient(), c.security.URL(address)
+	r := &Replica{
+		Address: address,
+		Log:     apiv1connect.NewReplicaServiceClient(client, url, c.options...),
+		Control: apiv1connect.NewControlServiceClient(client, url, c.options...),
+		Command: apiv1connect.NewOperatorCommandServiceClient(client, url, c.options...),
+		Query:   apiv1connect.NewOperatorQueryServiceClient(client, url, c.options...),
+	}
+	c.replicas[address] = r
+	return r
+}
+
+// Once calls the replica last known to lead, or the first that answers. It
+// follows one hint per address and returns the last error.
+func (c *Client) Once(ctx context.Context, call func(context.Context, *Replica) error) error {
+	tried := map[string]bool{}
+	queue := c.order()
+	var last error = ErrUnreachable
+	for len(queue) > 0 {
+		address := queue[0]
+		queue = queue[1:]
+		if tried[address] || address == "" {
+			continue
+		}
+		tried[address] = true
+		err := c.attempt(ctx, address, call)
+		if err == nil {
+			c.remember(address)
+			return nil
+		}
+		kind, hint := fault.Of(err)
+		if !elsewhere(kind) {
+			return err
+		}
+		last = err
+		if hint != "" {
+			queue = append([]string{hint}, queue...)
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	c.remember("")
+	return last
+}
+
+// elsewhere tells whether another replica, or the same one later, may answer.
+func elsewhere(kind fault.Kind) bool {
+	return kind == fault.NotLeader || kind == fault.Unavailable
+}
+
+func (c *Client) attempt(ctx context.Context, address string, call func(context.Context, *Replica) error) error {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	return call(ctx, c.At(address))
+}
+
+// Until repeats Once until it succeeds, fails for good, or ctx ends. The call
+// must be idempotent.
+func (c *Client) Until(ctx context.Context, call func(context.Context, *Replica) error) error {
+	pause := firstPause
+	for {
+		err := c.Once(ctx, call)
+		if err == nil {
+			return nil
+		}
+		if kind, _ := fault.Of(err); !elsewhere(kind) && kind != fault.Unknown {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(pause/2 + rand.N(pause)):
+		}
+		pause = min(2*pause, longestPause)
+	}
+}
+
+func (c *Client) order() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := []string{c.leader}
+	start := rand.IntN(max(1, len(c.addresses)))
+	for i := range c.addresses {
+		list = append(list, c.addresses[(start+i)%len(c.addresses)])
+	}
+	return list
+}
+
+func (c *Client) remember(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leader = address
+}
--- /dev/null
+++ b/internal/replay/result.go
@@ -0,0 +1,223 @@
+package replay
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+type finalKind int
+
+const (
+	finalAnswered finalKind = iota
+	finalFailed
+	finalNotRun
+	finalUnknown
+)
+
+// Result sums up one run.
+type Result struct {
+	Policy   string  `json:"policy"`
+	Arrived  int     `json:"arrived"`
+	Answered int     `json:"answered"`
+	Failed   int     `json:"failed"`
+	NotRun   int     `json:"notRun"`
+	Unknown  int     `json:"unknown"`
+	Lost     int     `json:"lost"`
+	RunTwice int     `json:"runTwice"`
+	FalseNot int     `json:"falseNotRun"`
+	P50      float64 `json:"p50Ms"`
+	P99      float64 `json:"p99Ms"`
+	P999     float64 `json:"p999Ms"`
+	Max      float64 `json:"maxMs"`
+	// RefusedP99 is how long a refusal took.
+	RefusedP99 float64 `json:"refusedP99Ms"`
+	// GoodputShare is answered work in time over arrived.
+	GoodputShare float64 `json:"goodputShare"`
+	Attempts     float64 `json:"attemptsPerCall"`
+	Moves        float64 `json:"movesPerCall"`
+	Reports      float64 `json:"reportsPerCall"`
+	// WorstReports and WorstBytes are the most in any one-second window.
+	WorstReports int `json:"worstWindowReports"`
+	WorstBytes   int `json:"worstWindowBytes"`
+	// QuietP99 is the p99 of the last caller, for traces about fairness.
+	QuietP99 float64 `json:"quietP99Ms"`
+	// TailP99 is the p99 of calls that arrive in the last fifth, for recovery.
+	TailP99 float64 `json:"tailP99Ms"`
+}
+
+// collector gathers a run.
+type collector struct {
+	Result
+	trace    *Trace
+	latency  *hdrhistogram.Histogram
+	refused  *hdrhistogram.Histogram
+	quiet    *hdrhistogram.Histogram
+	tail     *hdrhistogram.Histogram
+	attempts int
+	moves    int
+	reports  []time.Duration
+	calls    int
+}
+
+const longestLatency = int64(time.Hour / time.Microsecond)
+
+func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, longestLatency, 3) }
+
+func newCollector(policy string, trace *Trace) *collector {
+	return &collector{Result: Result{Policy: policy}, trace: trace, latency: newHistogram(), refused: newHistogram(), quiet: newHistogram(), tail: newHistogram()}
+}
+
+func (c *collector) arrived(time.Duration) { c.Arrived++ }
+
+func (c *collector) report(at time.Duration, count int) {
+	for range count {
+		c.reports = append(c.reports, at)
+	}
+}
+
+func (s *simulation) final(k *call, kind finalKind) {
+	k.finals++
+	c := s.result
+	if k.finals > 1 {
+		c.RunTwice++
+		return
+	}
+	took := s.now - k.arrival.At.Duration()
+	c.calls++
+	switch kind {
+	case finalAnswered:
+		c.Answered++
+		c.record(k, took)
+	case finalFailed:
+		c.Failed++
+		c.record(k, took)
+	case finalNotRun:
+		c.NotRun++
+		_ = c.refused.RecordValue(took.Microseconds())
+		if k.runs > 0 {
+			c.FalseNot++
+		}
+	case finalUnknown:
+		c.Unknown++
+	}
+	if k.runs > 1 && !k.arrival.Idempotent {
+		c.RunTwice++
+	}
+}
+
+func (c *collector) record(k *call, took time.Duration) {
+	us := took.Microseconds()
+	_ = c.latency.RecordValue(us)
+	if k.arrival.Caller == c.trace.Header.Callers-1 {
+		_ = c.quiet.RecordValue(us)
+	}
+	if k.arrival.At > c.trace.Header.Duration*4/5 {
+		_ = c.tail.RecordValue(us)
+	}
+}
+
+func (c *collector) finish() *Result {
+	r := &c.Result
+	ms := func(h *hdrhistogram.Histogram, q float64) float64 {
+		return float64(h.ValueAtQuantile(q)) / 1000
+	}
+	r.P50, r.P99, r.P999, r.Max = ms(c.latency, 50), ms(c.latency, 99), ms(c.latency, 99.9), float64(c.latency.Max())/1000
+	r.RefusedP99, r.QuietP99, r.TailP99 = ms(c.refused, 99), ms(c.quiet, 99), ms(c.tail, 99)
+	r.Lost = r.Arrived - c.calls
+	calls := float64(max(1, r.Arrived))
+	r.GoodputShare = float64(r.Answered) / calls
+	r.Attempts, r.Moves, r.Reports = float64(c.attempts)/calls, float64(c.moves)/calls, float64(len(c.reports))/calls
+	r.WorstReports = worstWindow(c.reports)
+	r.WorstBytes = r.WorstReports * reportBytes
+	return r
+}
+
+// reportBytes is what one report takes on the wire, as the gates count it.
+const reportBytes = 64
+
+// worstWindow is the most events in any span of one second.
+func worstWindow(at []time.Duration) int {
+	worst, first := 0, 0
+	for i := range at {
+		for at[i]-at[first] >= time.Second {
+			first++
+		}
+		worst = max(worst, i-first+1)
+	}
+	return worst
+}
+
+// metrics gives every number by the name that Expect uses.
+func (r *Result) metrics() map[string]float64 {
+	return map[string]float64{
+		"answered": float64(r.Answered), "failed": float64(r.Failed), "notRun": float64(r.NotRun), "unknown": float64(r.Unknown),
+		"lost": float64(r.Lost), "runTwice": float64(r.RunTwice), "falseNotRun": float64(r.FalseNot),
+		"p50": r.P50, "p99": r.P99, "p999": r.P999, "max": r.Max, "refusedP99": r.RefusedP99, "quietP99": r.QuietP99, "tailP99": r.TailP99,
+		"goodputShare": r.GoodputShare, "attempts": r.Attempts, "moves": r.Moves, "reports": r.Reports,
+		"worstReports": float64(r.WorstReports), "worstBytes": float64(r.WorstBytes),
+		"failedShare": float64(r.Failed) / float64(max(1, r.Arrived)),
+	}
+}
+
+// Miss is a stated outcome that the run did not meet.
+type Miss struct {
+	Expect Expect
+	Got    float64
+}
+
+// String tells what was missed.
+func (m Miss) String() string {
+	what := fmt.Sprintf("%s of %s", m.Expect.Metric, m.Expect.Policy)
+	if m.Expect.RatioTo != "" {
+		what += " over " + m.Expect.RatioTo
+	}
+	if m.Expect.Max != nil {
+		return fmt.Sprintf("%s is %.3f, more than the %.3f stated", what, m.Got, *m.Expect.Max)
+	}
+	return fmt.Sprintf("%s is %.3f, less than the %.3f stated", what, m.Got, *m.Expect.Min)
+}
+
+// Check holds results against the trace's stated outcomes. An outcome whose
+// policies were not run is left out, and counted.
+func Check(trace *Trace, results []*Result) (misses []Miss, unchecked int) {
+	byName := map[string]*Result{}
+	for _, r := range results {
+		byName[r.Policy] = r
+	}
+	for _, e := range trace.Header.Expect {
+		r := byName[e.Policy]
+		base := byName[e.RatioTo]
+		if r == nil || e.RatioTo != "" && base == nil {
+			unchecked++
+			continue
+		}
+		got := r.metrics()[e.Metric]
+		if base != nil {
+			got /= base.metrics()[e.Metric]
+		}
+		if e.Max != nil && !(got <= *e.Max) || e.Min != nil && !(got >= *e.Min) {
+			misses = append(misses, Miss{e, got})
+		}
+	}
+	return misses, unchecked
+}
+
+// PoliciesNeeded lists the policies that a trace's stated outcomes speak of.
+func PoliciesNeeded(trace *Trace) []string {
+	seen := map[string]bool{Chosen: true}
+	for _, e := range trace.Header.Expect {
+		seen[e.Policy] = true
+		if e.RatioTo != "" {
+			seen[e.RatioTo] = true
+		}
+	}
+	var names []string
+	for name := range seen {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
--- /dev/null
+++ b/internal/replica/commands.go
@@ -0,0 +1,118 @@
+package replica
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	apiv1 "cactuspath/api/cactuspath/v1"
+	"cactuspath/api/fault"
+	"cactuspath/core/estate"
+)
+
+// commands serves apiv1connect.OperatorCommandServiceHandler.
+type commands struct{ r *Replica }
+
+// Submit has an institution's text agreed on. Faults in the text are answered
+// at once and change nothing.
+func (c commands) Submit(ctx context.Context, req *connect.Request[apiv1.SubmitRequest]) (*connect.Response[apiv1.SubmitResponse], error) {
+	who, err := c.r.operator(req.Header(), req.Msg.Operator)
+	if err != nil {
+		return nil, err
+	}
+	if err := requireID(req.Msg.ChangeId); err != nil {
+		return nil, err
+	}
+	doc, problems := estate.Parse(req.Msg.Text)
+	if len(problems) > 0 {
+		record := &apiv1.AuditRecord{Id: req.Msg.ChangeId, Operator: who.Name, What: "submit", Outcome: apiv1.Outcome_OUTCOME_REFUSED, Problems: estate.Problems(problems)}
+		return connect.NewResponse(&apiv1.SubmitResponse{Record: record}), nil
+	}
+	if err := c.r.mayChange(who, doc.Institution); err != nil {
+		return nil, err
+	}
+	change := newChange(req.Msg.ChangeId, who.Name)
+	change.Kind = &apiv1.Change_Submit{Submit: &apiv1.SubmitChange{
+		Institution: doc.Institution, BaseRevision: req.Msg.BaseRevision, TextGzip: estate.Gzip(req.Msg.Text)}}
+	record, err := c.r.propose(ctx, change)
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&apiv1.SubmitResponse{Record: record}), nil
+}
+
+// Drain announces a host's planned stop, or its end.
+func (c commands) Drain(ctx context.Context, req *connect.Request[apiv1.DrainRequest]) (*connect.Response[apiv1.DrainResponse], error) {
+	who, err := c.r.operator(req.Header(), req.Msg.Operator)
+	if err != nil {
+		return nil, err
+	}
+	if !who.Hosts {
+		return nil, fault.New(fault.Unauthorized, errUnauthorized)
+	}
+	if err := requireID(req.Msg.ChangeId); err != nil {
+		return nil, err
+	}
+	if req.Msg.Host == "" {
+		return nil, fault.New(fault.Invalid, errors.New("no host is named; name the host to drain"))
+	}
+	change := newChange(req.Msg.ChangeId, who.Name)
+	change.Kind = &apiv1.Change_Host{Host: &apiv1.HostChange{Host: req.Msg.Host, Draining: req.Msg.Draining}}
+	record, err := c.r.propose(ctx, change)
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&apiv1.DrainResponse{Record: record}), nil
+}
+
+// ChangeReplica changes the members by one.
+func (c commands) ChangeReplica(ctx context.Context, req *connect.Request[apiv1.ChangeReplicaRequest]) (*connect.Response[apiv1.ChangeReplicaResponse], error) {
+	who, err := c.r.operator(req.Header(), req.Msg.Operator)
+	if err != nil {
+		return nil, err
+	}
+	if !who.Hosts {
+		return nil, fault.New(fault.Unauthorized, errUnauthorized)
+	}
+	if err := c.r.changeMember(ctx, req.Msg); err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&apiv1.ChangeReplicaResponse{Membership: c.r.Status().Membership}), nil
+}
+
+func (r *Replica) changeMember(ctx context.Context, m *apiv1.ChangeReplicaRequest) error {
+	var index uint64
+	var changeErr error
+	err := r.inLoop(ctx, func() {
+		switch m.Action {
+		case apiv1.ChangeReplicaRequest_ACTION_ADD_LEARNER:
+			index, _, changeErr = r.raft.AddLearner(m.MemberId, m.Name, m.Address)
+		case apiv1.ChangeReplicaRequest_ACTION_PROMOTE:
+			index, _, changeErr = r.raft.Promote(m.MemberId)
+		case apiv1.ChangeReplicaRequest_ACTION_REMOVE:
+			index, _, changeErr = r.raft.Remove(m.MemberId)
+		default:
+			changeErr = fault.New(fault.Invalid, errors.New("no action is named; use add, promote or remove"))
+		}
+	})
+	if err == nil {
+		err = changeErr
+	}
+	if err != nil {
+		return r.refusal(err)
+	}
+	return r.waitApplied(ctx, index)
+}
+
+func requireID(id string) error {
+	if id == "" {
+		return fault.New(fault.Invalid, errors.New("the change has no id; give it one, so that it can be sent again safely"))
+	}
+	return nil
+}
+
+func newChange(id, operator string) *apiv1.Change {
+	return &apiv1.Change{Id: id, Operator: operator, UnixMs: time.Now().UnixMilli()}
+}
--- /dev/null
+++ b/internal/replica/counters.go
@@ -0,0 +1,32 @@
+package replica
+
+import "expvar"
+
+// counters are this replica's, published by the process under /debug/vars.
+type counters struct {
+	messagesSent, messagesDropped, messagesFailed expvar.Int
+	syncs, compactions                            expvar.Int
+	changes                                       expvar.Map
+	relaySyncs, findRelays                        expvar.Int
+}
+
+func newCounters() *counters { return &counters{} }
+
+// Vars returns the replica's metrics by name.
+func (r *Replica) Vars() map[string]expvar.Var {
+	gauge := func(f func() any) expvar.Var { return expvar.Func(f) }
+	return map[string]expvar.Var{
+		"control_messages_sent":    &r.counters.messagesSent,
+		"control_messages_dropped": &r.counters.messagesDropped,
+		"control_messages_failed":  &r.counters.messagesFailed,
+		"control_syncs":            &r.counters.syncs,
+		"control_compactions":      &r.counters.compactions,
+		"control_changes":          &r.counters.changes,
+		"control_relay_syncs":      &r.counters.relaySyncs,
+		"control_find_relays":      &r.counters.findRelays,
+		"control_revision":         gauge(func() any { return r.Revision() }),
+		"control_role":             gauge(func() any { return r.Status().Role.String() }),
+		"control_term":             gauge(func() any { return r.Status().Term }),
+		"control_commit":           gauge(func() any { return r.Status().Commit }),
+	}
+}
--- /dev/null
+++ b/internal/replica/peers.go
@@ -0,0 +1,117 @@
+package replica
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	apiv1 "cactuspath/api/cactuspath/v1"
+	"cactuspath/api/cactuspath/v1/apiv1connect"
+	"cactuspath/core/consensus"
+	"cactuspath/internal/transport"
+)
+
+const (
+	peerQueue   = 128
+	stepTimeout = 2 * time.Second
+)
+
+// peers sends messages to the other replicas, one sender each, so that a slow
+// or frozen peer holds up no other. Messages that do not fit are dropped: the
+// algorithm sends again.
+type peers struct {
+	security *transport.Security
+	counters *counters
+	ctx      context.Context
+	cancel   context.CancelFunc
+	wait     sync.WaitGroup
+	senders  map[uint64]*sender
+}
+
+type sender struct {
+	address string
+	queue   chan *apiv1.RaftMessage
+	stop    context.CancelFunc
+}
+
+func newPeers(security *transport.Security, counters *counters) *peers {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &peers{security: security, counters: counters, ctx: ctx, cancel: cancel, senders: map[uint64]*sender{}}
+}
+
+func (p *peers) send(messages []*apiv1.RaftMessage, members *apiv1.Membership) {
+	for _, m := range messages {
+		s := p.sender(m.To, members)
+		if s == nil {
+			continue
+		}
+		select {
+		case s.queue <- m:
+			p.counters.messagesSent.Add(1)
+		default:
+			p.counters.messagesDropped.Add(1)
+		}
+	}
+}
+
+func (p *peers) sender(id uint64, members *apiv1.Membership) *sender {
+	s := p.senders[id]
+	member := consensus.FindMember(members, id)
+	if member == nil {
+		// A member on its way out still gets the messages that tell it so.
+		return s
+	}
+	if s != nil && s.address == member.Address {
+		return s
+	}
+	if s != nil {
+		s.stop()
+	}
+	ctx, stop := context.WithCancel(p.ctx)
+	s = &sender{address: member.Address, queue: make(chan *apiv1.RaftMessage, peerQueue), stop: stop}
+	p.senders[id] = s
+	client := apiv1connect.NewReplicaServiceClient(p.security.ControlClient(), p.security.URL(member.Address))
+	p.wait.Add(1)
+	go p.run(ctx, s, client)
+	return s
+}
+
+func (p *peers) run(ctx context.Context, s *sender, client apiv1connect.ReplicaServiceClient) {
+	defer p.wait.Done()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-s.queue:
+			p.post(ctx, client, batch(m, s.queue))
+		}
+	}
+}
+
+func batch(first *apiv1.RaftMessage, queue <-chan *apiv1.RaftMessage) []*apiv1.RaftMessage {
+	messages := []*apiv1.RaftMessage{first}
+	for len(messages) < peerQueue {
+		select {
+		case m := <-queue:
+			messages = append(messages, m)
+		default:
+			return messages
+		}
+	}
+	return messages
+}
+
+func (p *peers) post(ctx context.Context, client apiv1connect.ReplicaServiceClient, messages []*apiv1.RaftMessage) {
+	ctx, cancel := context.WithTimeout(ctx, stepTimeout)
+	defer cancel()
+	if _, err := client.Step(ctx, connect.NewRequest(&apiv1.StepRequest{Messages: messages})); err != nil {
+		p.counters.messagesFailed.Add(int64(len(messages)))
+	}
+}
+
+func (p *peers) close() {
+	p.cancel()
+	p.wait.Wait()
+}
--- /dev/null
+++ b/internal/replica/queries.go
@@ -0,0 +1,89 @@
+package replica
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+
+	apiv1 "cactuspath/api/cactuspath/v1"
+	"cactuspath/api/fault"
+	"cactuspath/core/consensus"
+	"cactuspath/core/estate"
+)
+
+// queries serves apiv1connect.OperatorQueryServiceHandler. Answers that speak
+// of the newest state are confirmed first.
+type queries struct{ r *Replica }
+
+const maxAuditRecords = 1000
+
+// Check reports a text's faults. It changes nothing.
+func (q queries) Check(_ context.Context, req *connect.Request[apiv1.CheckRequest]) (*connect.Response[apiv1.CheckResponse], error) {
+	_, problems := estate.Parse(req.Msg.Text)
+	return connect.NewResponse(&apiv1.CheckResponse{Problems: estate.Problems(problems)}), nil
+}
+
+// Status sums up where the newest revision is in force.
+func (q queries) Status(ctx context.Context, _ *connect.Request[apiv1.StatusRequest]) (*connect.Response[apiv1.StatusResponse], error) {
+	if err := q.r.confirm(ctx); err != nil {
+		return nil, err
+	}
+	resp := &apiv1.StatusResponse{Log: q.r.logStatus()}
+	q.r.mu.RLock()
+	resp.Revision = q.r.state.Revision()
+	resp.Hosts = q.r.state.Records().Hosts()
+	q.r.mu.RUnlock()
+	q.r.relays.summary(resp.Revision, resp)
+	return connect.NewResponse(resp), nil
+}
+
+// Show returns an institution's newest accepted text.
+func (q queries) Show(ctx context.Context, req *connect.Request[apiv1.ShowRequest]) (*connect.Response[apiv1.ShowResponse], error) {
+	if err := q.r.confirm(ctx); err != nil {
+		return nil, err
+	}
+	q.r.mu.RLock()
+	defer q.r.mu.RUnlock()
+	resp := &apiv1.ShowResponse{Institutions: q.r.state.Institutions()}
+	if doc := q.r.state.Document(req.Msg.Institution); doc != nil {
+		text, err := estate.Gunzip(doc.TextGzip)
+		if err != nil {
+			return nil, fault.New(fault.Unavailable, err)
+		}
+		resp.Revision, resp.Text = doc.Revision, text
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// Audit returns decided changes, oldest first.
+func (q queries) Audit(ctx context.Context, req *connect.Request[apiv1.AuditRequest]) (*connect.Response[apiv1.AuditResponse], error) {
+	if err := q.r.confirm(ctx); err != nil {
+		return nil, err
+	}
+	limit := int(req.Msg.Limit)
+	if limit == 0 || limit > maxAuditRecords {
+		limit = maxAuditRecords
+	}
+	q.r.mu.RLock()
+	defer q.r.mu.RUnlock()
+	if req.Msg.ChangeId != "" {
+		resp := &apiv1.AuditResponse{}
+		if record := q.r.state.Outcome(req.Msg.ChangeId); record != nil {
+			resp.Records = append(resp.Records, record)
+		}
+		return connect.NewResponse(resp), nil
+	}
+	return connect.NewResponse(&apiv1.AuditResponse{Records: q.r.state.Audit(req.Msg.AfterIndex, limit)}), nil
+}
+
+func (r *Replica) logStatus() *apiv1.LogStatusResponse {
+	s := r.Status()
+	resp := &apiv1.LogStatusResponse{
+		MemberId: s.ID, Name: r.options.Name, Term: s.Term, Commit: s.Commit, Applied: s.Applied,
+		LeaderId: s.Leader, Admitted: consensus.FindMember(s.Membership, s.ID) != nil, Membership: s.Membership,
+	}
+	if m := consensus.FindMember(s.Membership, s.Leader); m != nil {
+		resp.LeaderAddress = m.Address
+	}
+	return resp
+}
--- /dev/null
+++ b/internal/transport/transport.go
@@ -0,0 +1,151 @@
+// Package transport sets up the HTTP clients and listeners that our processes
+// use towards each other, with or without TLS.
+package transport
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// TLSFiles names the files of a process's certificate and of the authority
+// that signs its peers'. The zero value means plain text.
+type TLSFiles struct {
+	Certificate, Key, Authority string
+}
+
+// Enabled tells whether TLS is configured.
+func (f TLSFiles) Enabled() bool { return f.Certificate != "" }
+
+// reloadEvery is how often changed files are noticed.
+const reloadEvery = 10 * time.Second
+
+// Security holds a process's certificate and reloads it when its files change,
+// so that a renewed certificate needs no restart. Safe for concurrent use.
+type Security struct {
+	files TLSFiles
+
+	mu        sync.Mutex
+	checked   time.Time
+	modified  time.Time
+	current   *tls.Certificate
+	authority *x509.CertPool
+}
+
+// NewSecurity loads the files; nil when TLS is off.
+func NewSecurity(files TLSFiles) (*Security, error) {
+	if !files.Enabled() {
+		return nil, nil
+	}
+	s := &Security{files: files}
+	if err := s.load(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Security) load() error {
+	pair, err := tls.LoadX509KeyPair(s.files.Certificate, s.files.Key)
+	if err != nil {
+		return errors.Wrap(err, "load the certificate; check tls.certificate and tls.key in the settings")
+	}
+	pem, err := os.ReadFile(s.files.Authority)
+	if err != nil {
+		return errors.Wrap(err, "load the authority; check tls.authority in the settings")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return errors.Newf("%s holds no certificate; check tls.authority in the settings", s.files.Authority)
+	}
+	s.current, s.authority = &pair, pool
+	return nil
+}
+
+func (s *Security) certificate() (*tls.Certificate, *x509.CertPool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if time.Since(s.checked) > reloadEvery {
+		s.checked = time.Now()
+		if info, err := os.Stat(s.files.Certificate); err == nil && info.ModTime().After(s.modified) {
+			// A half-written pair keeps the one in use; the next check tries again.
+			if s.load() == nil {
+				s.modified = info.ModTime()
+			}
+		}
+	}
+	return s.current, s.authority
+}
+
+func (s *Security) serverConfig() *tls.Config {
+	return &tls.Config{MinVersion: tls.VersionTLS13, GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+		pair, pool := s.certificate()
+		return &tls.Config{MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{*pair}, ClientAuth: tls.RequireAndVerifyClientCert, ClientCAs: pool}, nil
+	}}
+}
+
+func (s *Security) clientConfig() *tls.Config {
+	pair, pool := s.certificate()
+	return &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: pool, Certificates: []tls.Certificate{*pair}}
+}
+
+// Listen opens a TCP listener, with TLS when s is not nil.
+func (s *Security) Listen(address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s; check the address in the settings and whether another process uses it", address)
+	}
+	return s.Wrap(l), nil
+}
+
+// Wrap adds TLS to a listener when s is not nil.
+func (s *Security) Wrap(l net.Listener) net.Listener {
+	if s == nil {
+		return l
+	}
+	return tls.NewListener(l, s.serverConfig())
+}
+
+// WrapClient turns a connection that was dialed to address into a TLS
+// one when s is not nil.
+func (s *Security) WrapClient(conn net.Conn, address string) net.Conn {
+	if s == nil {
+		return conn
+	}
+	config := s.clientConfig()
+	config.ServerName, _, _ = net.SplitHostPort(address)
+	return tls.Client(conn, config)
+}
+
+const (
+	dialTimeout     = time.Second
+	idleConnTimeout = 90 * time.Second
+	idlePerHost     = 4
+)
+
+// ControlClient returns the HTTP client for control traffic.
+func (s *Security) ControlClient() *http.Client {
+	t := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: idlePerHost,
+		IdleConnTimeout:     idleConnTimeout,
+		DisableCompression:  true,
+	}
+	if s != nil {
+		t.TLSClientConfig = s.clientConfig()
+	}
+	return &http.Client{Transport: t}
+}
+
+// URL returns the base URL of an address.
+func (s *Security) URL(address string) string {
+	if s == nil {
+		return "http://" + address
+	}
+	return "https://" + address
+}
--- /dev/null
+++ b/internal/wal/wal.go
@@ -0,0 +1,391 @@
+package wal
+
+import (
+	"encoding/json"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "cactuspath/api/cactuspath/v1"
+	"cactuspath/core/consensus"
+)
+
+const (
+	logName      = "log"
+	snapshotName = "snapshot"
+	identityName = "identity.json"
+	lockName     = "lock"
+	filePerm     = 0o600
+	dirPerm      = 0o700
+)
+
+// Errors about the data folder. Their messages name the remedy.
+var (
+	ErrNoIdentity = errors.New("the data folder holds no replica; run `cactuspath init --settings F` for the first start of a new cluster, " +
+		"or start it as it is and run `cactusctl replica add` to admit it to a running one")
+	ErrLocked = errors.New("another process uses this data folder; stop that process first")
+)
+
+// Identity tells which member a data folder belongs to. A folder that was lost
+// gets another id, so that its replica never votes as its former self.
+type Identity struct {
+	MemberID uint64            `json:"memberId"`
+	Name     string            `json:"name"`
+	Founders map[string]Member `json:"founders,omitempty"`
+}
+
+// Member is a founding member.
+type Member struct {
+	ID      uint64 `json:"id"`
+	Address string `json:"address"`
+}
+
+// Membership renders the founders as the first membership; nil for a replica
+// that waits to be admitted.
+func (i Identity) Membership() *apiv1.Membership {
+	if len(i.Founders) == 0 {
+		return nil
+	}
+	m := &apiv1.Membership{}
+	for name, f := range i.Founders {
+		m.Members = append(m.Members, &apiv1.Member{Id: f.ID, Name: name, Address: f.Address})
+	}
+	return m
+}
+
+// HasIdentity tells whether the folder belongs to a replica.
+func HasIdentity(folder string) bool {
+	_, err := os.Stat(filepath.Join(folder, identityName))
+	return err == nil
+}
+
+// WriteIdentity claims an empty folder for a member.
+func WriteIdentity(folder string, id Identity) error {
+	if HasIdentity(folder) {
+		return errors.Newf("%s already holds a replica; use another folder", folder)
+	}
+	if err := os.MkdirAll(folder, dirPerm); err != nil {
+		return errors.Wrap(err, "create the data folder")
+	}
+	data, err := json.MarshalIndent(id, "", "  ")
+	if err != nil {
+		return err
+	}
+	return writeSynced(folder, identityName, data)
+}
+
+// Log is the open data folder. It is not safe for concurrent use.
+type Log struct {
+	folder string
+	lock   *os.File
+	file   *os.File
+	buffer []byte
+	size   int64
+	// Cut is how many bytes of a torn tail were removed when it was opened.
+	Cut int64
+}
+
+// Open locks the folder and reads what it holds.
+func Open(folder string) (*Log, Identity, consensus.Restored, error) {
+	l := &Log{folder: folder}
+	var id Identity
+	if err := l.acquire(); err != nil {
+		return nil, id, consensus.Restored{}, err
+	}
+	id, restored, err := l.load()
+	if err != nil {
+		_ = l.Close()
+		return nil, id, restored, err
+	}
+	return l, id, restored, nil
+}
+
+func (l *Log) acquire() error {
+	f, err := os.OpenFile(filepath.Join(l.folder, lockName), os.O_CREATE|os.O_RDWR, filePerm)
+	if errors.Is(err, fs.ErrNotExist) {
+		return ErrNoIdentity
+	}
+	if err != nil {
+		return errors.Wrap(err, "open the data folder")
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		_ = f.Close()
+		return ErrLocked
+	}
+	l.lock = f
+	return nil
+}
+
+func (l *Log) load() (Identity, consensus.Restored, error) {
+	var id Identity
+	var restored consensus.Restored
+	data, err := os.ReadFile(filepath.Join(l.folder, identityName))
+	if errors.Is(err, fs.ErrNotExist) {
+		return id, restored, ErrNoIdentity
+	}
+	if err != nil {
+		return id, restored, errors.Wrap(err, "read the replica's identity")
+	}
+	if err := json.Unmarshal(data, &id); err != nil {
+		return id, restored, &DamageError{File: filepath.Join(l.folder, identityName), Reason: err.Error()}
+	}
+	restored.Founders = id.Membership()
+	if restored.Snapshot, err = l.loadSnapshot(); err != nil {
+		return id, restored, err
+	}
+	return id, restored, l.loadEntries(&restored)
+}
+
+func (l *Log) loadSnapshot() (*apiv1.Snapshot, error) {
+	path := filepath.Join(l.folder, snapshotName)
+	data, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, errors.Wrap(err, "read the snapshot")
+	}
+	// The snapshot came into place by a rename after its sync, so that it is
+	// never torn by a crash: any mismatch is damage.
+	_, payload, _, err := readRecord(data)
+	if err != nil {
+		return nil, &DamageError{File: path, Reason: err.Error()}
+	}
+	s := &apiv1.Snapshot{}
+	if err := proto.Unmarshal(payload, s); err != nil {
+		return nil, &DamageError{File: path, Reason: err.Error()}
+	}
+	return s, nil
+}
+
+func (l *Log) loadEntries(restored *consensus.Restored) error {
+	path := filepath.Join(l.folder, logName)
+	data, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		if restored.Snapshot != nil {
+			return &DamageError{File: path, Reason: "the file is missing beside a snapshot"}
+		}
+		return l.rewrite(nil, nil, nil)
+	}
+	if err != nil {
+		return errors.Wrap(err, "read the log")
+	}
+	r := replayed{}
+	offset := 0
+	for offset < len(data) {
+		kind, payload, size, err := readRecord(data[offset:])
+		if errors.Is(err, errTorn) {
+			break
+		}
+		if err == nil {
+			err = r.take(kind, payload)
+		}
+		if err != nil {
+			return &DamageError{File: path, Offset: int64(offset), Reason: err.Error()}
+		}
+		offset += size
+	}
+	l.Cut = int64(len(data) - offset)
+	restored.HardState = r.hard
+	restored.Entries = r.after(restored.Snapshot)
+	return l.openAt(path, int64(offset))
+}
+
+// openAt cuts a torn tail off and positions the file for appending.
+func (l *Log) openAt(path string, size int64) error {
+	f, err := os.OpenFile(path, os.O_RDWR, filePerm)
+	if err != nil {
+		return errors.Wrap(err, "open the log")
+	}
+	if err := f.Truncate(size); err != nil {
+		return errors.Wrap(err, "cut the log's torn tail")
+	}
+	if err := f.Sync(); err != nil {
+		return errors.Wrap(err, "sync the log")
+	}
+	if _, err := f.Seek(size, 0); err != nil {
+		return errors.Wrap(err, "position the log")
+	}
+	l.file, l.size = f, size
+	return nil
+}
+
+// replayed gathers the records of a log file.
+type replayed struct {
+	base    *apiv1.LogEntry
+	entries []*apiv1.LogEntry
+	hard    *apiv1.HardState
+}
+
+func (r *replayed) take(kind recordKind, payload []byte) error {
+	switch kind {
+	case kindBase:
+		r.base = &apiv1.LogEntry{}
+		return proto.Unmarshal(payload, r.base)
+	case kindHardState:
+		r.hard = &apiv1.HardState{}
+		return proto.Unmarshal(payload, r.hard)
+	case kindEntry:
+		e := &apiv1.LogEntry{}
+		if err := proto.Unmarshal(payload, e); err != nil {
+			return err
+		}
+		return r.takeEntry(e)
+	}
+	return errors.Newf("unknown record kind %d", kind)
+}
+
+// takeEntry appends an entry. One whose index is held already replaces it and
+// all that follow, as the leader of a later term had them overwritten.
+func (r *replayed) takeEntry(e *apiv1.LogEntry) error {
+	next := r.base.GetIndex() + uint64(len(r.entries)) + 1
+	if e.Index > next || e.Index <= r.base.GetIndex() {
+		return errors.Newf("entry %d follows entry %d", e.Index, next-1)
+	}
+	r.entries = append(r.entries[:e.Index-r.base.GetIndex()-1], e)
+	return nil
+}
+
+// after returns the entries that continue the snapshot. A crash between saving
+// a received snapshot and rewriting the log leaves a log that may not continue
+// it; such entries are dropped, since the snapshot supersedes them.
+func (r *replayed) after(s *apiv1.Snapshot) []*apiv1.LogEntry {
+	if s == nil || r.base.GetIndex() == s.Index && r.base.GetTerm() == s.Term {
+		return r.entries
+	}
+	for i, e := range r.entries {
+		if e.Index == s.Index && e.Term == s.Term {
+			return r.entries[i+1:]
+		}
+	}
+	return nil
+}
+
+// Append buffers entries and, if not nil, the hard state.
+func (l *Log) Append(entries []*apiv1.LogEntry, hard *apiv1.HardState) error {
+	for _, e := range entries {
+		if err := l.add(kindEntry, e); err != nil {
+			return err
+		}
+	}
+	if hard != nil {
+		return l.add(kindHardState, hard)
+	}
+	return nil
+}
+
+func (l *Log) add(kind recordKind, m proto.Message) error {
+	payload, err := proto.Marshal(m)
+	if err != nil {
+		return err
+	}
+	l.buffer = appendRecord(l.buffer, kind, payload)
+	return nil
+}
+
+// Flush writes what is buffered and, with sync, waits until it is on disk.
+func (l *Log) Flush(sync bool) error {
+	if len(l.buffer) > 0 {
+		n, err := l.file.Write(l.buffer)
+		l.size += int64(n)
+		l.buffer = l.buffer[:0]
+		if err != nil {
+			return errors.Wrap(err, "write the log; free disk space or replace the disk, then restart the replica")
+		}
+	}
+	if !sync {
+		return nil
+	}
+	return errors.Wrap(l.file.Sync(), "sync the log; replace the disk, then restart the replica")
+}
+
+// Size is the log file's length in bytes.
+func (l *Log) Size() int64 { return l.size }
+
+// Compact saves a snapshot and rewrites the log to what follows it.
+func (l *Log) Compact(s *apiv1.Snapshot, entries []*apiv1.LogEntry, hard *apiv1.HardState) error {
+	payload, err := proto.Marshal(s)
+	if err != nil {
+		return err
+	}
+	if err := writeSynced(l.folder, snapshotName, appendRecord(nil, kindBase, payload)); err != nil {
+		return err
+	}
+	return l.rewrite(s, entries, hard)
+}
+
+// rewrite replaces the log file. The snapshot it continues is on disk already,
+// so that a crash at any point leaves a log and a snapshot that fit.
+func (l *Log) rewrite(s *apiv1.Snapshot, entries []*apiv1.LogEntry, hard *apiv1.HardState) error {
+	var data []byte
+	base, err := proto.Marshal(&apiv1.LogEntry{Index: s.GetIndex(), Term: s.GetTerm()})
+	if err != nil {
+		return err
+	}
+	data = appendRecord(data, kindBase, base)
+	for _, e := range entries {
+		payload, err := proto.Marshal(e)
+		if err != nil {
+			return err
+		}
+		data = appendRecord(data, kindEntry, payload)
+	}
+	if hard != nil {
+		payload, err := proto.Marshal(hard)
+		if err != nil {
+			return err
+		}
+		data = appendRecord(data, kindHardState, payload)
+	}
+	if err := writeSynced(l.folder, logName, data); err != nil {
+		return err
+	}
+	if l.file != nil {
+		_ = l.file.Close()
+	}
+	return l.openAt(filepath.Join(l.folder, logName), int64(len(data)))
+}
+
+// Close releases the folder.
+func (l *Log) Close() error {
+	if l.file != nil {
+		_ = l.file.Close()
+	}
+	return l.lock.Close()
+}
+
+// writeSynced replaces a file whole: a reader finds the old or the new one.
+func writeSynced(folder, name string, data []byte) error {
+	path := filepath.Join(folder, name)
+	f, err := os.OpenFile(path+".new", os.O_CREATE|os.O_TRUNC|os.O_WRONLY, filePerm)
+	if err != nil {
+		return errors.Wrapf(err, "create %s", path)
+	}
+	_, err = f.Write(data)
+	if err == nil {
+		err = f.Sync()
+	}
+	if closeErr := f.Close(); err == nil {
+		err = closeErr
+	}
+	if err == nil {
+		err = os.Rename(path+".new", path)
+	}
+	if err == nil {
+		err = syncFolder(folder)
+	}
+	return errors.Wrapf(err, "write %s", path)
+}
+
+func syncFolder(folder string) error {
+	d, err := os.Open(folder)
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	return d.Sync()
+}
