--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"cactuspath/core/gate"
-	"cactuspath/core/measure"
 )
 
 // Candidate is one endpoint as a caller's node sees it.
@@ -34,8 +33,6 @@
 	// avoidUntil: no new work before, since it could not be reached.
 	avoidUntil time.Duration
 	failures   int
-	// carried counts how often the report was carried to another gate.
-	carried int
 }
 
 // Policy picks among candidates, of which there is at least one. A policy may
@@ -48,8 +45,6 @@
 const (
 	// reportLife is how long a report bears on picks.
 	reportLife = 200 * time.Millisecond
-	// carryLife is how old a report may be to be carried on.
-	carryLife = 100 * time.Millisecond
 	// firstAvoidance and longestAvoidance bound how long an endpoint that could
 	// not be reached gets no work; it doubles with each failure in a row. After
 	// it one request tries again.
@@ -77,7 +72,7 @@
 	all := make([]*Candidate, 0, len(list))
 	for _, c := range list {
 		held := p.byHost[c.Host]
-		if held == nil || held.Incarnation != c.Incarnation {
+		if held == nil || held.Incarnation < c.Incarnation {
 			fresh := c
 			held = &fresh
 		}
@@ -159,14 +154,25 @@
 	c.avoidUntil = now + min(firstAvoidance<<min(c.failures-1, 10), longestAvoidance)
 }
 
+// SetDraining notes that a candidate's gate said it is leaving, ahead of the
+// directory.
+func (p *Pool) SetDraining(c *Candidate) { c.Draining = true }
+
+// SetIncarnation notes a node's restart ahead of the directory.
+func (p *Pool) SetIncarnation(c *Candidate, incarnation uint64) {
+	if incarnation > c.Incarnation {
+		c.Incarnation = incarnation
+	}
+}
+
 // Learn takes in a report about a candidate.
 func (p *Pool) Learn(now time.Duration, r gate.Report) {
 	c := p.byHost[r.Host]
 	if c == nil || c.reported && !r.Newer(c.report) {
 		return
 	}
-	c.report, c.taken, c.reported = r, now-r.Age, true
-	c.sentSince, c.carried = 0, 0
+	c.report, c.taken, c.reported = r, now-c.Distance, true
+	c.sentSince = 0
 }
 
 // Report returns the newest report about a candidate, if it is fresh.
@@ -174,50 +180,8 @@
 	if !c.reported || now-c.taken > reportLife {
 		return gate.Report{}, false
 	}
-	r = c.report
-	r.Age = now - c.taken
-	return r, true
+	return c.report, true
 }
 
 // SentSince counts this node's requests sent there after the report.
 func (c *Candidate) SentSince() int { return c.sentSince }
-
-// Carry appends up to limit of the freshest reports about other endpoints than
-// the one a request goes to. Requests carry them to that endpoint's gate, so
-// that the gates of a service know each other without messages of their own.
-// One report is carried measure.CarryUses times at most, which the measuring
-// budget counts on.
-func (p *Pool) Carry(now time.Duration, to *Candidate, limit int, out []gate.Report) []gate.Report {
-	for range limit {
-		best := p.freshest(now, to, out)
-		if best == nil {
-			return out
-		}
-		r, _ := best.Report(now)
-		best.carried++
-		out = append(out, r)
-	}
-	return out
-}
-
-func (p *Pool) freshest(now time.Duration, except *Candidate, taken []gate.Report) *Candidate {
-	var best *Candidate
-	for _, c := range p.all {
-		if c == except || c.carried >= measure.CarryUses || !c.reported || now-c.taken > carryLife || contained(taken, c.Host) {
-			continue
-		}
-		if best == nil || c.taken > best.taken {
-			best = c
-		}
-	}
-	return best
-}
-
-func contained(list []gate.Report, host string) bool {
-	for i := range list {
-		if list[i].Host == host {
-			return true
-		}
-	}
-	return false
-}
--- a/core/gate/estimate.go
+++ b/core/gate/estimate.go
@@ -7,11 +7,11 @@
 
 const (
 	// estimateWeight is how many recent completions the estimate rests on.
-	estimateWeight = 8
+	estimateWeight = 4
 	// memorySpans is how many mean service times it takes until what was seen
 	// loses most of its weight, so that a server that was slow and then got no
 	// work is not held to be slow for ever.
-	memorySpans = 20
+	memorySpans = 20.0
 	// baselineWeight is the weight of the long-term mean beside recent data.
 	baselineWeight = 1.0
 	// baselineGain moves the long-term mean, per completion.
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -56,6 +56,8 @@
 	Refused
 	// Moved: answer "not run", with the sibling to use instead.
 	Moved
+	// Send: send Report to the sibling To.
+	Send
 )
 
 // Event is one outcome for the driver to carry out.
@@ -64,8 +66,12 @@
 	Handle     Handle
 	Reason     Reason
 	RetryAfter time.Duration
+	// Everywhere: the siblings are as full, so another attempt is pointless.
+	Everywhere bool
 	// To is the sibling's host.
 	To string
+	// Report is the load to send.
+	Report Report
 }
 
 // Request is what the gate needs to know of an arriving request.
@@ -181,12 +187,19 @@
 // Arrive takes in a request.
 func (g *Gate) Arrive(now time.Duration, r Request) []Event {
 	g.begin(now)
+	it := &item{Request: r, caller: r.Caller, arrived: now}
 	if reason := g.unfit(now, r); reason != 0 {
 		g.emit(Event{Kind: Refused, Handle: r.Handle, Reason: reason, RetryAfter: g.retryAfter(now)})
 		return g.take()
 	}
-	it := &item{Request: r, caller: r.Caller, arrived: now}
+	if reason := g.closed(); reason != 0 {
+		if !g.rebind(now, it, 0) {
+			g.emit(Event{Kind: Refused, Handle: r.Handle, Reason: reason, RetryAfter: g.retryAfter(now)})
+		}
+		return g.take()
+	}
 	g.admit(now, it)
+	g.announce(now)
 	return g.take()
 }
 
@@ -196,10 +209,6 @@
 		return Fenced
 	case g.byID[r.ID] != nil:
 		return Duplicate
-	case g.draining:
-		return Draining
-	case g.down:
-		return Down
 	case now >= r.Deadline:
 		return TooLate
 	}
@@ -209,6 +218,17 @@
 	return 0
 }
 
+// closed tells why the gate takes no new work at all.
+func (g *Gate) closed() Reason {
+	switch {
+	case g.draining:
+		return Draining
+	case g.down:
+		return Down
+	}
+	return 0
+}
+
 // free counts the slots that nothing runs in.
 func (g *Gate) free(now time.Duration) int { return g.slots(now) - g.running }
 
@@ -234,7 +254,7 @@
 		return true
 	}
 	if now+g.finishIn(now) > it.Deadline {
-		g.emit(Event{Kind: Refused, Handle: it.Handle, Reason: TooLate, RetryAfter: g.retryAfter(now)})
+		g.refuse(now, it, TooLate)
 		return false
 	}
 	if g.queue.size < g.config.Queue {
@@ -243,12 +263,25 @@
 	return g.pushOut(now, it)
 }
 
+func (g *Gate) refuse(now time.Duration, it *item, reason Reason) {
+	g.emit(Event{Kind: Refused, Handle: it.Handle, Reason: reason, RetryAfter: g.retryAfter(now), Everywhere: g.fullEverywhere(now)})
+}
+
+// fullPercent of the queue taken counts as full for siblings, so that what they
+// have on the way still finds room.
+const fullPercent = 75
+
+// unfairFactor is how many times its share a caller must hold of a full queue
+// before another's request takes its place. With less, callers of equal load
+// push each other out, and refusals come late.
+const unfairFactor = 4
+
 // pushOut makes room in a full queue at the cost of the caller that holds most
 // of it, if that is not the arriving one.
 func (g *Gate) pushOut(now time.Duration, it *item) bool {
 	longest := g.queue.longest()
-	if longest == nil || longest.length <= g.queue.of(it.caller)+1 {
-		g.emit(Event{Kind: Refused, Handle: it.Handle, Reason: QueueFull, RetryAfter: g.retryAfter(now)})
+	if longest == nil || longest.length < unfairFactor*(g.queue.of(it.caller)+1) {
+		g.refuse(now, it, QueueFull)
 		return false
 	}
 	g.drop(longest.tail, QueueFull, g.retryAfter(now))
@@ -332,6 +365,7 @@
 		g.memory.finish(it.ID, it.arrived)
 	}
 	g.fill(now)
+	g.announce(now)
 	return g.take()
 }
 
@@ -365,14 +399,15 @@
 	return min(max(g.wait(now), shortest), longest)
 }
 
-// SetDraining starts or ends a drain. Requests that wait are refused at once,
-// since they would otherwise start on a server that is leaving.
+// SetDraining starts or ends a drain. Requests that wait move or are refused at
+// once, since they would otherwise start on a server that is leaving.
 func (g *Gate) SetDraining(now time.Duration, draining bool) []Event {
 	g.begin(now)
 	g.draining = draining
 	if draining {
-		g.refuseAll(Draining)
+		g.refuseAll(now, Draining)
 	}
+	g.announce(now)
 	return g.take()
 }
 
@@ -381,12 +416,13 @@
 	g.begin(now)
 	g.down = down
 	if down {
-		g.refuseAll(Down)
+		g.refuseAll(now, Down)
 	}
+	g.announce(now)
 	return g.take()
 }
 
-func (g *Gate) refuseAll(reason Reason) {
+func (g *Gate) refuseAll(now time.Duration, reason Reason) {
 	var waiting []*item
 	for _, it := range g.items {
 		if it.state != stateRunning {
@@ -395,7 +431,9 @@
 	}
 	sort.Slice(waiting, func(i, j int) bool { return waiting[i].Handle < waiting[j].Handle })
 	for _, it := range waiting {
-		g.drop(it, reason, 0)
+		if !g.rebind(now, it, 0) {
+			g.drop(it, reason, 0)
+		}
 	}
 }
 
@@ -413,6 +451,7 @@
 	return Load{
 		Running: g.running, Waiting: g.queue.size, Slots: g.slots(now),
 		Service: g.estimate.mean(now), Draining: g.draining || g.down,
+		Full:      g.queue.size >= g.config.Queue*fullPercent/100 && g.free(now) <= 0,
 		FailRatio: g.standing.ratio, Failing: g.failing(now),
 	}
 }
--- a/core/gate/siblings.go
+++ b/core/gate/siblings.go
@@ -4,6 +4,8 @@
 	"sort"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"cactuspath/core/measure"
 )
 
@@ -12,28 +14,38 @@
 // "not run" and names the sibling; the caller's node sends it there. The gate
 // never has custody of a request that it moves.
 //
-// Gates learn of each other without messages of their own: a gate's report
-// rides on its answers, and callers carry the reports they hold to the other
-// gates on their next calls. docs/design/late-binding.md has the other ways
-// that were weighed, with their figures.
+// Gates learn of each other by reports that each sends to its siblings when its
+// load changes, within the institution's measuring budget. What a gate knows so
+// does not depend on how many callers share the traffic.
+// docs/design/late-binding.md has the other ways that were weighed.
 const (
-	// reportLife is how long a sibling's report bears on decisions.
-	reportLife = 100 * time.Millisecond
+	// reportLife is how long a sibling's report bears on decisions. It may be
+	// long, since a change is reported as it happens.
+	reportLife = time.Second
+	// refreshAfter is when an unchanged load is reported again.
+	refreshAfter = reportLife / 2
+	// changeRatio is the change in expected finish that is worth a report.
+	changeRatio = 1.4
 	// gainWaiting and gainFree are how many times sooner a sibling must be
 	// expected to finish a request that would wait here, or that could start.
 	// Lower values move on noise; higher ones leave requests at slow servers.
 	gainWaiting = 1.6
-	gainFree    = 3.0
+	gainFree    = 1.7
 	// crowd stands for the other gates that move requests to the same sibling
 	// at the same time and whose moves are not seen here: each own move since
 	// the sibling's report counts that often. With 1 the gates herd.
-	crowd = 4
+	crowd = 3
+	// audience is how many siblings a gate reports to. More would learn each
+	// change later under the same budget, and need not know it: a request can
+	// move twice.
+	audience = 5
 	// scanInterval is how often waiting requests are looked at again.
-	scanInterval = time.Millisecond
+	scanInterval = 2 * time.Millisecond
 	// defaultDistance is assumed for a sibling not measured yet.
 	defaultDistance = time.Millisecond
-	// reportBytes is what one report costs of the measuring budget on the wire.
-	reportBytes = 64
+	// ReportBytes is what one report costs of the measuring budget, in bytes: the
+	// largest datagram that carries one, with its UDP and IP headers.
+	ReportBytes = 160
 )
 
 // Load is a gate's state as it tells others.
@@ -41,8 +53,8 @@
 	Running, Waiting, Slots int
 	// Service is the estimated service time of one request.
 	Service time.Duration
-	// Draining: no new work here.
-	Draining bool
+	// Draining: no new work here. Full: hardly any room to wait.
+	Draining, Full bool
 	// FailRatio is the share of recent answers that were failures. Failing is
 	// the gate's own verdict that its siblings do markedly better.
 	FailRatio float64
@@ -60,13 +72,11 @@
 	return l.Service + time.Duration(turns*float64(l.Service))
 }
 
-// Report is one gate's load and how old it is. Ages are relative, so that no
-// two clocks need to agree.
+// Report is one gate's load.
 type Report struct {
 	Host string
 	// Incarnation and Sequence order a host's reports.
 	Incarnation, Sequence uint64
-	Age                   time.Duration
 	Load                  Load
 }
 
@@ -88,7 +98,7 @@
 type sibling struct {
 	Sibling
 	report Report
-	// taken is when the report was taken, by this gate's clock.
+	// taken is when the report was taken, by this gate's clock and the distance.
 	taken time.Duration
 	known bool
 	// sent are the times of moves there that its report cannot show yet.
@@ -103,7 +113,12 @@
 	budget   *measure.Budget
 	list     []*sibling
 	byHost   map[string]*sibling
+	// audience are the siblings that this gate reports to.
+	audience []*sibling
 	moves    uint64
+	// reported is the load that siblings were last told, and when.
+	reported   Load
+	reportedAt time.Duration
 }
 
 func newSiblings(self string) siblings {
@@ -132,20 +147,34 @@
 	}
 	s.byHost = byHost
 	sort.Slice(s.list, func(i, j int) bool { return s.list[i].Host < s.list[j].Host })
+	s.chooseAudience()
+}
+
+// chooseAudience takes the siblings with the highest weight for the pair. Both
+// gates of a pair compute the same weight, so that most choices are mutual, and
+// every gate has about as many that report to it.
+func (s *siblings) chooseAudience() {
+	s.audience = append([]*sibling(nil), s.list...)
+	sort.SliceStable(s.audience, func(i, j int) bool {
+		return pairWeight(s.self, s.audience[i].Host) > pairWeight(s.self, s.audience[j].Host)
+	})
+	s.audience = s.audience[:min(audience, len(s.audience))]
 }
 
-// Learn takes in a sibling's report that a caller carried here. An older one
-// than is held changes nothing.
+func pairWeight(a, b string) uint64 { return xxhash.Sum64String(min(a, b) + "\x00" + max(a, b)) }
+
+// Learn takes in a sibling's report. An older one than is held changes nothing.
 func (g *Gate) Learn(now time.Duration, r Report) {
 	sib := g.siblings.byHost[r.Host]
-	if sib == nil || r.Age > reportLife || sib.known && !r.Newer(sib.report) {
+	if sib == nil || sib.known && !r.Newer(sib.report) {
 		return
 	}
-	sib.report, sib.taken, sib.known = r, now-r.Age, true
+	sib.report, sib.taken, sib.known = r, now-sib.Distance, true
 	sib.forgetMoves()
 }
 
-// forgetMoves drops the moves that the report must have in it already.
+// forgetMoves drops the moves that the report must have in it already: those
+// made early enough for the request to be there when it was taken.
 func (s *sibling) forgetMoves() {
 	horizon := s.taken - 2*s.Distance
 	kept := s.sent[:0]
@@ -157,20 +186,54 @@
 	s.sent = kept
 }
 
-// Report returns this gate's load for an answer to carry. Ok is false when the
-// gate's share of the measuring budget is spent; the answer then carries none.
-func (g *Gate) Report(now time.Duration) (r Report, ok bool) {
-	if !g.siblings.budget.Allow(now, reportBytes) {
-		return Report{}, false
+// announce reports this gate's load to its siblings when it changed, as often
+// as the measuring budget allows. Reports are spaced evenly, since a budget
+// spent at the start of a second would leave the rest of it in the dark.
+func (g *Gate) announce(now time.Duration) {
+	s := &g.siblings
+	if !g.config.Siblings || len(s.list) == 0 {
+		return
+	}
+	since := now - s.reportedAt
+	if since < g.reportSpacing() {
+		return
+	}
+	load := g.Load(now)
+	if since < refreshAfter && !load.differs(s.reported) {
+		return
+	}
+	s.reported, s.reportedAt = load, now
+	for _, sib := range s.audience {
+		if !s.budget.Allow(now, ReportBytes) {
+			return
+		}
+		s.sequence++
+		g.emit(Event{Kind: Send, To: sib.Host, Report: Report{Host: s.self, Sequence: s.sequence, Load: load}})
 	}
-	g.siblings.sequence++
-	return Report{Host: g.siblings.self, Sequence: g.siblings.sequence, Load: g.Load(now)}, true
 }
 
+// reportSpacing is the time that the budget leaves between two rounds.
+func (g *Gate) reportSpacing() time.Duration {
+	perSecond := min(g.config.ReportsPerSecond, g.config.BytesPerSecond/ReportBytes)
+	return time.Second * time.Duration(len(g.siblings.audience)) / time.Duration(max(1, perSecond))
+}
+
+// differs tells whether a load is worth a report after another one.
+func (l Load) differs(from Load) bool {
+	if l.open() != from.open() {
+		return true
+	}
+	a, b := float64(l.finishIn(0)), float64(from.finishIn(0))
+	return a > b*changeRatio || b > a*changeRatio
+}
+
+// open tells whether a sibling may send requests here.
+func (l Load) open() bool { return !l.Draining && !l.Full && !l.Failing }
+
 // soonest is the sibling expected to finish a request first, travel included.
 func (s *siblings) soonest(now time.Duration) (best *sibling, finish time.Duration) {
 	for _, sib := range s.list {
-		if !sib.fresh(now) || sib.report.Load.Draining || sib.report.Load.Failing {
+		if !sib.fresh(now) || !sib.report.Load.open() {
 			continue
 		}
 		f := sib.report.Load.finishIn(crowd*len(sib.sent)) + 2*sib.Distance
@@ -182,7 +245,8 @@
 }
 
 // rebind moves a request when a sibling is expected to finish it gain times
-// sooner. A server that fails where its siblings do not moves all but a trial.
+// sooner. A server that is leaving or cannot be reached moves everything, one
+// that fails where its siblings do not all but a trial.
 func (g *Gate) rebind(now time.Duration, it *item, gain float64) bool {
 	if !g.config.Siblings || !it.Movable {
 		return false
@@ -191,7 +255,7 @@
 	if sib == nil {
 		return false
 	}
-	forced := g.failing(now) && !g.standing.trial(now)
+	forced := g.draining || g.down || g.failing(now) && !g.standing.trial(now)
 	if !forced && float64(there)*gain > float64(g.finishIn(now)) {
 		return false
 	}
@@ -224,24 +288,43 @@
 	return list
 }
 
-// Tick looks at the waiting requests again. The driver calls it when NextTimer
-// says so.
+// Tick looks at the waiting requests again and reports a change that no request
+// brought up. The driver calls it when NextTimer says so.
 func (g *Gate) Tick(now time.Duration) []Event {
 	g.begin(now)
 	g.rescan(now)
 	g.fill(now)
+	g.announce(now)
 	return g.take()
 }
 
-// NextTimer tells when Tick is due; ok is false while nothing waits.
+// NextTimer tells when Tick is due; ok is false when nothing waits for it.
 func (g *Gate) NextTimer() (at time.Duration, ok bool) {
-	return g.lastScan + scanInterval, g.queue.size > 0
+	if !g.config.Siblings || len(g.siblings.list) == 0 {
+		return g.lastScan + scanInterval, g.queue.size > 0
+	}
+	refresh := g.siblings.reportedAt + max(refreshAfter, g.reportSpacing())
+	if g.queue.size > 0 {
+		return min(refresh, g.lastScan+scanInterval), true
+	}
+	return refresh, true
 }
 
-// Reported counts the reports given out and their bytes.
+// Reported counts the reports sent and their bytes.
 func (g *Gate) Reported() (reports, bytes uint64) {
 	return g.siblings.budget.Admitted, g.siblings.budget.AdmittedBytes
 }
 
 // Moves counts the requests this gate moved to a sibling.
 func (g *Gate) Moves() uint64 { return g.siblings.moves }
+
+// fullEverywhere tells whether the siblings that this gate knows of are as busy
+// as it is, so that trying one of them would only add to the load.
+func (g *Gate) fullEverywhere(now time.Duration) bool {
+	known := false
+	for _, sib := range g.siblings.list {
+		known = known || sib.fresh(now)
+	}
+	sib, there := g.siblings.soonest(now)
+	return known && (sib == nil || float64(there)*gainWaiting > float64(g.finishIn(now)))
+}
--- a/core/measure/budget.go
+++ b/core/measure/budget.go
@@ -1,10 +1,9 @@
 // Package measure enforces an institution's budget for measuring load.
 //
-// Load is measured by reports: a gate's report rides on its answers, and the
-// caller carries it on to other gates a limited number of times. The budget is
-// spent where load is known, at the gates: each gate of a service may give out
-// an equal share, whatever the number of callers. So the sum stays within the
-// budget without the callers having to agree on anything.
+// Load is measured by reports that the gates of a service send each other. The
+// budget is spent where load is known, at the gates: each may spend an equal
+// share, whatever the number of callers. So the sum stays within the budget
+// without anybody having to agree on anything.
 package measure
 
 import "time"
@@ -60,20 +59,10 @@
 	}
 }
 
-// CarryUses is how often a caller may carry one report to other gates.
-const CarryUses = 2
-
-// carriedWindows is how many windows' reports can be carried within one window:
-// a report lives for a tenth of a second, so those carried in a window were
-// given out in it or in the one before.
-const carriedWindows = 2
-
-// GateShare is the part of a service's budget that one of its gates may give
-// out as reports on its answers, such that these and all that callers carry of
-// them stay within the budget together. Rounding down keeps the sum of all
-// shares within the whole.
+// GateShare is the part of a service's budget that one of its gates may spend.
+// Rounding down keeps the sum of all shares within the whole.
 func GateShare(total uint32, gates int) int {
-	return int(total) / ((1 + CarryUses*carriedWindows) * max(1, gates))
+	return int(total) / max(1, gates)
 }
 
 // Allow tells whether a report of the given size may be sent now, and counts
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -16,6 +16,12 @@
 	Answered Ended = iota
 	// Moved: the gate names a sibling that will take the request.
 	Moved
+	// Restarted: the endpoint's node restarted since its entry was read; the
+	// request did not run and may go to the node's new incarnation.
+	Restarted
+	// NotRunAnywhere: the gate refused it and knows that its siblings are as
+	// full. Another attempt would add load and find the same.
+	NotRunAnywhere
 	// NotRun: the gate refused it, no connection could be made, or a revoke
 	// established that it never started.
 	NotRun
@@ -30,7 +36,8 @@
 const (
 	// Deliver the answer.
 	Deliver Action = iota
-	// TryNamed sends it to the sibling that the gate named.
+	// TryNamed sends it to the sibling that the gate named, or once more to the
+	// same endpoint after its node restarted.
 	TryNamed
 	// TryOther sends it to another endpoint.
 	TryOther
@@ -68,10 +75,12 @@
 	switch ended {
 	case Answered:
 		return Deliver
-	case Moved:
+	case NotRunAnywhere:
+		return r.GiveUp()
+	case Moved, Restarted:
 		r.moves++
 		if r.moves > maxMoves {
-			return r.giveUp()
+			return r.GiveUp()
 		}
 		r.attempts--
 		return TryNamed
@@ -82,14 +91,15 @@
 		r.unknown = true
 	}
 	if r.attempts >= r.MaxAttempts || !othersLeft || !budget.Take() {
-		return r.giveUp()
+		return r.GiveUp()
 	}
 	return TryOther
 }
 
-// giveUp is truthful about earlier attempts: one that may have run makes the
-// whole request's outcome unknown, however the last attempt ended.
-func (r *Request) giveUp() Action {
+// GiveUp tells how a request ends that is not tried again. It is truthful about
+// earlier attempts: one that may have run makes the whole request's outcome
+// unknown, however the last attempt ended.
+func (r *Request) GiveUp() Action {
 	if r.unknown {
 		return GiveUpUnknown
 	}
--- a/internal/replay/engine.go
+++ b/internal/replay/engine.go
@@ -41,9 +41,9 @@
 	heap.Push(&c.events, event{max(t, c.now), c.next, run})
 }
 
-// drain runs all events.
-func (c *clock) drain() {
-	for len(c.events) > 0 {
+// drain runs events until none is left or done says so.
+func (c *clock) drain(done func() bool) {
+	for len(c.events) > 0 && !done() {
 		e := heap.Pop(&c.events).(event)
 		c.now = e.at
 		e.run()
--- a/internal/replay/result.go
+++ b/internal/replay/result.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"cactuspath/core/gate"
 )
 
 type finalKind int
@@ -72,11 +74,7 @@
 
 func (c *collector) arrived(time.Duration) { c.Arrived++ }
 
-func (c *collector) report(at time.Duration, count int) {
-	for range count {
-		c.reports = append(c.reports, at)
-	}
-}
+func (c *collector) report(at time.Duration) { c.reports = append(c.reports, at) }
 
 func (s *simulation) final(k *call, kind finalKind) {
 	k.finals++
@@ -136,7 +134,7 @@
 }
 
 // reportBytes is what one report takes on the wire, as the gates count it.
-const reportBytes = 64
+const reportBytes = gate.ReportBytes
 
 // worstWindow is the most events in any span of one second.
 func worstWindow(at []time.Duration) int {
--- a/internal/replay/run.go
+++ b/internal/replay/run.go
@@ -24,8 +24,8 @@
 	Build func(*rand.Rand) balancer.Policy
 	// Siblings lets the gates act together.
 	Siblings bool
-	// Carry is how many reports a request carries.
-	Carry int
+	// Reports lets answers tell the callers of load, outside any budget.
+	Reports bool
 	// Omniscient picks by the servers' true state.
 	Omniscient bool
 	// NoRetryBudget lifts the limit on retries.
@@ -44,14 +44,14 @@
 		{Name: "round-robin", Build: roundrobin.New},
 		{Name: "least-outstanding", Build: leastoutstanding.New},
 		{Name: "two-choices", Build: twochoices.New},
-		{Name: "predicted", Build: predicted.New},
+		{Name: "predicted", Build: predicted.New, Reports: true},
+		{Name: "unbudgeted-retries", Build: leastoutstanding.New, NoRetryBudget: true},
 		{Name: "omniscient", Build: random.New, Omniscient: true},
-		{Name: Chosen, Build: leastoutstanding.New, Siblings: true, Carry: 2},
-		{Name: "cactus-predicted", Build: predicted.New, Siblings: true, Carry: 2},
-		{Name: "cactus-random", Build: random.New, Siblings: true, Carry: 2},
-		{Name: "cactus-no-carry", Build: leastoutstanding.New, Siblings: true},
-		{Name: "cactus-no-retry-budget", Build: leastoutstanding.New, Siblings: true, Carry: 2, NoRetryBudget: true},
-		{Name: "cactus-no-measure-budget", Build: leastoutstanding.New, Siblings: true, Carry: 2, NoMeasureBudget: true},
+		{Name: Chosen, Build: leastoutstanding.New, Siblings: true},
+		{Name: "cactus-predicted", Build: predicted.New, Siblings: true, Reports: true},
+		{Name: "cactus-random", Build: random.New, Siblings: true},
+		{Name: "cactus-no-retry-budget", Build: leastoutstanding.New, Siblings: true, NoRetryBudget: true},
+		{Name: "cactus-no-measure-budget", Build: leastoutstanding.New, Siblings: true, NoMeasureBudget: true},
 	}
 }
 
@@ -93,13 +93,14 @@
 	reportDelay  time.Duration
 	reportIdle   bool
 	reportFrozen bool
-	history      []stampedReport
+	history      []stampedLoad
+	sequence     uint64
 	loseAnswers  float64
 }
 
-type stampedReport struct {
-	at     time.Duration
-	report gate.Report
+type stampedLoad struct {
+	at   time.Duration
+	load gate.Load
 }
 
 type caller struct {
@@ -119,7 +120,6 @@
 	tried    []string
 	runs     int
 	finals   int
-	cause    gate.Reason
 }
 
 // attempt is one try of a call at one endpoint.
@@ -134,6 +134,10 @@
 	settled     bool
 }
 
+// settleTime is how long after the last arrival a call may still end; one that
+// has not by then is lost.
+const settleTime = time.Minute
+
 // Run replays the trace with a variant.
 func Run(trace *Trace, variant Variant, seed uint64) *Result {
 	s := &simulation{trace: trace, variant: variant, random: rand.New(rand.NewPCG(seed, 99)), result: newCollector(variant.Name, trace)}
@@ -144,7 +148,8 @@
 	for _, e := range trace.Servers {
 		s.at(e.At.Duration(), func() { s.change(e) })
 	}
-	s.drain()
+	last := trace.Header.Duration.Duration() + settleTime
+	s.drain(func() bool { return s.now > last || s.result.calls == len(trace.Arrivals) })
 	return s.result.finish()
 }
 
@@ -180,6 +185,8 @@
 	if n.draining {
 		n.gate.SetDraining(n.s.now, true)
 	}
+	n.armed = 0
+	n.arm()
 }
 
 func (n *node) config() gate.Config {
@@ -225,7 +232,7 @@
 		k.caller.pool.Start(to)
 	}
 	if to == nil {
-		s.final(k, finalNotRun)
+		s.follow(k, k.retry.GiveUp(), nil)
 		return
 	}
 	k.tried = append(k.tried, to.Host)
@@ -233,9 +240,7 @@
 	s.result.attempts++
 	n := s.node(to.Host)
 	a := &attempt{call: k, id: gate.AttemptID{Request: k.id, Attempt: k.attempts}, to: to, node: n, sent: s.now, incarnation: to.Incarnation}
-	carried := k.caller.pool.Carry(s.now, to, s.variant.Carry, nil)
-	s.result.report(s.now, len(carried))
-	s.after(s.distance(), func() { n.receive(a, carried) })
+	s.after(s.distance(), func() { n.receive(a) })
 }
 
 func (s *simulation) node(host string) *node {
@@ -300,13 +305,10 @@
 }
 
 // receive is the arrival of an attempt at its gate.
-func (n *node) receive(a *attempt, carried []gate.Report) {
-	for _, r := range carried {
-		r.Age += n.s.distance()
-		n.gate.Learn(n.s.now, r)
-	}
+func (n *node) receive(a *attempt) {
 	if a.incarnation != n.incarnation {
-		n.answer(a, func() { n.s.ended(a, retry.NotRun) })
+		incarnation := n.incarnation
+		n.answer(a, func() { n.s.restarted(a, incarnation) })
 		return
 	}
 	n.next++
@@ -347,8 +349,9 @@
 			n.execute(e.Handle, a)
 		case gate.Refused:
 			delete(n.requests, e.Handle)
-			a.call.cause = e.Reason
-			n.answer(a, func() { n.s.ended(a, retry.NotRun) })
+			n.refused(a, e)
+		case gate.Send:
+			n.post(e)
 		case gate.Moved:
 			delete(n.requests, e.Handle)
 			n.s.result.moves++
@@ -382,46 +385,59 @@
 	return gate.Failed
 }
 
-// answer sends an answer back, with the gate's report on it.
-func (n *node) answer(a *attempt, deliver func()) {
-	report, ok := n.reportNow()
-	if ok {
-		n.s.result.report(n.s.now, 1)
+func (n *node) refused(a *attempt, e gate.Event) {
+	how := retry.NotRun
+	if e.Everywhere {
+		how = retry.NotRunAnywhere
 	}
+	n.answer(a, func() {
+		if e.Reason == gate.Draining {
+			a.call.caller.pool.SetDraining(a.to)
+		}
+		n.s.ended(a, how)
+	})
+}
+
+// post sends a report to a sibling.
+func (n *node) post(e gate.Event) {
+	report := n.falsify(e.Report)
+	to := n.s.node(e.To)
+	n.s.result.report(n.s.now)
+	n.s.after(n.s.distance(), func() { to.gate.Learn(n.s.now, report) })
+}
+
+// answer sends an answer back.
+func (n *node) answer(a *attempt, deliver func()) {
+	load := n.gate.Load(n.s.now)
+	n.sequence++
+	report := n.falsify(gate.Report{Host: n.host, Sequence: n.sequence, Load: load})
 	n.s.after(n.s.distance(), func() {
-		if ok {
-			report.Age += n.s.distance()
+		if n.s.variant.Reports {
 			a.call.caller.pool.Learn(n.s.now, report)
 		}
 		deliver()
 	})
 }
 
-// reportNow is the gate's report as the trace falsifies it.
-func (n *node) reportNow() (gate.Report, bool) {
-	r, ok := n.gate.Report(n.s.now)
-	if !ok {
-		return r, false
-	}
+// falsify changes a report as the trace says: late, frozen, or idle while the
+// server is busy.
+func (n *node) falsify(r gate.Report) gate.Report {
 	r.Incarnation = n.incarnation
 	if n.reportFrozen && len(n.history) > 0 {
-		frozen := n.history[0].report
-		frozen.Sequence = r.Sequence
-		return frozen, true
+		r.Load = n.history[0].load
+		return r
 	}
-	n.history = append(n.history, stampedReport{n.s.now, r})
+	n.history = append(n.history, stampedLoad{n.s.now, r.Load})
 	for len(n.history) > 1 && n.history[1].at <= n.s.now-n.reportDelay {
 		n.history = n.history[1:]
 	}
 	if n.reportDelay > 0 {
-		sequence := r.Sequence
-		r = n.history[0].report
-		r.Sequence = sequence
+		r.Load = n.history[0].load
 	}
 	if n.reportIdle {
 		r.Load.Running, r.Load.Waiting = 0, 0
 	}
-	return r, true
+	return r
 }
 
 // answered is the end of a call: the backend server's own answer.
@@ -438,7 +454,7 @@
 	case jobKilled:
 		// The node saw its backend server die with the request in it: it may
 		// have run, and the node says so.
-		s.follow(a, a.call.retry.Next(retry.Lost, a.call.caller.budget, true))
+		s.next(a, retry.Lost, nil)
 	}
 }
 
@@ -452,29 +468,45 @@
 		return
 	}
 	s.settle(a, true)
-	s.follow(a, a.call.retry.Next(how, a.call.caller.budget, len(a.call.tried) < len(s.nodes)))
+	s.next(a, how, a.to)
 }
 
+// moved sends the call to the sibling that the gate named.
 func (s *simulation) moved(a *attempt, host string) {
 	if a.settled {
 		return
 	}
 	s.settle(a, true)
-	if a.call.retry.Next(retry.Moved, a.call.caller.budget, true) == retry.TryNamed {
-		s.try(a.call, a.call.caller.pool.Get(host))
+	s.next(a, retry.Moved, a.call.caller.pool.Get(host))
+}
+
+// restarted is the answer of a node that lost its gate since the caller heard
+// of it.
+func (s *simulation) restarted(a *attempt, incarnation uint64) {
+	if a.settled {
 		return
 	}
-	s.final(a.call, finalNotRun)
+	a.call.caller.pool.SetIncarnation(a.to, incarnation)
+	s.settle(a, true)
+	s.next(a, retry.Restarted, a.to)
 }
 
-func (s *simulation) follow(a *attempt, action retry.Action) {
+// next asks the retry rules what follows.
+func (s *simulation) next(a *attempt, how retry.Ended, named *balancer.Candidate) {
+	k := a.call
+	s.follow(k, k.retry.Next(how, k.caller.budget, len(k.tried) < len(s.nodes)), named)
+}
+
+func (s *simulation) follow(k *call, action retry.Action, named *balancer.Candidate) {
 	switch action {
+	case retry.TryNamed:
+		s.try(k, named)
 	case retry.TryOther:
-		s.try(a.call, nil)
+		s.try(k, nil)
 	case retry.GiveUpUnknown:
-		s.final(a.call, finalUnknown)
+		s.final(k, finalUnknown)
 	default:
-		s.final(a.call, finalNotRun)
+		s.final(k, finalNotRun)
 	}
 }
 
@@ -497,7 +529,7 @@
 			if answer == gate.RevokeNeverStarted {
 				how = retry.NotRun
 			}
-			s.follow(a, a.call.retry.Next(how, a.call.caller.budget, len(a.call.tried) < len(s.nodes)))
+			s.next(a, how, nil)
 		})
 	})
 }
