--- a/api/cactuspath/v1/apiv1connect/directory.connect.go
+++ b/api/cactuspath/v1/apiv1connect/directory.connect.go
@@ -44,8 +44,8 @@
 	NodeServiceExchangeProcedure = "/cactuspath.v1.NodeService/Exchange"
 	// NodeServiceProbeProcedure is the fully-qualified name of the NodeService's Probe RPC.
 	NodeServiceProbeProcedure = "/cactuspath.v1.NodeService/Probe"
-	// NodeServiceResolveProcedure is the fully-qualified name of the NodeService's Resolve RPC.
-	NodeServiceResolveProcedure = "/cactuspath.v1.NodeService/Resolve"
+	// NodeServiceRevokeProcedure is the fully-qualified name of the NodeService's Revoke RPC.
+	NodeServiceRevokeProcedure = "/cactuspath.v1.NodeService/Revoke"
 	// ControlServiceFindRelaysProcedure is the fully-qualified name of the ControlService's FindRelays
 	// RPC.
 	ControlServiceFindRelaysProcedure = "/cactuspath.v1.ControlService/FindRelays"
@@ -59,7 +59,7 @@
 	Sync(context.Context, *connect.Request[v1.NodeSyncRequest]) (*connect.Response[v1.NodeSyncResponse], error)
 	Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error)
 	Probe(context.Context, *connect.Request[v1.ProbeRequest]) (*connect.Response[v1.ProbeResponse], error)
-	Resolve(context.Context, *connect.Request[v1.ResolveRequest]) (*connect.Response[v1.ResolveResponse], error)
+	Revoke(context.Context, *connect.Request[v1.RevokeRequest]) (*connect.Response[v1.RevokeResponse], error)
 }
 
 // NewNodeServiceClient constructs a client for the cactuspath.v1.NodeService service. By default,
@@ -91,10 +91,10 @@
 			connect.WithSchema(nodeServiceMethods.ByName("Probe")),
 			connect.WithClientOptions(opts...),
 		),
-		resolve: connect.NewClient[v1.ResolveRequest, v1.ResolveResponse](
+		revoke: connect.NewClient[v1.RevokeRequest, v1.RevokeResponse](
 			httpClient,
-			baseURL+NodeServiceResolveProcedure,
-			connect.WithSchema(nodeServiceMethods.ByName("Resolve")),
+			baseURL+NodeServiceRevokeProcedure,
+			connect.WithSchema(nodeServiceMethods.ByName("Revoke")),
 			connect.WithClientOptions(opts...),
 		),
 	}
@@ -105,7 +105,7 @@
 	sync     *connect.Client[v1.NodeSyncRequest, v1.NodeSyncResponse]
 	exchange *connect.Client[v1.ExchangeRequest, v1.ExchangeResponse]
 	probe    *connect.Client[v1.ProbeRequest, v1.ProbeResponse]
-	resolve  *connect.Client[v1.ResolveRequest, v1.ResolveResponse]
+	revoke   *connect.Client[v1.RevokeRequest, v1.RevokeResponse]
 }
 
 // Sync calls cactuspath.v1.NodeService.Sync.
@@ -123,9 +123,9 @@
 	return c.probe.CallUnary(ctx, req)
 }
 
-// Resolve calls cactuspath.v1.NodeService.Resolve.
-func (c *nodeServiceClient) Resolve(ctx context.Context, req *connect.Request[v1.ResolveRequest]) (*connect.Response[v1.ResolveResponse], error) {
-	return c.resolve.CallUnary(ctx, req)
+// Revoke calls cactuspath.v1.NodeService.Revoke.
+func (c *nodeServiceClient) Revoke(ctx context.Context, req *connect.Request[v1.RevokeRequest]) (*connect.Response[v1.RevokeResponse], error) {
+	return c.revoke.CallUnary(ctx, req)
 }
 
 // NodeServiceHandler is an implementation of the cactuspath.v1.NodeService service.
@@ -133,7 +133,7 @@
 	Sync(context.Context, *connect.Request[v1.NodeSyncRequest]) (*connect.Response[v1.NodeSyncResponse], error)
 	Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error)
 	Probe(context.Context, *connect.Request[v1.ProbeRequest]) (*connect.Response[v1.ProbeResponse], error)
-	Resolve(context.Context, *connect.Request[v1.ResolveRequest]) (*connect.Response[v1.ResolveResponse], error)
+	Revoke(context.Context, *connect.Request[v1.RevokeRequest]) (*connect.Response[v1.RevokeResponse], error)
 }
 
 // NewNodeServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -161,10 +161,10 @@
 		connect.WithSchema(nodeServiceMethods.ByName("Probe")),
 		connect.WithHandlerOptions(opts...),
 	)
-	nodeServiceResolveHandler := connect.NewUnaryHandler(
-		NodeServiceResolveProcedure,
-		svc.Resolve,
-		connect.WithSchema(nodeServiceMethods.ByName("Resolve")),
+	nodeServiceRevokeHandler := connect.NewUnaryHandler(
+		NodeServiceRevokeProcedure,
+		svc.Revoke,
+		connect.WithSchema(nodeServiceMethods.ByName("Revoke")),
 		connect.WithHandlerOptions(opts...),
 	)
 	return "/cactuspath.v1.NodeService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -175,8 +175,8 @@
 			nodeServiceExchangeHandler.ServeHTTP(w, r)
 		case NodeServiceProbeProcedure:
 			nodeServiceProbeHandler.ServeHTTP(w, r)
-		case NodeServiceResolveProcedure:
-			nodeServiceResolveHandler.ServeHTTP(w, r)
+		case NodeServiceRevokeProcedure:
+			nodeServiceRevokeHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -198,8 +198,8 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cactuspath.v1.NodeService.Probe is not implemented"))
 }
 
-func (UnimplementedNodeServiceHandler) Resolve(context.Context, *connect.Request[v1.ResolveRequest]) (*connect.Response[v1.ResolveResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cactuspath.v1.NodeService.Resolve is not implemented"))
+func (UnimplementedNodeServiceHandler) Revoke(context.Context, *connect.Request[v1.RevokeRequest]) (*connect.Response[v1.RevokeResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cactuspath.v1.NodeService.Revoke is not implemented"))
 }
 
 // ControlServiceClient is a client for the cactuspath.v1.ControlService service.
--- /dev/null
+++ b/cmd/cactuspath/backend.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"cactuspath/internal/standin"
+)
+
+func backendCommand() *cobra.Command {
+	var service, address, admin string
+	var delay time.Duration
+	var slots int
+	cmd := &cobra.Command{
+		Use:   "backend --service NAME --admin ADDRESS",
+		Short: "Run a stand-in backend server, for trials",
+		Long: "Run a stand-in backend server, for trials. It announces itself to the node whose admin address is given.\n\n" +
+			"A request's query steers its answer: sleep=DURATION, status=CODE, bytes=N, reset=N.",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s := &standin.Server{Service: service, Node: admin, Slots: slots}
+			s.SetDelay(delay)
+			if err := s.Listen(address); err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "stand-in of %s on %s\n", service, s.Address())
+			ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+			defer cancel()
+			return s.Run(ctx)
+		},
+	}
+	cmd.Flags().StringVar(&service, "service", "", "service it belongs to")
+	cmd.Flags().StringVar(&address, "address", "127.0.0.1:0", "address to listen on")
+	cmd.Flags().StringVar(&admin, "admin", "", "admin address of the node beside it; announces nowhere if empty")
+	cmd.Flags().DurationVar(&delay, "delay", 0, "how long each request takes")
+	cmd.Flags().IntVar(&slots, "slots", 0, "slots to announce; the estate's number if 0")
+	_ = cmd.MarkFlagRequired("service")
+	return cmd
+}
--- a/core/directory/relay.go
+++ b/core/directory/relay.go
@@ -148,21 +148,21 @@
 	return list
 }
 
-// Heartbeat takes in a node's report. It returns what the relay believes of
-// the node, and whether the relay needs its entry.
-func (r *Relay) Heartbeat(now time.Duration, report *apiv1.NodeReport, entry *apiv1.Entry) (believed apiv1.EndpointState, needEntry bool) {
+// Heartbeat takes in a node's report. It returns the entry the relay holds of
+// the node, or nil, and whether the relay needs a newer one.
+func (r *Relay) Heartbeat(now time.Duration, report *apiv1.NodeReport, entry *apiv1.Entry) (held *apiv1.Entry, needEntry bool) {
 	r.lastContact = now
 	if entry != nil && entry.DataCenter == r.self.DataCenter {
 		r.merge(now, entry)
 	}
-	held := r.table.Get(report.Host)
+	held = r.table.Get(report.Host)
 	if held == nil || held.Incarnation < report.Incarnation || held.Incarnation == report.Incarnation && held.Sequence < report.Sequence {
-		return apiv1.EndpointState_ENDPOINT_STATE_UNSPECIFIED, true
+		return held, true
 	}
 	if held.Relay == r.self.Host && held.Incarnation == report.Incarnation && !Gone(held) {
 		r.hear(now, report.Host).report = report
 	}
-	return held.State, false
+	return held, false
 }
 
 func (r *Relay) hear(now time.Duration, host string) *watch {
--- a/core/gate/siblings.go
+++ b/core/gate/siblings.go
@@ -35,6 +35,9 @@
 	// at the same time and whose moves are not seen here: each own move since
 	// the sibling's report counts that often. With 1 the gates herd.
 	crowd = 3
+	// maxSiblings bounds the gates that one gate knows, and so its memory, in a
+	// service of hundreds of endpoints.
+	maxSiblings = 16
 	// audience is how many siblings a gate reports to. More would learn each
 	// change later under the same budget, and need not know it: a request can
 	// move twice.
@@ -125,10 +128,11 @@
 	return siblings{self: self, budget: measure.NewBudget(0, 0), byHost: map[string]*sibling{}}
 }
 
-// SetSiblings replaces the list of the service's other gates.
+// SetSiblings replaces the list of the service's other gates. Of many it keeps
+// those with the highest weight for the pair: both gates of a pair compute the
+// same weight, so that those who report to this gate are mostly among them.
 func (g *Gate) SetSiblings(list []Sibling) {
 	s := &g.siblings
-	byHost := map[string]*sibling{}
 	s.list = nil
 	for _, info := range list {
 		if info.Host == s.self {
@@ -142,23 +146,17 @@
 			held = &sibling{}
 		}
 		held.Sibling = info
-		byHost[info.Host] = held
 		s.list = append(s.list, held)
 	}
-	s.byHost = byHost
-	sort.Slice(s.list, func(i, j int) bool { return s.list[i].Host < s.list[j].Host })
-	s.chooseAudience()
-}
-
-// chooseAudience takes the siblings with the highest weight for the pair. Both
-// gates of a pair compute the same weight, so that most choices are mutual, and
-// every gate has about as many that report to it.
-func (s *siblings) chooseAudience() {
-	s.audience = append([]*sibling(nil), s.list...)
-	sort.SliceStable(s.audience, func(i, j int) bool {
-		return pairWeight(s.self, s.audience[i].Host) > pairWeight(s.self, s.audience[j].Host)
+	sort.Slice(s.list, func(i, j int) bool {
+		return pairWeight(s.self, s.list[i].Host) > pairWeight(s.self, s.list[j].Host)
 	})
-	s.audience = s.audience[:min(audience, len(s.audience))]
+	s.list = s.list[:min(maxSiblings, len(s.list))]
+	s.audience = s.list[:min(audience, len(s.list))]
+	s.byHost = map[string]*sibling{}
+	for _, sib := range s.list {
+		s.byHost[sib.Host] = sib
+	}
 }
 
 func pairWeight(a, b string) uint64 { return xxhash.Sum64String(min(a, b) + "\x00" + max(a, b)) }
--- a/core/rollout/records.go
+++ b/core/rollout/records.go
@@ -82,31 +82,48 @@
 	r.revision = revision
 }
 
-// Delta returns what a receiver at revision since lacks. A non-empty filter
-// restricts services to the names in it; names in whole are sent whatever
-// their stamp. Host records travel only to the host they name, or to an
-// unfiltered receiver.
-func (r *Records) Delta(since uint64, filter, whole []string, host string) *apiv1.EstateDelta {
-	delta := &apiv1.EstateDelta{Since: since, Revision: r.revision, Complete: since == 0, Filter: filter}
-	if filter == nil {
-		r.unfiltered(since, delta)
-		return delta
-	}
-	wanted := map[string]bool{}
-	for _, name := range whole {
-		wanted[name] = true
-	}
-	for _, name := range filter {
-		if s := r.services[name]; s != nil && (s.ChangedAt > since || wanted[name]) {
+// Delta returns everything that a receiver at revision since lacks.
+func (r *Records) Delta(since uint64) *apiv1.EstateDelta {
+	delta := &apiv1.EstateDelta{Since: since, Revision: r.revision, Complete: since == 0}
+	r.unfiltered(since, delta)
+	return delta
+}
+
+// DeltaFor returns what a node at revision since lacks: changed services in
+// full if it needs them, otherwise their routes alone; services it needs anew
+// whatever their stamp; and its own host's record.
+func (r *Records) DeltaFor(since uint64, needed, anew []string, host string) *apiv1.EstateDelta {
+	delta := &apiv1.EstateDelta{Since: since, Revision: r.revision, Complete: since == 0}
+	want := map[string]bool{}
+	for _, name := range needed {
+		want[name] = true
+	}
+	for _, name := range anew {
+		if s := r.services[name]; s != nil && s.ChangedAt <= since {
+			delta.Services = append(delta.Services, s)
+		}
+	}
+	for _, s := range r.services {
+		switch {
+		case s.ChangedAt <= since:
+		case want[s.Name] || s.Removed:
 			delta.Services = append(delta.Services, s)
+		default:
+			delta.Services = append(delta.Services, routesOnly(s))
 		}
 	}
+	sort.Slice(delta.Services, func(i, j int) bool { return delta.Services[i].Name < delta.Services[j].Name })
 	if h := r.hosts[host]; h != nil && h.ChangedAt > since {
 		delta.Hosts = append(delta.Hosts, h)
 	}
 	return delta
 }
 
+func routesOnly(s *apiv1.ServiceRecord) *apiv1.ServiceRecord {
+	spec := &apiv1.ServiceSpec{Hosts: s.Spec.GetHosts(), PathPrefixes: s.Spec.GetPathPrefixes()}
+	return &apiv1.ServiceRecord{Name: s.Name, Institution: s.Institution, ChangedAt: s.ChangedAt, Spec: spec, Partial: true}
+}
+
 func (r *Records) unfiltered(since uint64, delta *apiv1.EstateDelta) {
 	for _, s := range r.sortedServices() {
 		if s.ChangedAt > since {
@@ -133,7 +150,7 @@
 	}
 	changed := delta.Revision > r.revision
 	for _, s := range delta.Services {
-		if held := r.services[s.Name]; held == nil || held.ChangedAt < s.ChangedAt {
+		if supersedes(s, r.services[s.Name]) {
 			r.services[s.Name] = s
 			changed = true
 		}
@@ -148,6 +165,15 @@
 	return changed
 }
 
+// supersedes tells whether a record is newer than the held one, or fills in what
+// a partial one of the same stamp lacks.
+func supersedes(s, held *apiv1.ServiceRecord) bool {
+	if held == nil || held.ChangedAt < s.ChangedAt {
+		return true
+	}
+	return held.ChangedAt == s.ChangedAt && held.Partial && !s.Partial
+}
+
 // Snapshot returns all records by name.
 func (r *Records) Snapshot() *apiv1.EstateSnapshot {
 	return &apiv1.EstateSnapshot{Revision: r.revision, Services: r.sortedServices(), Hosts: r.Hosts()}
--- /dev/null
+++ b/internal/endpoint/endpoint.go
@@ -0,0 +1,356 @@
+// Package endpoint runs the gate beside one backend server: it holds the
+// requests that wait, forwards those that may run, and exchanges load reports
+// with the gates of the same service.
+package endpoint
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"cactuspath/core/gate"
+	"cactuspath/internal/hop"
+)
+
+const (
+	// dialFailures in a row mean that the backend server is down.
+	dialFailures = 3
+	// probeInterval is how often a backend server that is down is tried.
+	probeInterval = 200 * time.Millisecond
+)
+
+// Options set up an Endpoint.
+type Options struct {
+	Host string
+	// Incarnation is this node's, read anew for each attempt.
+	Incarnation func() uint64
+	// Send posts a report to the gate of a sibling host.
+	Send func(host string, report gate.Report)
+	// Revision is the newest configuration this node knows.
+	Revision func() uint64
+	Counters *Counters
+}
+
+// Endpoint is one backend server's gate with its driver. Safe for concurrent
+// use.
+type Endpoint struct {
+	options Options
+	start   time.Time
+
+	mu      sync.Mutex
+	gate    *gate.Gate
+	waiting map[gate.Handle]chan gate.Event
+	next    gate.Handle
+	timer   *time.Timer
+	armed   time.Duration
+	closed  bool
+
+	backend  atomic.Pointer[hop.Pool]
+	failures atomic.Int32
+	down     atomic.Bool
+}
+
+// New returns an endpoint whose gate is closed until a backend server is set.
+func New(options Options, config gate.Config) *Endpoint {
+	e := &Endpoint{options: options, start: time.Now(), waiting: map[gate.Handle]chan gate.Event{}}
+	e.gate = gate.New(options.Host, config, 0)
+	return e
+}
+
+func (e *Endpoint) now() time.Duration { return time.Since(e.start) }
+
+// with runs a step of the gate and carries out what it decided.
+func (e *Endpoint) with(step func(now time.Duration) []gate.Event) {
+	e.mu.Lock()
+	events := step(e.now())
+	var posts []gate.Event
+	for _, event := range events {
+		if event.Kind == gate.Send {
+			posts = append(posts, event)
+			continue
+		}
+		e.options.Counters.count(event)
+		if ch := e.waiting[event.Handle]; ch != nil {
+			delete(e.waiting, event.Handle)
+			ch <- event
+		}
+	}
+	e.arm()
+	e.mu.Unlock()
+	for _, p := range posts {
+		p.Report.Incarnation = e.options.Incarnation()
+		e.options.Send(p.To, p.Report)
+	}
+}
+
+// arm sets the timer for the gate's next tick.
+func (e *Endpoint) arm() {
+	at, ok := e.gate.NextTimer()
+	now := e.now()
+	if !ok || e.closed || e.armed > now && e.armed <= at {
+		return
+	}
+	e.armed = max(at, now+time.Millisecond)
+	if e.timer == nil {
+		e.timer = time.AfterFunc(e.armed-now, e.tick)
+		return
+	}
+	e.timer.Reset(e.armed - now)
+}
+
+func (e *Endpoint) tick() {
+	e.with(func(now time.Duration) []gate.Event {
+		e.armed = 0
+		return e.gate.Tick(now)
+	})
+}
+
+// Close stops the timer and drops idle connections.
+func (e *Endpoint) Close() {
+	e.mu.Lock()
+	e.closed = true
+	if e.timer != nil {
+		e.timer.Stop()
+	}
+	e.mu.Unlock()
+	if p := e.backend.Load(); p != nil {
+		p.Close()
+	}
+}
+
+// SetBackend names the backend server's address.
+func (e *Endpoint) SetBackend(address string) {
+	if old := e.backend.Swap(hop.NewPool(address, nil)); old != nil {
+		old.Close()
+	}
+	e.failures.Store(0)
+	e.setDown(false)
+}
+
+// Configure applies what the estate says of the service.
+func (e *Endpoint) Configure(config gate.Config) {
+	e.with(func(now time.Duration) []gate.Event { return e.gate.Configure(now, config) })
+}
+
+// SetSiblings names the service's other gates.
+func (e *Endpoint) SetSiblings(list []gate.Sibling) {
+	e.with(func(time.Duration) []gate.Event {
+		e.gate.SetSiblings(list)
+		return nil
+	})
+}
+
+// SetDraining starts or ends a drain.
+func (e *Endpoint) SetDraining(draining bool) {
+	e.with(func(now time.Duration) []gate.Event { return e.gate.SetDraining(now, draining) })
+}
+
+// SetCold starts the slow start.
+func (e *Endpoint) SetCold() {
+	e.with(func(now time.Duration) []gate.Event {
+		e.gate.SetCold(now)
+		return nil
+	})
+}
+
+// Learn takes in a sibling's report.
+func (e *Endpoint) Learn(report gate.Report) {
+	e.with(func(now time.Duration) []gate.Event {
+		e.gate.Learn(now, report)
+		return nil
+	})
+}
+
+// Revoke answers for an attempt whose answer was lost.
+func (e *Endpoint) Revoke(id gate.AttemptID, sentAgo time.Duration) gate.RevokeAnswer {
+	var answer gate.RevokeAnswer
+	e.with(func(now time.Duration) (events []gate.Event) {
+		answer, events = e.gate.Revoke(now, id, sentAgo)
+		return events
+	})
+	return answer
+}
+
+// InFlight counts requests that run or wait here.
+func (e *Endpoint) InFlight() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.gate.InFlight()
+}
+
+// Load is the gate's view of its backend server.
+func (e *Endpoint) Load() gate.Load {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.gate.Load(e.now())
+}
+
+// Reported counts the reports sent to siblings and their bytes.
+func (e *Endpoint) Reported() (reports, bytes uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.gate.Reported()
+}
+
+// Attempt admits a request and, if it may run, forwards it. The response is
+// nil unless the reply's verdict is Ran; its body must be read or closed.
+func (e *Endpoint) Attempt(ctx context.Context, req hop.Request, out *hop.Outgoing) (*http.Response, hop.Reply) {
+	reply := hop.Reply{ID: req.ID, Incarnation: e.options.Incarnation(), Revision: e.options.Revision()}
+	if req.Incarnation != reply.Incarnation {
+		reply.Verdict = hop.Restarted
+		return nil, reply
+	}
+	handle, event := e.admit(ctx, req)
+	switch event.Kind {
+	case gate.Started:
+		return e.forward(ctx, handle, out, reply)
+	case gate.Moved:
+		reply.Verdict, reply.To = hop.Moved, event.To
+	default:
+		reply.Verdict, reply.Reason = hop.Refused, event.Reason
+		reply.RetryAfter, reply.Everywhere = event.RetryAfter, event.Everywhere
+	}
+	return nil, reply
+}
+
+// admit waits until the gate starts, moves or refuses the request.
+func (e *Endpoint) admit(ctx context.Context, req hop.Request) (gate.Handle, gate.Event) {
+	ch := make(chan gate.Event, 1)
+	var handle gate.Handle
+	e.with(func(now time.Duration) []gate.Event {
+		e.next++
+		handle = e.next
+		e.waiting[handle] = ch
+		return e.gate.Arrive(now, gate.Request{Handle: handle, ID: req.ID, Caller: req.Caller, Deadline: now + req.Timeout, Movable: req.Movable})
+	})
+	select {
+	case event := <-ch:
+		return handle, event
+	default:
+	}
+	select {
+	case event := <-ch:
+		return handle, event
+	case <-ctx.Done():
+		// The gate may have started it meanwhile; then it runs and is ended by
+		// forward, which sees the same context.
+		e.with(func(now time.Duration) []gate.Event { return e.gate.Cancel(now, handle) })
+		return handle, <-ch
+	}
+}
+
+func (e *Endpoint) finish(handle gate.Handle, outcome gate.Outcome) {
+	e.with(func(now time.Duration) []gate.Event { return e.gate.Finish(now, handle, outcome) })
+}
+
+// forward sends a started request to the backend server.
+func (e *Endpoint) forward(ctx context.Context, handle gate.Handle, out *hop.Outgoing, reply hop.Reply) (*http.Response, hop.Reply) {
+	pool := e.backend.Load()
+	if pool == nil {
+		e.finish(handle, gate.NeverReached)
+		reply.Verdict = hop.Unreached
+		return nil, reply
+	}
+	resp, err := pool.Do(ctx, out)
+	if err != nil {
+		return nil, e.failed(ctx, handle, err, reply)
+	}
+	e.failures.Store(0)
+	outcome := gate.Completed
+	if resp.StatusCode >= http.StatusInternalServerError {
+		outcome = gate.Failed
+	}
+	resp.Body = &runningBody{ReadCloser: resp.Body, end: func(cut bool) {
+		switch {
+		case ctx.Err() != nil:
+			outcome = gate.Abandoned
+		case cut:
+			outcome = gate.Failed
+		}
+		e.finish(handle, outcome)
+	}}
+	return resp, reply
+}
+
+func (e *Endpoint) failed(ctx context.Context, handle gate.Handle, err error, reply hop.Reply) hop.Reply {
+	var dial *hop.DialError
+	switch {
+	case errors.As(err, &dial):
+		e.finish(handle, gate.NeverReached)
+		reply.Verdict = hop.Unreached
+		if ctx.Err() == nil && e.failures.Add(1) == dialFailures {
+			e.setDown(true)
+			go e.probe()
+		}
+	case ctx.Err() != nil:
+		e.finish(handle, gate.Abandoned)
+		reply.Verdict = hop.Broke
+	default:
+		e.finish(handle, gate.Failed)
+		reply.Verdict = hop.Broke
+	}
+	return reply
+}
+
+func (e *Endpoint) setDown(down bool) {
+	if e.down.Swap(down) == down {
+		return
+	}
+	klog.InfoS("Backend server changed reach", "host", e.options.Host, "down", down)
+	e.with(func(now time.Duration) []gate.Event { return e.gate.SetDown(now, down) })
+}
+
+// probe tries a backend server that is down until it accepts a connection.
+func (e *Endpoint) probe() {
+	for {
+		time.Sleep(probeInterval)
+		e.mu.Lock()
+		closed := e.closed
+		e.mu.Unlock()
+		if closed || !e.down.Load() {
+			return
+		}
+		if e.backend.Load().Reachable() {
+			e.failures.Store(0)
+			e.SetCold()
+			e.setDown(false)
+			return
+		}
+	}
+}
+
+// runningBody frees the slot once, when the answer's body ends.
+type runningBody struct {
+	io.ReadCloser
+	end   func(cut bool)
+	ended bool
+}
+
+// Read reads the answer's body.
+func (b *runningBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil {
+		b.once(!errors.Is(err, io.EOF))
+	}
+	return n, err
+}
+
+// Close frees the slot if the body was not read to its end.
+func (b *runningBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.once(true)
+	return err
+}
+
+func (b *runningBody) once(cut bool) {
+	if !b.ended {
+		b.ended = true
+		b.end(cut)
+	}
+}
--- /dev/null
+++ b/internal/endpoint/serve.go
@@ -0,0 +1,90 @@
+package endpoint
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"cactuspath/core/gate"
+	"cactuspath/internal/hop"
+)
+
+// maxBuffered is the largest body held in memory so that it can be sent again;
+// a longer one is streamed.
+const maxBuffered = 64 << 10
+
+// ServeHop serves a request that another node sent here.
+func (e *Endpoint) ServeHop(w http.ResponseWriter, r *http.Request) {
+	req, err := hop.ParseRequest(r.Header.Get(hop.Header))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	out, err := Outgoing(r, req.Timeout)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if out.Stream != nil {
+		_ = http.NewResponseController(w).EnableFullDuplex()
+	}
+	resp, reply := e.Attempt(r.Context(), req, out)
+	if resp == nil {
+		refuse(w, reply)
+		return
+	}
+	if err := hop.Relay(w, resp, hop.Field{Name: hop.Header, Value: reply.Encode()}); err != nil {
+		klog.V(2).InfoS("Answer cut short", "host", e.options.Host, "err", err)
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func refuse(w http.ResponseWriter, reply hop.Reply) {
+	w.Header().Set(hop.Header, reply.Encode())
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// Outgoing builds the request to a backend server from one that arrived. A
+// short body is read into memory first.
+func Outgoing(r *http.Request, timeout time.Duration) (*hop.Outgoing, error) {
+	out := &hop.Outgoing{Method: r.Method, URI: r.URL.RequestURI(), Host: r.Host, Header: r.Header, Length: r.ContentLength, Deadline: time.Now().Add(timeout)}
+	out.Extra = []hop.Field{{Name: hop.TimeoutHeader, Value: strconv.FormatInt(timeout.Milliseconds(), 10)}}
+	hop.CleanRequest(r.Header)
+	switch {
+	case r.ContentLength == 0:
+	case r.ContentLength > 0 && r.ContentLength <= maxBuffered:
+		body, err := readBody(r)
+		if err != nil {
+			return nil, err
+		}
+		out.Buffered = body
+	default:
+		out.Stream = r.Body
+	}
+	return out, nil
+}
+
+func readBody(r *http.Request) ([]byte, error) {
+	body := make([]byte, r.ContentLength)
+	for n := 0; n < len(body); {
+		m, err := r.Body.Read(body[n:])
+		n += m
+		if err != nil && n < len(body) {
+			return nil, err
+		}
+	}
+	return body, nil
+}
+
+// ServeGone answers a request for a backend server that is no longer beside
+// this node.
+func ServeGone(w http.ResponseWriter, r *http.Request, incarnation, revision uint64) {
+	req, err := hop.ParseRequest(r.Header.Get(hop.Header))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	refuse(w, hop.Reply{ID: req.ID, Verdict: hop.Refused, Reason: gate.Draining, Incarnation: incarnation, Revision: revision})
+}
--- /dev/null
+++ b/internal/hop/conn.go
@@ -0,0 +1,176 @@
+package hop
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cactuspath/internal/transport"
+)
+
+const (
+	dialTimeout = time.Second
+	bufferSize  = 4 << 10
+	// idleTimeout is how long an unused connection is kept: shorter than the
+	// servers keep theirs, so that it is rarely closed under a request.
+	idleTimeout = 30 * time.Second
+	maxIdle     = 256
+)
+
+// Pool keeps connections to one address. Safe for concurrent use.
+type Pool struct {
+	address  string
+	security *transport.Security
+
+	mu     sync.Mutex
+	idle   []*conn
+	closed bool
+	// distance is the shortest time seen to open a connection, halved.
+	distance time.Duration
+}
+
+// NewPool returns a pool without connections; security is nil for plain text.
+func NewPool(address string, security *transport.Security) *Pool {
+	return &Pool{address: address, security: security}
+}
+
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	writer *bufio.Writer
+	raw    syscall.RawConn
+	since  time.Time
+	reused bool
+}
+
+// DialError means that no connection could be made: nothing was sent.
+type DialError struct {
+	Address string
+	Err     error
+}
+
+// Error names the address.
+func (e *DialError) Error() string { return "cannot connect to " + e.Address + ": " + e.Err.Error() }
+
+// Unwrap gives the cause.
+func (e *DialError) Unwrap() error { return e.Err }
+
+// get returns an idle connection that is still open, or a new one.
+func (p *Pool) get(ctx context.Context) (*conn, error) {
+	for {
+		c := p.takeIdle()
+		if c == nil {
+			return p.dial(ctx)
+		}
+		if time.Since(c.since) < idleTimeout && c.quiet() {
+			c.reused = true
+			return c, nil
+		}
+		_ = c.Close()
+	}
+}
+
+func (p *Pool) takeIdle() *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) == 0 {
+		return nil
+	}
+	c := p.idle[len(p.idle)-1]
+	p.idle = p.idle[:len(p.idle)-1]
+	return c
+}
+
+// Reachable tells whether the address accepts a connection.
+func (p *Pool) Reachable() bool {
+	c, err := p.dial(context.Background())
+	if err != nil {
+		return false
+	}
+	p.put(c)
+	return true
+}
+
+// put keeps a connection whose exchange is complete.
+func (p *Pool) put(c *conn) {
+	c.since = time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || len(p.idle) >= maxIdle {
+		_ = c.Close()
+		return
+	}
+	p.idle = append(p.idle, c)
+}
+
+// Close drops the idle connections; exchanges under way end undisturbed.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, c := range p.idle {
+		_ = c.Close()
+	}
+	p.idle = nil
+}
+
+// Distance is the measured one-way delay, or 0 before the first connection.
+func (p *Pool) Distance() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.distance
+}
+
+func (p *Pool) dial(ctx context.Context) (*conn, error) {
+	start := time.Now()
+	dialer := net.Dialer{Timeout: dialTimeout}
+	plain, err := dialer.DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		return nil, &DialError{p.address, err}
+	}
+	p.measured(time.Since(start) / 2)
+	c := &conn{Conn: p.security.WrapClient(plain, p.address)}
+	c.reader = bufio.NewReaderSize(c.Conn, bufferSize)
+	c.writer = bufio.NewWriterSize(c.Conn, bufferSize)
+	if tcp, ok := plain.(*net.TCPConn); ok {
+		c.raw, _ = tcp.SyscallConn()
+	}
+	return c, nil
+}
+
+func (p *Pool) measured(oneWay time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.distance == 0 || oneWay < p.distance {
+		p.distance = oneWay
+	}
+}
+
+var errNotQuiet = errors.New("connection has bytes or an end that belong to no request")
+
+// quiet tells whether an idle connection is open with nothing to read. One that
+// the peer closed would lose the request; one with bytes waiting holds an answer
+// to an earlier request, which must not reach this caller.
+func (c *conn) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	if c.raw == nil {
+		return true
+	}
+	var state error
+	err := c.raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		if !errors.Is(err, syscall.EAGAIN) {
+			state = errNotQuiet
+		}
+		return true
+	})
+	return err == nil && state == nil
+}
--- /dev/null
+++ b/internal/hop/exchange.go
@@ -0,0 +1,296 @@
+package hop
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httputil"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Outgoing is a request to send. Header must hold no hop-by-hop fields.
+type Outgoing struct {
+	Method, URI, Host string
+	Header            http.Header
+	// Extra are header fields that override Header without changing it.
+	Extra []Field
+	// Buffered is a body held in memory; it can be sent again.
+	Buffered []byte
+	// Stream is a body read once, of Length bytes, or of unknown length if
+	// negative. It is sent only after the peer asked for it (100 Continue).
+	Stream io.Reader
+	Length int64
+	// Deadline bounds the exchange up to the end of the answer's head.
+	Deadline time.Time
+}
+
+// Field is one header field.
+type Field struct{ Name, Value string }
+
+// LostError means that the request was sent, in whole or in part, and no answer
+// came: it may have run.
+type LostError struct {
+	Err error
+	// Reused: the connection had served earlier requests.
+	Reused bool
+}
+
+// Error tells the cause.
+func (e *LostError) Error() string {
+	return "the connection broke before the answer: " + e.Err.Error()
+}
+
+// Unwrap gives the cause.
+func (e *LostError) Unwrap() error { return e.Err }
+
+// longPast makes pending reads and writes of a connection fail at once.
+var longPast = time.Unix(1, 0)
+
+// Do sends the request and returns the answer's head; the body must be read to
+// its end or closed. The error is a *DialError when nothing was sent.
+func (p *Pool) Do(ctx context.Context, out *Outgoing) (*http.Response, error) {
+	c, err := p.get(ctx)
+	if err != nil {
+		return nil, err
+	}
+	_ = c.SetDeadline(out.Deadline)
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(longPast) })
+	x := &exchange{ctx: ctx, pool: p, conn: c, stop: stop}
+	resp, err := x.run(out)
+	if err != nil {
+		x.abort()
+		if ctx.Err() != nil {
+			err = ctx.Err()
+		}
+		return nil, &LostError{err, c.reused}
+	}
+	// The body may take longer than the deadline for its head: an upload or a
+	// long answer is not cut, the caller's going away still is.
+	x.lift()
+	return resp, nil
+}
+
+// exchange is one request and its answer on one connection.
+type exchange struct {
+	ctx  context.Context
+	pool *Pool
+	conn *conn
+	stop func() bool
+	// sent is closed when a streamed body was sent; sendErr is its error.
+	sent     chan struct{}
+	sendErr  error
+	unusable bool
+	done     bool
+}
+
+func (x *exchange) run(out *Outgoing) (*http.Response, error) {
+	if err := writeHead(x.conn.writer, out); err != nil {
+		return nil, err
+	}
+	if out.Stream == nil {
+		if _, err := x.conn.writer.Write(out.Buffered); err != nil {
+			return nil, err
+		}
+	}
+	if err := x.conn.writer.Flush(); err != nil {
+		return nil, err
+	}
+	return x.readHead(out)
+}
+
+func (x *exchange) readHead(out *Outgoing) (*http.Response, error) {
+	request := &http.Request{Method: out.Method}
+	for {
+		resp, err := http.ReadResponse(x.conn.reader, request)
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode == http.StatusContinue && out.Stream != nil && x.sent == nil {
+			x.sendBody(out)
+			continue
+		}
+		if resp.StatusCode < http.StatusOK {
+			continue
+		}
+		if out.Stream != nil && x.sent == nil {
+			// The answer came without the body: what the peer expects next on
+			// this connection is not certain.
+			x.unusable = true
+		}
+		resp.Body = &body{ReadCloser: resp.Body, x: x, reusable: !resp.Close}
+		return resp, nil
+	}
+}
+
+// lift takes the deadline off, unless the caller went away meanwhile.
+func (x *exchange) lift() {
+	_ = x.conn.SetDeadline(time.Time{})
+	if x.ctx.Err() != nil {
+		_ = x.conn.SetDeadline(longPast)
+	}
+}
+
+// sendBody streams the body beside the reading of the answer, which may come
+// before the body's end.
+func (x *exchange) sendBody(out *Outgoing) {
+	x.sent = make(chan struct{})
+	x.lift()
+	go func() {
+		defer close(x.sent)
+		x.sendErr = copyBody(x.conn.writer, out)
+		if x.sendErr != nil {
+			// The peer must see a broken body, never a shortened one.
+			_ = x.conn.SetDeadline(longPast)
+		}
+	}()
+}
+
+func copyBody(w *bufio.Writer, out *Outgoing) error {
+	if out.Length >= 0 {
+		n, err := io.Copy(w, io.LimitReader(out.Stream, out.Length))
+		if err == nil && n != out.Length {
+			err = io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return err
+		}
+		return w.Flush()
+	}
+	chunked := httputil.NewChunkedWriter(flusher{w})
+	if _, err := io.Copy(chunked, out.Stream); err != nil {
+		return err
+	}
+	if err := chunked.Close(); err != nil {
+		return err
+	}
+	if _, err := w.WriteString("\r\n"); err != nil {
+		return err
+	}
+	return w.Flush()
+}
+
+// flusher sends each chunk as it comes, so that a slow upload is not held back.
+type flusher struct{ w *bufio.Writer }
+
+func (f flusher) Write(p []byte) (int, error) {
+	n, err := f.w.Write(p)
+	if err == nil && f.w.Available() < bufferSize/2 {
+		err = f.w.Flush()
+	}
+	return n, err
+}
+
+func writeHead(w *bufio.Writer, out *Outgoing) error {
+	writeAll(w, out.Method, " ", out.URI, " HTTP/1.1\r\nHost: ", out.Host, "\r\n")
+	for name, values := range out.Header {
+		if overridden(out.Extra, name) {
+			continue
+		}
+		for _, v := range values {
+			writeAll(w, name, ": ", v, "\r\n")
+		}
+	}
+	for _, f := range out.Extra {
+		if f.Value != "" {
+			writeAll(w, f.Name, ": ", f.Value, "\r\n")
+		}
+	}
+	switch {
+	case out.Stream == nil && len(out.Buffered) == 0:
+		if out.Method == http.MethodPost || out.Method == http.MethodPut || out.Method == http.MethodPatch {
+			writeAll(w, "Content-Length: 0\r\n")
+		}
+	case out.Stream == nil:
+		writeAll(w, "Content-Length: ", strconv.Itoa(len(out.Buffered)), "\r\n")
+	case out.Length >= 0:
+		writeAll(w, "Expect: 100-continue\r\nContent-Length: ", strconv.FormatInt(out.Length, 10), "\r\n")
+	default:
+		writeAll(w, "Expect: 100-continue\r\nTransfer-Encoding: chunked\r\n")
+	}
+	_, err := w.WriteString("\r\n")
+	return err
+}
+
+// writeAll leaves errors to the final write: a bufio.Writer keeps the first.
+func writeAll(w *bufio.Writer, parts ...string) {
+	for _, p := range parts {
+		_, _ = w.WriteString(p)
+	}
+}
+
+func overridden(extra []Field, name string) bool {
+	for i := range extra {
+		if extra[i].Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (x *exchange) abort() {
+	if x.done {
+		return
+	}
+	x.done = true
+	x.stop()
+	// A sender of the body may still wait for its source; it is not waited for,
+	// since the source may be a caller that sends nothing more.
+	_ = x.conn.Close()
+}
+
+// finish gives the connection back if the exchange left it clean. One with an
+// answer or a body outstanding must not be used again: the next caller would
+// read somebody else's answer.
+func (x *exchange) finish(reusable bool) {
+	if x.done {
+		return
+	}
+	if x.sent != nil {
+		select {
+		case <-x.sent:
+			reusable = reusable && x.sendErr == nil
+		default:
+			reusable = false
+		}
+	}
+	if !reusable || x.unusable || !x.stop() {
+		x.abort()
+		return
+	}
+	x.done = true
+	x.pool.put(x.conn)
+}
+
+// body ends the exchange when the answer's body ends.
+type body struct {
+	io.ReadCloser
+	x        *exchange
+	reusable bool
+	ended    bool
+}
+
+// Read reads the answer's body.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	switch {
+	case err == nil:
+	case errors.Is(err, io.EOF):
+		b.ended = true
+		b.x.finish(b.reusable)
+	default:
+		b.x.abort()
+	}
+	return n, err
+}
+
+// Close ends the exchange; a body not read to its end costs the connection.
+func (b *body) Close() error {
+	if !b.ended {
+		b.x.abort()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/hop/header.go
@@ -0,0 +1,202 @@
+// Package hop carries a request from one node to another, and from a node to
+// the backend server beside it: one exchange at a time on a pooled HTTP/1.1
+// connection, written and read by the calling goroutine. net/http's Transport
+// hands every request to two goroutines of its own, which costs more than the
+// rest of the path (docs/design/data-path.md).
+package hop
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cactuspath/core/gate"
+)
+
+const (
+	// Header carries a Request to a node and a Reply back. Callers cannot set it:
+	// the callers' listener drops it.
+	Header = "Cactus-Hop"
+	// ServiceHeader names the service of a request.
+	ServiceHeader = "Cactus-Service"
+	// TimeoutHeader tells the next layer how many milliseconds are left. A caller
+	// may set it to name a deadline.
+	TimeoutHeader = "Cactus-Timeout-Ms"
+	// RequestHeader carries the request's id to backend servers.
+	RequestHeader = "Cactus-Request-Id"
+
+	version   = "1"
+	separator = ";"
+)
+
+// Request is what the picking node tells the node of the picked endpoint.
+type Request struct {
+	ID gate.AttemptID
+	// Incarnation of the node that the attempt is meant for. A node that
+	// restarted since refuses it: it lost what it knew of earlier attempts.
+	Incarnation uint64
+	// Timeout is what is left of the request's time. It is relative, so that no
+	// two clocks need to agree.
+	Timeout time.Duration
+	Movable bool
+	// Revision is the newest configuration that the sender knows of.
+	Revision uint64
+	// Caller identifies who sends, for fair shares between callers.
+	Caller string
+}
+
+// Encode renders the header's value.
+func (r Request) Encode() string {
+	movable := "0"
+	if r.Movable {
+		movable = "1"
+	}
+	b := make([]byte, 0, 128)
+	b = append(b, version+separator...)
+	b = appendID(b, r.ID)
+	b = appendField(b, r.Incarnation)
+	b = appendField(b, uint64(max(0, r.Timeout.Microseconds())))
+	b = append(b, separator...)
+	b = append(b, movable...)
+	b = appendField(b, r.Revision)
+	b = append(b, separator...)
+	b = append(b, r.Caller...)
+	return string(b)
+}
+
+func appendID(b []byte, id gate.AttemptID) []byte {
+	b = strconv.AppendUint(b, id.Request[0], 16)
+	b = append(b, '-')
+	b = strconv.AppendUint(b, id.Request[1], 16)
+	b = append(b, '-')
+	return strconv.AppendUint(b, uint64(id.Attempt), 10)
+}
+
+func appendField(b []byte, v uint64) []byte {
+	b = append(b, separator...)
+	return strconv.AppendUint(b, v, 10)
+}
+
+var errHeader = errors.New("malformed " + Header + " header; both nodes must run the same release")
+
+// fields splits a header into exactly n fields; the last keeps separators.
+func fields(value string, n int) ([]string, error) {
+	f := strings.SplitN(value, separator, n)
+	if len(f) != n || f[0] != version {
+		return nil, errHeader
+	}
+	return f, nil
+}
+
+// ParseRequest reads the header's value.
+func ParseRequest(value string) (Request, error) {
+	f, err := fields(value, 7)
+	if err != nil {
+		return Request{}, err
+	}
+	p := parser{}
+	r := Request{ID: p.id(f[1]), Incarnation: p.uint(f[2]), Timeout: time.Duration(p.uint(f[3])) * time.Microsecond,
+		Movable: f[4] == "1", Revision: p.uint(f[5]), Caller: f[6]}
+	return r, p.err
+}
+
+// ParseID reads an attempt's id.
+func ParseID(s string) (gate.AttemptID, error) {
+	p := parser{}
+	id := p.id(s)
+	return id, p.err
+}
+
+// FormatID renders an attempt's id.
+func FormatID(id gate.AttemptID) string { return string(appendID(nil, id)) }
+
+// parser reads fields and keeps the first error.
+type parser struct{ err error }
+
+func (p *parser) uint(s string) uint64 { return p.base(s, 10) }
+
+func (p *parser) base(s string, base int) uint64 {
+	v, err := strconv.ParseUint(s, base, 64)
+	if err != nil && p.err == nil {
+		p.err = errHeader
+	}
+	return v
+}
+
+func (p *parser) id(s string) gate.AttemptID {
+	parts := strings.Split(s, "-")
+	if len(parts) != 3 {
+		p.err = errHeader
+		return gate.AttemptID{}
+	}
+	return gate.AttemptID{Request: [2]uint64{p.base(parts[0], 16), p.base(parts[1], 16)}, Attempt: uint32(p.base(parts[2], 10))}
+}
+
+// Verdict tells what became of an attempt at the endpoint's node.
+type Verdict int
+
+// Verdicts.
+const (
+	// Ran: the answer is the backend server's own.
+	Ran Verdict = iota
+	// Refused: the gate refused it before it ran.
+	Refused
+	// Moved: the gate names a sibling; it did not run here.
+	Moved
+	// Restarted: the node is another incarnation than the one addressed.
+	Restarted
+	// Unreached: the backend server accepted no connection; it did not run.
+	Unreached
+	// Broke: the connection to the backend server broke before its answer; it may have run.
+	Broke
+)
+
+// Reply is what the endpoint's node tells back, beside the answer.
+type Reply struct {
+	ID      gate.AttemptID
+	Verdict Verdict
+	Reason  gate.Reason
+	// RetryAfter is when to come back after a refusal.
+	RetryAfter time.Duration
+	// Everywhere: the siblings are as full.
+	Everywhere bool
+	// To is the sibling's host of a Moved verdict.
+	To string
+	// Incarnation and Revision are the answering node's.
+	Incarnation, Revision uint64
+}
+
+// Encode renders the header's value.
+func (r Reply) Encode() string {
+	everywhere := uint64(0)
+	if r.Everywhere {
+		everywhere = 1
+	}
+	b := make([]byte, 0, 128)
+	b = append(b, version+separator...)
+	b = appendID(b, r.ID)
+	b = appendField(b, uint64(r.Verdict))
+	b = appendField(b, uint64(r.Reason))
+	b = appendField(b, uint64(max(0, r.RetryAfter.Milliseconds())))
+	b = appendField(b, everywhere)
+	b = appendField(b, r.Incarnation)
+	b = appendField(b, r.Revision)
+	b = append(b, separator...)
+	b = append(b, r.To...)
+	return string(b)
+}
+
+// ParseReply reads the header's value.
+func ParseReply(value string) (Reply, error) {
+	f, err := fields(value, 9)
+	if err != nil {
+		return Reply{}, err
+	}
+	p := parser{}
+	r := Reply{ID: p.id(f[1]), Verdict: Verdict(p.uint(f[2])), Reason: gate.Reason(p.uint(f[3])),
+		RetryAfter: time.Duration(p.uint(f[4])) * time.Millisecond, Everywhere: f[5] == "1",
+		Incarnation: p.uint(f[6]), Revision: p.uint(f[7]), To: f[8]}
+	return r, p.err
+}
--- /dev/null
+++ b/internal/node/counters.go
@@ -0,0 +1,101 @@
+package node
+
+import (
+	"expvar"
+)
+
+type counters struct {
+	heartbeats, relayFailures, relaySearches, controlFailures expvar.Int
+	exchanges, exchangeFailures, probes                       expvar.Int
+	reportsSent, reportsReceived, reportsMalformed            expvar.Int
+}
+
+// Vars returns the node's metrics by name; docs/operators/metrics.md tells what
+// each means.
+func (n *Node) Vars() map[string]expvar.Var {
+	vars := map[string]expvar.Var{
+		"calls_answered":                &n.calls.Answered,
+		"calls_canceled":                &n.calls.Canceled,
+		"calls_cut_short":               &n.calls.CutShort,
+		"calls_faults":                  &n.calls.Faults,
+		"calls_latency_microseconds":    expvar.Func(n.calls.Latency),
+		"calls_in_flight":               expvar.Func(func() any { return n.callers.now() }),
+		"attempts_lost":                 &n.calls.Lost,
+		"attempts_moved":                &n.calls.Moves,
+		"attempts_retried":              &n.calls.Retries,
+		"attempts_revokes":              &n.calls.Revokes,
+		"gate_started":                  &n.gates.Started,
+		"gate_moved":                    &n.gates.Moved,
+		"gate_refused":                  &n.gates.Refused,
+		"measure_reports_sent":          &n.counters.reportsSent,
+		"measure_reports_received":      &n.counters.reportsReceived,
+		"measure_reports_malformed":     &n.counters.reportsMalformed,
+		"directory_heartbeats":          &n.counters.heartbeats,
+		"directory_relay_failures":      &n.counters.relayFailures,
+		"directory_relay_searches":      &n.counters.relaySearches,
+		"directory_exchanges":           &n.counters.exchanges,
+		"directory_exchange_failures":   &n.counters.exchangeFailures,
+		"directory_probes":              &n.counters.probes,
+		"directory_control_failures":    &n.counters.controlFailures,
+		"configuration_revision":        expvar.Func(func() any { return n.Revision() }),
+		"configuration_confirmed":       expvar.Func(func() any { return n.isConfirmed() }),
+		"directory_known_endpoints":     expvar.Func(func() any { return n.knownEndpoints() }),
+		"directory_acts_as_relay":       expvar.Func(func() any { return n.relay.active() }),
+		"directory_relay_entries":       expvar.Func(func() any { return n.relay.entries() }),
+		"directory_relay_false_alarms":  expvar.Func(func() any { return n.relay.falseAlarms() }),
+		"directory_relay_marked_failed": expvar.Func(func() any { return n.relay.failures() }),
+	}
+	if e := n.currentEndpoint(); e != nil {
+		vars["gate_load"] = expvar.Func(func() any { return e.Load() })
+	}
+	return vars
+}
+
+func (n *Node) isConfirmed() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.confirmed
+}
+
+func (n *Node) knownEndpoints() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	total := 0
+	for _, list := range n.view.ByService() {
+		total += len(list)
+	}
+	return total
+}
+
+func (r *relay) active() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state != nil
+}
+
+func (r *relay) entries() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state == nil {
+		return 0
+	}
+	return r.state.Table().Len()
+}
+
+func (r *relay) falseAlarms() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state == nil {
+		return 0
+	}
+	return r.state.FalseAlarms
+}
+
+func (r *relay) failures() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state == nil {
+		return 0
+	}
+	return r.state.Failures
+}
--- /dev/null
+++ b/internal/node/member.go
@@ -0,0 +1,293 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"connectrpc.com/connect"
+	"k8s.io/klog/v2"
+
+	apiv1 "cactuspath/api/cactuspath/v1"
+	"cactuspath/core/directory"
+	"cactuspath/internal/controlclient"
+	"cactuspath/internal/replica"
+)
+
+const (
+	// heartbeatJitter spreads the heartbeats of nodes that started together.
+	heartbeatJitter = 0.2
+	syncTimeout     = time.Second
+	// avoidRelayFor is how long a relay that did not answer is left alone.
+	avoidRelayFor = 5 * time.Second
+	// firstSearch and longestSearch bound the pause between searches for a relay,
+	// so that a data centre that restarts whole does not herd on the replicas.
+	firstSearch   = 100 * time.Millisecond
+	longestSearch = 5 * time.Second
+	// staleConfirmation is how old a relay's confirmation may be for a node that
+	// starts with nothing to take its configuration as confirmed.
+	staleConfirmation = 10 * time.Second
+)
+
+// member keeps this node in the directory: it reports to a relay of its data
+// centre and takes in what the relay knows.
+type member struct {
+	n     *Node
+	kicks chan struct{}
+	// rounds asks for a round and is told when it is over.
+	rounds  chan chan<- struct{}
+	relays  []*apiv1.RelayInfo
+	avoid   map[string]time.Time
+	current string
+	pause   time.Duration
+	sent    map[string]bool
+	// announced is the claim that the current relay has.
+	announced claim
+}
+
+// claim is what makes an entry worth sending again.
+type claim struct {
+	incarnation, sequence uint64
+	state                 apiv1.EndpointState
+}
+
+func newMember(n *Node) *member {
+	return &member{n: n, kicks: make(chan struct{}, 1), rounds: make(chan chan<- struct{}), avoid: map[string]time.Time{}, pause: firstSearch, sent: map[string]bool{}}
+}
+
+// kick asks for a sync at once.
+func (m *member) kick() {
+	select {
+	case m.kicks <- struct{}{}:
+	default:
+	}
+}
+
+func (m *member) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait := m.round(ctx)
+		select {
+		case <-ctx.Done():
+		case <-m.kicks:
+		case over := <-m.rounds:
+			m.round(ctx)
+			close(over)
+		case <-time.After(wait):
+		}
+	}
+}
+
+// round syncs once with the first relay that answers, and returns how long to
+// wait for the next round.
+func (m *member) round(ctx context.Context) time.Duration {
+	for _, r := range m.order() {
+		again, err := m.sync(ctx, r)
+		if err == nil {
+			m.pause = firstSearch
+			if again {
+				return 0
+			}
+			return jitter(directory.HeartbeatInterval)
+		}
+		m.avoid[r.Host] = time.Now().Add(avoidRelayFor)
+		m.n.counters.relayFailures.Add(1)
+	}
+	return m.search(ctx)
+}
+
+func jitter(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 - heartbeatJitter/2 + heartbeatJitter*rand.Float64()))
+}
+
+// order ranks the relays for this node, those that failed lately left out.
+func (m *member) order() []*apiv1.RelayInfo {
+	byHost := map[string]*apiv1.RelayInfo{}
+	var hosts []string
+	for _, r := range m.relays {
+		if time.Now().After(m.avoid[r.Host]) {
+			byHost[r.Host] = r
+			hosts = append(hosts, r.Host)
+		}
+	}
+	var list []*apiv1.RelayInfo
+	for _, host := range directory.Rendezvous(m.n.options.Host, hosts) {
+		list = append(list, byHost[host])
+	}
+	return list
+}
+
+// search asks the control replicas for relays.
+func (m *member) search(ctx context.Context) time.Duration {
+	req := &apiv1.FindRelaysRequest{Host: m.n.options.Host, DataCenter: m.n.options.DataCenter, Region: m.n.options.Region, PeerAddress: m.n.options.PeerAddress}
+	for host, until := range m.avoid {
+		if time.Now().Before(until) {
+			req.Unreachable = append(req.Unreachable, host)
+		}
+	}
+	sort.Strings(req.Unreachable)
+	var resp *apiv1.FindRelaysResponse
+	err := m.n.options.Control.Once(ctx, func(ctx context.Context, r *controlclient.Replica) error {
+		answer, err := r.Control.FindRelays(ctx, connect.NewRequest(req))
+		if err == nil {
+			resp = answer.Msg
+		}
+		return err
+	})
+	m.n.counters.relaySearches.Add(1)
+	wait := jitter(m.pause)
+	m.pause = min(2*m.pause, longestSearch)
+	if err != nil {
+		return wait
+	}
+	m.relays = resp.Relays
+	if resp.BecomeRelay {
+		m.n.relay.begin()
+		m.relays = append(m.relays, m.n.relay.info())
+		delete(m.avoid, m.n.options.Host)
+		return 0
+	}
+	if len(m.order()) > 0 {
+		return 0
+	}
+	return wait
+}
+
+// syncNow carries out a round and waits for its end.
+func (m *member) syncNow(ctx context.Context) {
+	over := make(chan struct{})
+	select {
+	case m.rounds <- over:
+	case <-ctx.Done():
+		return
+	}
+	select {
+	case <-over:
+	case <-ctx.Done():
+	}
+}
+
+// sync exchanges one heartbeat with a relay; again means that another is due
+// at once.
+func (m *member) sync(ctx context.Context, r *apiv1.RelayInfo) (again bool, err error) {
+	n := m.n
+	if r.Host != m.current {
+		m.current = r.Host
+		n.mu.Lock()
+		n.sequence++
+		n.view.Reset()
+		n.mu.Unlock()
+		m.announced = claim{}
+	}
+	req, subscription := m.request(r)
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	answer, err := n.peers.at(r.PeerAddress).Sync(ctx, connect.NewRequest(req))
+	if err != nil {
+		return false, err
+	}
+	n.counters.heartbeats.Add(1)
+	resp := answer.Msg
+	if resp.NotRelay {
+		return false, errNotRelay
+	}
+	m.sent = subscription
+	if e := req.Entry; e != nil {
+		m.announced = claim{e.Incarnation, e.Sequence, e.State}
+	}
+	if !resp.RelaysUnchanged && len(resp.Relays) > 0 {
+		m.relays = resp.Relays
+	}
+	return m.take(resp), nil
+}
+
+func (m *member) request(r *apiv1.RelayInfo) (*apiv1.NodeSyncRequest, map[string]bool) {
+	n := m.n
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	needed := n.subscription()
+	now := map[string]bool{}
+	req := &apiv1.NodeSyncRequest{Services: needed, Cursor: n.view.Cursor(), Revision: n.records.Revision(), RelaysDigest: replica.RelaysDigest(m.relays)}
+	for _, s := range needed {
+		now[s] = true
+		if !m.sent[s] {
+			req.Resubscribe = true
+		}
+		if record := n.records.Service(s); record == nil || record.Partial {
+			req.Added = append(req.Added, s)
+		}
+	}
+	req.Report = &apiv1.NodeReport{Host: n.options.Host, Incarnation: n.incarnation.Load(), Sequence: n.sequence, Revision: n.records.Revision(),
+		Draining: n.draining(), Drained: n.draining() && n.inFlightLocked() == 0, InFlight: uint32(n.inFlightLocked())}
+	if m.worthAnnouncing() {
+		req.Entry = n.entry(r.Host)
+		req.Report.Sequence = n.sequence
+	}
+	return req, now
+}
+
+// worthAnnouncing tells whether the relay lacks this node's newest claim. A
+// change of state takes a new sequence number, so that it supersedes the claim
+// before.
+func (m *member) worthAnnouncing() bool {
+	n := m.n
+	now := claim{n.incarnation.Load(), n.sequence, n.state()}
+	if now == m.announced {
+		return false
+	}
+	if m.announced.sequence == n.sequence && m.announced.state != now.state {
+		n.sequence++
+	}
+	return true
+}
+
+// take applies a relay's answer; it reports whether another sync is due at once.
+func (m *member) take(resp *apiv1.NodeSyncResponse) (again bool) {
+	n := m.n
+	n.mu.Lock()
+	again = m.correct(resp)
+	changed := false
+	if resp.Cursor != nil {
+		changed = n.view.Apply(resp.Entries, resp.Cursor, resp.Complete)
+	}
+	before := n.records.Revision()
+	if n.records.Apply(resp.Delta) {
+		changed = true
+	}
+	if n.records.Revision() > before {
+		n.confirmed = resp.ConfirmedAgeMs < uint64(staleConfirmation.Milliseconds())
+		klog.InfoS("Configuration in force", "host", n.options.Host, "revision", n.records.Revision(), "confirmed", n.confirmed)
+	}
+	for _, s := range n.subscription() {
+		again = again || !m.sent[s]
+	}
+	if changed {
+		n.signalChange()
+	}
+	n.mu.Unlock()
+	if changed {
+		n.apply()
+	}
+	return again
+}
+
+// correct brings this node's own claim above what the relay believes, when that
+// is not what the node says of itself: a relay marked it failed, or an earlier
+// incarnation had a later clock.
+func (m *member) correct(resp *apiv1.NodeSyncResponse) bool {
+	n := m.n
+	mine := n.incarnation.Load()
+	switch {
+	case resp.BelievedIncarnation > mine:
+		n.incarnation.Store(resp.BelievedIncarnation + 1)
+	case resp.BelievedIncarnation == mine && resp.BelievedSequence > n.sequence:
+		n.sequence = resp.BelievedSequence + 1
+	case resp.BelievedIncarnation == mine && resp.BelievedSequence == n.sequence && resp.Believed == apiv1.EndpointState_ENDPOINT_STATE_FAILED && !n.departed:
+		n.sequence++
+	case resp.NeedEntry:
+	default:
+		return false
+	}
+	m.announced = claim{}
+	return true
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,288 @@
+// Package node runs beside one backend server: it serves callers, guards the
+// backend server with its gate, takes part in the directory, holds the
+// configuration, and acts as a relay of its data centre when chosen.
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	apiv1 "cactuspath/api/cactuspath/v1"
+	"cactuspath/core/directory"
+	"cactuspath/core/rollout"
+	"cactuspath/internal/controlclient"
+	"cactuspath/internal/endpoint"
+	"cactuspath/internal/proxy"
+	"cactuspath/internal/transport"
+)
+
+// Options set up a Node.
+type Options struct {
+	Host, DataCenter, Region string
+	// Callers, Peer and Admin are open listeners; Reports is the UDP socket on
+	// the peer address.
+	Callers, Peer, Admin net.Listener
+	Reports              net.PacketConn
+	PeerAddress          string
+	Security             *transport.Security
+	Control              *controlclient.Client
+	StopTimeout          time.Duration
+}
+
+// Node is one node. Safe for concurrent use.
+type Node struct {
+	options     Options
+	start       time.Time
+	incarnation atomic.Uint64
+	proxy       *proxy.Handler
+	calls       *proxy.Counters
+	gates       *endpoint.Counters
+	counters    counters
+	member      *member
+	relay       *relay
+	peers       *peerClients
+	reports     *reports
+	callers     *inFlight
+
+	mu       sync.Mutex
+	records  *rollout.Records
+	view     *directory.View
+	server   *server
+	sequence uint64
+	stopping bool
+	departed bool
+	// needed are services that callers asked for, beside the hosted one and
+	// those it depends on.
+	needed map[string]bool
+	// changed is closed and replaced when records or view change.
+	changed chan struct{}
+	// confirmed: the configuration came from a relay that a leader confirmed.
+	confirmed bool
+}
+
+// New returns a node that is ready to run.
+func New(options Options) *Node {
+	n := &Node{
+		options: options, start: time.Now(), calls: proxy.NewCounters(), gates: &endpoint.Counters{},
+		records: rollout.NewRecords(), view: directory.NewView(), needed: map[string]bool{}, changed: make(chan struct{}), callers: &inFlight{},
+	}
+	n.incarnation.Store(uint64(time.Now().UnixMilli()))
+	n.peers = newPeerClients(options.Security)
+	n.reports = newReports(n)
+	n.relay = newRelay(n)
+	n.member = newMember(n)
+	n.proxy = proxy.New(proxy.Options{
+		Host: options.Host, Security: options.Security, Local: n, Need: n.need, Heard: n.heard, Revision: n.Revision, Revoke: n.revoke, Counters: n.calls,
+	})
+	return n
+}
+
+// Run serves until ctx ends, then stops as planned: no new work, work in
+// flight ends, the directory is told.
+func (n *Node) Run(ctx context.Context) error {
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	servers := n.serve()
+	var loops sync.WaitGroup
+	for _, loop := range []func(context.Context){n.member.run, n.relay.run, n.reports.run, n.watchServer} {
+		loops.Go(func() { loop(background) })
+	}
+	klog.InfoS("Node started", "host", n.options.Host, "callers", n.options.Callers.Addr(), "peer", n.options.PeerAddress, "admin", n.options.Admin.Addr())
+	<-ctx.Done()
+	err := n.stop(servers)
+	cancel()
+	_ = n.options.Reports.Close()
+	loops.Wait()
+	n.closeServer()
+	klog.InfoS("Node stopped", "host", n.options.Host, "cut", err)
+	return err
+}
+
+// Address returns where callers reach this node.
+func (n *Node) Address() string { return n.options.Callers.Addr().String() }
+
+// AdminAddress returns where the backend server announces itself.
+func (n *Node) AdminAddress() string { return n.options.Admin.Addr().String() }
+
+func (n *Node) serve() []*http.Server {
+	caller := &http.Server{Handler: n.callers.count(n.proxy), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout}
+	caller.Protocols = new(http.Protocols)
+	caller.Protocols.SetHTTP1(true)
+	caller.Protocols.SetUnencryptedHTTP2(true)
+	peer := &http.Server{Handler: n.peerHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	admin := &http.Server{Handler: n.adminHandler(), ReadHeaderTimeout: headerTimeout}
+	start := func(s *http.Server, l net.Listener) {
+		go func() {
+			if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+				klog.ErrorS(err, "Listener failed", "address", l.Addr())
+			}
+		}()
+	}
+	start(caller, n.options.Callers)
+	start(peer, n.options.Security.Wrap(n.options.Peer))
+	start(admin, n.options.Admin)
+	return []*http.Server{caller, peer, admin}
+}
+
+const (
+	headerTimeout  = 10 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 64 << 10
+	drainPoll      = 20 * time.Millisecond
+)
+
+// stop carries out a planned stop. The error names what was cut because the
+// stop timeout passed.
+func (n *Node) stop(servers []*http.Server) error {
+	klog.InfoS("Planned stop began", "host", n.options.Host)
+	n.mu.Lock()
+	n.stopping = true
+	n.mu.Unlock()
+	n.applyDraining()
+	n.member.kick()
+	ctx, cancel := context.WithTimeout(context.Background(), n.options.StopTimeout)
+	defer cancel()
+	for _, s := range servers {
+		s.SetKeepAlivesEnabled(false)
+	}
+	n.waitIdle(ctx)
+	n.depart(ctx)
+	var cut error
+	for _, s := range servers {
+		if err := s.Shutdown(ctx); err != nil {
+			cut = errors.Wrap(err, "requests were still in flight when stopTimeout passed and were cut; allow more in the settings")
+			_ = s.Close()
+		}
+	}
+	return cut
+}
+
+func (n *Node) waitIdle(ctx context.Context) {
+	for n.InFlight() > 0 && ctx.Err() == nil {
+		time.Sleep(drainPoll)
+	}
+}
+
+// depart tells the directory that this node is gone for good.
+func (n *Node) depart(ctx context.Context) {
+	n.mu.Lock()
+	n.departed = true
+	n.mu.Unlock()
+	n.member.syncNow(ctx)
+}
+
+// InFlight counts the requests that run or wait at the gate, and those of
+// callers.
+func (n *Node) InFlight() int {
+	total := n.callers.now()
+	if e := n.currentEndpoint(); e != nil {
+		total += e.InFlight()
+	}
+	return total
+}
+
+// Revision is the newest configuration this node holds.
+func (n *Node) Revision() uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.records.Revision()
+}
+
+// heard takes note of a revision that another node mentioned: one that missed
+// a change pulls it at once.
+func (n *Node) heard(revision uint64) {
+	if revision > n.Revision() {
+		n.member.kick()
+	}
+}
+
+// need waits until the service's record and endpoints are known.
+func (n *Node) need(ctx context.Context, service string) error {
+	for {
+		n.mu.Lock()
+		record := n.records.Service(service)
+		known := record != nil && !record.Partial && len(n.view.ByService()[service]) > 0
+		added := !n.needed[service]
+		n.needed[service] = true
+		changed := n.changed
+		n.mu.Unlock()
+		if known {
+			return nil
+		}
+		if added {
+			n.member.kick()
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// signalChange wakes those who wait for records or entries.
+func (n *Node) signalChange() {
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+// subscription lists the services this node needs in full.
+func (n *Node) subscription() []string {
+	set := map[string]bool{}
+	for s := range n.needed {
+		set[s] = true
+	}
+	if n.server != nil {
+		set[n.server.service] = true
+		for _, d := range n.records.Service(n.server.service).GetSpec().GetDependsOn() {
+			set[d] = true
+		}
+	}
+	return sortedKeys(set)
+}
+
+// entry renders what this node says of itself.
+func (n *Node) entry(relay string) *apiv1.Entry {
+	e := &apiv1.Entry{Host: n.options.Host, DataCenter: n.options.DataCenter, Region: n.options.Region, PeerAddress: n.options.PeerAddress,
+		Incarnation: n.incarnation.Load(), Sequence: n.sequence, State: n.state(), Relay: relay, ChangedUnixMs: time.Now().UnixMilli()}
+	if n.server != nil {
+		e.Service, e.Slots = n.server.service, n.server.slots
+	}
+	return e
+}
+
+func (n *Node) state() apiv1.EndpointState {
+	switch {
+	case n.departed:
+		return apiv1.EndpointState_ENDPOINT_STATE_DEPARTED
+	case n.draining():
+		return apiv1.EndpointState_ENDPOINT_STATE_DRAINING
+	}
+	return apiv1.EndpointState_ENDPOINT_STATE_SERVING
+}
+
+// draining: a planned stop was announced by the operator, by the backend
+// server, or by stopping this process.
+func (n *Node) draining() bool {
+	return n.stopping || n.records.Draining(n.options.Host) || n.server != nil && n.server.draining
+}
+
+// inFlight counts callers' requests.
+type inFlight struct{ requests atomic.Int64 }
+
+func (f *inFlight) now() int { return int(f.requests.Load()) }
+
+func (f *inFlight) count(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.requests.Add(1)
+		defer f.requests.Add(-1)
+		next.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/internal/node/peers.go
@@ -0,0 +1,137 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	apiv1 "cactuspath/api/cactuspath/v1"
+	"cactuspath/api/cactuspath/v1/apiv1connect"
+	"cactuspath/api/fault"
+	"cactuspath/core/gate"
+	"cactuspath/internal/endpoint"
+	"cactuspath/internal/hop"
+	"cactuspath/internal/transport"
+)
+
+// peerClients keeps one control client per peer. Safe for concurrent use.
+type peerClients struct {
+	security *transport.Security
+	client   *http.Client
+
+	mu      sync.Mutex
+	clients map[string]apiv1connect.NodeServiceClient
+}
+
+func newPeerClients(security *transport.Security) *peerClients {
+	return &peerClients{security: security, client: security.ControlClient(), clients: map[string]apiv1connect.NodeServiceClient{}}
+}
+
+func (p *peerClients) at(address string) apiv1connect.NodeServiceClient {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.clients[address]
+	if c == nil {
+		c = apiv1connect.NewNodeServiceClient(p.client, p.security.URL(address))
+		p.clients[address] = c
+	}
+	return c
+}
+
+// peerHandler serves other nodes: requests on their way to the backend server,
+// and control calls.
+func (n *Node) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(apiv1connect.NewNodeServiceHandler(nodeService{n}))
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, isHop := r.Header[hop.Header]; !isHop {
+			mux.ServeHTTP(w, r)
+			return
+		}
+		n.serveHop(w, r)
+	})
+}
+
+func (n *Node) serveHop(w http.ResponseWriter, r *http.Request) {
+	service := r.Header.Get(hop.ServiceHeader)
+	if e := n.Endpoint(service); e != nil {
+		e.ServeHop(w, r)
+		return
+	}
+	// The backend server was withdrawn since the sender's entry was read.
+	endpoint.ServeGone(w, r, n.incarnation.Load(), n.Revision())
+}
+
+// nodeService serves apiv1connect.NodeServiceHandler.
+type nodeService struct{ n *Node }
+
+// Sync serves a node's heartbeat if this node is a relay.
+func (s nodeService) Sync(_ context.Context, req *connect.Request[apiv1.NodeSyncRequest]) (*connect.Response[apiv1.NodeSyncResponse], error) {
+	if req.Msg.Report == nil {
+		return nil, fault.New(fault.Invalid, errNotRelay)
+	}
+	return connect.NewResponse(s.n.relay.sync(req.Msg)), nil
+}
+
+// Exchange serves another relay.
+func (s nodeService) Exchange(_ context.Context, req *connect.Request[apiv1.ExchangeRequest]) (*connect.Response[apiv1.ExchangeResponse], error) {
+	resp, err := s.n.relay.exchange(req.Msg)
+	if err != nil {
+		return nil, fault.New(fault.Unavailable, err)
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// Probe answers for this node, or probes another one on a relay's behalf.
+func (s nodeService) Probe(ctx context.Context, req *connect.Request[apiv1.ProbeRequest]) (*connect.Response[apiv1.ProbeResponse], error) {
+	n := s.n
+	if req.Msg.Host != n.options.Host {
+		return n.peers.at(req.Msg.PeerAddress).Probe(ctx, connect.NewRequest(req.Msg))
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return connect.NewResponse(&apiv1.ProbeResponse{Host: n.options.Host, Incarnation: n.incarnation.Load(), Sequence: n.sequence}), nil
+}
+
+// Revoke answers for an attempt whose answer was lost.
+func (s nodeService) Revoke(_ context.Context, req *connect.Request[apiv1.RevokeRequest]) (*connect.Response[apiv1.RevokeResponse], error) {
+	m := req.Msg
+	e := s.n.currentEndpoint()
+	answer := gate.RevokeUnknown
+	if e != nil && m.Incarnation == s.n.incarnation.Load() {
+		id := gate.AttemptID{Request: [2]uint64{m.RequestHigh, m.RequestLow}, Attempt: m.Attempt}
+		answer = e.Revoke(id, time.Duration(m.SentAgoUs)*time.Microsecond)
+	}
+	return connect.NewResponse(&apiv1.RevokeResponse{Answer: apiv1.RevokeAnswer(answer)}), nil
+}
+
+// revoke asks a node what became of an attempt.
+func (n *Node) revoke(ctx context.Context, peerAddress string, incarnation uint64, id gate.AttemptID, sentAgo time.Duration) gate.RevokeAnswer {
+	resp, err := n.peers.at(peerAddress).Revoke(ctx, connect.NewRequest(&apiv1.RevokeRequest{
+		RequestHigh: id.Request[0], RequestLow: id.Request[1], Attempt: id.Attempt, Incarnation: incarnation, SentAgoUs: uint64(sentAgo.Microseconds())}))
+	if err != nil {
+		return gate.RevokeUnknown
+	}
+	return gate.RevokeAnswer(resp.Msg.Answer)
+}
+
+func sortedKeys(set map[string]bool) []string {
+	list := make([]string, 0, len(set))
+	for k := range set {
+		list = append(list, k)
+	}
+	sort.Strings(list)
+	return list
+}
+
+func (n *Node) inFlightLocked() int {
+	total := n.callers.now()
+	if n.server != nil {
+		total += n.server.endpoint.InFlight()
+	}
+	return total
+}
--- /dev/null
+++ b/internal/node/relay.go
@@ -0,0 +1,264 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	apiv1 "cactuspath/api/cactuspath/v1"
+	"cactuspath/core/directory"
+	"cactuspath/core/rollout"
+	"cactuspath/internal/controlclient"
+	"cactuspath/internal/replica"
+)
+
+const (
+	relayTick    = directory.HeartbeatInterval / 2
+	pullTimeout  = time.Second
+	probeTimeout = time.Second
+	// maxNamed bounds the nodes that a relay names in its report.
+	maxNamed = 64
+)
+
+var errNotRelay = errors.New("this node is not a relay; ask another relay or the control replicas")
+
+// relay is this node's part as a relay, if it was chosen. Safe for concurrent
+// use.
+type relay struct {
+	n *Node
+
+	mu        sync.Mutex
+	state     *directory.Relay
+	records   *rollout.Records
+	all       []*apiv1.RelayInfo
+	confirmed time.Time
+	busy      map[string]bool
+}
+
+func newRelay(n *Node) *relay {
+	return &relay{n: n, records: rollout.NewRecords(), busy: map[string]bool{}}
+}
+
+// info names this node as a relay.
+func (r *relay) info() *apiv1.RelayInfo {
+	o := r.n.options
+	return &apiv1.RelayInfo{Host: o.Host, PeerAddress: o.PeerAddress, DataCenter: o.DataCenter, Region: o.Region}
+}
+
+func (r *relay) now() time.Duration { return time.Since(r.n.start) }
+
+// begin makes this node a relay.
+func (r *relay) begin() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state != nil {
+		return
+	}
+	r.state = directory.NewRelay(r.info(), uint64(time.Now().UnixNano()), r.now())
+	klog.InfoS("Became a relay", "host", r.n.options.Host, "dataCenter", r.n.options.DataCenter)
+}
+
+func (r *relay) end() {
+	r.state = nil
+	klog.InfoS("Ceased to be a relay", "host", r.n.options.Host, "dataCenter", r.n.options.DataCenter)
+}
+
+// run ticks while this node is a relay.
+func (r *relay) run(ctx context.Context) {
+	ticker := time.NewTicker(relayTick)
+	defer ticker.Stop()
+	syncDue := true
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		r.mu.Lock()
+		active := r.state != nil
+		r.mu.Unlock()
+		if !active {
+			continue
+		}
+		if syncDue {
+			r.syncControl(ctx)
+		}
+		syncDue = !syncDue
+		r.tick(ctx)
+	}
+}
+
+// syncControl reports to the leader and takes in what changed.
+func (r *relay) syncControl(ctx context.Context) {
+	if !r.claim("control") {
+		return
+	}
+	go func() {
+		defer r.release("control")
+		req := r.report()
+		if req == nil {
+			return
+		}
+		err := r.n.options.Control.Once(ctx, func(ctx context.Context, c *controlclient.Replica) error {
+			resp, err := c.Control.RelaySync(ctx, connect.NewRequest(req))
+			if err == nil {
+				r.takeControl(resp.Msg)
+			}
+			return err
+		})
+		if err != nil {
+			r.n.counters.controlFailures.Add(1)
+		}
+	}()
+}
+
+// claim keeps one exchange with each peer under way at a time.
+func (r *relay) claim(what string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.busy[what] {
+		return false
+	}
+	r.busy[what] = true
+	return true
+}
+
+func (r *relay) release(what string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.busy, what)
+}
+
+// report sums up the nodes that report here.
+func (r *relay) report() *apiv1.RelaySyncRequest {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state == nil {
+		return nil
+	}
+	revision := r.records.Revision()
+	req := &apiv1.RelaySyncRequest{Relay: r.info(), Revision: revision, RelaysDigest: replica.RelaysDigest(r.all)}
+	req.Relay.Nodes = uint32(r.state.Watched())
+	for _, report := range r.state.Reports() {
+		req.Nodes++
+		if report.Revision >= revision {
+			req.InForce++
+		} else if len(req.Behind) < maxNamed {
+			req.Behind = append(req.Behind, report)
+		}
+		if report.Draining && len(req.Draining) < maxNamed {
+			req.Draining = append(req.Draining, report)
+		}
+	}
+	return req
+}
+
+func (r *relay) takeControl(resp *apiv1.RelaySyncResponse) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state == nil {
+		return
+	}
+	if resp.StepDown {
+		r.end()
+		return
+	}
+	if !resp.RelaysUnchanged {
+		r.all = resp.Relays
+		r.state.SetRelays(r.all, r.now())
+	}
+	r.records.Apply(resp.Delta)
+	r.confirmed = time.Now()
+}
+
+// tick carries out what the directory asks.
+func (r *relay) tick(ctx context.Context) {
+	r.mu.Lock()
+	if r.state == nil {
+		r.mu.Unlock()
+		return
+	}
+	work := r.state.Tick(r.now())
+	r.mu.Unlock()
+	for _, p := range work.Probes {
+		go r.probe(ctx, p)
+	}
+	for _, p := range work.Pulls {
+		if r.claim(p.Relay.Host) {
+			go r.pull(ctx, p)
+		}
+	}
+}
+
+func (r *relay) probe(ctx context.Context, p directory.Probe) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	at := p.PeerAddress
+	if p.Via != "" {
+		at = p.Via
+	}
+	resp, err := r.n.peers.at(at).Probe(ctx, connect.NewRequest(&apiv1.ProbeRequest{Host: p.Host, PeerAddress: p.PeerAddress}))
+	r.n.counters.probes.Add(1)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state != nil && err == nil && resp.Msg.Host == p.Host {
+		r.state.Probed(r.now(), p.Host, resp.Msg.Incarnation, true)
+	}
+}
+
+func (r *relay) pull(ctx context.Context, p directory.Pull) {
+	defer r.release(p.Relay.Host)
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	resp, err := r.n.peers.at(p.Relay.PeerAddress).Exchange(ctx, connect.NewRequest(p.Request))
+	r.n.counters.exchanges.Add(1)
+	if err != nil {
+		r.n.counters.exchangeFailures.Add(1)
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state != nil {
+		r.state.Pulled(r.now(), p.Relay.Host, resp.Msg)
+	}
+}
+
+// sync serves a node's heartbeat.
+func (r *relay) sync(req *apiv1.NodeSyncRequest) *apiv1.NodeSyncResponse {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state == nil {
+		return &apiv1.NodeSyncResponse{NotRelay: true}
+	}
+	now := r.now()
+	held, needEntry := r.state.Heartbeat(now, req.Report, req.Entry)
+	resp := &apiv1.NodeSyncResponse{NeedEntry: needEntry, Believed: held.GetState(), BelievedIncarnation: held.GetIncarnation(), BelievedSequence: held.GetSequence(),
+		Revision: r.records.Revision(), ConfirmedAgeMs: uint64(time.Since(r.confirmed).Milliseconds())}
+	if r.state.Ready(now) {
+		resp.Entries, resp.Cursor, resp.Complete = r.state.Entries(req.Cursor, req.Services, req.Resubscribe)
+	}
+	relays := r.state.Relays()
+	if replica.RelaysDigest(relays) == req.RelaysDigest {
+		resp.RelaysUnchanged = true
+	} else {
+		resp.Relays = relays
+	}
+	if r.records.Revision() > 0 {
+		resp.Delta = r.records.DeltaFor(req.Revision, req.Services, req.Added, req.Report.Host)
+	}
+	return resp
+}
+
+// exchange serves another relay.
+func (r *relay) exchange(req *apiv1.ExchangeRequest) (*apiv1.ExchangeResponse, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state == nil {
+		return nil, errNotRelay
+	}
+	return r.state.Exchange(r.now(), req), nil
+}
--- /dev/null
+++ b/internal/node/reports.go
@@ -0,0 +1,89 @@
+package node
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "cactuspath/api/cactuspath/v1"
+	"cactuspath/core/gate"
+)
+
+// maxDatagram is the largest report accepted, in bytes.
+const maxDatagram = 1 << 10
+
+const perMille = 1000
+
+// reports carries load reports between gates, one datagram each. A lost one is
+// made up for by the next. Safe for concurrent use.
+type reports struct {
+	n *Node
+
+	mu        sync.RWMutex
+	addresses map[string]*net.UDPAddr
+}
+
+func newReports(n *Node) *reports {
+	return &reports{n: n, addresses: map[string]*net.UDPAddr{}}
+}
+
+// setAddresses tells where the service's other gates are.
+func (r *reports) setAddresses(entries []*apiv1.Entry) {
+	addresses := make(map[string]*net.UDPAddr, len(entries))
+	for _, e := range entries {
+		if a, err := net.ResolveUDPAddr("udp", e.PeerAddress); err == nil {
+			addresses[e.Host] = a
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.addresses = addresses
+}
+
+func (r *reports) send(host string, report gate.Report) {
+	r.mu.RLock()
+	address := r.addresses[host]
+	r.mu.RUnlock()
+	if address == nil {
+		return
+	}
+	l := report.Load
+	data, err := proto.Marshal(&apiv1.GateReport{Host: report.Host, Incarnation: report.Incarnation, Sequence: report.Sequence,
+		Running: uint32(l.Running), Waiting: uint32(l.Waiting), Slots: uint32(l.Slots), ServiceUs: uint64(l.Service.Microseconds()),
+		Draining: l.Draining, Full: l.Full, FailPerMille: uint32(l.FailRatio * perMille), Failing: l.Failing})
+	if err != nil {
+		return
+	}
+	if _, err := r.n.options.Reports.WriteTo(data, address); err == nil {
+		r.n.counters.reportsSent.Add(1)
+	}
+}
+
+// run takes in reports until the socket closes.
+func (r *reports) run(ctx context.Context) {
+	buffer := make([]byte, maxDatagram)
+	for ctx.Err() == nil {
+		size, _, err := r.n.options.Reports.ReadFrom(buffer)
+		if err != nil {
+			return
+		}
+		m := &apiv1.GateReport{}
+		if proto.Unmarshal(buffer[:size], m) != nil {
+			r.n.counters.reportsMalformed.Add(1)
+			continue
+		}
+		r.n.counters.reportsReceived.Add(1)
+		if e := r.n.currentEndpoint(); e != nil {
+			e.Learn(reportOf(m))
+		}
+	}
+}
+
+func reportOf(m *apiv1.GateReport) gate.Report {
+	return gate.Report{Host: m.Host, Incarnation: m.Incarnation, Sequence: m.Sequence, Load: gate.Load{
+		Running: int(m.Running), Waiting: int(m.Waiting), Slots: int(m.Slots), Service: time.Duration(m.ServiceUs) * time.Microsecond,
+		Draining: m.Draining, Full: m.Full, FailRatio: float64(m.FailPerMille) / perMille, Failing: m.Failing}}
+}
--- /dev/null
+++ b/internal/node/server.go
@@ -0,0 +1,238 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"cactuspath/core/balancer"
+	"cactuspath/core/gate"
+	"cactuspath/core/measure"
+	"cactuspath/internal/endpoint"
+
+	apiv1 "cactuspath/api/cactuspath/v1"
+)
+
+// Announcement is what a backend server says of itself.
+type Announcement struct {
+	Service string `json:"service"`
+	// Address is where the node reaches the backend server.
+	Address string `json:"address"`
+	// Slots is how many requests it runs at once; the estate's number if 0.
+	Slots    uint32 `json:"slots,omitempty"`
+	Draining bool   `json:"draining,omitempty"`
+	// Cold asks for a slow start.
+	Cold bool `json:"cold,omitempty"`
+}
+
+const (
+	// serverLease is how long an announcement counts without renewal.
+	serverLease = 10 * time.Second
+	leaseCheck  = time.Second
+)
+
+// server is the announced backend server with its gate.
+type server struct {
+	service  string
+	address  string
+	slots    uint32
+	draining bool
+	expires  time.Time
+	endpoint *endpoint.Endpoint
+}
+
+var errOtherService = errors.New("this node serves a backend server of another service; withdraw that one first, or run one node for each")
+
+// announce takes in an announcement or its renewal.
+func (n *Node) announce(a Announcement) error {
+	n.mu.Lock()
+	if n.server != nil && n.server.service != a.Service {
+		n.mu.Unlock()
+		return errOtherService
+	}
+	s := n.server
+	fresh := s == nil
+	if fresh {
+		s = &server{service: a.Service, endpoint: n.newEndpoint()}
+		n.server = s
+	}
+	moved := s.address != a.Address
+	changed := fresh || moved || s.slots != a.Slots || s.draining != a.Draining
+	s.address, s.slots, s.draining = a.Address, a.Slots, a.Draining
+	s.expires = time.Now().Add(serverLease)
+	if changed {
+		n.sequence++
+	}
+	n.mu.Unlock()
+	if moved {
+		s.endpoint.SetBackend(a.Address)
+	}
+	if a.Cold && (fresh || moved) {
+		s.endpoint.SetCold()
+	}
+	if changed {
+		klog.InfoS("Backend server announced", "host", n.options.Host, "service", a.Service, "address", a.Address, "draining", a.Draining)
+		n.apply()
+		n.member.kick()
+	}
+	return nil
+}
+
+func (n *Node) newEndpoint() *endpoint.Endpoint {
+	return endpoint.New(endpoint.Options{
+		Host: n.options.Host, Incarnation: n.incarnation.Load, Send: n.reports.send, Revision: n.Revision, Counters: n.gates,
+	}, gate.Config{})
+}
+
+// withdraw ends an announcement.
+func (n *Node) withdraw(why string) {
+	n.mu.Lock()
+	s := n.server
+	if s == nil {
+		n.mu.Unlock()
+		return
+	}
+	n.server = nil
+	n.sequence++
+	n.mu.Unlock()
+	klog.InfoS("Backend server withdrawn", "host", n.options.Host, "service", s.service, "why", why)
+	s.endpoint.SetDraining(true)
+	n.member.kick()
+}
+
+// watchServer ends an announcement that is not renewed.
+func (n *Node) watchServer(ctx context.Context) {
+	ticker := time.NewTicker(leaseCheck)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		n.mu.Lock()
+		expired := n.server != nil && time.Now().After(n.server.expires)
+		n.mu.Unlock()
+		if expired {
+			n.withdraw("its lease ran out")
+		}
+	}
+}
+
+func (n *Node) closeServer() {
+	if e := n.currentEndpoint(); e != nil {
+		e.Close()
+	}
+}
+
+func (n *Node) currentEndpoint() *endpoint.Endpoint {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.server == nil {
+		return nil
+	}
+	return n.server.endpoint
+}
+
+// Endpoint returns the local endpoint if it serves the service.
+func (n *Node) Endpoint(service string) *endpoint.Endpoint {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.server == nil || n.server.service != service {
+		return nil
+	}
+	return n.server.endpoint
+}
+
+// apply carries the newest records and entries to the proxy and the gate.
+func (n *Node) apply() {
+	n.mu.Lock()
+	records := n.records.Services()
+	byService := n.view.ByService()
+	s := n.server
+	n.mu.Unlock()
+	n.proxy.Configure(records)
+	n.proxy.Update(n.candidates(byService))
+	if s != nil {
+		n.applyGate(s, byService[s.service])
+	}
+	n.applyDraining()
+}
+
+func (n *Node) candidates(byService map[string][]*apiv1.Entry) map[string][]balancer.Candidate {
+	out := make(map[string][]balancer.Candidate, len(byService))
+	for service, entries := range byService {
+		list := make([]balancer.Candidate, 0, len(entries))
+		for _, e := range entries {
+			list = append(list, balancer.Candidate{Host: e.Host, PeerAddress: e.PeerAddress, Incarnation: e.Incarnation, Slots: int(e.Slots),
+				Distance: n.distance(e), Draining: e.State == apiv1.EndpointState_ENDPOINT_STATE_DRAINING})
+		}
+		out[service] = list
+	}
+	return out
+}
+
+// Assumed one-way delays, until a connection was measured.
+const (
+	sameHost   = 50 * time.Microsecond
+	sameCenter = 250 * time.Microsecond
+	sameRegion = 1500 * time.Microsecond
+	farAway    = 20 * time.Millisecond
+)
+
+func (n *Node) distance(e *apiv1.Entry) time.Duration {
+	if d := n.proxy.Distance(e.PeerAddress); d > 0 {
+		return d
+	}
+	switch {
+	case e.Host == n.options.Host:
+		return sameHost
+	case e.DataCenter == n.options.DataCenter:
+		return sameCenter
+	case e.Region == n.options.Region:
+		return sameRegion
+	}
+	return farAway
+}
+
+func (n *Node) applyGate(s *server, entries []*apiv1.Entry) {
+	n.mu.Lock()
+	spec := n.records.Service(s.service).GetSpec()
+	n.mu.Unlock()
+	if spec == nil || spec.Slots == 0 {
+		return
+	}
+	slots := spec.Slots
+	if s.slots > 0 {
+		slots = s.slots
+	}
+	gates := max(1, len(entries))
+	s.endpoint.Configure(gate.Config{
+		Slots: int(slots), Queue: int(spec.Queue), SlowStart: time.Duration(spec.SlowStartMs) * time.Millisecond, Siblings: true,
+		ReportsPerSecond: measure.GateShare(spec.Measure.GetReportsPerSecond(), gates), BytesPerSecond: measure.GateShare(spec.Measure.GetBytesPerSecond(), gates),
+	})
+	s.endpoint.SetSiblings(n.siblings(entries))
+	n.reports.setAddresses(entries)
+}
+
+// siblings lists the service's other gates.
+func (n *Node) siblings(entries []*apiv1.Entry) []gate.Sibling {
+	list := make([]gate.Sibling, 0, len(entries))
+	for _, e := range entries {
+		if e.Host != n.options.Host {
+			list = append(list, gate.Sibling{Host: e.Host, Distance: n.distance(e)})
+		}
+	}
+	return list
+}
+
+func (n *Node) applyDraining() {
+	n.mu.Lock()
+	draining, s := n.draining(), n.server
+	n.mu.Unlock()
+	if s != nil {
+		s.endpoint.SetDraining(draining)
+	}
+}
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,247 @@
+// Package operator carries out operators' commands and queries against the
+// control replicas. It is the library behind cactusctl and the tour.
+package operator
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+	"github.com/oklog/ulid/v2"
+
+	apiv1 "cactuspath/api/cactuspath/v1"
+	"cactuspath/api/fault"
+	"cactuspath/internal/controlclient"
+)
+
+// Client talks to the control replicas on an operator's behalf.
+type Client struct {
+	Control *controlclient.Client
+	// Name is the operator's, where the replicas do not derive it from a token.
+	Name string
+}
+
+// NewChangeID returns an id for a change. The same id sent again gets the first
+// answer, so keep it if an outcome is unknown.
+func NewChangeID() string { return ulid.Make().String() }
+
+// Exit codes of cactusctl, for scripts.
+const (
+	ExitDone        = 0
+	ExitFailed      = 1
+	ExitUsage       = 2
+	ExitRefused     = 3
+	ExitConflict    = 4
+	ExitUnknown     = 5
+	ExitUnreachable = 6
+)
+
+// OutcomeError is a command that did not succeed, with its exit code.
+type OutcomeError struct {
+	Code    int
+	Message string
+}
+
+// Error is the message for the operator.
+func (e *OutcomeError) Error() string { return e.Message }
+
+// ExitCode is the exit code of an error.
+func ExitCode(err error) int {
+	var outcome *OutcomeError
+	switch {
+	case err == nil:
+		return ExitDone
+	case errors.As(err, &outcome):
+		return outcome.Code
+	}
+	return ExitFailed
+}
+
+// Submit has a text agreed on. It resends under the same id until an answer
+// comes or ctx ends, so that a lost answer does not leave the outcome open.
+func (c *Client) Submit(ctx context.Context, text []byte, base uint64, changeID string) (*apiv1.AuditRecord, error) {
+	req := &apiv1.SubmitRequest{ChangeId: changeID, Operator: c.Name, BaseRevision: base, Text: text}
+	var record *apiv1.AuditRecord
+	err := c.Control.Until(ctx, func(ctx context.Context, r *controlclient.Replica) error {
+		resp, err := r.Command.Submit(ctx, connect.NewRequest(req))
+		if err == nil {
+			record = resp.Msg.Record
+		}
+		return err
+	})
+	if err != nil {
+		return nil, changeFailed(err, changeID)
+	}
+	return record, outcomeOf(record)
+}
+
+// Drain announces a planned stop of a host, or its end.
+func (c *Client) Drain(ctx context.Context, host string, draining bool, changeID string) (*apiv1.AuditRecord, error) {
+	req := &apiv1.DrainRequest{ChangeId: changeID, Operator: c.Name, Host: host, Draining: draining}
+	var record *apiv1.AuditRecord
+	err := c.Control.Until(ctx, func(ctx context.Context, r *controlclient.Replica) error {
+		resp, err := r.Command.Drain(ctx, connect.NewRequest(req))
+		if err == nil {
+			record = resp.Msg.Record
+		}
+		return err
+	})
+	if err != nil {
+		return nil, changeFailed(err, changeID)
+	}
+	return record, outcomeOf(record)
+}
+
+// changeFailed tells a change that may have been agreed from one that was not
+// sent or not allowed.
+func changeFailed(err error, changeID string) error {
+	switch kind, _ := fault.Of(err); kind {
+	case fault.Unauthorized, fault.Invalid:
+		return &OutcomeError{ExitRefused, "refused: " + reason(err)}
+	case fault.NotLeader:
+		return &OutcomeError{ExitUnreachable, "no leader: a majority of the control replicas must run and reach each other; nothing was changed"}
+	}
+	if errors.Is(err, controlclient.ErrUnreachable) || connect.CodeOf(err) == connect.CodeUnavailable {
+		return &OutcomeError{ExitUnreachable, "cannot reach the control replicas: " + reason(err) +
+			"; if an answer was lost the change may stand, find out with `cactusctl audit --change " + changeID + "`"}
+	}
+	return &OutcomeError{ExitUnknown, "outcome unknown: the change may or may not have been accepted; find out with `cactusctl audit --change " + changeID +
+		"`, or run the same command again with --change-id " + changeID}
+}
+
+func reason(err error) string {
+	var e *connect.Error
+	if errors.As(err, &e) {
+		return e.Message()
+	}
+	return err.Error()
+}
+
+func outcomeOf(r *apiv1.AuditRecord) error {
+	switch r.Outcome {
+	case apiv1.Outcome_OUTCOME_ACCEPTED:
+		return nil
+	case apiv1.Outcome_OUTCOME_CONFLICT:
+		return &OutcomeError{ExitConflict, fmt.Sprintf("conflict: the newest revision is %d, not the one this change is based on; nothing was changed. "+
+			"See what came between with `cactusctl diff FILE`, then submit with --base %d", r.Revision, r.Revision)}
+	case apiv1.Outcome_OUTCOME_ID_REUSED:
+		return &OutcomeError{ExitRefused, "refused: this change id was used for another change; nothing was changed. Use a new id"}
+	}
+	return &OutcomeError{ExitRefused, "refused, nothing was changed:\n" + Problems(r.Problems)}
+}
+
+// Problems renders the faults of a text, one a line.
+func Problems(problems []*apiv1.Problem) string {
+	var b strings.Builder
+	for _, p := range problems {
+		fmt.Fprintf(&b, "  line %d, column %d", p.Line, p.Column)
+		if p.Field != "" {
+			fmt.Fprintf(&b, ", field %s", p.Field)
+		}
+		fmt.Fprintf(&b, ": %s; %s\n", p.Message, p.Remedy)
+	}
+	return strings.TrimSuffix(b.String(), "\n")
+}
+
+// query calls the leader until it answers or ctx ends.
+func query[T any](ctx context.Context, c *Client, call func(context.Context, *controlclient.Replica) (*connect.Response[T], error)) (*T, error) {
+	var answer *T
+	err := c.Control.Until(ctx, func(ctx context.Context, r *controlclient.Replica) error {
+		resp, err := call(ctx, r)
+		if err == nil {
+			answer = resp.Msg
+		}
+		return err
+	})
+	if err != nil {
+		return nil, &OutcomeError{ExitUnreachable, "cannot reach the leader of the control replicas: " + reason(err) + "; check that a majority of them runs"}
+	}
+	return answer, nil
+}
+
+// Status sums up the cluster.
+func (c *Client) Status(ctx context.Context) (*apiv1.StatusResponse, error) {
+	return query(ctx, c, func(ctx context.Context, r *controlclient.Replica) (*connect.Response[apiv1.StatusResponse], error) {
+		return r.Query.Status(ctx, connect.NewRequest(&apiv1.StatusRequest{}))
+	})
+}
+
+// Show returns an institution's newest text.
+func (c *Client) Show(ctx context.Context, institution string) (*apiv1.ShowResponse, error) {
+	return query(ctx, c, func(ctx context.Context, r *controlclient.Replica) (*connect.Response[apiv1.ShowResponse], error) {
+		return r.Query.Show(ctx, connect.NewRequest(&apiv1.ShowRequest{Institution: institution}))
+	})
+}
+
+// Audit returns decided changes after a log index, or the one with an id.
+func (c *Client) Audit(ctx context.Context, after uint64, changeID string, limit uint32) ([]*apiv1.AuditRecord, error) {
+	resp, err := query(ctx, c, func(ctx context.Context, r *controlclient.Replica) (*connect.Response[apiv1.AuditResponse], error) {
+		return r.Query.Audit(ctx, connect.NewRequest(&apiv1.AuditRequest{AfterIndex: after, ChangeId: changeID, Limit: limit}))
+	})
+	if err != nil {
+		return nil, err
+	}
+	return resp.Records, nil
+}
+
+const pollInterval = 100 * time.Millisecond
+
+// WaitInForce polls until at least nodes nodes have the revision in force
+// everywhere.
+func (c *Client) WaitInForce(ctx context.Context, revision uint64, nodes int) (*apiv1.StatusResponse, error) {
+	for {
+		s, err := c.Status(ctx)
+		if err != nil {
+			return nil, err
+		}
+		if s.Revision >= revision && int(s.Nodes) >= nodes && s.InForce == s.Nodes {
+			return s, nil
+		}
+		if !pause(ctx) {
+			return s, &OutcomeError{ExitFailed, fmt.Sprintf("revision %d is in force on %d of %d nodes only; see `cactusctl status`", revision, s.InForce, s.Nodes)}
+		}
+	}
+}
+
+// WaitDrained polls until the host reports that it is safe to stop.
+func (c *Client) WaitDrained(ctx context.Context, host string) error {
+	for {
+		s, err := c.Status(ctx)
+		if err != nil {
+			return err
+		}
+		for _, n := range s.Draining {
+			if n.Host == host && n.Drained {
+				return nil
+			}
+		}
+		if !pause(ctx) {
+			return &OutcomeError{ExitFailed, fmt.Sprintf("the drain of %s is announced but not finished; see `cactusctl status`, or wait longer with --timeout", host)}
+		}
+	}
+}
+
+func pause(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(pollInterval):
+		return true
+	}
+}
+
+// OutcomeWord names an outcome in an operator's words.
+func OutcomeWord(o apiv1.Outcome) string {
+	switch o {
+	case apiv1.Outcome_OUTCOME_ACCEPTED:
+		return "accepted"
+	case apiv1.Outcome_OUTCOME_CONFLICT:
+		return "conflict"
+	case apiv1.Outcome_OUTCOME_ID_REUSED:
+		return "refused (id used before)"
+	}
+	return "refused"
+}
--- /dev/null
+++ b/internal/process/init.go
@@ -0,0 +1,60 @@
+package process
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	apiv1 "cactuspath/api/cactuspath/v1"
+	"cactuspath/internal/controlclient"
+	"cactuspath/internal/settings"
+	"cactuspath/internal/transport"
+	"cactuspath/internal/wal"
+)
+
+const askTimeout = 2 * time.Second
+
+// Init claims the data folder of a founding replica. It refuses when another
+// founder answers with a log that has begun: this replica then had a disk
+// before, and claiming the empty one under the same id would let it vote as
+// its former self, against what it voted and acknowledged then.
+func Init(ctx context.Context, s *settings.Settings) error {
+	if s.Control == nil {
+		return errors.New("the settings have no control block; init is for control replicas only")
+	}
+	if len(s.Control.Founders) == 0 {
+		return errors.New(`the settings name no founders; add "founders": {"NAME": "ADDRESS", …} to the control block`)
+	}
+	security, err := transport.NewSecurity(s.TLS)
+	if err != nil {
+		return err
+	}
+	client := controlclient.New(security, nil, "")
+	id := wal.Identity{MemberID: FounderID(s.Control.Name), Name: s.Control.Name, Founders: map[string]wal.Member{}}
+	for name, address := range s.Control.Founders {
+		id.Founders[name] = wal.Member{ID: FounderID(name), Address: address}
+		if name != s.Control.Name {
+			if err := refuseIfBegun(ctx, client, name, address); err != nil {
+				return err
+			}
+		}
+	}
+	return wal.WriteIdentity(s.Control.DataFolder, id)
+}
+
+func refuseIfBegun(ctx context.Context, client *controlclient.Client, name, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	resp, err := client.At(address).Log.LogStatus(ctx, connect.NewRequest(&apiv1.LogStatusRequest{}))
+	if err != nil {
+		// Not running yet, as at the first start of a cluster.
+		return nil
+	}
+	if resp.Msg.Commit > 0 {
+		return errors.Newf("founder %s at %s already holds changes, so this cluster began before; start this replica with its empty data folder "+
+			"and run `cactusctl replica replace` so that it returns as a new member", name, address)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/proxy/call.go
@@ -0,0 +1,294 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"cactuspath/api/fault"
+	"cactuspath/core/balancer"
+	"cactuspath/core/gate"
+	"cactuspath/core/retry"
+	"cactuspath/internal/hop"
+)
+
+const (
+	// grace lets a gate's own refusal at the deadline arrive before this side
+	// gives the attempt up as lost.
+	grace = 25 * time.Millisecond
+	// revokeTimeout bounds the question what became of a lost attempt.
+	revokeTimeout = 500 * time.Millisecond
+	// lateRevokeTimeout bounds it once the deadline has passed, since the caller
+	// is owed an answer at once.
+	lateRevokeTimeout = 50 * time.Millisecond
+	// defaultRetryAfter is told when no gate gave a better estimate.
+	defaultRetryAfter = 100 * time.Millisecond
+)
+
+// call is one request on its way to its final answer.
+type call struct {
+	h        *Handler
+	w        http.ResponseWriter
+	r        *http.Request
+	s        *service
+	rules    retry.Request
+	out      *hop.Outgoing
+	id       [2]uint64
+	attempts uint32
+	tried    []string
+	triedBuf [4]string
+	deadline time.Time
+	caller   string
+
+	last       hop.Reply
+	reached    bool
+	bodyUsed   atomic.Bool
+	retryAfter time.Duration
+}
+
+// attempt is one try at one endpoint.
+type attempt struct {
+	to          *balancer.Candidate
+	id          gate.AttemptID
+	incarnation uint64
+	sent        time.Time
+}
+
+func (c *call) run() {
+	c.tried = c.triedBuf[:0]
+	to := c.s.pick(c.h.now(), c.tried)
+	for {
+		if to == nil {
+			c.giveUp(c.rules.GiveUp())
+			return
+		}
+		resp, ended := c.try(to)
+		if resp != nil {
+			c.deliver(resp)
+			return
+		}
+		if c.r.Context().Err() != nil {
+			// The caller went away; nobody is left to answer.
+			c.h.options.Counters.Canceled.Add(1)
+			return
+		}
+		action := c.s.next(&c.rules, ended, len(c.tried))
+		if c.bodyUsed.Load() && (action == retry.TryOther || action == retry.TryNamed) {
+			// A streamed body that was partly read cannot be sent again.
+			action = c.rules.GiveUp()
+		}
+		switch action {
+		case retry.TryNamed:
+			to = c.named(ended, to)
+		case retry.TryOther:
+			c.h.options.Counters.Retries.Add(1)
+			to = c.s.pick(c.h.now(), c.tried)
+		default:
+			c.giveUp(action)
+			return
+		}
+	}
+}
+
+// named is the endpoint that the last reply asks to try; if it is not known
+// here, any other.
+func (c *call) named(ended retry.Ended, last *balancer.Candidate) *balancer.Candidate {
+	host := last.Host
+	if ended == retry.Moved {
+		c.h.options.Counters.Moves.Add(1)
+		host = c.last.To
+	}
+	if to := c.s.named(host); to != nil {
+		return to
+	}
+	return c.s.pick(c.h.now(), c.tried)
+}
+
+// try makes one attempt. The response is nil unless the backend server answered.
+func (c *call) try(to *balancer.Candidate) (*http.Response, retry.Ended) {
+	c.attempts++
+	c.tried = append(c.tried, to.Host)
+	a := attempt{to: to, id: gate.AttemptID{Request: c.id, Attempt: c.attempts}, incarnation: to.Incarnation, sent: time.Now()}
+	timeout := c.deadline.Sub(a.sent)
+	if timeout <= 0 {
+		c.s.done(c.h.now(), to, true)
+		c.last = hop.Reply{Verdict: hop.Refused, Reason: gate.TooLate}
+		return nil, retry.NotRunAnywhere
+	}
+	req := hop.Request{ID: a.id, Incarnation: a.incarnation, Timeout: timeout, Movable: c.rules.Movable(), Revision: c.h.options.Revision(), Caller: c.caller}
+	out := c.outgoing(timeout)
+	if to.Host == c.h.options.Host {
+		if local := c.h.options.Local.Endpoint(c.s.name); local != nil {
+			out.Deadline = c.deadline
+			resp, reply := local.Attempt(c.r.Context(), req, out)
+			return c.settle(a, resp, reply)
+		}
+	}
+	return c.remote(a, req, out)
+}
+
+// outgoing is the request for one attempt; streamed bodies note their use.
+func (c *call) outgoing(timeout time.Duration) *hop.Outgoing {
+	out := *c.out
+	out.Deadline = c.deadline.Add(grace)
+	out.Extra = append(out.Extra[:0:0], hop.Field{Name: hop.TimeoutHeader, Value: strconv.FormatInt(timeout.Milliseconds(), 10)})
+	if out.Stream != nil {
+		out.Stream = &noteUse{c.out.Stream, &c.bodyUsed}
+	}
+	return &out
+}
+
+// noteUse marks that a streamed body was read from.
+type noteUse struct {
+	io.Reader
+	used *atomic.Bool
+}
+
+func (n *noteUse) Read(p []byte) (int, error) {
+	n.used.Store(true)
+	return n.Reader.Read(p)
+}
+
+func (c *call) remote(a attempt, req hop.Request, out *hop.Outgoing) (*http.Response, retry.Ended) {
+	out.Extra = append(out.Extra, hop.Field{Name: hop.Header, Value: req.Encode()}, hop.Field{Name: hop.ServiceHeader, Value: c.s.name})
+	resp, err := c.h.peer(a.to.PeerAddress).Do(c.r.Context(), out)
+	if err != nil {
+		return nil, c.unanswered(a, err)
+	}
+	reply, err := hop.ParseReply(resp.Header.Get(hop.Header))
+	if err == nil && reply.ID != a.id {
+		err = errors.Newf("the answer belongs to attempt %s", hop.FormatID(reply.ID))
+	}
+	if err != nil {
+		// Not the answer to this attempt: it must not reach the caller.
+		_ = resp.Body.Close()
+		klog.ErrorS(err, "Dropped an answer that is not this request's", "host", a.to.Host)
+		return nil, c.unanswered(a, err)
+	}
+	if reply.Verdict != hop.Ran {
+		_, _ = io.Copy(io.Discard, resp.Body)
+		resp = nil
+	}
+	return c.settle(a, resp, reply)
+}
+
+// settle takes in an attempt's reply.
+func (c *call) settle(a attempt, resp *http.Response, reply hop.Reply) (*http.Response, retry.Ended) {
+	c.last, c.reached = reply, true
+	c.h.options.Heard(reply.Revision)
+	if reply.RetryAfter > 0 {
+		c.retryAfter = reply.RetryAfter
+	}
+	if resp != nil {
+		resp.Body = &countedBody{ReadCloser: resp.Body, done: func() { c.s.done(c.h.now(), a.to, true) }}
+		return resp, retry.Answered
+	}
+	c.s.done(c.h.now(), a.to, reply.Verdict != hop.Unreached)
+	switch reply.Verdict {
+	case hop.Moved:
+		return nil, retry.Moved
+	case hop.Restarted:
+		c.s.setIncarnation(a.to, reply.Incarnation)
+		return nil, retry.Restarted
+	case hop.Broke:
+		return nil, retry.Lost
+	}
+	if reply.Reason == gate.Draining {
+		c.s.setDraining(a.to)
+	}
+	if reply.Everywhere {
+		return nil, retry.NotRunAnywhere
+	}
+	return nil, retry.NotRun
+}
+
+// unanswered finds out what became of an attempt whose answer did not come.
+func (c *call) unanswered(a attempt, err error) retry.Ended {
+	c.s.done(c.h.now(), a.to, false)
+	var dial *hop.DialError
+	if errors.As(err, &dial) {
+		return retry.NotRun
+	}
+	c.h.options.Counters.Lost.Add(1)
+	if c.r.Context().Err() != nil {
+		return retry.Lost
+	}
+	timeout := revokeTimeout
+	if time.Now().After(c.deadline) {
+		timeout = lateRevokeTimeout
+	}
+	ctx, cancel := context.WithTimeout(c.r.Context(), timeout)
+	defer cancel()
+	answer := c.h.options.Revoke(ctx, a.to.PeerAddress, a.incarnation, a.id, time.Since(a.sent))
+	c.h.options.Counters.Revokes.Add(answer.String(), 1)
+	if answer == gate.RevokeNeverStarted {
+		return retry.NotRun
+	}
+	return retry.Lost
+}
+
+// countedBody tells the pool when an answer ends.
+type countedBody struct {
+	io.ReadCloser
+	done  func()
+	ended bool
+}
+
+// Read reads the answer's body.
+func (b *countedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil {
+		b.once()
+	}
+	return n, err
+}
+
+// Close ends the answer.
+func (b *countedBody) Close() error {
+	b.once()
+	return b.ReadCloser.Close()
+}
+
+func (b *countedBody) once() {
+	if !b.ended {
+		b.ended = true
+		b.done()
+	}
+}
+
+func (c *call) deliver(resp *http.Response) {
+	c.h.options.Counters.Answered.Add(1)
+	err := hop.Relay(c.w, resp)
+	var cut *hop.CutShortError
+	if errors.As(err, &cut) {
+		c.h.options.Counters.CutShort.Add(1)
+		// The caller must see a broken answer, not a short one that looks whole.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// giveUp tells the caller how its request ended without an answer.
+func (c *call) giveUp(action retry.Action) {
+	retryAfter := c.retryAfter
+	if retryAfter == 0 {
+		retryAfter = defaultRetryAfter
+	}
+	switch {
+	case action == retry.GiveUpUnknown:
+		c.h.fail(c.w, fault.OutcomeUnknown, c.attempts, "the request was sent and its answer was lost: it may have run; find out at the service before you repeat it, unless it is idempotent", retryAfter)
+	case c.attempts == 0:
+		c.h.fail(c.w, fault.NoEndpoint, 0, "no endpoint of service "+c.s.name+" is known here; check that its backend servers announce themselves (`cactusctl status`)", time.Second)
+	case c.last.Verdict == hop.Refused && c.last.Reason == gate.TooLate:
+		c.h.fail(c.w, fault.DeadlinePassed, c.attempts, "the request could not have finished in its time and was not run; come back later or allow more time", retryAfter)
+	case c.last.Verdict == hop.Refused && c.last.Reason == gate.QueueFull:
+		c.h.fail(c.w, fault.Overloaded, c.attempts, "the service is full and the request was not run; come back after the time given", retryAfter)
+	default:
+		c.h.fail(c.w, fault.NotRun, c.attempts, "no endpoint of service "+c.s.name+" took the request and it was not run; come back after the time given", retryAfter)
+	}
+}
--- /dev/null
+++ b/internal/proxy/handler.go
@@ -0,0 +1,222 @@
+package proxy
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cactuspath/api/fault"
+	"cactuspath/core/balancer"
+	"cactuspath/core/gate"
+	"cactuspath/internal/endpoint"
+	"cactuspath/internal/hop"
+	"cactuspath/internal/transport"
+
+	apiv1 "cactuspath/api/cactuspath/v1"
+)
+
+// Local is the endpoint beside this node, if any.
+type Local interface {
+	// Endpoint returns the endpoint if it serves the service.
+	Endpoint(service string) *endpoint.Endpoint
+}
+
+// Options set up a Handler.
+type Options struct {
+	Host        string
+	Incarnation uint64
+	Security    *transport.Security
+	Local       Local
+	// Need tells the node that a service is called which it does not know in
+	// full; it returns once it does, or when ctx ends.
+	Need func(ctx context.Context, service string) error
+	// Heard passes on a revision that another node mentioned.
+	Heard func(revision uint64)
+	// Revision is the newest configuration this node holds.
+	Revision func() uint64
+	// Revoke asks a node what became of an attempt.
+	Revoke   func(ctx context.Context, peerAddress string, incarnation uint64, id gate.AttemptID, sentAgo time.Duration) gate.RevokeAnswer
+	Counters *Counters
+}
+
+// Handler serves callers. Safe for concurrent use.
+type Handler struct {
+	options Options
+	start   time.Time
+	table   atomic.Pointer[Table]
+	ready   atomic.Bool
+	request atomic.Uint64
+	seed    uint64
+
+	mu       sync.RWMutex
+	services map[string]*service
+	peers    map[string]*hop.Pool
+}
+
+// New returns a handler that knows no service yet.
+func New(options Options) *Handler {
+	h := &Handler{options: options, start: time.Now(), seed: rand.Uint64(), services: map[string]*service{}, peers: map[string]*hop.Pool{}}
+	h.table.Store(NewTable(nil))
+	return h
+}
+
+func (h *Handler) now() time.Duration { return time.Since(h.start) }
+
+// Configure applies the newest records.
+func (h *Handler) Configure(records []*apiv1.ServiceRecord) {
+	h.table.Store(NewTable(records))
+	for _, r := range records {
+		if !r.Partial {
+			h.service(r.Name).configure(r.Spec)
+		}
+	}
+	h.ready.Store(true)
+}
+
+// Update replaces the endpoints of every service.
+func (h *Handler) Update(endpoints map[string][]balancer.Candidate) {
+	h.mu.RLock()
+	var absent []*service
+	for name, s := range h.services {
+		if _, ok := endpoints[name]; !ok {
+			absent = append(absent, s)
+		}
+	}
+	h.mu.RUnlock()
+	for _, s := range absent {
+		s.update(nil)
+	}
+	used := map[string]bool{}
+	for name, list := range endpoints {
+		for _, c := range list {
+			used[c.PeerAddress] = true
+		}
+		h.service(name).update(list)
+	}
+	h.dropPeers(used)
+}
+
+// dropPeers closes the connections to nodes that are gone.
+func (h *Handler) dropPeers(used map[string]bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for address, pool := range h.peers {
+		if !used[address] {
+			pool.Close()
+			delete(h.peers, address)
+		}
+	}
+}
+
+func (h *Handler) service(name string) *service {
+	h.mu.RLock()
+	s := h.services[name]
+	h.mu.RUnlock()
+	if s != nil {
+		return s
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if s = h.services[name]; s == nil {
+		s = newService(name)
+		h.services[name] = s
+	}
+	return s
+}
+
+func (h *Handler) peer(address string) *hop.Pool {
+	h.mu.RLock()
+	p := h.peers[address]
+	h.mu.RUnlock()
+	if p != nil {
+		return p
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if p = h.peers[address]; p == nil {
+		p = hop.NewPool(address, h.options.Security)
+		h.peers[address] = p
+	}
+	return p
+}
+
+// Distance is the measured one-way delay to a peer, or 0 if not known.
+func (h *Handler) Distance(address string) time.Duration {
+	h.mu.RLock()
+	p := h.peers[address]
+	h.mu.RUnlock()
+	if p == nil {
+		return 0
+	}
+	return p.Distance()
+}
+
+// needTimeout bounds the wait for a service that this node did not know.
+const needTimeout = 3 * time.Second
+
+// ServeHTTP serves one caller's request.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	name, ok := h.table.Load().Find(r)
+	if !ok {
+		h.unknownService(w, r)
+		return
+	}
+	s := h.service(name)
+	if s.endpoints() == 0 {
+		ctx, cancel := context.WithTimeout(r.Context(), needTimeout)
+		_ = h.options.Need(ctx, name)
+		cancel()
+	}
+	h.serve(w, r, s, arrived)
+	h.options.Counters.observe(time.Since(arrived))
+}
+
+func (h *Handler) unknownService(w http.ResponseWriter, r *http.Request) {
+	if !h.ready.Load() {
+		h.fail(w, fault.NotReady, 0, "this node has no configuration yet; ask another node or come back when it is ready", time.Second)
+		return
+	}
+	h.fail(w, fault.NoSuchService, 0, "no service of the estate claims host "+strconv.Quote(r.Host)+" and path "+strconv.Quote(r.URL.Path)+
+		"; check the hosts and pathPrefixes with `cactusctl show`", 0)
+}
+
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request, s *service, arrived time.Time) {
+	spec, rules := s.begin(r.Method)
+	timeout := time.Duration(spec.TimeoutMs) * time.Millisecond
+	if ms, err := strconv.ParseInt(r.Header.Get(hop.TimeoutHeader), 10, 64); err == nil && ms >= 0 {
+		timeout = min(timeout, time.Duration(ms)*time.Millisecond)
+	}
+	if spec.MaxBodyBytes > 0 {
+		if r.ContentLength > int64(spec.MaxBodyBytes) {
+			h.fail(w, fault.TooLarge, 0, "the body exceeds the service's maxBodyBytes; send less, or have the estate changed", 0)
+			return
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, int64(spec.MaxBodyBytes))
+	}
+	out, err := endpoint.Outgoing(r, timeout)
+	if err != nil {
+		h.fail(w, fault.Malformed, 0, "the body could not be read: "+err.Error()+"; send as many bytes as Content-Length says", 0)
+		return
+	}
+	if out.Stream != nil {
+		_ = http.NewResponseController(w).EnableFullDuplex()
+	}
+	c := &call{h: h, w: w, r: r, s: s, rules: rules, out: out, deadline: arrived.Add(timeout), caller: callerOf(r)}
+	c.id = [2]uint64{h.seed, h.request.Add(1)}
+	c.run()
+}
+
+// callerOf identifies the sender for fair shares: its address without the port.
+func callerOf(r *http.Request) string {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return host
+}
--- /dev/null
+++ b/internal/proxy/service.go
@@ -0,0 +1,97 @@
+package proxy
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	apiv1 "cactuspath/api/cactuspath/v1"
+	"cactuspath/core/balancer"
+	"cactuspath/core/balancer/leastoutstanding"
+	"cactuspath/core/retry"
+)
+
+// service is what this node keeps for one service it calls.
+type service struct {
+	name string
+
+	mu     sync.Mutex
+	spec   *apiv1.ServiceSpec
+	pool   *balancer.Pool
+	budget *retry.Budget
+}
+
+func newService(name string) *service {
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return &service{name: name, spec: &apiv1.ServiceSpec{}, pool: balancer.NewPool(leastoutstanding.New(random)), budget: retry.NewBudget(0)}
+}
+
+func (s *service) configure(spec *apiv1.ServiceSpec) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.spec = spec
+	s.budget.Set(int(spec.GetRetryPerMille()))
+}
+
+func (s *service) update(candidates []balancer.Candidate) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool.Update(candidates)
+}
+
+// begin counts a call and returns the rules for it.
+func (s *service) begin(method string) (spec *apiv1.ServiceSpec, rules retry.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget.Call()
+	rules = retry.Request{Idempotent: slices.Contains(s.spec.IdempotentMethods, method), MaxAttempts: int(max(1, s.spec.MaxAttempts))}
+	return s.spec, rules
+}
+
+func (s *service) pick(now time.Duration, tried []string) *balancer.Candidate {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool.Pick(now, tried)
+}
+
+// named returns the candidate with the host, counted as picked, or nil.
+func (s *service) named(host string) *balancer.Candidate {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.pool.Get(host)
+	if c != nil {
+		s.pool.Start(c)
+	}
+	return c
+}
+
+func (s *service) done(now time.Duration, c *balancer.Candidate, reached bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool.Done(now, c, reached)
+}
+
+func (s *service) next(rules *retry.Request, ended retry.Ended, tried int) retry.Action {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return rules.Next(ended, s.budget, tried < s.pool.Len())
+}
+
+func (s *service) setDraining(c *balancer.Candidate) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool.SetDraining(c)
+}
+
+func (s *service) setIncarnation(c *balancer.Candidate, incarnation uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool.SetIncarnation(c, incarnation)
+}
+
+func (s *service) endpoints() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool.Len()
+}
--- a/internal/replica/serve.go
+++ b/internal/replica/serve.go
@@ -68,7 +68,7 @@
 		resp.Relays = list
 	}
 	c.r.mu.RLock()
-	resp.Delta = c.r.state.Records().Delta(req.Msg.Revision, nil, nil, "")
+	resp.Delta = c.r.state.Records().Delta(req.Msg.Revision)
 	c.r.mu.RUnlock()
 	return connect.NewResponse(resp), nil
 }
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,249 @@
+// Package settings reads a process's settings: JSON with comments, static for
+// the life of the process, checked in full before anything starts.
+package settings
+
+import (
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cactuspath/core/jsonc"
+	"cactuspath/internal/transport"
+)
+
+// Settings of one process. Node, Control or both are set.
+type Settings struct {
+	Host, DataCenter, Region string
+	Node                     *Node
+	Control                  *Control
+	// ControlReplicas are the addresses of all control replicas.
+	ControlReplicas []string
+	TLS             transport.TLSFiles
+	LogLevel        int
+	// StopTimeout bounds a planned stop.
+	StopTimeout time.Duration
+}
+
+// Node is the part that runs beside a backend server.
+type Node struct {
+	// Callers, Peer and Admin are listen addresses. Admin must be on loopback:
+	// it is where the backend server announces itself.
+	Callers, Peer, Admin string
+	// PeerAddress is where other nodes reach Peer; Peer itself if empty.
+	PeerAddress string
+}
+
+// Control is a control replica.
+type Control struct {
+	Name, Address, DataFolder string
+	// Founders are the names and addresses of the first members.
+	Founders  map[string]string
+	Operators []Operator
+}
+
+// Operator may change what it lists.
+type Operator struct {
+	Name, TokenSHA256 string
+	Institutions      []string
+	Hosts             bool
+}
+
+const defaultStopTimeout = 30 * time.Second
+
+// InvalidError lists everything that is wrong with a settings file.
+type InvalidError struct {
+	File     string
+	Problems []jsonc.Problem
+}
+
+// Error lists the problems, one a line.
+func (e *InvalidError) Error() string {
+	lines := make([]string, len(e.Problems))
+	for i, p := range e.Problems {
+		lines[i] = e.File + ": " + p.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Load reads and checks a settings file.
+func Load(file string) (*Settings, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the settings; name the file with --settings")
+	}
+	s, problems := Parse(text)
+	if len(problems) > 0 {
+		return nil, &InvalidError{file, problems}
+	}
+	return s, nil
+}
+
+// Parse reads and checks settings.
+func Parse(text []byte) (*Settings, []jsonc.Problem) {
+	reader, root := jsonc.Open(text)
+	if len(reader.Problems()) > 0 {
+		return nil, reader.Problems()
+	}
+	s := &Settings{StopTimeout: defaultStopTimeout}
+	plain := false
+	root.Object(map[string]func(jsonc.Node){
+		"host":            func(n jsonc.Node) { s.Host = label(n) },
+		"dataCenter":      func(n jsonc.Node) { s.DataCenter = label(n) },
+		"region":          func(n jsonc.Node) { s.Region = label(n) },
+		"node":            func(n jsonc.Node) { s.Node = readNode(n) },
+		"control":         func(n jsonc.Node) { s.Control = readControl(n) },
+		"controlReplicas": func(n jsonc.Node) { s.ControlReplicas = addresses(n) },
+		"tls":             func(n jsonc.Node) { s.TLS = readTLS(n) },
+		"allowPlainText":  func(n jsonc.Node) { plain = n.Bool() },
+		"logLevel":        func(n jsonc.Node) { s.LogLevel = int(n.Uint(0, 10)) },
+		"stopTimeout":     func(n jsonc.Node) { s.StopTimeout = n.Duration(time.Second, time.Hour) },
+	}, "host", "dataCenter", "region", "controlReplicas")
+	if s.Node == nil && s.Control == nil {
+		root.Fail("neither node nor control is set", `add "node": {…}, "control": {…}, or both`)
+	}
+	s.checkOpen(root, plain)
+	return s, reader.Problems()
+}
+
+// checkOpen refuses listeners that others can reach without TLS, unless the
+// settings say so plainly: what nodes tell each other decides where work goes.
+func (s *Settings) checkOpen(root jsonc.Node, plain bool) {
+	if s.TLS.Enabled() || plain {
+		return
+	}
+	for _, address := range s.open() {
+		if !loopback(address) {
+			root.Fail("the address "+address+" can be reached from other hosts without TLS", `set "tls", or say "allowPlainText": true if the network is trusted`)
+			return
+		}
+	}
+}
+
+func (s *Settings) open() []string {
+	var list []string
+	if s.Node != nil {
+		list = append(list, s.Node.Peer)
+	}
+	if s.Control != nil {
+		list = append(list, s.Control.Address)
+	}
+	return list
+}
+
+func loopback(address string) bool {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return true
+	}
+	ip := net.ParseIP(host)
+	return ip != nil && ip.IsLoopback()
+}
+
+func readNode(n jsonc.Node) *Node {
+	node := &Node{}
+	n.Object(map[string]func(jsonc.Node){
+		"callers":     func(n jsonc.Node) { node.Callers = address(n) },
+		"peer":        func(n jsonc.Node) { node.Peer = address(n) },
+		"peerAddress": func(n jsonc.Node) { node.PeerAddress = address(n) },
+		"admin": func(n jsonc.Node) {
+			node.Admin = address(n)
+			if !loopback(node.Admin) {
+				n.Fail("the admin address "+node.Admin+" is not on loopback", "use 127.0.0.1: whoever reaches it can announce a backend server")
+			}
+		},
+	}, "callers", "peer", "admin")
+	if node.PeerAddress == "" {
+		node.PeerAddress = node.Peer
+	}
+	return node
+}
+
+func readControl(n jsonc.Node) *Control {
+	c := &Control{Founders: map[string]string{}}
+	n.Object(map[string]func(jsonc.Node){
+		"name":       func(n jsonc.Node) { c.Name = label(n) },
+		"address":    func(n jsonc.Node) { c.Address = address(n) },
+		"dataFolder": func(n jsonc.Node) { c.DataFolder = notEmpty(n) },
+		"founders": func(n jsonc.Node) {
+			for _, m := range n.Members() {
+				c.Founders[m.Name] = address(m.Value)
+			}
+		},
+		"operators": func(n jsonc.Node) {
+			for _, e := range n.Elements() {
+				c.Operators = append(c.Operators, readOperator(e))
+			}
+		},
+	}, "name", "address", "dataFolder")
+	if len(c.Founders) > 0 && c.Founders[c.Name] != c.Address {
+		n.Fail("founders does not list this replica with its own address", `add "`+c.Name+`": "`+c.Address+`" to founders`)
+	}
+	return c
+}
+
+func readOperator(n jsonc.Node) Operator {
+	var o Operator
+	n.Object(map[string]func(jsonc.Node){
+		"name": func(n jsonc.Node) { o.Name = label(n) },
+		"tokenSha256": func(n jsonc.Node) {
+			o.TokenSHA256 = n.String()
+			if len(o.TokenSHA256) != 64 {
+				n.Fail("not a SHA-256 digest", "write the 64 hexadecimal digits that `printf %s TOKEN | sha256sum` prints")
+			}
+		},
+		"institutions": func(n jsonc.Node) { o.Institutions = n.Strings() },
+		"hosts":        func(n jsonc.Node) { o.Hosts = n.Bool() },
+	}, "name", "tokenSha256")
+	return o
+}
+
+func readTLS(n jsonc.Node) transport.TLSFiles {
+	var f transport.TLSFiles
+	n.Object(map[string]func(jsonc.Node){
+		"certificate": func(n jsonc.Node) { f.Certificate = notEmpty(n) },
+		"key":         func(n jsonc.Node) { f.Key = notEmpty(n) },
+		"authority":   func(n jsonc.Node) { f.Authority = notEmpty(n) },
+	}, "certificate", "key", "authority")
+	return f
+}
+
+func notEmpty(n jsonc.Node) string {
+	s := n.String()
+	if s == "" {
+		n.Fail("must not be empty", "write a value")
+	}
+	return s
+}
+
+const maxLabel = 63
+
+func label(n jsonc.Node) string {
+	s := notEmpty(n)
+	if len(s) > maxLabel || strings.ContainsAny(s, " \t\r\n;/\x00") {
+		n.Fail("not a valid name", "use at most 63 characters without spaces, slashes and semicolons")
+	}
+	return s
+}
+
+func address(n jsonc.Node) string {
+	s := n.String()
+	host, port, err := net.SplitHostPort(s)
+	if err != nil || port == "" || net.ParseIP(host) == nil {
+		n.Fail("not an IP address with a port: "+s, `write an address such as "10.1.2.3:7070"`)
+	}
+	return s
+}
+
+func addresses(n jsonc.Node) []string {
+	var list []string
+	for _, e := range n.Elements() {
+		list = append(list, address(e))
+	}
+	if len(list) == 0 {
+		n.Fail("no control replica is named", "list the address of each")
+	}
+	return list
+}
