Processes under failure: kills, freezes, lost disks, races, damaged logs; a newcomer could not answer

Cause: the e2e test of a replaced disk never saw the learner catch up: a replica that was just admitted has no members yet, so it did not know where to send its answers and dropped them. Change: a Step request names its sender's address. Ruled out: waiting longer (60 s did not help); putting addresses into the Raft messages (the core does not need them). Before: 'the learner has not caught up' until the timeout.

--- /dev/null
+++ b/cmd/cactusctl/main.go
@@ -0,0 +1,159 @@
+// Command cactusctl is the operators' tool. Commands change something; queries
+// never do.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"cactuspath/internal/controlclient"
+	"cactuspath/internal/operator"
+	"cactuspath/internal/transport"
+	"cactuspath/internal/version"
+)
+
+const (
+	commandGroup   = "commands"
+	queryGroup     = "queries"
+	toolGroup      = "tools"
+	defaultTimeout = 15 * time.Second
+	controlEnv     = "CACTUSPATH_CONTROL"
+)
+
+// flags are common to all commands.
+type flags struct {
+	control   []string
+	output    string
+	timeout   time.Duration
+	name      string
+	tokenFile string
+	tls       transport.TLSFiles
+}
+
+func main() {
+	root := newRoot()
+	err := root.Execute()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "cactusctl:", err)
+	}
+	os.Exit(exitCode(err))
+}
+
+// exitCode tells usage errors, which cobra reports as plain errors, from the
+// outcomes of commands.
+func exitCode(err error) int {
+	var usage *usageError
+	if errors.As(err, &usage) {
+		return operator.ExitUsage
+	}
+	return operator.ExitCode(err)
+}
+
+type usageError struct{ error }
+
+func newRoot() *cobra.Command {
+	f := &flags{}
+	root := &cobra.Command{
+		Use:   "cactusctl",
+		Short: "Operate cactuspath",
+		Long: "Operate cactuspath.\n\nExit codes: 0 done, 1 failed, 2 wrong usage, 3 refused (nothing changed), 4 conflict (nothing changed),\n" +
+			"5 outcome unknown, 6 cannot reach the control replicas.",
+		Version:       version.Version,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &usageError{err} })
+	root.AddGroup(&cobra.Group{ID: commandGroup, Title: "Commands:"}, &cobra.Group{ID: queryGroup, Title: "Queries:"}, &cobra.Group{ID: toolGroup, Title: "Tools:"})
+	p := root.PersistentFlags()
+	p.StringSliceVar(&f.control, "control", envList(), "addresses of the control replicas (environment "+controlEnv+")")
+	p.StringVarP(&f.output, "output", "o", "text", "text or json")
+	p.DurationVar(&f.timeout, "timeout", defaultTimeout, "how long to try")
+	p.StringVar(&f.name, "as", os.Getenv("USER"), "operator's name, where the replicas list no operators")
+	p.StringVar(&f.tokenFile, "token-file", "", "file with the operator's token")
+	p.StringVar(&f.tls.Certificate, "tls-certificate", "", "certificate, where the replicas use TLS")
+	p.StringVar(&f.tls.Key, "tls-key", "", "key of the certificate")
+	p.StringVar(&f.tls.Authority, "tls-authority", "", "authority that signed the replicas' certificates")
+	root.AddCommand(submitCommand(f), drainCommand(f, true), drainCommand(f, false), replicaCommand(f))
+	root.AddCommand(checkCommand(f), statusCommand(f), showCommand(f), diffCommand(f), auditCommand(f))
+	root.AddCommand(replayCommand(f), versionCommand())
+	return root
+}
+
+func envList() []string {
+	if v := os.Getenv(controlEnv); v != "" {
+		return strings.Split(v, ",")
+	}
+	return nil
+}
+
+// client connects to the control replicas that the flags name.
+func (f *flags) client() (*operator.Client, error) {
+	if len(f.control) == 0 {
+		return nil, &usageError{errors.New("no control replica is named; give --control ADDRESS or set " + controlEnv)}
+	}
+	if f.output != "text" && f.output != "json" {
+		return nil, &usageError{errors.Newf("--output %s is not known; use text or json", f.output)}
+	}
+	token := ""
+	if f.tokenFile != "" {
+		text, err := os.ReadFile(f.tokenFile)
+		if err != nil {
+			return nil, errors.Wrap(err, "read the token")
+		}
+		token = strings.TrimSpace(string(text))
+	}
+	security, err := transport.NewSecurity(f.tls)
+	if err != nil {
+		return nil, err
+	}
+	return &operator.Client{Control: controlclient.New(security, f.control, token), Name: f.name}, nil
+}
+
+// with runs a command against the control replicas within the timeout.
+func (f *flags) with(cmd *cobra.Command, run func(context.Context, *operator.Client) error) error {
+	client, err := f.client()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(cmd.Context(), f.timeout)
+	defer cancel()
+	return run(ctx, client)
+}
+
+// print writes text, or v as JSON if the flags ask for it.
+func (f *flags) print(out io.Writer, v any, text func(io.Writer)) error {
+	if f.output != "json" {
+		text(out)
+		return nil
+	}
+	e := json.NewEncoder(out)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
+
+// readText reads a file, or standard input if it is named "-".
+func readText(cmd *cobra.Command, file string) ([]byte, error) {
+	if file == "-" {
+		return io.ReadAll(cmd.InOrStdin())
+	}
+	text, err := os.ReadFile(file)
+	return text, errors.Wrap(err, "read the estate text")
+}
+
+// exactly checks the number of arguments as a usage error.
+func exactly(n int) cobra.PositionalArgs {
+	return func(cmd *cobra.Command, args []string) error {
+		if err := cobra.ExactArgs(n)(cmd, args); err != nil {
+			return &usageError{err}
+		}
+		return nil
+	}
+}
--- /dev/null
+++ b/cmd/cactusctl/replay.go
@@ -0,0 +1,92 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"cactuspath/internal/operator"
+	"cactuspath/internal/replay"
+)
+
+func replayCommand(f *flags) *cobra.Command {
+	var policies []string
+	var seed uint64
+	var list bool
+	cmd := &cobra.Command{
+		Use: "replay TRACE", GroupID: toolGroup, Short: "Replay a recorded trace through the decision code, against its stated outcomes",
+		Long: "Replay a recorded trace through the decision code that runs in the nodes, in virtual time.\n\n" +
+			"Exits 1 where an outcome that the trace states is missed. The same seed gives the same bytes. docs/traces.md describes traces.",
+		Args: func(cmd *cobra.Command, args []string) error {
+			if list {
+				return nil
+			}
+			return exactly(1)(cmd, args)
+		},
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if list {
+				for _, v := range replay.Variants() {
+					fmt.Fprintln(cmd.OutOrStdout(), v.Name)
+				}
+				return nil
+			}
+			return runReplay(cmd, f, args[0], policies, seed)
+		},
+	}
+	cmd.Flags().StringSliceVar(&policies, "policy", nil, "policies to replay with; those that the trace speaks of if empty")
+	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of every random draw")
+	cmd.Flags().BoolVar(&list, "list", false, "list the policies")
+	return cmd
+}
+
+func runReplay(cmd *cobra.Command, f *flags, file string, policies []string, seed uint64) error {
+	in, err := os.Open(file)
+	if err != nil {
+		return errors.Wrap(err, "open the trace")
+	}
+	defer in.Close()
+	trace, err := replay.Read(in, seed)
+	if err != nil {
+		return errors.Wrap(err, file)
+	}
+	if len(policies) == 0 {
+		policies = replay.PoliciesNeeded(trace)
+	}
+	var results []*replay.Result
+	for _, name := range policies {
+		variant, err := replay.Find(name)
+		if err != nil {
+			return &usageError{err}
+		}
+		results = append(results, replay.Run(trace, variant, seed))
+	}
+	misses, unchecked := replay.Check(trace, results)
+	if err := f.print(cmd.OutOrStdout(), results, func(out io.Writer) { printResults(out, trace, results, unchecked) }); err != nil {
+		return err
+	}
+	if len(misses) == 0 {
+		return nil
+	}
+	lines := make([]string, len(misses))
+	for i, m := range misses {
+		lines[i] = "  " + m.String()
+	}
+	return &operator.OutcomeError{Code: operator.ExitFailed, Message: "stated outcomes were missed:\n" + strings.Join(lines, "\n")}
+}
+
+func printResults(out io.Writer, trace *replay.Trace, results []*replay.Result, unchecked int) {
+	fmt.Fprintf(out, "%s: %d requests, %d callers, %d servers\n", trace.Header.Name, len(trace.Arrivals), trace.Header.Callers, trace.Header.Service.Servers)
+	fmt.Fprintf(out, "%-24s %8s %8s %8s %8s %9s %7s %7s %7s %5s %6s %9s %7s %8s %8s\n", "policy", "p50 ms", "p99 ms", "p99.9", "max",
+		"answered", "failed", "not run", "unknown", "lost", "twice", "attempts", "moves", "reports", "worst/s")
+	for _, r := range results {
+		fmt.Fprintf(out, "%-24s %8.1f %8.1f %8.1f %8.1f %9d %7d %7d %7d %5d %6d %9.3f %7.3f %8.3f %8d\n", r.Policy, r.P50, r.P99, r.P999, r.Max,
+			r.Answered, r.Failed, r.NotRun, r.Unknown, r.Lost, r.RunTwice, r.Attempts, r.Moves, r.Reports, r.WorstReports)
+	}
+	if unchecked > 0 {
+		fmt.Fprintf(out, "%d stated outcomes were not checked: their policies were not replayed\n", unchecked)
+	}
+}
--- /dev/null
+++ b/cmd/cactusctl/show.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"cactuspath/core/estate"
+	"cactuspath/internal/diff"
+	"cactuspath/internal/operator"
+)
+
+func showCommand(f *flags) *cobra.Command {
+	return &cobra.Command{
+		Use: "show INSTITUTION", GroupID: queryGroup, Short: "Print an institution's newest accepted text", Args: exactly(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return f.with(cmd, func(ctx context.Context, c *operator.Client) error {
+				s, err := c.Show(ctx, args[0])
+				if err != nil {
+					return err
+				}
+				if s.Revision == 0 {
+					return &operator.OutcomeError{Code: operator.ExitFailed, Message: fmt.Sprintf("no text of institution %q was accepted; there are: %s",
+						args[0], strings.Join(s.Institutions, ", "))}
+				}
+				return f.print(cmd.OutOrStdout(), s, func(out io.Writer) {
+					fmt.Fprintf(out, "// revision %d\n%s", s.Revision, s.Text)
+				})
+			})
+		},
+	}
+}
+
+func diffCommand(f *flags) *cobra.Command {
+	return &cobra.Command{
+		Use: "diff FILE", GroupID: queryGroup, Short: "Compare the newest accepted text with a file", Args: exactly(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			text, err := readText(cmd, args[0])
+			if err != nil {
+				return err
+			}
+			doc, problems := estate.Parse(text)
+			if len(problems) > 0 {
+				return &operator.OutcomeError{Code: operator.ExitRefused, Message: args[0] + " has faults:\n" + operator.Problems(estate.Problems(problems))}
+			}
+			return f.with(cmd, func(ctx context.Context, c *operator.Client) error {
+				s, err := c.Show(ctx, doc.Institution)
+				if err != nil {
+					return err
+				}
+				lines := diff.Lines(string(s.Text), string(text))
+				return f.print(cmd.OutOrStdout(), lines, func(out io.Writer) {
+					fmt.Fprintf(out, "revision %d against %s\n", s.Revision, args[0])
+					for _, l := range lines {
+						fmt.Fprintln(out, l)
+					}
+				})
+			})
+		},
+	}
+}
--- a/core/consensus/explore_test.go
+++ b/core/consensus/explore_test.go
@@ -6,6 +6,7 @@
 	"hash/fnv"
 	"math/rand/v2"
 	"sort"
+	"strings"
 	"testing"
 
 	"github.com/anishathalye/porcupine"
@@ -110,7 +111,6 @@
 	applied uint64
 	alive   bool
 	frozen  bool
-	sync    []func()
 }
 
 type operation struct {
@@ -177,11 +177,7 @@
 
 func (x *explorer) restore(r *replica, s *apiv1.Snapshot) {
 	r.state = &register{outcomes: map[string]bool{}}
-	rest := string(s.Data)
-	var fields []string
-	for _, f := range splitFields(rest) {
-		fields = append(fields, f)
-	}
+	fields := strings.Split(string(s.Data), " ")
 	_, _ = fmt.Sscan(fields[0], &r.state.revision)
 	for _, f := range fields[1:] {
 		for i := range f {
@@ -193,18 +189,6 @@
 	r.applied = s.Index
 }
 
-func splitFields(s string) []string {
-	var out []string
-	start := 0
-	for i := 0; i <= len(s); i++ {
-		if i == len(s) || s[i] == ' ' {
-			out = append(out, s[start:i])
-			start = i + 1
-		}
-	}
-	return out
-}
-
 // work does one batch. A crash may strike before, amid or after the sync.
 func (x *explorer) work(r *replica, mayCrash bool) {
 	rd, ok := r.raft.Ready()
--- /dev/null
+++ b/internal/e2e/harness_test.go
@@ -0,0 +1,390 @@
+// Package e2e tests the two binaries as separate processes on loopback. Every
+// verdict is a state that is reached, however long it takes, or a count that
+// must hold; none hangs on how fast the machine is.
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"gotest.tools/v3/assert"
+
+	apiv1 "cactuspath/api/cactuspath/v1"
+	"cactuspath/internal/controlclient"
+	"cactuspath/internal/operator"
+)
+
+// patience bounds every wait; only a failure reaches it.
+const patience = 90 * time.Second
+
+var binaries string
+
+func TestMain(m *testing.M) {
+	folder, err := os.MkdirTemp("", "cactuspath-e2e-")
+	if err != nil {
+		panic(err)
+	}
+	build := exec.Command("go", "build", "-o", folder+"/", "cactuspath/cmd/cactuspath", "cactuspath/cmd/cactusctl")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		os.Exit(1)
+	}
+	binaries = folder
+	code := m.Run()
+	_ = os.RemoveAll(folder)
+	os.Exit(code)
+}
+
+// proc is one process that a test started.
+type proc struct {
+	name string
+	args []string
+	cmd  *exec.Cmd
+	log  *syncBuffer
+	done chan struct{}
+}
+
+type syncBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *syncBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+func (s *syncBuffer) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
+
+// cluster is a set of processes with their addresses.
+type cluster struct {
+	t       *testing.T
+	folder  string
+	control []string
+	// advertised are the addresses by which control replicas are reached: those
+	// of cuts where a test puts them in between.
+	advertised []string
+	replicas   []*proc
+	nodes      []*nodeProc
+	client     *operator.Client
+}
+
+type nodeProc struct {
+	*proc
+	host, callers, peer, admin string
+}
+
+func newCluster(t *testing.T, replicas int) *cluster {
+	t.Helper()
+	c := &cluster{t: t, folder: t.TempDir()}
+	c.control = addresses(t, replicas)
+	c.advertised = c.control
+	return c
+}
+
+// start founds the control replicas and starts them.
+func (c *cluster) start() *cluster {
+	for i := range c.control {
+		c.writeReplica(i, true)
+		c.mustRun("cactuspath", "init", "--settings", c.replicaFile(i))
+		c.replicas = append(c.replicas, c.spawn(fmt.Sprintf("control-%d", i+1), "cactuspath", "run", "--settings", c.replicaFile(i)))
+	}
+	c.client = &operator.Client{Control: controlclient.New(nil, c.control, ""), Name: "tester"}
+	return c
+}
+
+func (c *cluster) replicaFile(i int) string {
+	return filepath.Join(c.folder, fmt.Sprintf("control-%d.jsonc", i+1))
+}
+
+func (c *cluster) dataFolder(i int) string {
+	return filepath.Join(c.folder, fmt.Sprintf("data-%d", i+1))
+}
+
+func (c *cluster) writeReplica(i int, founders bool) {
+	var list []string
+	for j, a := range c.advertised {
+		list = append(list, fmt.Sprintf("%q: %q", fmt.Sprintf("control-%d", j+1), a))
+	}
+	found := ""
+	if founders {
+		found = `"founders": {` + strings.Join(list, ", ") + `},`
+	}
+	c.write(c.replicaFile(i), fmt.Sprintf(`{
+  "host": "control-%d", "dataCenter": "dc-a", "region": "r",
+  "controlReplicas": [%s],
+  "control": {"name": "control-%d", "address": %q, "dataFolder": %q, %s},
+}`, i+1, c.replicaList(), i+1, c.listenOf(i), c.dataFolder(i), found))
+}
+
+// listenOf is where a replica listens; its advertised address may be a cut's.
+func (c *cluster) listenOf(i int) string { return c.control[i] }
+
+func (c *cluster) replicaList() string {
+	quoted := make([]string, len(c.advertised))
+	for i, a := range c.advertised {
+		quoted[i] = fmt.Sprintf("%q", a)
+	}
+	return strings.Join(quoted, ", ")
+}
+
+func (c *cluster) write(file, text string) {
+	c.t.Helper()
+	assert.NilError(c.t, os.WriteFile(file, []byte(text), 0o600))
+}
+
+// addNode starts a node process and, if service is not empty, a stand-in
+// backend server process beside it.
+func (c *cluster) addNode(service string) *nodeProc {
+	c.t.Helper()
+	a := addresses(c.t, 3)
+	n := &nodeProc{host: fmt.Sprintf("host-%d", len(c.nodes)+1), callers: a[0], peer: a[1], admin: a[2]}
+	file := filepath.Join(c.folder, n.host+".jsonc")
+	c.write(file, fmt.Sprintf(`{
+  "host": %q, "dataCenter": "dc-a", "region": "r", "stopTimeout": "60s",
+  "controlReplicas": [%s],
+  "node": {"callers": %q, "peer": %q, "admin": %q},
+}`, n.host, c.replicaList(), n.callers, n.peer, n.admin))
+	n.proc = c.spawn(n.host, "cactuspath", "run", "--settings", file)
+	c.nodes = append(c.nodes, n)
+	if service != "" {
+		c.addBackend(n, service)
+	}
+	return n
+}
+
+func (c *cluster) addBackend(n *nodeProc, service string) *proc {
+	return c.spawn("backend-of-"+n.host, "cactuspath", "backend", "--service", service, "--admin", n.admin)
+}
+
+// spawn starts a process that ends with the test at the latest.
+func (c *cluster) spawn(name, binary string, args ...string) *proc {
+	c.t.Helper()
+	p := &proc{name: name, args: append([]string{binary}, args...)}
+	p.start(c.t)
+	c.t.Cleanup(func() {
+		p.kill()
+		if c.t.Failed() {
+			c.t.Logf("--- log of %s\n%s", name, p.log)
+		}
+	})
+	return p
+}
+
+func (p *proc) start(t *testing.T) {
+	t.Helper()
+	if p.log == nil {
+		p.log = &syncBuffer{}
+	}
+	p.cmd = exec.Command(filepath.Join(binaries, p.args[0]), p.args[1:]...)
+	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
+	assert.NilError(t, p.cmd.Start())
+	p.done = make(chan struct{})
+	go func(cmd *exec.Cmd, done chan struct{}) {
+		_ = cmd.Wait()
+		close(done)
+	}(p.cmd, p.done)
+}
+
+func (p *proc) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// kill ends the process at once, as a power loss does.
+func (p *proc) kill() {
+	p.signal(syscall.SIGCONT)
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+func (p *proc) restart(t *testing.T) {
+	t.Helper()
+	p.kill()
+	p.start(t)
+}
+
+// mustRun runs a command to its end and returns what it printed.
+func (c *cluster) mustRun(binary string, args ...string) string {
+	c.t.Helper()
+	code, out := c.run(binary, args...)
+	assert.Equal(c.t, code, 0, "%s %v: %s", binary, args, out)
+	return out
+}
+
+func (c *cluster) run(binary string, args ...string) (code int, out string) {
+	cmd := exec.Command(filepath.Join(binaries, binary), args...)
+	text, err := cmd.CombinedOutput()
+	if err != nil && cmd.ProcessState == nil {
+		c.t.Fatalf("%s: %v", binary, err)
+	}
+	return cmd.ProcessState.ExitCode(), string(text)
+}
+
+// ctl runs cactusctl against the control replicas.
+func (c *cluster) ctl(args ...string) (code int, out string) {
+	return c.run("cactusctl", append([]string{"--control", strings.Join(c.control, ","), "--as", "tester", "--timeout", "60s"}, args...)...)
+}
+
+func (c *cluster) estateFile(name, text string) string {
+	file := filepath.Join(c.folder, name)
+	c.write(file, text)
+	return file
+}
+
+// eventually waits until the condition holds.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatalf("never: %s", what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func contextOf(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// addresses returns free loopback addresses.
+func addresses(t *testing.T, n int) []string {
+	t.Helper()
+	var list []string
+	var open []net.Listener
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		open = append(open, l)
+		list = append(list, l.Addr().String())
+	}
+	for _, l := range open {
+		_ = l.Close()
+	}
+	return list
+}
+
+// estateText is an estate of one institution with the named services.
+func estateText(note string, services ...string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "// %s\n{\"institution\": \"trial\", \"services\": {", note)
+	for _, s := range services {
+		fmt.Fprintf(&b, "%q: {\"hosts\": [\"%s.example\"], \"slots\": 4, \"timeout\": \"20s\"}, ", s, s)
+	}
+	b.WriteString("}}\n")
+	return b.String()
+}
+
+// submit has a text accepted on top of the newest and in force on all nodes.
+func (c *cluster) submit(text string) uint64 {
+	c.t.Helper()
+	ctx := contextOf(c.t)
+	shown, err := c.client.Show(ctx, "trial")
+	assert.NilError(c.t, err)
+	record, err := c.client.Submit(ctx, []byte(text), shown.Revision, operator.NewChangeID())
+	assert.NilError(c.t, err)
+	_, err = c.client.WaitInForce(ctx, record.Revision, len(c.nodes))
+	assert.NilError(c.t, err)
+	return record.Revision
+}
+
+// request sends one request for a service through a node.
+func (n *nodeProc) request(method, service, path string, body io.Reader) (*http.Response, string, error) {
+	req, err := http.NewRequest(method, "http://"+n.callers+path, body)
+	if err != nil {
+		return nil, "", err
+	}
+	req.Host = service + ".example"
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return resp, string(text), err
+}
+
+// serves waits until the node answers for the service.
+func (n *nodeProc) serves(t *testing.T, service string) {
+	t.Helper()
+	eventually(t, n.host+" answers for "+service, func() bool {
+		resp, _, err := n.request(http.MethodGet, service, "/", nil)
+		return err == nil && resp.StatusCode == http.StatusOK
+	})
+}
+
+// vars reads a node's metrics.
+func (n *nodeProc) vars(t *testing.T) map[string]any {
+	t.Helper()
+	resp, err := http.Get("http://" + n.admin + "/debug/vars")
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	out := map[string]any{}
+	assert.NilError(t, json.NewDecoder(resp.Body).Decode(&out))
+	return out
+}
+
+func (n *nodeProc) revision(t *testing.T) uint64 {
+	t.Helper()
+	return uint64(n.vars(t)["configuration_revision"].(float64))
+}
+
+// leader waits until one replica leads and returns its place in the list.
+func (c *cluster) leader() int {
+	c.t.Helper()
+	index := -1
+	eventually(c.t, "a replica leads", func() bool {
+		s, err := c.client.Status(contextOf(c.t))
+		if err != nil {
+			return false
+		}
+		for i := range c.replicas {
+			if s.Log.Name == fmt.Sprintf("control-%d", i+1) {
+				index = i
+				return true
+			}
+		}
+		return false
+	})
+	return index
+}
+
+func (c *cluster) audit() []*apiv1.AuditRecord {
+	c.t.Helper()
+	records, err := c.client.Audit(contextOf(c.t), 0, "", 0)
+	assert.NilError(c.t, err)
+	return records
+}
+
+func logStatusRequest() *connect.Request[apiv1.LogStatusRequest] {
+	return connect.NewRequest(&apiv1.LogStatusRequest{})
+}
+
+// answers tells whether the node's admin listener is up.
+func answers(n *nodeProc) bool {
+	resp, err := http.Get("http://" + n.admin + "/healthz")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return true
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -189,15 +189,15 @@
 
 const pollInterval = 100 * time.Millisecond
 
-// WaitInForce polls until at least nodes nodes have the revision in force
-// everywhere.
+// WaitInForce polls until at least nodes nodes, and one at least, are known and
+// all have the revision in force. A leader that was just chosen knows of none.
 func (c *Client) WaitInForce(ctx context.Context, revision uint64, nodes int) (*apiv1.StatusResponse, error) {
 	for {
 		s, err := c.Status(ctx)
 		if err != nil {
 			return nil, err
 		}
-		if s.Revision >= revision && int(s.Nodes) >= nodes && s.InForce == s.Nodes {
+		if s.Revision >= revision && int(s.Nodes) >= max(1, nodes) && s.InForce == s.Nodes {
 			return s, nil
 		}
 		if !pause(ctx) {
--- /dev/null
+++ b/internal/operator/replicas.go
@@ -0,0 +1,139 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"connectrpc.com/connect"
+
+	apiv1 "cactuspath/api/cactuspath/v1"
+	"cactuspath/api/fault"
+	"cactuspath/core/consensus"
+	"cactuspath/internal/controlclient"
+)
+
+const memberPoll = 200 * time.Millisecond
+
+// AddReplica admits the replica that waits at an address: a learner first, a
+// voter once it has caught up.
+func (c *Client) AddReplica(ctx context.Context, address string) (*apiv1.Membership, error) {
+	waiting, err := c.waitingReplica(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	members, err := c.changeReplica(ctx, &apiv1.ChangeReplicaRequest{Action: apiv1.ChangeReplicaRequest_ACTION_ADD_LEARNER,
+		MemberId: waiting.MemberId, Name: waiting.Name, Address: address})
+	if err != nil {
+		return nil, err
+	}
+	if m := consensus.FindMember(members, waiting.MemberId); m != nil && !m.Learner {
+		return members, nil
+	}
+	return c.changeReplica(ctx, &apiv1.ChangeReplicaRequest{Action: apiv1.ChangeReplicaRequest_ACTION_PROMOTE, MemberId: waiting.MemberId})
+}
+
+// ReplaceReplica admits the replica that waits at an address and then removes
+// the lost one. The new one votes before the old one goes, so that the number
+// of votes that can be lost never falls below what it was.
+func (c *Client) ReplaceReplica(ctx context.Context, name, address string) (*apiv1.Membership, error) {
+	lost, err := c.memberNamed(ctx, name, address)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := c.AddReplica(ctx, address); err != nil {
+		return nil, err
+	}
+	return c.changeReplica(ctx, &apiv1.ChangeReplicaRequest{Action: apiv1.ChangeReplicaRequest_ACTION_REMOVE, MemberId: lost})
+}
+
+// RemoveReplica removes a replica by name.
+func (c *Client) RemoveReplica(ctx context.Context, name string) (*apiv1.Membership, error) {
+	id, err := c.memberNamed(ctx, name, "")
+	if err != nil {
+		return nil, err
+	}
+	return c.changeReplica(ctx, &apiv1.ChangeReplicaRequest{Action: apiv1.ChangeReplicaRequest_ACTION_REMOVE, MemberId: id})
+}
+
+func (c *Client) waitingReplica(ctx context.Context, address string) (*apiv1.LogStatusResponse, error) {
+	resp, err := c.Control.At(address).Log.LogStatus(ctx, connect.NewRequest(&apiv1.LogStatusRequest{}))
+	if err != nil {
+		return nil, &OutcomeError{ExitUnreachable, fmt.Sprintf("cannot reach the replica at %s: %s; start it with an empty data folder first", address, reason(err))}
+	}
+	return resp.Msg, nil
+}
+
+// memberNamed finds a member by name. When two have the name, as after half a
+// replacement, it is the one whose id is not that of the replica at address.
+func (c *Client) memberNamed(ctx context.Context, name, address string) (uint64, error) {
+	s, err := c.Status(ctx)
+	if err != nil {
+		return 0, err
+	}
+	newcomer := uint64(0)
+	if address != "" {
+		waiting, err := c.waitingReplica(ctx, address)
+		if err != nil {
+			return 0, err
+		}
+		newcomer = waiting.MemberId
+	}
+	for _, m := range s.Log.Membership.GetMembers() {
+		if m.Name == name && m.Id != newcomer {
+			return m.Id, nil
+		}
+	}
+	return 0, &OutcomeError{ExitRefused, fmt.Sprintf("no member is named %s; `cactusctl status` lists them", name)}
+}
+
+// changeReplica repeats a change of members until it is done, since the leader
+// refuses it while another is under way or a learner catches up.
+func (c *Client) changeReplica(ctx context.Context, req *apiv1.ChangeReplicaRequest) (*apiv1.Membership, error) {
+	req.Operator = c.Name
+	for {
+		var members *apiv1.Membership
+		err := c.Control.Until(ctx, func(ctx context.Context, r *controlclient.Replica) error {
+			resp, err := r.Command.ChangeReplica(ctx, connect.NewRequest(req))
+			if err == nil {
+				members = resp.Msg.Membership
+			}
+			return err
+		})
+		if err == nil {
+			return members, nil
+		}
+		if done, members := c.alreadyDone(ctx, req); done {
+			return members, nil
+		}
+		kind, _ := fault.Of(err)
+		if kind != fault.NotCaughtUp && kind != fault.ChangePending {
+			return nil, &OutcomeError{ExitRefused, "refused: " + reason(err)}
+		}
+		select {
+		case <-ctx.Done():
+			return nil, &OutcomeError{ExitUnknown, "not done in time: " + reason(err) + "; run the same command again"}
+		case <-time.After(memberPoll):
+		}
+	}
+}
+
+// alreadyDone tells whether the members are as the request wants them: an
+// earlier try may have been agreed although its answer was lost.
+func (c *Client) alreadyDone(ctx context.Context, req *apiv1.ChangeReplicaRequest) (bool, *apiv1.Membership) {
+	s, err := c.Status(ctx)
+	if err != nil {
+		return false, nil
+	}
+	members := s.Log.Membership
+	m := consensus.FindMember(members, req.MemberId)
+	switch req.Action {
+	case apiv1.ChangeReplicaRequest_ACTION_ADD_LEARNER:
+		return m != nil, members
+	case apiv1.ChangeReplicaRequest_ACTION_PROMOTE:
+		return m != nil && !m.Learner, members
+	case apiv1.ChangeReplicaRequest_ACTION_REMOVE:
+		return m == nil, members
+	}
+	return false, nil
+}
--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -28,6 +28,13 @@
 	cancel   context.CancelFunc
 	wait     sync.WaitGroup
 	senders  map[uint64]*sender
+	// self is sent along, so that a newcomer knows where to answer.
+	self        uint64
+	selfAddress string
+	// heard are the addresses that other replicas named themselves by. Guarded
+	// by mu, since connections hear and the run loop sends.
+	mu    sync.Mutex
+	heard map[uint64]string
 }
 
 type sender struct {
@@ -36,9 +43,30 @@
 	stop    context.CancelFunc
 }
 
-func newPeers(security *transport.Security, counters *counters) *peers {
+func newPeers(security *transport.Security, counters *counters, self uint64, address string) *peers {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &peers{security: security, counters: counters, ctx: ctx, cancel: cancel, senders: map[uint64]*sender{}}
+	return &peers{security: security, counters: counters, ctx: ctx, cancel: cancel, senders: map[uint64]*sender{}, self: self, selfAddress: address, heard: map[uint64]string{}}
+}
+
+// hear notes where a replica is reached.
+func (p *peers) hear(id uint64, address string) {
+	if address == "" {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.heard[id] = address
+}
+
+// address is where a member is reached: as the members say, or, before this
+// replica knows them, as the sender said itself.
+func (p *peers) address(id uint64, members *apiv1.Membership) string {
+	if m := consensus.FindMember(members, id); m != nil {
+		return m.Address
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.heard[id]
 }
 
 func (p *peers) send(messages []*apiv1.RaftMessage, members *apiv1.Membership) {
@@ -58,21 +86,17 @@
 
 func (p *peers) sender(id uint64, members *apiv1.Membership) *sender {
 	s := p.senders[id]
-	member := consensus.FindMember(members, id)
-	if member == nil {
-		// A member on its way out still gets the messages that tell it so.
-		return s
-	}
-	if s != nil && s.address == member.Address {
+	address := p.address(id, members)
+	if address == "" || s != nil && s.address == address {
 		return s
 	}
 	if s != nil {
 		s.stop()
 	}
 	ctx, stop := context.WithCancel(p.ctx)
-	s = &sender{address: member.Address, queue: make(chan *apiv1.RaftMessage, peerQueue), stop: stop}
+	s = &sender{address: address, queue: make(chan *apiv1.RaftMessage, peerQueue), stop: stop}
 	p.senders[id] = s
-	client := apiv1connect.NewReplicaServiceClient(p.security.ControlClient(), p.security.URL(member.Address))
+	client := apiv1connect.NewReplicaServiceClient(p.security.ControlClient(), p.security.URL(address))
 	p.wait.Add(1)
 	go p.run(ctx, s, client)
 	return s
@@ -106,7 +130,7 @@
 func (p *peers) post(ctx context.Context, client apiv1connect.ReplicaServiceClient, messages []*apiv1.RaftMessage) {
 	ctx, cancel := context.WithTimeout(ctx, stepTimeout)
 	defer cancel()
-	if _, err := client.Step(ctx, connect.NewRequest(&apiv1.StepRequest{Messages: messages})); err != nil {
+	if _, err := client.Step(ctx, connect.NewRequest(&apiv1.StepRequest{Messages: messages, From: p.self, FromAddress: p.selfAddress})); err != nil {
 		p.counters.messagesFailed.Add(int64(len(messages)))
 	}
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -93,7 +93,7 @@
 		state: estate.NewState(), appliedSignal: make(chan struct{}),
 		hard: restored.HardState,
 	}
-	r.peers = newPeers(options.Security, r.counters)
+	r.peers = newPeers(options.Security, r.counters, identity.MemberID, options.Address)
 	if restored.Snapshot != nil {
 		if err := r.restore(restored.Snapshot); err != nil {
 			_ = disk.Close()
--- a/internal/replica/serve.go
+++ b/internal/replica/serve.go
@@ -26,6 +26,7 @@
 
 // Step takes in messages from another replica.
 func (s logService) Step(ctx context.Context, req *connect.Request[apiv1.StepRequest]) (*connect.Response[apiv1.StepResponse], error) {
+	s.r.peers.hear(req.Msg.From, req.Msg.FromAddress)
 	select {
 	case s.r.inbox <- req.Msg.Messages:
 	case <-ctx.Done():
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,29 @@
+#!/usr/bin/env bash
+# Formats are checked, the linters run, then every test of the three modules.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+echo "== gofmt"
+unformatted=$(git ls-files '*.go' | xargs gofmt -l)
+if [ -n "$unformatted" ]; then
+  echo "not formatted; run gofmt -w on:" >&2
+  echo "$unformatted" >&2
+  exit 1
+fi
+
+echo "== core is pure"
+./scripts/pure.sh
+
+echo "== go vet"
+go vet work
+
+echo "== staticcheck"
+bin=$(mktemp -d)
+trap 'rm -rf "$bin"' EXIT
+(cd tools && GOWORK=off go build -o "$bin/staticcheck" honnef.co/go/tools/cmd/staticcheck)
+for module in . api core; do
+  (cd "$module" && "$bin/staticcheck" ./...)
+done
+
+echo "== go test"
+go test work
