--- a/internal/dev/cluster.go
+++ b/internal/dev/cluster.go
@@ -82,7 +82,7 @@
 		}
 	}
 	return c.run(ctx, &settings.Settings{Host: name, DataCenter: "dev-a", Region: "dev", StopTimeout: stopTimeout, ControlReplicas: []string{c.Control},
-		Control: &settings.Control{Name: name, Address: c.Control, DataFolder: data}})
+		Control: &settings.Control{Name: name, Address: c.Control, Listen: c.Control, DataFolder: data}})
 }
 
 func (c *Cluster) startNode(ctx context.Context, i int, service string) error {
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -77,7 +77,7 @@
 
 // cluster is a set of processes with their addresses.
 type cluster struct {
-	t       *testing.T
+	t       testing.TB
 	folder  string
 	control []string
 	// advertised are the addresses by which control replicas are reached: those
@@ -93,7 +93,7 @@
 	host, callers, peer, admin string
 }
 
-func newCluster(t *testing.T, replicas int) *cluster {
+func newCluster(t testing.TB, replicas int) *cluster {
 	t.Helper()
 	c := &cluster{t: t, folder: t.TempDir()}
 	c.control = addresses(t, replicas)
@@ -132,13 +132,10 @@
 	c.write(c.replicaFile(i), fmt.Sprintf(`{
   "host": "control-%d", "dataCenter": "dc-a", "region": "r",
   "controlReplicas": [%s],
-  "control": {"name": "control-%d", "address": %q, "dataFolder": %q, %s},
-}`, i+1, c.replicaList(), i+1, c.listenOf(i), c.dataFolder(i), found))
+  "control": {"name": "control-%d", "address": %q, "listen": %q, "dataFolder": %q, %s},
+}`, i+1, c.replicaList(), i+1, c.advertised[i], c.control[i], c.dataFolder(i), found))
 }
 
-// listenOf is where a replica listens; its advertised address may be a cut's.
-func (c *cluster) listenOf(i int) string { return c.control[i] }
-
 func (c *cluster) replicaList() string {
 	quoted := make([]string, len(c.advertised))
 	for i, a := range c.advertised {
@@ -190,7 +187,7 @@
 	return p
 }
 
-func (p *proc) start(t *testing.T) {
+func (p *proc) start(t testing.TB) {
 	t.Helper()
 	if p.log == nil {
 		p.log = &syncBuffer{}
@@ -214,7 +211,7 @@
 	<-p.done
 }
 
-func (p *proc) restart(t *testing.T) {
+func (p *proc) restart(t testing.TB) {
 	t.Helper()
 	p.kill()
 	p.start(t)
@@ -249,7 +246,7 @@
 }
 
 // eventually waits until the condition holds.
-func eventually(t *testing.T, what string, condition func() bool) {
+func eventually(t testing.TB, what string, condition func() bool) {
 	t.Helper()
 	deadline := time.Now().Add(patience)
 	for !condition() {
@@ -260,14 +257,14 @@
 	}
 }
 
-func contextOf(t *testing.T) context.Context {
+func contextOf(t testing.TB) context.Context {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	t.Cleanup(cancel)
 	return ctx
 }
 
 // addresses returns free loopback addresses.
-func addresses(t *testing.T, n int) []string {
+func addresses(t testing.TB, n int) []string {
 	t.Helper()
 	var list []string
 	var open []net.Listener
@@ -324,7 +321,7 @@
 }
 
 // serves waits until the node answers for the service.
-func (n *nodeProc) serves(t *testing.T, service string) {
+func (n *nodeProc) serves(t testing.TB, service string) {
 	t.Helper()
 	eventually(t, n.host+" answers for "+service, func() bool {
 		resp, _, err := n.request(http.MethodGet, service, "/", nil)
@@ -333,7 +330,7 @@
 }
 
 // vars reads a node's metrics.
-func (n *nodeProc) vars(t *testing.T) map[string]any {
+func (n *nodeProc) vars(t testing.TB) map[string]any {
 	t.Helper()
 	resp, err := http.Get("http://" + n.admin + "/debug/vars")
 	assert.NilError(t, err)
@@ -343,7 +340,7 @@
 	return out
 }
 
-func (n *nodeProc) revision(t *testing.T) uint64 {
+func (n *nodeProc) revision(t testing.TB) uint64 {
 	t.Helper()
 	return uint64(n.vars(t)["configuration_revision"].(float64))
 }
@@ -388,3 +385,14 @@
 	_ = resp.Body.Close()
 	return true
 }
+
+// server is what the node says of its backend server.
+func (n *nodeProc) server(t testing.TB) map[string]any {
+	t.Helper()
+	resp, err := http.Get("http://" + n.admin + "/v1/server")
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	out := map[string]any{}
+	assert.NilError(t, json.NewDecoder(resp.Body).Decode(&out))
+	return out
+}
--- a/internal/e2e/path_test.go
+++ b/internal/e2e/path_test.go
@@ -67,7 +67,7 @@
 	assert.Equal(t, resp.StatusCode, http.StatusBadGateway)
 }
 
-func running(t *testing.T, n *nodeProc) int {
+func running(t testing.TB, n *nodeProc) int {
 	load, ok := n.vars(t)["gate_load"].(map[string]any)
 	if !ok {
 		return 0
@@ -196,7 +196,7 @@
 }
 
 // residentMB is a process's resident memory.
-func residentMB(t *testing.T, p *proc) int {
+func residentMB(t testing.TB, p *proc) int {
 	t.Helper()
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
 	assert.NilError(t, err)
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -71,7 +71,7 @@
 		return err
 	}
 	p.Replica = r
-	p.control, err = p.security.Listen(c.Address)
+	p.control, err = p.security.Listen(c.Listen)
 	return err
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -38,7 +38,9 @@
 
 // Control is a control replica.
 type Control struct {
-	Name, Address, DataFolder string
+	// Address is where others reach the replica; it listens on Listen, which is
+	// the same unless set.
+	Name, Address, Listen, DataFolder string
 	// Founders are the names and addresses of the first members.
 	Founders  map[string]string
 	Operators []Operator
@@ -128,7 +130,7 @@
 		list = append(list, s.Node.Peer)
 	}
 	if s.Control != nil {
-		list = append(list, s.Control.Address)
+		list = append(list, s.Control.Listen)
 	}
 	return list
 }
@@ -166,6 +168,7 @@
 	n.Object(map[string]func(jsonc.Node){
 		"name":       func(n jsonc.Node) { c.Name = label(n) },
 		"address":    func(n jsonc.Node) { c.Address = address(n) },
+		"listen":     func(n jsonc.Node) { c.Listen = address(n) },
 		"dataFolder": func(n jsonc.Node) { c.DataFolder = notEmpty(n) },
 		"founders": func(n jsonc.Node) {
 			for _, m := range n.Members() {
@@ -178,6 +181,9 @@
 			}
 		},
 	}, "name", "address", "dataFolder")
+	if c.Listen == "" {
+		c.Listen = c.Address
+	}
 	if len(c.Founders) > 0 && c.Founders[c.Name] != c.Address {
 		n.Fail("founders does not list this replica with its own address", `add "`+c.Name+`": "`+c.Address+`" to founders`)
 	}
