--- /dev/null
+++ b/core/directory/directory_test.go
@@ -0,0 +1,382 @@
+package directory
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	apiv1 "cactuspath/api/cactuspath/v1"
+)
+
+const (
+	step    = HeartbeatInterval / 2
+	failed  = apiv1.EndpointState_ENDPOINT_STATE_FAILED
+	serving = apiv1.EndpointState_ENDPOINT_STATE_SERVING
+)
+
+type fakeNode struct {
+	entry *apiv1.Entry
+	alive bool
+}
+
+// world is a set of nodes and relays in virtual time, with links that can be
+// cut. Messages arrive at once or not at all.
+type world struct {
+	t      *testing.T
+	now    time.Duration
+	nodes  map[string]*fakeNode
+	order  []string
+	relays map[string]*Relay
+	hosts  []string
+	cut    func(from, to string) bool
+	// frozen relays do nothing until they are let go.
+	frozen map[string]bool
+	bytes  int
+}
+
+func newWorld(t *testing.T) *world {
+	return &world{t: t, nodes: map[string]*fakeNode{}, relays: map[string]*Relay{}, frozen: map[string]bool{},
+		cut: func(string, string) bool { return false }}
+}
+
+// center adds a data centre of nodes, the first ones of which are relays.
+func (w *world) center(name string, nodes, relays int) {
+	for i := range nodes {
+		host := fmt.Sprintf("%s-%d", name, i)
+		w.nodes[host] = &fakeNode{alive: true, entry: &apiv1.Entry{Host: host, DataCenter: name, Service: "s", PeerAddress: host, Incarnation: 1000, Sequence: 1, State: serving}}
+		w.order = append(w.order, host)
+		if i < relays {
+			w.addRelay(host, name, 1)
+		}
+	}
+}
+
+func (w *world) addRelay(host, center string, epoch uint64) {
+	if w.relays[host] == nil {
+		w.hosts = append(w.hosts, host)
+	}
+	w.relays[host] = NewRelay(&apiv1.RelayInfo{Host: host, PeerAddress: host, DataCenter: center}, epoch, w.now)
+	w.list()
+}
+
+func (w *world) list() {
+	var list []*apiv1.RelayInfo
+	for _, host := range w.hosts {
+		list = append(list, w.relays[host].self)
+	}
+	for _, r := range w.relays {
+		r.SetRelays(list, w.now)
+	}
+}
+
+func (w *world) up(host string) bool {
+	return w.nodes[host].alive && !w.frozen[host]
+}
+
+func (w *world) reach(from, to string) bool {
+	return w.up(from) && w.up(to) && !w.cut(from, to) && !w.cut(to, from)
+}
+
+func (w *world) run(d time.Duration) {
+	for end := w.now + d; w.now < end; {
+		w.now += step
+		for _, host := range w.order {
+			if w.up(host) && w.now%HeartbeatInterval == 0 {
+				w.heartbeat(w.nodes[host])
+			}
+		}
+		for _, host := range w.hosts {
+			if w.up(host) {
+				w.carryOut(w.relays[host])
+			}
+		}
+	}
+}
+
+func (w *world) heartbeat(n *fakeNode) {
+	relay := w.relayFor(n)
+	if relay == "" {
+		return
+	}
+	e := proto.Clone(n.entry).(*apiv1.Entry)
+	if e.Relay != relay {
+		e.Relay = relay
+		e.Sequence++
+	}
+	r := w.relays[relay]
+	report := &apiv1.NodeReport{Host: e.Host, Incarnation: e.Incarnation, Sequence: e.Sequence}
+	held, need := r.Heartbeat(w.now, report, nil)
+	if held != nil && held.Incarnation == e.Incarnation && held.State == failed {
+		e.Sequence = held.Sequence + 1
+		need = true
+	}
+	if need {
+		report.Sequence = e.Sequence
+		r.Heartbeat(w.now, report, e)
+	}
+	n.entry = e
+}
+
+func (w *world) relayFor(n *fakeNode) string {
+	var names []string
+	for _, host := range w.hosts {
+		if w.relays[host].self.DataCenter == n.entry.DataCenter && w.reach(n.entry.Host, host) {
+			names = append(names, host)
+		}
+	}
+	if len(names) == 0 {
+		return ""
+	}
+	return Rendezvous(n.entry.Host, names)[0]
+}
+
+func (w *world) carryOut(r *Relay) {
+	work := r.Tick(w.now)
+	for _, p := range work.Probes {
+		at := r.self.Host
+		if p.Via != "" {
+			if !w.reach(r.self.Host, p.Via) {
+				continue
+			}
+			at = p.Via
+		}
+		if n := w.nodes[p.Host]; n != nil && w.reach(at, p.Host) {
+			r.Probed(w.now, p.Host, n.entry.Incarnation, true)
+		}
+	}
+	for _, p := range work.Pulls {
+		if !w.reach(r.self.Host, p.Relay.Host) {
+			continue
+		}
+		resp := w.relays[p.Relay.Host].Exchange(w.now, p.Request)
+		w.bytes += proto.Size(resp) + proto.Size(p.Request)
+		r.Pulled(w.now, p.Relay.Host, resp)
+	}
+}
+
+// count tells how many entries of a data centre a relay holds in a state.
+func (w *world) count(relay, center string, state apiv1.EndpointState) int {
+	n := 0
+	w.relays[relay].Table().All(func(e *apiv1.Entry) {
+		if e.DataCenter == center && e.State == state {
+			n++
+		}
+	})
+	return n
+}
+
+// Nodes of two data centres start together. Every relay comes to hold every
+// entry, and nobody is suspected.
+func TestEveryRelayLearnsEveryEntry(t *testing.T) {
+	w := newWorld(t)
+	w.center("a", 20, 3)
+	w.center("b", 15, 2)
+	w.run(10 * time.Second)
+	for _, r := range w.hosts {
+		assert.Equal(t, w.count(r, "a", serving), 20)
+		assert.Equal(t, w.count(r, "b", serving), 15)
+		assert.Equal(t, w.relays[r].Failures, uint64(0))
+		assert.Assert(t, w.relays[r].Ready(w.now))
+	}
+}
+
+// Half of a data centre loses power, relays among it. The others must notice
+// within seconds, and mark nobody else.
+func TestHalfADataCentreKilledAtOnce(t *testing.T) {
+	w := newWorld(t)
+	w.center("a", 40, 4)
+	w.center("b", 10, 2)
+	w.run(10 * time.Second)
+	for i := 0; i < 40; i += 2 {
+		w.nodes[fmt.Sprintf("a-%d", i)].alive = false
+	}
+	w.run(20 * time.Second)
+	for _, r := range []string{"a-1", "a-3", "b-0", "b-1"} {
+		assert.Equal(t, w.count(r, "a", failed), 20, r)
+		assert.Equal(t, w.count(r, "a", serving), 20, r)
+		assert.Equal(t, w.count(r, "b", serving), 10, r)
+	}
+}
+
+// A relay is cut off with a stale table while a node fails and is marked so on
+// the other side. After an hour the cut ends: the dead entry must not come back
+// through the relay that missed its end.
+func TestDeadEntryDoesNotReturnAfterACut(t *testing.T) {
+	w := newWorld(t)
+	w.center("a", 12, 3)
+	w.center("b", 6, 2)
+	w.run(10 * time.Second)
+	w.cut = func(from, to string) bool { return (from == "a-2") != (to == "a-2") }
+	w.nodes["a-7"].alive = false
+	w.run(time.Hour)
+	assert.Equal(t, w.count("a-0", "a", failed) >= 1, true)
+	w.cut = func(string, string) bool { return false }
+	w.run(15 * time.Second)
+	for _, r := range w.hosts {
+		e := w.relays[r].Table().Get("a-7")
+		assert.Equal(t, e.State, failed, r)
+		assert.Equal(t, w.count(r, "a", serving), 11, r)
+	}
+}
+
+// A relay is frozen for a minute and comes back. To it, all its nodes seem
+// silent; marking them failed would take a data centre out of service.
+func TestFrozenRelayMarksNobodyFailed(t *testing.T) {
+	w := newWorld(t)
+	w.center("a", 20, 1)
+	w.run(10 * time.Second)
+	w.frozen["a-0"] = true
+	w.run(time.Minute)
+	w.frozen["a-0"] = false
+	w.run(20 * time.Second)
+	assert.Equal(t, w.relays["a-0"].Failures, uint64(0))
+	assert.Equal(t, w.count("a-0", "a", serving), 20)
+}
+
+// A relay hears nobody at all, while it runs: its own network is gone. It
+// cannot tell who failed and must leave the judgement to the others.
+func TestIsolatedRelayMarksNobodyFailed(t *testing.T) {
+	w := newWorld(t)
+	w.center("a", 20, 2)
+	w.run(10 * time.Second)
+	w.cut = func(from, to string) bool { return from == "a-0" || to == "a-0" }
+	w.run(2 * time.Minute)
+	assert.Equal(t, w.relays["a-0"].Failures, uint64(0))
+	w.cut = func(string, string) bool { return false }
+	w.run(20 * time.Second)
+	assert.Equal(t, w.count("a-1", "a", serving), 20)
+}
+
+// The network between a relay and one of its nodes breaks, and only there. A
+// probe through another node reaches it: it is no failure.
+func TestCutBetweenRelayAndOneNodeIsNoFailure(t *testing.T) {
+	w := newWorld(t)
+	w.center("a", 10, 1)
+	w.run(10 * time.Second)
+	w.cut = func(from, to string) bool { return from == "a-0" && to == "a-5" || from == "a-5" && to == "a-0" }
+	w.run(time.Minute)
+	assert.Equal(t, w.count("a-0", "a", failed), 0)
+}
+
+// A node restarts after its relay marked it failed, with a later incarnation.
+// It must be seen as new; its former self's entries are superseded.
+func TestRestartedNodeIsNew(t *testing.T) {
+	w := newWorld(t)
+	w.center("a", 6, 2)
+	w.run(10 * time.Second)
+	w.nodes["a-4"].alive = false
+	w.run(20 * time.Second)
+	assert.Equal(t, w.count("a-0", "a", failed), 1)
+	w.nodes["a-4"].alive = true
+	w.nodes["a-4"].entry = &apiv1.Entry{Host: "a-4", DataCenter: "a", Service: "s", PeerAddress: "a-4", Incarnation: 2000, Sequence: 1, State: serving}
+	w.run(10 * time.Second)
+	for _, r := range w.hosts {
+		e := w.relays[r].Table().Get("a-4")
+		assert.Equal(t, e.State, serving)
+		assert.Equal(t, e.Incarnation, uint64(2000))
+	}
+}
+
+// A node restarts on a host whose clock went back by an hour: its incarnation
+// is lower than its former self's, which would hide it. The relay tells it what
+// it believes, so that the node takes a higher one.
+func TestClockGoneBackIsToldToTheNode(t *testing.T) {
+	w := newWorld(t)
+	w.center("a", 3, 1)
+	w.run(10 * time.Second)
+	held, _ := w.relays["a-0"].Heartbeat(w.now, &apiv1.NodeReport{Host: "a-1", Incarnation: 5, Sequence: 1}, nil)
+	assert.Equal(t, held.Incarnation, uint64(1000))
+}
+
+// A region is away for ten minutes while entries change on both sides. After it
+// is back, each side holds the other's newest, for the cost of the changes.
+func TestRegionAwayForTenMinutes(t *testing.T) {
+	w := newWorld(t)
+	w.center("a", 200, 3)
+	w.center("b", 200, 3)
+	w.run(10 * time.Second)
+	far := func(host string) bool { return host[0] == 'b' }
+	w.cut = func(from, to string) bool { return far(from) != far(to) }
+	w.nodes["a-50"].alive = false
+	w.nodes["b-60"].alive = false
+	w.run(10 * time.Minute)
+	assert.Equal(t, w.count("b-0", "a", serving), 200)
+	w.bytes = 0
+	w.cut = func(string, string) bool { return false }
+	w.run(5 * time.Second)
+	assert.Equal(t, w.count("b-0", "a", serving), 199)
+	assert.Equal(t, w.count("a-0", "b", serving), 199)
+	assert.Assert(t, w.bytes < 40_000, "%d bytes to reconcile", w.bytes)
+}
+
+// A relay restarts with nothing. Until it has heard from the others it must not
+// be ready, or it would tell nodes that services have no endpoints.
+func TestRestartedRelayIsNotReadyBeforeItKnows(t *testing.T) {
+	w := newWorld(t)
+	w.center("a", 10, 2)
+	w.center("b", 10, 2)
+	w.run(10 * time.Second)
+	w.addRelay("a-1", "a", 2)
+	assert.Assert(t, !w.relays["a-1"].Ready(w.now))
+	w.run(2 * time.Second)
+	assert.Assert(t, w.relays["a-1"].Ready(w.now))
+	assert.Equal(t, w.count("a-1", "b", serving), 10)
+}
+
+// Two tables that differ in little reconcile by digests: only the buckets that
+// differ travel. The related reading suggests comparing digests before sending.
+func TestReconcileSendsOnlyWhatDiffers(t *testing.T) {
+	full, some := reconcileBytes(t, 8800, 8800), reconcileBytes(t, 8800, 10)
+	none := reconcileBytes(t, 8800, 0)
+	assert.Assert(t, none < 1000, "%d", none)
+	assert.Assert(t, some < full/5, "%d of %d", some, full)
+}
+
+// reconcileBytes is the size of an answer to a relay that lacks `differ` of n
+// entries and whose cursor is of another epoch.
+func reconcileBytes(t testing.TB, n, differ int) int {
+	t.Helper()
+	a := NewRelay(&apiv1.RelayInfo{Host: "a", DataCenter: "x"}, 2, 0)
+	b := NewRelay(&apiv1.RelayInfo{Host: "b", DataCenter: "x"}, 3, 0)
+	for i := range n {
+		e := sampleEntry(i)
+		a.merge(0, e)
+		if i >= differ {
+			b.merge(0, e)
+		}
+	}
+	resp := a.Exchange(0, &apiv1.ExchangeRequest{FromHost: "b", FromDataCenter: "x", Cursor: &apiv1.Cursor{Epoch: 1}, Digests: b.Table().Digests(AllCenters)})
+	return proto.Size(resp)
+}
+
+func sampleEntry(i int) *apiv1.Entry {
+	return &apiv1.Entry{Host: fmt.Sprintf("host-%05d", i), DataCenter: "x", Region: "r", Service: fmt.Sprintf("service-%03d", i%990),
+		PeerAddress: fmt.Sprintf("10.%d.%d.%d:7070", i>>16, i>>8&255, i&255), Incarnation: 1764700000000, Sequence: 3, State: serving, Slots: 20,
+		Relay: fmt.Sprintf("host-%05d", i/64*64), ChangedUnixMs: 1764700000000}
+}
+
+// Whatever claims arrive in whatever order, twice or late, tables that saw the
+// same set hold the same, and their digests agree.
+func TestMergeIsOrderIndependent(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	for range 200 {
+		var claims []*apiv1.Entry
+		for range 30 {
+			claims = append(claims, &apiv1.Entry{Host: fmt.Sprint(random.IntN(4)), DataCenter: "x", Incarnation: uint64(random.IntN(3)),
+				Sequence: uint64(random.IntN(4)), State: []apiv1.EndpointState{serving, failed}[random.IntN(2)]})
+		}
+		a, b := NewTable(), NewTable()
+		for _, c := range claims {
+			a.Merge(c)
+		}
+		for _, i := range random.Perm(len(claims)) {
+			b.Merge(claims[i])
+			b.Merge(claims[random.IntN(len(claims))])
+		}
+		assert.DeepEqual(t, a.Digests(AllCenters), b.Digests(AllCenters))
+	}
+}
--- a/core/directory/relay.go
+++ b/core/directory/relay.go
@@ -121,19 +121,65 @@
 	}
 }
 
-// Ready tells whether the relay has heard from every other relay that answers.
-// Until then it must not answer nodes with its entries: it would tell them
-// that services have no endpoints which it merely has not heard of yet.
+// Ready tells whether the relay has heard from its siblings, and from the data
+// centres that it answers for, or has waited for long enough. Until then it must
+// not answer nodes with its entries: it would tell them that services have no
+// endpoints which it merely has not heard of yet.
 func (r *Relay) Ready(now time.Duration) bool {
 	if now-r.started >= relaySilence {
 		return true
 	}
+	if !r.listed {
+		return false
+	}
 	for _, p := range r.peers {
-		if p.cursor == nil {
+		if p.info.DataCenter == r.self.DataCenter && p.cursor == nil {
 			return false
 		}
 	}
-	return r.listed
+	for center, hosts := range r.otherCenters() {
+		if r.answersFor(now, center) && !r.heardAny(hosts) {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *Relay) heardAny(hosts []string) bool {
+	for _, host := range hosts {
+		if r.peers[host].cursor != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// otherCenters lists the relays of every other data centre.
+func (r *Relay) otherCenters() map[string][]string {
+	out := map[string][]string{}
+	for host, p := range r.peers {
+		if p.info.DataCenter != r.self.DataCenter {
+			out[p.info.DataCenter] = append(out[p.info.DataCenter], host)
+		}
+	}
+	return out
+}
+
+// answersFor tells whether this relay is the one of its data centre that pulls
+// from another data centre.
+func (r *Relay) answersFor(now time.Duration, center string) bool {
+	return Rendezvous(center, r.liveSiblings(now))[0] == r.self.Host
+}
+
+// liveSiblings lists this data centre's relays that answer, itself included.
+func (r *Relay) liveSiblings(now time.Duration) []string {
+	live := []string{r.self.Host}
+	for host, p := range r.peers {
+		if p.info.DataCenter == r.self.DataCenter && now-p.heard <= relaySilence {
+			live = append(live, host)
+		}
+	}
+	return live
 }
 
 // Relays lists this data centre's relays, itself included.
@@ -327,12 +373,7 @@
 // adopt watches the nodes whose relay is gone. Live relays agree on who does
 // it by rendezvous; a node that found another relay says so in its entry.
 func (r *Relay) adopt(now time.Duration) {
-	live := []string{r.self.Host}
-	for host, p := range r.peers {
-		if p.info.DataCenter == r.self.DataCenter && now-p.heard <= relaySilence {
-			live = append(live, host)
-		}
-	}
+	live := r.liveSiblings(now)
 	r.table.All(func(e *apiv1.Entry) {
 		if e.DataCenter != r.self.DataCenter || Gone(e) || r.watched[e.Host] != nil || slices.Contains(live, e.Relay) {
 			return
@@ -426,25 +467,17 @@
 }
 
 // plan pulls from every sibling, and from one relay of each other data centre
-// that this relay is responsible for.
+// that this relay answers for.
 func (r *Relay) plan(now time.Duration, work *Work) {
-	byCenter := map[string][]string{}
-	siblings := []string{r.self.Host}
-	for host, p := range r.peers {
+	for _, p := range r.peers {
 		if p.info.DataCenter == r.self.DataCenter {
 			work.Pulls = append(work.Pulls, r.pull(p))
-			if now-p.heard <= relaySilence {
-				siblings = append(siblings, host)
-			}
-			continue
 		}
-		byCenter[p.info.DataCenter] = append(byCenter[p.info.DataCenter], host)
 	}
-	for center, hosts := range byCenter {
-		if Rendezvous(center, siblings)[0] != r.self.Host {
-			continue
+	for center, hosts := range r.otherCenters() {
+		if r.answersFor(now, center) {
+			work.Pulls = append(work.Pulls, r.pull(r.peers[r.answering(now, center, hosts)]))
 		}
-		work.Pulls = append(work.Pulls, r.pull(r.peers[r.answering(now, center, hosts)]))
 	}
 	sort.Slice(work.Pulls, func(i, j int) bool { return work.Pulls[i].Relay.Host < work.Pulls[j].Relay.Host })
 }
