--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,46 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const whole = `{
+  "host": "h1", "dataCenter": "dc", "region": "r",
+  "controlReplicas": ["10.0.0.1:7000"],
+  "node": {"callers": "0.0.0.0:8080", "peer": "127.0.0.1:7070", "admin": "127.0.0.1:7071"},
+  "control": {"name": "c1", "address": "127.0.0.1:7000", "dataFolder": "/d", "founders": {"c1": "127.0.0.1:7000"},
+    "operators": [{"name": "mai", "tokenSha256": "` + "0123456789012345678901234567890123456789012345678901234567890123" + `", "institutions": ["a"]}]},
+}`
+
+func TestParseAccepts(t *testing.T) {
+	s, problems := Parse([]byte(whole))
+	assert.Equal(t, len(problems), 0)
+	assert.Equal(t, s.Node.PeerAddress, "127.0.0.1:7070")
+	assert.Equal(t, s.Control.Listen, "127.0.0.1:7000")
+	assert.Equal(t, s.Control.Operators[0].Name, "mai")
+}
+
+func TestParseRefuses(t *testing.T) {
+	cases := []struct{ desc, old, new, want string }{
+		{"no role", `"node"`, `"nodes"`, `unknown field "nodes"`},
+		{"host name for address", `127.0.0.1:7070`, `localhost:7070`, "not an IP address with a port"},
+		{"admin in the open", `127.0.0.1:7071`, `0.0.0.0:7071`, "is not on loopback"},
+		{"peer in the open without TLS", `127.0.0.1:7070`, `10.0.0.9:7070`, "can be reached from other hosts without TLS"},
+		{"founders without itself", `{"c1": "127`, `{"c2": "127`, "founders does not list this replica"},
+		{"short digest", `0123456789012`, `1`, "not a SHA-256 digest"},
+		{"no replicas", `["10.0.0.1:7000"]`, `[]`, "no control replica is named"},
+	}
+	for _, c := range cases {
+		t.Run(c.desc, func(t *testing.T) {
+			_, problems := Parse([]byte(strings.Replace(whole, c.old, c.new, 1)))
+			var all []string
+			for _, p := range problems {
+				all = append(all, p.String())
+			}
+			assert.Assert(t, strings.Contains(strings.Join(all, "\n"), c.want), "%q", all)
+		})
+	}
+}
--- /dev/null
+++ b/internal/wal/wal_test.go
@@ -0,0 +1,137 @@
+package wal
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	apiv1 "cactuspath/api/cactuspath/v1"
+)
+
+func entry(index, term uint64, text string) *apiv1.LogEntry {
+	return &apiv1.LogEntry{Index: index, Term: term, Data: []byte(text)}
+}
+
+// folderWith is a data folder that holds the entries, synced.
+func folderWith(t *testing.T, entries ...*apiv1.LogEntry) string {
+	t.Helper()
+	folder := t.TempDir()
+	assert.NilError(t, WriteIdentity(folder, Identity{MemberID: 7, Name: "a"}))
+	l, _, _, err := Open(folder)
+	assert.NilError(t, err)
+	for _, e := range entries {
+		assert.NilError(t, l.Append([]*apiv1.LogEntry{e}, &apiv1.HardState{Term: e.Term, Vote: 1, Commit: e.Index}))
+	}
+	assert.NilError(t, l.Flush(true))
+	assert.NilError(t, l.Close())
+	return folder
+}
+
+func reopen(t *testing.T, folder string) []*apiv1.LogEntry {
+	t.Helper()
+	l, id, restored, err := Open(folder)
+	assert.NilError(t, err)
+	assert.Equal(t, id.MemberID, uint64(7))
+	assert.NilError(t, l.Close())
+	return restored.Entries
+}
+
+func TestWhatWasSyncedIsRestored(t *testing.T) {
+	folder := folderWith(t, entry(1, 1, "one"), entry(2, 1, "two"), entry(2, 2, "two again"), entry(3, 2, "three"))
+	entries := reopen(t, folder)
+	assert.Equal(t, len(entries), 3)
+	assert.Equal(t, string(entries[1].Data), "two again")
+}
+
+// Power fails while the last record is being written: the file ends at any byte
+// of it. The replica must start with all records before, and go on from there.
+func TestTornTailIsCutAtEveryByte(t *testing.T) {
+	folder := folderWith(t, entry(1, 1, "one"), entry(2, 1, "two"))
+	file := filepath.Join(folder, logName)
+	whole, err := os.ReadFile(file)
+	assert.NilError(t, err)
+	l, _, _, err := Open(folder)
+	assert.NilError(t, err)
+	assert.NilError(t, l.Append([]*apiv1.LogEntry{entry(3, 1, "three")}, nil))
+	assert.NilError(t, l.Flush(true))
+	assert.NilError(t, l.Close())
+	longer, err := os.ReadFile(file)
+	assert.NilError(t, err)
+	for size := len(whole); size < len(longer); size++ {
+		assert.NilError(t, os.WriteFile(file, longer[:size], filePerm))
+		assert.Equal(t, len(reopen(t, folder)), 2, "cut at %d", size)
+		zeros := append(append([]byte(nil), longer[:size]...), make([]byte, 600)...)
+		assert.NilError(t, os.WriteFile(file, zeros, filePerm))
+		assert.Equal(t, len(reopen(t, folder)), 2, "zeros from %d", size)
+	}
+	assert.NilError(t, os.WriteFile(file, longer, filePerm))
+	assert.Equal(t, len(reopen(t, folder)), 3)
+}
+
+// Any single bit of a synced record flips. The replica must refuse to start: it
+// might have forgotten a vote or an acknowledged change.
+func TestEveryFlippedBitIsDamage(t *testing.T) {
+	folder := folderWith(t, entry(1, 1, "one"), entry(2, 1, "two"))
+	file := filepath.Join(folder, logName)
+	good, err := os.ReadFile(file)
+	assert.NilError(t, err)
+	for i := range good {
+		for bit := range 8 {
+			bad := append([]byte(nil), good...)
+			bad[i] ^= 1 << bit
+			assert.NilError(t, os.WriteFile(file, bad, filePerm))
+			_, _, _, err := Open(folder)
+			var damage *DamageError
+			assert.Assert(t, errors.As(err, &damage), "byte %d bit %d: %v", i, bit, err)
+		}
+	}
+}
+
+// A crash strikes between saving a received snapshot and rewriting the log. The
+// old log may not continue the snapshot; entries that do not must be dropped.
+func TestCrashBetweenSnapshotAndLog(t *testing.T) {
+	folder := folderWith(t, entry(1, 1, "one"), entry(2, 1, "two"), entry(3, 1, "three"))
+	old, err := os.ReadFile(filepath.Join(folder, logName))
+	assert.NilError(t, err)
+	for _, c := range []struct {
+		desc string
+		snap *apiv1.Snapshot
+		want int
+	}{
+		{"continues it", &apiv1.Snapshot{Index: 2, Term: 1}, 1},
+		{"does not", &apiv1.Snapshot{Index: 2, Term: 9}, 0},
+		{"is behind it", &apiv1.Snapshot{Index: 40, Term: 9}, 0},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			l, _, _, err := Open(folder)
+			assert.NilError(t, err)
+			assert.NilError(t, l.Compact(c.snap, nil, nil))
+			assert.NilError(t, l.Close())
+			assert.NilError(t, os.WriteFile(filepath.Join(folder, logName), old, filePerm))
+			l, _, restored, err := Open(folder)
+			assert.NilError(t, err)
+			assert.NilError(t, l.Close())
+			assert.Equal(t, len(restored.Entries), c.want)
+			assert.Equal(t, restored.Snapshot.Index, c.snap.Index)
+		})
+	}
+}
+
+// Two processes are started on one data folder. The second must not open it.
+func TestFolderIsLocked(t *testing.T) {
+	folder := folderWith(t)
+	l, _, _, err := Open(folder)
+	assert.NilError(t, err)
+	_, _, _, err = Open(folder)
+	assert.ErrorIs(t, err, ErrLocked)
+	assert.NilError(t, l.Close())
+}
+
+// A folder is claimed once. Claiming it again could hide what it held.
+func TestFolderIsClaimedOnce(t *testing.T) {
+	folder := folderWith(t)
+	assert.ErrorContains(t, WriteIdentity(folder, Identity{MemberID: 9}), "already holds a replica")
+}
