Lean control headers, a farewell before a node's listeners close, needs that do not hold callers up

Cause: reading through: a service without endpoints made each of its callers wait 3 s; a node that stopped closed idle connections at once, so that a request just sent could end as unknown; all nodes' local callers shared one place in every queue (127.0.0.1); heartbeats of 100 bytes carried 400 bytes of headers (519 B/s measured at 13 nodes). Change: as the title says; 48 nodes a relay, exchanges once a second.

--- a/core/directory/relay.go
+++ b/core/directory/relay.go
@@ -28,6 +28,8 @@
 	goneKept = 24 * time.Hour
 	// relaySilence is how long a sibling relay may not answer and still counts.
 	relaySilence = 5 * HeartbeatInterval
+	// pullInterval spaces the exchanges with another relay.
+	pullInterval = HeartbeatInterval
 	// probeInterval spaces the probes of one suspect.
 	probeInterval = HeartbeatInterval
 )
@@ -78,6 +80,7 @@
 	started     time.Duration
 	listed      bool
 	lastTick    time.Duration
+	lastPlan    time.Duration
 	lastContact time.Duration
 
 	// FalseAlarms counts suspicions that a probe or heartbeat disproved.
@@ -90,7 +93,7 @@
 // of any earlier relay on this host: cursors of another epoch are not continued.
 func NewRelay(self *apiv1.RelayInfo, epoch uint64, now time.Duration) *Relay {
 	return &Relay{self: self, epoch: epoch, table: NewTable(), watched: map[string]*watch{}, peers: map[string]*peer{},
-		gone: map[string]time.Duration{}, started: now, lastTick: now, lastContact: now}
+		gone: map[string]time.Duration{}, started: now, lastTick: now, lastPlan: now - pullInterval, lastContact: now}
 }
 
 // Table gives the entries. The caller must not modify it.
@@ -469,6 +472,10 @@
 // plan pulls from every sibling, and from one relay of each other data centre
 // that this relay answers for.
 func (r *Relay) plan(now time.Duration, work *Work) {
+	if now-r.lastPlan < pullInterval {
+		return
+	}
+	r.lastPlan = now
 	for _, p := range r.peers {
 		if p.info.DataCenter == r.self.DataCenter {
 			work.Pulls = append(work.Pulls, r.pull(p))
--- /dev/null
+++ b/internal/capacity/data.go
@@ -0,0 +1,144 @@
+// Package capacity works the target's size out from measured slopes and renders
+// the tables of docs/CAPACITY.md, so that the page cannot differ from the data.
+package capacity
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Slopes are the measurements of state machines in one process.
+type Slopes struct {
+	Date      string           `json:"date"`
+	Cores     int              `json:"cores"`
+	Command   string           `json:"command"`
+	Directory []DirectorySlope `json:"directory"`
+	Reconcile []ReconcileSlope `json:"reconcile"`
+	Rejoin    []RejoinSlope    `json:"rejoin"`
+	Estate    []EstateSlope    `json:"estate"`
+	Picker    []PickerSlope    `json:"picker"`
+	GateNanos float64          `json:"gateNanosPerRequest"`
+	Submit    []SubmitSlope    `json:"submit"`
+	Recovery  []RecoverySlope  `json:"recovery"`
+}
+
+// DirectorySlope is a relay that holds Entries.
+type DirectorySlope struct {
+	Entries           int     `json:"entries"`
+	HeapMB            float64 `json:"heapMB"`
+	HeartbeatMicros   float64 `json:"heartbeatMicros"`
+	TickMicros        float64 `json:"tickMicros"`
+	SubscriptionBytes int     `json:"subscriptionBytes"`
+}
+
+// ReconcileSlope is the cost of bringing two relays together.
+type ReconcileSlope struct {
+	Entries       int `json:"entries"`
+	Differ        int `json:"differ"`
+	DigestBytes   int `json:"digestBytes"`
+	FullPushBytes int `json:"fullPushBytes"`
+	CursorBytes   int `json:"cursorBytes"`
+}
+
+// RejoinSlope is a node that missed changes.
+type RejoinSlope struct {
+	Services    int     `json:"services"`
+	Missed      int     `json:"missed"`
+	Bytes       int     `json:"bytes"`
+	RelayBytes  int     `json:"relayBytes"`
+	FirstBytes  int     `json:"firstBytes"`
+	NodeHeapMB  float64 `json:"nodeHeapMB"`
+	DeltaMicros float64 `json:"deltaMicros"`
+}
+
+// EstateSlope is one institution's text of Services.
+type EstateSlope struct {
+	Services      int     `json:"services"`
+	TextBytes     int     `json:"textBytes"`
+	PackedBytes   int     `json:"packedBytes"`
+	ParseMillis   float64 `json:"parseMillis"`
+	ApplyMillis   float64 `json:"applyMillis"`
+	SnapshotBytes int     `json:"snapshotBytes"`
+}
+
+// PickerSlope is the cost of one pick among Candidates.
+type PickerSlope struct {
+	Candidates int     `json:"candidates"`
+	Nanos      float64 `json:"nanos"`
+}
+
+// SubmitSlope is the rate of changes on one replica.
+type SubmitSlope struct {
+	Workers        int     `json:"workers"`
+	PerSecond      float64 `json:"perSecond"`
+	SyncsPerChange float64 `json:"syncsPerChange"`
+	SyncMicros     float64 `json:"syncMicros"`
+}
+
+// RecoverySlope is the restart of a replica.
+type RecoverySlope struct {
+	Entries  int     `json:"entries"`
+	LogBytes int64   `json:"logBytes"`
+	Millis   float64 `json:"millis"`
+}
+
+// ScaleRun is one data centre of node processes.
+type ScaleRun struct {
+	Nodes        int     `json:"nodes"`
+	NodeBytes    float64 `json:"nodeBytesPerSecond"`
+	NodeMessages float64 `json:"nodeMessagesPerSecond"`
+	NodeCPU      float64 `json:"nodeCorePercent"`
+	NodeMB       float64 `json:"nodeResidentMB"`
+	Relays       int     `json:"relays"`
+	RelayCPU     float64 `json:"relayCorePercent"`
+	RelayMB      float64 `json:"relayResidentMB"`
+	LeaderCPU    float64 `json:"leaderCorePercent"`
+	LeaderMB     float64 `json:"leaderResidentMB"`
+	ForceP50     float64 `json:"inForceP50ms"`
+	ForceP99     float64 `json:"inForceP99ms"`
+	ForceMax     float64 `json:"inForceMaxms"`
+	NoticeMax    float64 `json:"killNoticedMaxms"`
+	FalseAlarms  float64 `json:"falseAlarms"`
+	FalseFailed  float64 `json:"falselyFailed"`
+}
+
+// PathRun is the latency of the path at one rate.
+type PathRun struct {
+	Rate     float64 `json:"ratePerTarget"`
+	AddedP50 int64   `json:"twoNodesAddedP50us"`
+	AddedP99 int64   `json:"twoNodesAddedP99us"`
+}
+
+// Run is a measurement with where it came from.
+type Run[T any] struct {
+	What    string `json:"what"`
+	Command string `json:"command"`
+	Date    string `json:"date"`
+	Cores   int    `json:"cores"`
+	Data    []T    `json:"data"`
+}
+
+// Data is everything the page rests on.
+type Data struct {
+	Slopes Slopes
+	Scale  Run[ScaleRun]
+	Path   Run[PathRun]
+}
+
+// Load reads the measurements from their folder.
+func Load(folder string) (*Data, error) {
+	d := &Data{}
+	for name, into := range map[string]any{"slopes.json": &d.Slopes, "scale.json": &d.Scale, "path.json": &d.Path} {
+		text, err := os.ReadFile(filepath.Join(folder, name))
+		if err != nil {
+			return nil, errors.Wrap(err, "read a measurement; take it again with its command in docs/CAPACITY.md")
+		}
+		if err := json.Unmarshal(text, into); err != nil {
+			return nil, errors.Wrapf(err, "%s", name)
+		}
+	}
+	return d, nil
+}
--- /dev/null
+++ b/internal/capacity/page.go
@@ -0,0 +1,25 @@
+package capacity
+
+import (
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Update replaces the generated sections of the page, each between its markers
+// <!-- begin NAME --> and <!-- end NAME -->.
+func Update(page string, sections map[string]string) (string, error) {
+	for name, text := range sections {
+		begin, end := "<!-- begin "+name+" -->\n", "<!-- end "+name+" -->"
+		before, rest, ok := strings.Cut(page, begin)
+		if !ok {
+			return "", errors.Newf("the page has no section %s; add its markers", name)
+		}
+		_, after, ok := strings.Cut(rest, end)
+		if !ok {
+			return "", errors.Newf("section %s has no end; add its marker", name)
+		}
+		page = before + begin + text + end + after
+	}
+	return page, nil
+}
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -42,6 +42,8 @@
 	security  *transport.Security
 	options   []connect.ClientOption
 	addresses []string
+	// Traffic counts the bytes exchanged with the replicas.
+	Traffic transport.Traffic
 
 	mu       sync.Mutex
 	leader   string
@@ -74,7 +76,7 @@
 	if r := c.replicas[address]; r != nil {
 		return r
 	}
-	client, url := c.security.ControlClient(), c.security.URL(address)
+	client, url := c.security.ControlClient(&c.Traffic), c.security.URL(address)
 	r := &Replica{
 		Address: address,
 		Log:     apiv1connect.NewReplicaServiceClient(client, url, c.options...),
--- a/internal/dev/cluster.go
+++ b/internal/dev/cluster.go
@@ -43,14 +43,15 @@
 // Start starts a cluster of the given number of nodes, with a stand-in of the
 // service beside each. Folder holds the control replica's data.
 func Start(folder string, nodes int, service string) (*Cluster, error) {
-	address, err := freeAddress()
+	listener, err := net.Listen("tcp", loopbackAny)
 	if err != nil {
-		return nil, err
+		return nil, errors.Wrap(err, "find a free port on loopback")
 	}
+	address := listener.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Cluster{Control: address, cancel: cancel}
 	c.Operator = &operator.Client{Control: controlclient.New(nil, []string{address}, ""), Name: "dev"}
-	if err := c.startControl(ctx, folder); err != nil {
+	if err := c.startControl(ctx, folder, listener); err != nil {
 		cancel()
 		return nil, err
 	}
@@ -63,16 +64,7 @@
 	return c, nil
 }
 
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", loopbackAny)
-	if err != nil {
-		return "", errors.Wrap(err, "find a free port on loopback")
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
-func (c *Cluster) startControl(ctx context.Context, folder string) error {
+func (c *Cluster) startControl(ctx context.Context, folder string, listener net.Listener) error {
 	const name = "control-1"
 	data := filepath.Join(folder, name)
 	if !wal.HasIdentity(data) {
@@ -82,7 +74,7 @@
 		}
 	}
 	return c.run(ctx, &settings.Settings{Host: name, DataCenter: "dev-a", Region: "dev", StopTimeout: stopTimeout, ControlReplicas: []string{c.Control},
-		Control: &settings.Control{Name: name, Address: c.Control, Listen: c.Control, DataFolder: data}})
+		Control: &settings.Control{Name: name, Address: c.Control, Listen: c.Control, DataFolder: data}}, listener)
 }
 
 func (c *Cluster) startNode(ctx context.Context, i int, service string) error {
@@ -90,7 +82,7 @@
 	c.stopNode = append(c.stopNode, stop)
 	s := &settings.Settings{Host: fmt.Sprintf("host-%d", i+1), DataCenter: "dev-a", Region: "dev", StopTimeout: stopTimeout, ControlReplicas: []string{c.Control},
 		Node: &settings.Node{Callers: loopbackAny, Peer: loopbackAny, PeerAddress: loopbackAny, Admin: loopbackAny}}
-	if err := c.run(ctx, s); err != nil {
+	if err := c.run(ctx, s, nil); err != nil {
 		return err
 	}
 	server := &standin.Server{Service: service, Node: c.Nodes[i].AdminAddress()}
@@ -102,8 +94,8 @@
 	return nil
 }
 
-func (c *Cluster) run(ctx context.Context, s *settings.Settings) error {
-	p, err := process.Open(s)
+func (c *Cluster) run(ctx context.Context, s *settings.Settings, control net.Listener) error {
+	p, err := process.OpenOn(s, control)
 	if err != nil {
 		return err
 	}
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -16,6 +16,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -86,6 +87,10 @@
 	replicas   []*proc
 	nodes      []*nodeProc
 	client     *operator.Client
+	// tls is the settings' tls block, or empty.
+	tls string
+	// ctlTLS are cactusctl's flags for it.
+	ctlTLS []string
 }
 
 type nodeProc struct {
@@ -131,9 +136,9 @@
 	}
 	c.write(c.replicaFile(i), fmt.Sprintf(`{
   "host": "control-%d", "dataCenter": "dc-a", "region": "r",
-  "controlReplicas": [%s],
+  "controlReplicas": [%s], %s
   "control": {"name": "control-%d", "address": %q, "listen": %q, "dataFolder": %q, %s},
-}`, i+1, c.replicaList(), i+1, c.advertised[i], c.control[i], c.dataFolder(i), found))
+}`, i+1, c.replicaList(), c.tls, i+1, c.advertised[i], c.control[i], c.dataFolder(i), found))
 }
 
 func (c *cluster) replicaList() string {
@@ -152,15 +157,21 @@
 // addNode starts a node process and, if service is not empty, a stand-in
 // backend server process beside it.
 func (c *cluster) addNode(service string) *nodeProc {
+	c.t.Helper()
+	return c.addNodeIn("dc-a", service)
+}
+
+// addNodeIn is addNode in a data centre.
+func (c *cluster) addNodeIn(dataCenter, service string) *nodeProc {
 	c.t.Helper()
 	a := addresses(c.t, 3)
 	n := &nodeProc{host: fmt.Sprintf("host-%d", len(c.nodes)+1), callers: a[0], peer: a[1], admin: a[2]}
 	file := filepath.Join(c.folder, n.host+".jsonc")
 	c.write(file, fmt.Sprintf(`{
-  "host": %q, "dataCenter": "dc-a", "region": "r", "stopTimeout": "60s",
-  "controlReplicas": [%s],
+  "host": %q, "dataCenter": %q, "region": "r", "stopTimeout": "60s",
+  "controlReplicas": [%s], %s
   "node": {"callers": %q, "peer": %q, "admin": %q},
-}`, n.host, c.replicaList(), n.callers, n.peer, n.admin))
+}`, n.host, dataCenter, c.replicaList(), c.tls, n.callers, n.peer, n.admin))
 	n.proc = c.spawn(n.host, "cactuspath", "run", "--settings", file)
 	c.nodes = append(c.nodes, n)
 	if service != "" {
@@ -236,7 +247,7 @@
 
 // ctl runs cactusctl against the control replicas.
 func (c *cluster) ctl(args ...string) (code int, out string) {
-	return c.run("cactusctl", append([]string{"--control", strings.Join(c.control, ","), "--as", "tester", "--timeout", "60s"}, args...)...)
+	return c.run("cactusctl", append([]string{"--control", strings.Join(c.control, ","), "--as", "tester", "--timeout", "60s"}, append(args, c.ctlTLS...)...)...)
 }
 
 func (c *cluster) estateFile(name, text string) string {
@@ -263,23 +274,43 @@
 	return ctx
 }
 
-// addresses returns free loopback addresses.
+// Ports below the range that the system gives to outgoing connections: one of
+// those could be taken between its choice and its use.
+const (
+	firstPort = 10_000
+	portCount = 20_000
+)
+
+var nextPort atomic.Int64
+
+// addresses returns loopback addresses whose ports are free for TCP and UDP.
 func addresses(t testing.TB, n int) []string {
 	t.Helper()
 	var list []string
-	var open []net.Listener
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		open = append(open, l)
-		list = append(list, l.Addr().String())
-	}
-	for _, l := range open {
-		_ = l.Close()
+	for tries := 0; len(list) < n && tries < portCount; tries++ {
+		offset := (int64(os.Getpid())*97 + nextPort.Add(1)) % portCount
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+offset)
+		if free(address) {
+			list = append(list, address)
+		}
 	}
+	assert.Equal(t, len(list), n, "no free ports")
 	return list
 }
 
+func free(address string) bool {
+	tcp, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	defer tcp.Close()
+	udp, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
+	}
+	return udp.Close() == nil
+}
+
 // estateText is an estate of one institution with the named services.
 func estateText(note string, services ...string) string {
 	var b strings.Builder
--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -105,6 +105,10 @@
 		_ = c.Close()
 		return
 	}
+	for len(p.idle) > 0 && time.Since(p.idle[0].since) > idleTimeout {
+		_ = p.idle[0].Close()
+		p.idle = p.idle[1:]
+	}
 	p.idle = append(p.idle, c)
 }
 
--- a/internal/hop/header.go
+++ b/internal/hop/header.go
@@ -24,8 +24,6 @@
 	// TimeoutHeader tells the next layer how many milliseconds are left. A caller
 	// may set it to name a deadline.
 	TimeoutHeader = "Cactus-Timeout-Ms"
-	// RequestHeader carries the request's id to backend servers.
-	RequestHeader = "Cactus-Request-Id"
 
 	version   = "1"
 	separator = ";"
--- /dev/null
+++ b/internal/mutation/mutation_test.go
@@ -0,0 +1,129 @@
+// Package mutation removes each safeguard of the decisions in turn and expects
+// a test to notice. Without the flag it only checks that the list still fits
+// the code.
+//
+//	go test ./internal/mutation -mutate -timeout 30m
+package mutation
+
+import (
+	"flag"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+var mutate = flag.Bool("mutate", false, "apply each mutation and run the tests that must notice it")
+
+// mutation is one safeguard and the text that takes it out.
+type mutation struct {
+	safeguard string
+	file      string
+	old, new  string
+	// pkg holds the tests that must notice; tests narrows them.
+	pkg, tests string
+}
+
+const root = "../.."
+
+var mutations = []mutation{
+	{"an empty disk does not answer for its former self", "core/consensus/step.go", "if m.To != r.id {", "if false {", "core/consensus", "EmptyDisk"},
+	{"voters that hear the leader do not follow a newer term", "core/consensus/step.go", "if m.Hint != forcedCampaign && r.leader != 0 && r.electionElapsed < r.electionTicks {", "if false {", "core/consensus", "ReturningReplica"},
+	{"a leader without a majority steps down", "core/consensus/raft.go", "if !r.quorumActive() {", "if false {", "core/consensus", "IsolatedLeader"},
+	{"a new leader answers no read before its first commit", "core/consensus/raft.go", "if term, _ := r.log.term(r.log.committed); term != r.term {", "if false {", "core/consensus", "NewLeaderAnswers"},
+	{"a learner catches up before it votes", "core/consensus/members.go", "if p == nil || !p.active || p.match+catchUpSlack < r.log.lastIndex() || p.match == 0 {", "if false {", "core/consensus", "LearnerMust"},
+	{"one change of members at a time", "core/consensus/members.go", "if r.configIndex > r.log.committed {", "if false {", "core/consensus", "OneChange"},
+	{"a delayed snapshot keeps acknowledged entries", "core/consensus/step.go", "if term, ok := r.log.term(s.Index); ok && term == s.Term {", "if false {", "core/consensus", "DelayedSnapshot"},
+	{"an older term's entry is not counted as committed", "core/consensus/step.go", "if term, ok := r.log.term(index); !ok || term != r.term || index <= r.log.committed {", "if index <= r.log.committed {", "core/consensus", "Explore"},
+	{"entries held already stay", "core/consensus/step.go", "if term, ok := r.log.term(e.Index); ok && term == e.Term {\n\t\t\tcontinue", "if false {\n\t\t\tcontinue", "core/consensus", "Explore"},
+	{"only an up-to-date log is voted for", "core/consensus/step.go", "if (free || r.vote == m.From) && upToDate {", "if free || r.vote == m.From {", "core/consensus", "Explore"},
+	{"one vote a term", "core/consensus/step.go", "free := r.vote == 0 && r.leader == 0", "free := true", "core/consensus", "Explore"},
+	{"a vote is synced before it is sent", "core/consensus/raft.go", "rd.MustSync = len(rd.Entries) > 0 || rd.Snapshot != nil || hard.Term != r.saved.Term || hard.Vote != r.saved.Vote", "rd.MustSync = len(rd.Entries) > 0", "core/consensus", "ReadyOrders"},
+	{"reads are confirmed by a majority", "core/consensus/step.go", "r.progress[id].round >= first.round", "true", "core/consensus", "Explore"},
+	{"a leader counts only its synced entries", "core/consensus/raft.go", "r.progress[r.id].match = r.log.stable", "r.progress[r.id].match = r.log.lastIndex()", "core/consensus", ""},
+
+	{"a revoked attempt is fenced", "core/gate/gate.go", "case g.memory.fenced(now, r.ID):", "case false:", "core/gate", "Revoke"},
+	{"a gate does not vouch for what it forgot", "core/gate/fence.go", "return !m.anyForgotten || m.forgotten < now-sentAgo-travelSlack", "return true", "core/gate", "Forgotten"},
+	{"an attempt known here is not run again", "core/gate/gate.go", "if _, ran := g.memory.finished[r.ID]; ran {", "if false {", "core/gate", "Promises"},
+	{"a noisy caller makes room", "core/gate/gate.go", "if longest == nil || longest.length < unfairFactor*(g.queue.of(it.caller)+1) {", "if true {", "core/gate", "Noisy"},
+	{"a drain refuses what waits", "core/gate/gate.go", "g.refuseAll(now, Draining)", "", "core/gate", "Drain"},
+	{"a drain takes nothing new", "core/gate/gate.go", "case g.draining:\n\t\treturn Draining", "case false:\n\t\treturn Draining", "core/gate", "Drain"},
+	{"an older report changes nothing", "core/gate/siblings.go", "if sib == nil || sib.known && !r.Newer(sib.report) {", "if sib == nil {", "core/gate", "OlderReport"},
+	{"a request moves a limited number of times", "core/gate/siblings.go", "if !g.config.Siblings || !it.Movable {", "if !g.config.Siblings {", "core/gate", "MovedStays"},
+	{"nothing moves to a closed sibling", "core/gate/siblings.go", "if !sib.fresh(now) || !sib.report.Load.open() {", "if !sib.fresh(now) {", "core/gate", "FasterSibling"},
+	{"a failing server is moved away from", "core/gate/siblings.go", "forced := g.draining || g.down || g.failing(now) && !g.standing.trial(now)", "forced := false", "core/gate", "FailFast"},
+	{"running requests count in the estimate", "core/gate/estimate.go", "e.busy = e.busy*decay + elapsed*float64(e.running)", "e.busy = e.busy * decay", "core/gate", "Stall"},
+
+	{"what may have run is not sent again", "core/retry/retry.go", "if !r.Idempotent {\n\t\t\treturn GiveUpUnknown", "if false {\n\t\t\treturn GiveUpUnknown", "core/retry", ""},
+	{"an earlier lost attempt makes the outcome unknown", "core/retry/retry.go", "r.unknown = true", "", "core/retry", ""},
+	{"retries have a budget", "core/retry/retry.go", "if b.perMille == 0 || b.balance < budgetScale {", "if false {", "core/retry", ""},
+	{"moves are limited", "core/retry/retry.go", "if r.moves > maxMoves {", "if false {", "core/retry", ""},
+	{"the measuring budget holds in every span", "core/measure/budget.go", "now-b.ring[b.first].at >= window", "now-b.ring[b.first].at >= window/2", "core/measure", ""},
+	{"an endpoint is picked although all seem unfit", "core/balancer/balancer.go", "c = p.pickAmong(now, tried, present)", "", "core/balancer", "AllUnfit"},
+
+	{"an older delta is left out", "core/rollout/records.go", "delta.Revision < r.revision || ", "", "core/rollout", "NeverMoves"},
+	{"an older record is left out", "core/rollout/records.go", "if held == nil || held.ChangedAt < s.ChangedAt {", "if true {", "core/rollout", ""},
+	{"a newly needed service comes whole", "core/rollout/records.go", "if s := r.services[name]; s != nil && s.ChangedAt <= since {", "if false {\n\t\t\tvar s *apiv1.ServiceRecord", "core/rollout", "NewlyNeeded"},
+	{"a resent change gets its first answer", "core/estate/state.go", "if first := s.byID[change.Id]; first != nil {", "if first := s.byID[change.Id]; false {", "core/estate", "Resent"},
+	{"equal base revisions admit one", "core/estate/state.go", "if change.BaseRevision != current {", "if false {", "core/estate", "EqualBase"},
+
+	{"failed beats serving of the same claim", "core/directory/table.go", "return a.State == failed && b.State != failed", "return false", "core/directory", ""},
+	{"a frozen relay forgives its own silence", "core/directory/relay.go", "r.forgive(gap)", "_ = gap", "core/directory", "FrozenRelay"},
+	{"an isolated relay marks nobody", "core/directory/relay.go", "if silence >= confirmAfter && now-r.lastContact < suspectAfter {", "if silence >= confirmAfter {", "core/directory", "IsolatedRelay"},
+	{"a suspect is probed from another place", "core/directory/relay.go", "if helper := r.helper(host); helper != \"\" {", "if helper := \"\"; helper != \"\" {", "core/directory", "CutBetween"},
+	{"a relay that knows nothing is not ready", "core/directory/relay.go", "if p.info.DataCenter == r.self.DataCenter && p.cursor == nil {", "if false {", "core/directory", "NotReady"},
+	{"other data centres' entries are not passed on between data centres", "core/directory/relay.go", "return sibling || e.DataCenter == r.self.DataCenter }", "return true }", "core/directory", ""},
+
+	{"a changed byte is damage", "internal/wal/record.go", "if binary.LittleEndian.Uint64(header[8:]) != xxhash.Sum64(body) {", "if false {", "internal/wal", "Flipped"},
+	{"a torn tail is told from damage", "internal/wal/record.go", "if len(data) < headerSize+length {\n\t\treturn 0, nil, 0, errTorn", "if len(data) < headerSize+length {\n\t\treturn 0, nil, 0, errors.New(\"short\")", "internal/wal", "Torn"},
+	{"entries that do not continue the snapshot are dropped", "internal/wal/wal.go", "if s == nil || r.base.GetIndex() == s.Index && r.base.GetTerm() == s.Term {", "if true {", "internal/wal", "CrashBetween"},
+	{"a folder has one process", "internal/wal/wal.go", "return ErrLocked", "", "internal/wal", "Locked"},
+	{"a connection with bytes waiting is not used again", "internal/hop/conn.go", "if time.Since(c.since) < idleTimeout && c.quiet() {", "if time.Since(c.since) < idleTimeout {", "internal/hop", "SecondAnswer|ClosedIdle"},
+	{"a streamed body waits to be asked for", "internal/hop/exchange.go", "if resp.StatusCode < http.StatusOK {\n\t\t\tcontinue", "if resp.StatusCode < http.StatusOK {\n\t\t\tx.sendBody(out)\n\t\t\tcontinue", "internal/hop", ""},
+	{"callers cannot forge our headers", "internal/hop/relay.go", "delete(h, Header)\n\tdelete(h, \"Expect\")", "delete(h, \"Expect\")", "internal/hop", "CleanRequest"},
+}
+
+func source(t *testing.T, m mutation) string {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join(root, m.file))
+	assert.NilError(t, err)
+	if n := strings.Count(string(text), m.old); n != 1 {
+		t.Errorf("%s: the text of %q stands %d times, not once", m.file, m.safeguard, n)
+	}
+	return string(text)
+}
+
+func TestListFitsTheCode(t *testing.T) {
+	for _, m := range mutations {
+		source(t, m)
+	}
+}
+
+func TestEachSafeguardIsNoticed(t *testing.T) {
+	if !*mutate {
+		t.Skip("run with -mutate")
+	}
+	copied := t.TempDir()
+	out, err := exec.Command("cp", "-r", root+"/.", copied).CombinedOutput()
+	assert.NilError(t, err, string(out))
+	for _, m := range mutations {
+		t.Run(m.safeguard, func(t *testing.T) {
+			whole := source(t, m)
+			file := filepath.Join(copied, m.file)
+			assert.NilError(t, os.WriteFile(file, []byte(strings.Replace(whole, m.old, m.new, 1)), 0o600))
+			defer func() { assert.NilError(t, os.WriteFile(file, []byte(whole), 0o600)) }()
+			cmd := exec.Command("go", "test", "./"+m.pkg, "-count", "1", "-timeout", "120s", "-run", m.tests)
+			cmd.Dir = copied
+			text, err := cmd.CombinedOutput()
+			if err == nil {
+				t.Fatalf("no test noticed:\n%s", text)
+			}
+			if strings.Contains(string(text), "[build failed]") || strings.Contains(string(text), "setup failed") {
+				t.Fatalf("does not build:\n%s", text)
+			}
+		})
+	}
+}
--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -8,6 +8,8 @@
 	heartbeats, relayFailures, relaySearches, controlFailures expvar.Int
 	exchanges, exchangeFailures, probes                       expvar.Int
 	reportsSent, reportsReceived, reportsMalformed            expvar.Int
+	// viewChanged and configurationChanged are when these last changed.
+	viewChanged, configurationChanged expvar.Int
 }
 
 // Vars returns the node's metrics by name; docs/operators/metrics.md tells what
@@ -37,6 +39,12 @@
 		"directory_exchange_failures":   &n.counters.exchangeFailures,
 		"directory_probes":              &n.counters.probes,
 		"directory_control_failures":    &n.counters.controlFailures,
+		"directory_bytes_in":            &n.peers.traffic.In,
+		"directory_bytes_out":           &n.peers.traffic.Out,
+		"control_bytes_in":              &n.options.Control.Traffic.In,
+		"control_bytes_out":             &n.options.Control.Traffic.Out,
+		"directory_changed_unix_ms":     &n.counters.viewChanged,
+		"configuration_changed_unix_ms": &n.counters.configurationChanged,
 		"configuration_revision":        expvar.Func(func() any { return n.Revision() }),
 		"configuration_confirmed":       expvar.Func(func() any { return n.isConfirmed() }),
 		"directory_known_endpoints":     expvar.Func(func() any { return n.knownEndpoints() }),
--- a/internal/node/member.go
+++ b/internal/node/member.go
@@ -249,12 +249,17 @@
 	changed := false
 	if resp.Cursor != nil {
 		changed = n.view.Apply(resp.Entries, resp.Cursor, resp.Complete)
+		changed = n.markAnswered(m.sent) || changed
+	}
+	if changed {
+		n.counters.viewChanged.Set(time.Now().UnixMilli())
 	}
 	before := n.records.Revision()
 	if n.records.Apply(resp.Delta) {
 		changed = true
 	}
 	if n.records.Revision() > before {
+		n.counters.configurationChanged.Set(time.Now().UnixMilli())
 		n.confirmed = resp.ConfirmedAgeMs < uint64(staleConfirmation.Milliseconds())
 		klog.InfoS("Configuration in force", "host", n.options.Host, "revision", n.records.Revision(), "confirmed", n.confirmed)
 	}
@@ -271,6 +276,19 @@
 	return again
 }
 
+// markAnswered notes which needed services a relay has answered for; it reports
+// whether any is new.
+func (n *Node) markAnswered(sent map[string]bool) bool {
+	any := false
+	for service, answered := range n.needed {
+		if !answered && sent[service] {
+			n.needed[service] = true
+			any = true
+		}
+	}
+	return any
+}
+
 // correct brings this node's own claim above what the relay believes, when that
 // is not what the node says of itself: a relay marked it failed, or an earlier
 // incarnation had a later clock.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -59,7 +59,7 @@
 	stopping bool
 	departed bool
 	// needed are services that callers asked for, beside the hosted one and
-	// those it depends on.
+	// those it depends on. The value tells whether a relay has answered for it.
 	needed map[string]bool
 	// changed is closed and replaced when records or view change.
 	changed chan struct{}
@@ -149,11 +149,9 @@
 	n.member.kick()
 	ctx, cancel := context.WithTimeout(context.Background(), n.options.StopTimeout)
 	defer cancel()
-	for _, s := range servers {
-		s.SetKeepAlivesEnabled(false)
-	}
 	n.waitIdle(ctx)
 	n.depart(ctx)
+	n.farewell(ctx)
 	var cut error
 	for _, s := range servers {
 		if err := s.Shutdown(ctx); err != nil {
@@ -178,6 +176,18 @@
 	n.member.syncNow(ctx)
 }
 
+// farewellTime is how long a node that left still answers: as long as the
+// directory takes to tell everybody. A connection closed under a request that
+// was just sent would leave its outcome unknown; refused, it goes elsewhere.
+const farewellTime = 2500 * time.Millisecond
+
+func (n *Node) farewell(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(farewellTime):
+	}
+}
+
 // InFlight counts the requests that run or wait at the gate, and those of
 // callers.
 func (n *Node) InFlight() int {
@@ -203,20 +213,22 @@
 	}
 }
 
-// need waits until the service's record and endpoints are known.
+// need waits until a relay has answered for a service that this node did not
+// know. It returns at once for one that a relay has answered for, whatever the
+// answer was: a service without endpoints must not hold its callers up.
 func (n *Node) need(ctx context.Context, service string) error {
 	for {
 		n.mu.Lock()
-		record := n.records.Service(service)
-		known := record != nil && !record.Partial && len(n.view.ByService()[service]) > 0
-		added := !n.needed[service]
-		n.needed[service] = true
+		answered, asked := n.needed[service]
+		if !asked {
+			n.needed[service] = false
+		}
 		changed := n.changed
 		n.mu.Unlock()
-		if known {
+		if answered {
 			return nil
 		}
-		if added {
+		if !asked {
 			n.member.kick()
 		}
 		select {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -22,13 +22,15 @@
 type peerClients struct {
 	security *transport.Security
 	client   *http.Client
+	traffic  *transport.Traffic
 
 	mu      sync.Mutex
 	clients map[string]apiv1connect.NodeServiceClient
 }
 
 func newPeerClients(security *transport.Security) *peerClients {
-	return &peerClients{security: security, client: security.ControlClient(), clients: map[string]apiv1connect.NodeServiceClient{}}
+	traffic := &transport.Traffic{}
+	return &peerClients{security: security, client: security.ControlClient(traffic), traffic: traffic, clients: map[string]apiv1connect.NodeServiceClient{}}
 }
 
 func (p *peerClients) at(address string) apiv1connect.NodeServiceClient {
@@ -46,7 +48,8 @@
 // and control calls.
 func (n *Node) peerHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(apiv1connect.NewNodeServiceHandler(nodeService{n}))
+	path, control := apiv1connect.NewNodeServiceHandler(nodeService{n}, transport.Uncompressed())
+	mux.Handle(path, transport.Lean(control))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if _, isHop := r.Header[hop.Header]; !isHop {
 			mux.ServeHTTP(w, r)
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -36,12 +36,15 @@
 }
 
 // Open opens the listeners and the data folder; nothing is served yet.
-func Open(s *settings.Settings) (*Process, error) {
+func Open(s *settings.Settings) (*Process, error) { return OpenOn(s, nil) }
+
+// OpenOn is Open with the control replica's listener open already, or nil.
+func OpenOn(s *settings.Settings, control net.Listener) (*Process, error) {
 	security, err := transport.NewSecurity(s.TLS)
 	if err != nil {
 		return nil, err
 	}
-	p := &Process{Settings: s, security: security}
+	p := &Process{Settings: s, security: security, control: control}
 	if s.Control != nil {
 		if err := p.openControl(); err != nil {
 			return nil, err
@@ -71,7 +74,9 @@
 		return err
 	}
 	p.Replica = r
-	p.control, err = p.security.Listen(c.Listen)
+	if p.control == nil {
+		p.control, err = p.security.Listen(c.Listen)
+	}
 	return err
 }
 
@@ -99,7 +104,7 @@
 	if err != nil {
 		return err
 	}
-	peer, err := listen(n.Peer)
+	peer, socket, err := listenPeer(n.Peer)
 	if err != nil {
 		return err
 	}
@@ -111,10 +116,6 @@
 	if peerAddress == n.Peer {
 		peerAddress = peer.Addr().String()
 	}
-	socket, err := net.ListenPacket("udp", peer.Addr().String())
-	if err != nil {
-		return errors.Wrapf(err, "listen on UDP %s; the peer address needs TCP and UDP", peer.Addr())
-	}
 	p.Node = node.New(node.Options{
 		Host: s.Host, DataCenter: s.DataCenter, Region: s.Region, Callers: callers, Peer: peer, Admin: admin, Reports: socket, PeerAddress: peerAddress,
 		Security: p.security, Control: controlclient.New(p.security, s.ControlReplicas, ""), StopTimeout: s.StopTimeout,
@@ -127,6 +128,28 @@
 	return l, errors.Wrapf(err, "listen on %s; check the address in the settings and whether another process uses it", address)
 }
 
+// peerTries bounds the search for a port that is free for TCP and UDP, where the
+// settings leave the port open (0).
+const peerTries = 20
+
+// listenPeer opens the peer address for TCP and UDP.
+func listenPeer(address string) (net.Listener, net.PacketConn, error) {
+	var failed error
+	for range peerTries {
+		peer, err := listen(address)
+		if err != nil {
+			return nil, nil, err
+		}
+		socket, err := net.ListenPacket("udp", peer.Addr().String())
+		if err == nil {
+			return peer, socket, nil
+		}
+		failed = errors.Wrapf(err, "listen on UDP %s; the peer address needs TCP and UDP", peer.Addr())
+		_ = peer.Close()
+	}
+	return nil, nil, failed
+}
+
 const controlHeaderTimeout = 10 * time.Second
 
 // Run serves until ctx ends, then stops as planned. The error is nil after a
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -207,16 +207,21 @@
 	if out.Stream != nil {
 		_ = http.NewResponseController(w).EnableFullDuplex()
 	}
-	c := &call{h: h, w: w, r: r, s: s, rules: rules, out: out, deadline: arrived.Add(timeout), caller: callerOf(r)}
+	c := &call{h: h, w: w, r: r, s: s, rules: rules, out: out, deadline: arrived.Add(timeout), caller: h.callerOf(r)}
 	c.id = [2]uint64{h.seed, h.request.Add(1)}
 	c.run()
 }
 
-// callerOf identifies the sender for fair shares: its address without the port.
-func callerOf(r *http.Request) string {
+// callerOf identifies the sender for fair shares: its address without the port,
+// or this host for processes on it. All nodes have callers on loopback; told by
+// that address alone they would share one place in every queue.
+func (h *Handler) callerOf(r *http.Request) string {
 	host, _, err := net.SplitHostPort(r.RemoteAddr)
 	if err != nil {
 		return r.RemoteAddr
 	}
+	if ip := net.ParseIP(host); ip != nil && ip.IsLoopback() {
+		return h.options.Host
+	}
 	return host
 }
--- a/internal/replica/counters.go
+++ b/internal/replica/counters.go
@@ -1,6 +1,10 @@
 package replica
 
-import "expvar"
+import (
+	"expvar"
+
+	"cactuspath/internal/transport"
+)
 
 // counters are this replica's, published by the process under /debug/vars.
 type counters struct {
@@ -8,6 +12,7 @@
 	syncs, compactions                            expvar.Int
 	changes                                       expvar.Map
 	relaySyncs, findRelays                        expvar.Int
+	traffic                                       transport.Traffic
 }
 
 func newCounters() *counters { return &counters{} }
@@ -24,6 +29,8 @@
 		"control_changes":          &r.counters.changes,
 		"control_relay_syncs":      &r.counters.relaySyncs,
 		"control_find_relays":      &r.counters.findRelays,
+		"control_peer_bytes_in":    &r.counters.traffic.In,
+		"control_peer_bytes_out":   &r.counters.traffic.Out,
 		"control_revision":         gauge(func() any { return r.Revision() }),
 		"control_role":             gauge(func() any { return r.Status().Role.String() }),
 		"control_term":             gauge(func() any { return r.Status().Term }),
--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -96,7 +96,7 @@
 	ctx, stop := context.WithCancel(p.ctx)
 	s = &sender{address: address, queue: make(chan *apiv1.RaftMessage, peerQueue), stop: stop}
 	p.senders[id] = s
-	client := apiv1connect.NewReplicaServiceClient(p.security.ControlClient(), p.security.URL(address))
+	client := apiv1connect.NewReplicaServiceClient(p.security.ControlClient(&p.counters.traffic), p.security.URL(address))
 	p.wait.Add(1)
 	go p.run(ctx, s, client)
 	return s
--- a/internal/replica/relays.go
+++ b/internal/replica/relays.go
@@ -14,8 +14,8 @@
 	// relayLease is how long a relay counts without a sync.
 	relayLease = 5 * time.Second
 	// nodesPerRelay is how many nodes one relay serves before its data centre
-	// gets another: it bounds a relay's processor time.
-	nodesPerRelay = 64
+	// gets another: it bounds a relay's bytes and processor time.
+	nodesPerRelay = 48
 	minRelays     = 2
 	// maxNamed bounds the nodes that a status names.
 	maxNamed = 64
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -3,14 +3,17 @@
 package transport
 
 import (
+	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"expvar"
 	"net"
 	"net/http"
 	"os"
 	"sync"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
 )
 
@@ -128,10 +131,42 @@
 	idlePerHost     = 4
 )
 
-// ControlClient returns the HTTP client for control traffic.
-func (s *Security) ControlClient() *http.Client {
+// Traffic counts the bytes of a client's connections, TLS and HTTP included.
+type Traffic struct {
+	In, Out expvar.Int
+}
+
+// counted is a connection whose bytes are counted.
+type counted struct {
+	net.Conn
+	traffic *Traffic
+}
+
+// Read reads and counts.
+func (c counted) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.traffic.In.Add(int64(n))
+	return n, err
+}
+
+// Write writes and counts.
+func (c counted) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.traffic.Out.Add(int64(n))
+	return n, err
+}
+
+// ControlClient returns the HTTP client for control traffic, counted in traffic.
+func (s *Security) ControlClient(traffic *Traffic) *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
 	t := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return counted{conn, traffic}, nil
+		},
 		MaxIdleConnsPerHost: idlePerHost,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
@@ -139,9 +174,34 @@
 	if s != nil {
 		t.TLSClientConfig = s.clientConfig()
 	}
-	return &http.Client{Transport: t}
+	return &http.Client{Transport: lean{t}}
+}
+
+// lean sends no header that our own processes do not need. A heartbeat's
+// message is a hundred bytes; the usual headers were four times that, and a
+// relay takes one a second from each of its nodes.
+type lean struct{ next http.RoundTripper }
+
+// RoundTrip sends the request without the headers.
+func (l lean) RoundTrip(r *http.Request) (*http.Response, error) {
+	r.Header["User-Agent"] = nil
+	r.Header.Del("Accept-Encoding")
+	r.Header.Del("Connect-Protocol-Version")
+	return l.next.RoundTrip(r)
 }
 
+// Lean serves answers without the headers that our own processes do not need.
+func Lean(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header()["Date"] = nil
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Uncompressed are the options of handlers whose answers are too short to gain
+// from compression.
+func Uncompressed() connect.HandlerOption { return connect.WithCompression("gzip", nil, nil) }
+
 // URL returns the base URL of an address.
 func (s *Security) URL(address string) string {
 	if s == nil {
