--- a/internal/dev/cluster.go
+++ b/internal/dev/cluster.go
@@ -34,10 +34,12 @@
 	Servers  []*standin.Server
 
 	stopNode []context.CancelFunc
-	cancel   context.CancelFunc
-	wait     sync.WaitGroup
-	mu       sync.Mutex
-	failed   error
+	// ended is closed when a node's process has stopped.
+	ended  []chan struct{}
+	cancel context.CancelFunc
+	wait   sync.WaitGroup
+	mu     sync.Mutex
+	failed error
 }
 
 // Start starts a cluster of the given number of nodes, with a stand-in of the
@@ -102,7 +104,12 @@
 	if p.Node != nil {
 		c.Nodes = append(c.Nodes, p.Node)
 	}
+	ended := make(chan struct{})
+	if p.Node != nil {
+		c.ended = append(c.ended, ended)
+	}
 	c.wait.Go(func() {
+		defer close(ended)
 		if err := p.Run(ctx); err != nil {
 			c.mu.Lock()
 			c.failed = errors.CombineErrors(c.failed, err)
@@ -112,8 +119,16 @@
 	return nil
 }
 
-// StopNode carries out a planned stop of one node's process.
-func (c *Cluster) StopNode(i int) { c.stopNode[i]() }
+// StopNode carries out a planned stop of one node and waits for its end.
+func (c *Cluster) StopNode(ctx context.Context, i int) error {
+	c.stopNode[i]()
+	select {
+	case <-c.ended[i]:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
 
 // Stop ends everything and returns what failed.
 func (c *Cluster) Stop() error {
--- a/internal/dev/tour.go
+++ b/internal/dev/tour.go
@@ -234,9 +234,9 @@
 func (t *tour) kill(ctx context.Context) (string, error) {
 	t.c.Servers[1].Kill()
 	for range 50 {
-		status, _, err := t.get(ctx, 2, "/after")
+		status, answer, err := t.get(ctx, 2, "/after")
 		if err != nil || status != http.StatusOK {
-			return "", errors.Newf("answered %d: %v", status, err)
+			return "", errors.Newf("answered %d (%s): %v", status, answer.Header.Get(fault.Header), err)
 		}
 	}
 	return "50 requests after it: every one answered 200 by the server that is left", nil
@@ -247,10 +247,10 @@
 		return "", err
 	}
 	answered, bad, err := t.underLoad(ctx, 0, func() error {
-		time.Sleep(2 * time.Second)
-		t.c.StopNode(2)
-		time.Sleep(time.Second)
-		return nil
+		if err := t.waitTakesWork(ctx, 0); err != nil {
+			return err
+		}
+		return t.c.StopNode(ctx, 2)
 	})
 	if err != nil {
 		return "", err
@@ -261,6 +261,21 @@
 	return "the process drained and ended; every request meanwhile was answered 200, none cut", nil
 }
 
+// waitTakesWork waits until a node's gate starts requests again.
+func (t *tour) waitTakesWork(ctx context.Context, node int) error {
+	started := func() string { return t.c.Nodes[node].Vars()["gate_started"].String() }
+	for before := started(); started() == before; {
+		select {
+		case <-ctx.Done():
+			return errors.Newf("host-%d takes no work", node+1)
+		case <-time.After(pollInterval):
+		}
+	}
+	// Its siblings hear of it with its next report.
+	time.Sleep(time.Second)
+	return nil
+}
+
 func (t *tour) audit(ctx context.Context) (string, error) {
 	records, err := t.c.Operator.Audit(ctx, 0, "", 0)
 	if err != nil {
--- a/internal/node/member.go
+++ b/internal/node/member.go
@@ -195,6 +195,9 @@
 	if e := req.Entry; e != nil {
 		m.announced = claim{e.Incarnation, e.Sequence, e.State}
 	}
+	if resp.BecomeRelay {
+		n.relay.begin()
+	}
 	if !resp.RelaysUnchanged && len(resp.Relays) > 0 {
 		m.relays = resp.Relays
 	}
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -36,7 +36,9 @@
 	records   *rollout.Records
 	all       []*apiv1.RelayInfo
 	confirmed time.Time
-	busy      map[string]bool
+	// more is how many nodes are to become relays.
+	more uint32
+	busy map[string]bool
 }
 
 func newRelay(n *Node) *relay {
@@ -171,6 +173,7 @@
 		r.all = resp.Relays
 		r.state.SetRelays(r.all, r.now())
 	}
+	r.more += resp.MoreRelays
 	r.records.Apply(resp.Delta)
 	r.confirmed = time.Now()
 }
@@ -242,6 +245,7 @@
 		resp.Entries, resp.Cursor, resp.Complete = r.state.Entries(req.Cursor, req.Services, req.Resubscribe)
 	}
 	relays := r.state.Relays()
+	resp.BecomeRelay = r.appoint(req.Report.Host, relays)
 	if replica.RelaysDigest(relays) == req.RelaysDigest {
 		resp.RelaysUnchanged = true
 	} else {
@@ -253,6 +257,21 @@
 	return resp
 }
 
+// appoint tells whether a node is to become a relay: the first that reports and
+// is none, while the leader asked for more.
+func (r *relay) appoint(host string, relays []*apiv1.RelayInfo) bool {
+	if r.more == 0 {
+		return false
+	}
+	for _, info := range relays {
+		if info.Host == host {
+			return false
+		}
+	}
+	r.more--
+	return true
+}
+
 // exchange serves another relay.
 func (r *relay) exchange(req *apiv1.ExchangeRequest) (*apiv1.ExchangeResponse, error) {
 	r.mu.Lock()
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -189,7 +189,9 @@
 		resp.Body = &countedBody{ReadCloser: resp.Body, done: func() { c.s.done(c.h.now(), a.to, true) }}
 		return resp, retry.Answered
 	}
-	c.s.done(c.h.now(), a.to, reply.Verdict != hop.Unreached)
+	// A gate whose backend server is down answers, and is to be left alone as one
+	// that does not: trying it each time would use up the retry budget.
+	c.s.done(c.h.now(), a.to, reply.Verdict != hop.Unreached && reply.Reason != gate.Down)
 	switch reply.Verdict {
 	case hop.Moved:
 		return nil, retry.Moved
--- a/internal/replica/relays.go
+++ b/internal/replica/relays.go
@@ -17,6 +17,9 @@
 	// gets another: it bounds a relay's bytes and processor time.
 	nodesPerRelay = 32
 	minRelays     = 2
+	// growInterval spaces the relays that a data centre is asked for: as long as
+	// one takes to report, so that it is not asked for twice.
+	growInterval = 3 * time.Second
 	// maxNamed bounds the nodes that a status names.
 	maxNamed = 64
 )
@@ -28,7 +31,8 @@
 	mu     sync.Mutex
 	now    func() time.Time
 	relays map[string]*relayState
-	since  time.Time
+	// asked is when a data centre was last asked for more relays.
+	asked map[string]time.Time
 }
 
 type relayState struct {
@@ -40,14 +44,13 @@
 }
 
 func newRelayTable() *relayTable {
-	return &relayTable{now: time.Now, relays: map[string]*relayState{}}
+	return &relayTable{now: time.Now, relays: map[string]*relayState{}, asked: map[string]time.Time{}}
 }
 
 func (t *relayTable) reset() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.relays = map[string]*relayState{}
-	t.since = t.now()
 }
 
 func (t *relayTable) expire() {
@@ -106,20 +109,44 @@
 	return resp
 }
 
-// sync takes in a relay's report. It tells a relay to step down when its data
-// centre has more than it needs by a margin, so that the number does not swing.
-func (t *relayTable) sync(req *apiv1.RelaySyncRequest) (list []*apiv1.RelayInfo, digest uint64, stepDown bool) {
+// advice is what the leader tells a relay of its data centre.
+type advice struct {
+	// stepDown: there are relays enough without this one.
+	stepDown bool
+	// more is how many of the relay's nodes are to become relays.
+	more uint32
+}
+
+// sync takes in a relay's report and returns all relays, and what follows for
+// the number of relays in its data centre.
+func (t *relayTable) sync(req *apiv1.RelaySyncRequest) (list []*apiv1.RelayInfo, digest uint64, a advice) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire()
 	t.relays[req.Relay.Host] = &relayState{info: req.Relay, report: req, seen: t.now()}
-	peers := t.of(req.Relay.DataCenter)
-	if len(peers) > t.wanted(req.Relay.DataCenter)+1 && peers[len(peers)-1].info.Host == req.Relay.Host {
-		stepDown = true
+	a = t.advise(req.Relay)
+	if a.stepDown {
 		delete(t.relays, req.Relay.Host)
 	}
 	list = t.list()
-	return list, RelaysDigest(list), stepDown
+	return list, RelaysDigest(list), a
+}
+
+// advise keeps the number of relays near what the nodes need. The last relay in
+// order steps down, by a margin so that the number does not swing; the first
+// one is asked for another.
+func (t *relayTable) advise(relay *apiv1.RelayInfo) advice {
+	peers := t.of(relay.DataCenter)
+	wanted := t.wanted(relay.DataCenter)
+	first, last := peers[0].info.Host, peers[len(peers)-1].info.Host
+	switch {
+	case len(peers) > wanted+1 && last == relay.Host:
+		return advice{stepDown: true}
+	case len(peers) < wanted && first == relay.Host && t.now().Sub(t.asked[relay.DataCenter]) > growInterval:
+		t.asked[relay.DataCenter] = t.now()
+		return advice{more: 1}
+	}
+	return advice{}
 }
 
 func (t *relayTable) list() []*apiv1.RelayInfo {
--- a/internal/replica/serve.go
+++ b/internal/replica/serve.go
@@ -61,8 +61,8 @@
 		return nil, err
 	}
 	c.r.counters.relaySyncs.Add(1)
-	list, digest, stepDown := c.r.relays.sync(req.Msg)
-	resp := &apiv1.RelaySyncResponse{StepDown: stepDown}
+	list, digest, advice := c.r.relays.sync(req.Msg)
+	resp := &apiv1.RelaySyncResponse{StepDown: advice.stepDown, MoreRelays: advice.more}
 	if digest == req.Msg.RelaysDigest {
 		resp.RelaysUnchanged = true
 	} else {
