--- a/cmd/cactusctl/check.go
+++ b/cmd/cactusctl/check.go
@@ -5,8 +5,6 @@
 
 	"github.com/spf13/cobra"
 
-	"cactuspath/core/estate"
-	"cactuspath/internal/operator"
 	"cactuspath/internal/version"
 )
 
@@ -14,14 +12,10 @@
 	return &cobra.Command{
 		Use: "check FILE", GroupID: queryGroup, Short: "Report every fault of an estate text, without a cluster", Args: exactly(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			text, err := readText(cmd, args[0])
+			_, doc, err := readEstate(cmd, args[0])
 			if err != nil {
 				return err
 			}
-			doc, problems := estate.Parse(text)
-			if len(problems) > 0 {
-				return &operator.OutcomeError{Code: operator.ExitRefused, Message: args[0] + " has faults:\n" + operator.Problems(estate.Problems(problems))}
-			}
 			fmt.Fprintf(cmd.OutOrStdout(), "%s: ok, institution %s with %d services\n", args[0], doc.Institution, len(doc.Services))
 			return nil
 		},
--- a/cmd/cactusctl/main.go
+++ b/cmd/cactusctl/main.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
+	"cactuspath/core/estate"
 	"cactuspath/internal/controlclient"
 	"cactuspath/internal/operator"
 	"cactuspath/internal/transport"
@@ -148,6 +149,19 @@
 	return text, errors.Wrap(err, "read the estate text")
 }
 
+// readEstate reads and checks an estate text.
+func readEstate(cmd *cobra.Command, file string) ([]byte, *estate.Document, error) {
+	text, err := readText(cmd, file)
+	if err != nil {
+		return nil, nil, err
+	}
+	doc, problems := estate.Parse(text)
+	if len(problems) > 0 {
+		return nil, nil, &operator.OutcomeError{Code: operator.ExitRefused, Message: file + " has faults:\n" + operator.Problems(estate.Problems(problems))}
+	}
+	return text, doc, nil
+}
+
 // exactly checks the number of arguments as a usage error.
 func exactly(n int) cobra.PositionalArgs {
 	return func(cmd *cobra.Command, args []string) error {
--- a/cmd/cactusctl/show.go
+++ b/cmd/cactusctl/show.go
@@ -8,7 +8,6 @@
 
 	"github.com/spf13/cobra"
 
-	"cactuspath/core/estate"
 	"cactuspath/internal/diff"
 	"cactuspath/internal/operator"
 )
@@ -38,14 +37,10 @@
 	return &cobra.Command{
 		Use: "diff FILE", GroupID: queryGroup, Short: "Compare the newest accepted text with a file", Args: exactly(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			text, err := readText(cmd, args[0])
+			text, doc, err := readEstate(cmd, args[0])
 			if err != nil {
 				return err
 			}
-			doc, problems := estate.Parse(text)
-			if len(problems) > 0 {
-				return &operator.OutcomeError{Code: operator.ExitRefused, Message: args[0] + " has faults:\n" + operator.Problems(estate.Problems(problems))}
-			}
 			return f.with(cmd, func(ctx context.Context, c *operator.Client) error {
 				s, err := c.Show(ctx, doc.Institution)
 				if err != nil {
--- a/core/consensus/raft.go
+++ b/core/consensus/raft.go
@@ -75,28 +75,6 @@
 	Founders *apiv1.Membership
 }
 
-// Ready is a batch of work. The caller must, in this order: save Snapshot,
-// append Entries, save HardState, sync if MustSync, send Messages, restore the
-// state machine from Snapshot, apply Committed, answer Reads, call Advance.
-// Messages sent before the sync would promise what a crash can take back.
-type Ready struct {
-	Snapshot  *apiv1.Snapshot
-	Entries   []*apiv1.LogEntry
-	HardState *apiv1.HardState
-	MustSync  bool
-	Messages  []*apiv1.RaftMessage
-	Committed []*apiv1.LogEntry
-	Reads     []Read
-}
-
-// Read is a confirmed read: once the state machine has applied Index, it may
-// answer the request that Context names. Failed reads must be asked again.
-type Read struct {
-	Context uint64
-	Index   uint64
-	Failed  bool
-}
-
 type progress struct {
 	match, next uint64
 	// active: the member answered since the last check-quorum.
@@ -207,27 +185,6 @@
 	}
 }
 
-func (r *Raft) tickLeader() {
-	r.heartbeatElapsed++
-	for _, p := range r.progress {
-		r.tickSnapshot(p)
-	}
-	if r.electionElapsed >= r.electionTicks {
-		r.electionElapsed = 0
-		r.transferee = 0
-		if !r.quorumActive() {
-			// A leader that a partition cut off would otherwise believe itself
-			// healthy for as long as the cut lasts, and operators would wait on it.
-			r.becomeFollower(r.term, 0)
-			return
-		}
-	}
-	if r.heartbeatElapsed >= r.heartbeatTicks {
-		r.heartbeatElapsed = 0
-		r.broadcastHeartbeat()
-	}
-}
-
 // tickSnapshot gives a snapshot up when no answer came, so that a lost message
 // does not leave the member without updates for ever.
 func (r *Raft) tickSnapshot(p *progress) {
@@ -241,48 +198,6 @@
 	}
 }
 
-func (r *Raft) quorumActive() bool {
-	return r.quorum(func(id uint64) bool { return id == r.id || r.progress[id] != nil && r.progress[id].active }, true)
-}
-
-// quorum tells whether a majority of voters satisfies test; clear also resets
-// their activity for the next check.
-func (r *Raft) quorum(test func(uint64) bool, clear bool) bool {
-	voters, yes := 0, 0
-	for _, m := range r.membership.Members {
-		if !m.Learner {
-			voters++
-			if test(m.Id) {
-				yes++
-			}
-		}
-		if p := r.progress[m.Id]; clear && p != nil {
-			p.active = false
-		}
-	}
-	return yes > voters/2
-}
-
-func (r *Raft) voter(id uint64) bool {
-	m := FindMember(r.membership, id)
-	return m != nil && !m.Learner
-}
-
-func (r *Raft) resetTimeout() {
-	r.electionElapsed = 0
-	r.timeout = r.electionTicks + r.random.IntN(r.electionTicks)
-}
-
-func (r *Raft) becomeFollower(term, leader uint64) {
-	if term > r.term {
-		r.term, r.vote = term, 0
-	}
-	r.role, r.leader = Follower, leader
-	r.progress, r.votes, r.transferee = nil, nil, 0
-	r.failReads()
-	r.resetTimeout()
-}
-
 func (r *Raft) failReads() {
 	for _, p := range append(r.unsentRead, r.reads...) {
 		r.readyReads = append(r.readyReads, Read{Context: p.context, Failed: true})
@@ -290,62 +205,6 @@
 	r.unsentRead, r.reads, r.wantRound = nil, nil, false
 }
 
-// campaign starts an election; with pre it first asks whether it could win, so
-// that a replica coming back from a cut does not depose a healthy leader by
-// its higher term.
-func (r *Raft) campaign(pre, forced bool) {
-	r.resetTimeout()
-	if !r.voter(r.id) {
-		return
-	}
-	kind, term := apiv1.MessageKind_MESSAGE_KIND_VOTE, r.term+1
-	r.leader = 0
-	r.votes = map[uint64]bool{r.id: true}
-	if pre {
-		r.role = PreCandidate
-		kind = apiv1.MessageKind_MESSAGE_KIND_PRE_VOTE
-	} else {
-		r.role = Candidate
-		r.term, r.vote = term, r.id
-	}
-	if r.countVotes() {
-		return
-	}
-	hint := uint64(0)
-	if forced {
-		hint = forcedCampaign
-	}
-	for _, m := range r.membership.Members {
-		if m.Id != r.id && !m.Learner {
-			r.send(&apiv1.RaftMessage{Kind: kind, To: m.Id, Term: term, Index: r.log.lastIndex(), LogTerm: r.log.lastTerm(), Hint: hint})
-		}
-	}
-}
-
-// countVotes moves on when a majority granted; it reports whether it did.
-func (r *Raft) countVotes() bool {
-	if !r.quorum(func(id uint64) bool { return r.votes[id] }, false) {
-		return false
-	}
-	if r.role == PreCandidate {
-		r.campaign(false, false)
-	} else {
-		r.becomeLeader()
-	}
-	return true
-}
-
-func (r *Raft) becomeLeader() {
-	r.role, r.leader = Leader, r.id
-	r.heartbeatElapsed, r.electionElapsed = 0, 0
-	r.progress = map[uint64]*progress{}
-	r.syncProgress()
-	// Entries of earlier terms commit only behind one of this term (section
-	// 5.4.2); without this entry they could wait for the next proposal.
-	r.appendEntry(apiv1.EntryKind_ENTRY_KIND_EMPTY, nil)
-	r.broadcastAppend()
-}
-
 // syncProgress makes progress cover exactly the members.
 func (r *Raft) syncProgress() {
 	for id := range r.progress {
@@ -398,88 +257,6 @@
 	return nil
 }
 
-// TransferLeader asks the most advanced voter to take over, for a planned stop.
-func (r *Raft) TransferLeader() bool {
-	if r.role != Leader {
-		return false
-	}
-	best := uint64(0)
-	for id, p := range r.progress {
-		if id != r.id && r.voter(id) && p.active && p.match == r.log.lastIndex() && (best == 0 || id < best) {
-			best = id
-		}
-	}
-	if best == 0 {
-		return false
-	}
-	r.transferee = best
-	r.electionElapsed = 0
-	r.send(&apiv1.RaftMessage{Kind: apiv1.MessageKind_MESSAGE_KIND_TIMEOUT_NOW, To: best, Term: r.term})
-	return true
-}
-
-// Compact drops the log up to index, which data covers. Index must be applied.
-func (r *Raft) Compact(index uint64, data []byte) *apiv1.Snapshot {
-	if index <= r.log.snapIndex || index > r.log.applied {
-		return nil
-	}
-	membership := r.membershipAt(index)
-	term, _ := r.log.term(index)
-	r.snapshot = &apiv1.Snapshot{Index: index, Term: term, Membership: membership, Data: data}
-	r.base = membership
-	r.log.compact(index)
-	return r.snapshot
-}
-
-// Ready returns the work that is due; ok is false when there is none.
-func (r *Raft) Ready() (rd Ready, ok bool) {
-	if r.wantRound && r.role == Leader {
-		r.broadcastHeartbeat()
-	}
-	rd.Snapshot = r.restoreSnapshot
-	rd.Entries = r.log.slice(r.log.stable, r.log.lastIndex())
-	hard := apiv1.HardState{Term: r.term, Vote: r.vote, Commit: r.log.committed}
-	if hard.Term != r.saved.Term || hard.Vote != r.saved.Vote || hard.Commit != r.saved.Commit {
-		rd.HardState = &apiv1.HardState{Term: hard.Term, Vote: hard.Vote, Commit: hard.Commit}
-	}
-	rd.MustSync = len(rd.Entries) > 0 || rd.Snapshot != nil || hard.Term != r.saved.Term || hard.Vote != r.saved.Vote
-	rd.Messages = r.messages
-	rd.Committed = r.log.slice(r.log.applied, r.log.committed)
-	rd.Reads = r.readyReads
-	r.inReady = rd
-	ok = rd.HardState != nil || rd.MustSync || len(rd.Messages) > 0 || len(rd.Committed) > 0 || len(rd.Reads) > 0
-	return rd, ok
-}
-
-// Advance tells that the work of the last Ready is done.
-func (r *Raft) Advance() {
-	rd := r.inReady
-	r.inReady = Ready{}
-	if rd.HardState != nil {
-		r.saved = apiv1.HardState{Term: rd.HardState.Term, Vote: rd.HardState.Vote, Commit: rd.HardState.Commit}
-	}
-	if rd.Snapshot != nil && rd.Snapshot == r.restoreSnapshot {
-		r.restoreSnapshot = nil
-	}
-	r.messages = r.messages[len(rd.Messages):]
-	r.readyReads = r.readyReads[len(rd.Reads):]
-	if n := len(rd.Committed); n > 0 {
-		r.log.applied = max(r.log.applied, rd.Committed[n-1].Index)
-	}
-	if n := len(rd.Entries); n > 0 {
-		last := rd.Entries[n-1]
-		if term, ok := r.log.term(last.Index); ok && term == last.Term {
-			r.log.stable = max(r.log.stable, last.Index)
-		}
-	}
-	if r.role == Leader && r.progress[r.id] != nil {
-		r.progress[r.id].match = r.log.stable
-		if r.maybeCommit() {
-			r.broadcastAppend()
-		}
-	}
-}
-
 func (r *Raft) send(m *apiv1.RaftMessage) {
 	m.From = r.id
 	if m.Term == 0 {
@@ -495,9 +272,3 @@
 	s, _ := proto.Clone(r.snapshot).(*apiv1.Snapshot)
 	return &apiv1.RaftMessage{Kind: apiv1.MessageKind_MESSAGE_KIND_SNAPSHOT, To: to, Snapshot: s}
 }
-
-// EntriesAfter returns the synced entries above index, for rewriting the log
-// on disk. The caller must not modify them.
-func (r *Raft) EntriesAfter(index uint64) []*apiv1.LogEntry {
-	return r.log.slice(index, r.log.stable)
-}
--- /dev/null
+++ b/core/consensus/ready.go
@@ -0,0 +1,95 @@
+package consensus
+
+import (
+	apiv1 "cactuspath/api/cactuspath/v1"
+)
+
+// Ready is a batch of work. The caller must, in this order: save Snapshot,
+// append Entries, save HardState, sync if MustSync, send Messages, restore the
+// state machine from Snapshot, apply Committed, answer Reads, call Advance.
+// Messages sent before the sync would promise what a crash can take back.
+type Ready struct {
+	Snapshot  *apiv1.Snapshot
+	Entries   []*apiv1.LogEntry
+	HardState *apiv1.HardState
+	MustSync  bool
+	Messages  []*apiv1.RaftMessage
+	Committed []*apiv1.LogEntry
+	Reads     []Read
+}
+
+// Read is a confirmed read: once the state machine has applied Index, it may
+// answer the request that Context names. Failed reads must be asked again.
+type Read struct {
+	Context uint64
+	Index   uint64
+	Failed  bool
+}
+
+// Ready returns the work that is due; ok is false when there is none.
+func (r *Raft) Ready() (rd Ready, ok bool) {
+	if r.wantRound && r.role == Leader {
+		r.broadcastHeartbeat()
+	}
+	rd.Snapshot = r.restoreSnapshot
+	rd.Entries = r.log.slice(r.log.stable, r.log.lastIndex())
+	hard := apiv1.HardState{Term: r.term, Vote: r.vote, Commit: r.log.committed}
+	if hard.Term != r.saved.Term || hard.Vote != r.saved.Vote || hard.Commit != r.saved.Commit {
+		rd.HardState = &apiv1.HardState{Term: hard.Term, Vote: hard.Vote, Commit: hard.Commit}
+	}
+	rd.MustSync = len(rd.Entries) > 0 || rd.Snapshot != nil || hard.Term != r.saved.Term || hard.Vote != r.saved.Vote
+	rd.Messages = r.messages
+	rd.Committed = r.log.slice(r.log.applied, r.log.committed)
+	rd.Reads = r.readyReads
+	r.inReady = rd
+	ok = rd.HardState != nil || rd.MustSync || len(rd.Messages) > 0 || len(rd.Committed) > 0 || len(rd.Reads) > 0
+	return rd, ok
+}
+
+// Advance tells that the work of the last Ready is done.
+func (r *Raft) Advance() {
+	rd := r.inReady
+	r.inReady = Ready{}
+	if rd.HardState != nil {
+		r.saved = apiv1.HardState{Term: rd.HardState.Term, Vote: rd.HardState.Vote, Commit: rd.HardState.Commit}
+	}
+	if rd.Snapshot != nil && rd.Snapshot == r.restoreSnapshot {
+		r.restoreSnapshot = nil
+	}
+	r.messages = r.messages[len(rd.Messages):]
+	r.readyReads = r.readyReads[len(rd.Reads):]
+	if n := len(rd.Committed); n > 0 {
+		r.log.applied = max(r.log.applied, rd.Committed[n-1].Index)
+	}
+	if n := len(rd.Entries); n > 0 {
+		last := rd.Entries[n-1]
+		if term, ok := r.log.term(last.Index); ok && term == last.Term {
+			r.log.stable = max(r.log.stable, last.Index)
+		}
+	}
+	if r.role == Leader && r.progress[r.id] != nil {
+		r.progress[r.id].match = r.log.stable
+		if r.maybeCommit() {
+			r.broadcastAppend()
+		}
+	}
+}
+
+// Compact drops the log up to index, which data covers. Index must be applied.
+func (r *Raft) Compact(index uint64, data []byte) *apiv1.Snapshot {
+	if index <= r.log.snapIndex || index > r.log.applied {
+		return nil
+	}
+	membership := r.membershipAt(index)
+	term, _ := r.log.term(index)
+	r.snapshot = &apiv1.Snapshot{Index: index, Term: term, Membership: membership, Data: data}
+	r.base = membership
+	r.log.compact(index)
+	return r.snapshot
+}
+
+// EntriesAfter returns the synced entries above index, for rewriting the log
+// on disk. The caller must not modify them.
+func (r *Raft) EntriesAfter(index uint64) []*apiv1.LogEntry {
+	return r.log.slice(index, r.log.stable)
+}
--- a/internal/capacity/data.go
+++ b/internal/capacity/data.go
@@ -8,6 +8,8 @@
 	"path/filepath"
 
 	"github.com/cockroachdb/errors"
+
+	"cactuspath/internal/loadgen"
 )
 
 // Slopes are the measurements of state machines in one process.
@@ -85,31 +87,41 @@
 	Millis   float64 `json:"millis"`
 }
 
-// ScaleRun is one data centre of node processes.
+// ScaleRun is what control of one data centre of node processes cost, without
+// calls, and how long news took.
 type ScaleRun struct {
-	Nodes        int     `json:"nodes"`
+	Nodes int `json:"nodes"`
+	// Per node that is no relay.
 	NodeBytes    float64 `json:"nodeBytesPerSecond"`
 	NodeMessages float64 `json:"nodeMessagesPerSecond"`
 	NodeCPU      float64 `json:"nodeCorePercent"`
 	NodeMB       float64 `json:"nodeResidentMB"`
-	Relays       int     `json:"relays"`
-	RelayCPU     float64 `json:"relayCorePercent"`
-	RelayMB      float64 `json:"relayResidentMB"`
-	LeaderCPU    float64 `json:"leaderCorePercent"`
-	LeaderMB     float64 `json:"leaderResidentMB"`
-	ForceP50     float64 `json:"inForceP50ms"`
-	ForceP99     float64 `json:"inForceP99ms"`
-	ForceMax     float64 `json:"inForceMaxms"`
-	NoticeMax    float64 `json:"killNoticedMaxms"`
-	FalseAlarms  float64 `json:"falseAlarms"`
-	FalseFailed  float64 `json:"falselyFailed"`
+	// Per relay, the heartbeats that it serves included.
+	Relays    int     `json:"relays"`
+	RelayCPU  float64 `json:"relayCorePercent"`
+	RelayMB   float64 `json:"relayResidentMB"`
+	LeaderCPU float64 `json:"leaderCorePercent"`
+	LeaderMB  float64 `json:"leaderResidentMB"`
+	// From accepted to in force, over all nodes and changes.
+	ForceP50 float64 `json:"inForceP50ms"`
+	ForceP99 float64 `json:"inForceP99ms"`
+	ForceMax float64 `json:"inForceMaxms"`
+	// From a kill until every other node of the service dropped it.
+	NoticeMax   float64 `json:"killNoticedMaxms"`
+	FalseAlarms float64 `json:"falseAlarms"`
+	FalseFailed float64 `json:"falselyFailed"`
 }
 
-// PathRun is the latency of the path at one rate.
+// PathRun is the latency of the path at one rate: asked directly, through one
+// node and through two.
 type PathRun struct {
-	Rate     float64 `json:"ratePerTarget"`
-	AddedP50 int64   `json:"twoNodesAddedP50us"`
-	AddedP99 int64   `json:"twoNodesAddedP99us"`
+	Rate     float64          `json:"ratePerTarget"`
+	Results  []loadgen.Result `json:"results"`
+	AddedP50 int64            `json:"twoNodesAddedP50us"`
+	AddedP99 int64            `json:"twoNodesAddedP99us"`
+	// Bare is what two processes add that only pass bytes on.
+	BareP50 int64 `json:"twoBareRelaysAddedP50us"`
+	BareP99 int64 `json:"twoBareRelaysAddedP99us"`
 }
 
 // Run is a measurement with where it came from.
--- a/internal/capacity/render.go
+++ b/internal/capacity/render.go
@@ -224,9 +224,9 @@
 }
 
 func pathTable(d *Data) string {
-	t := newTable("calls/s on each way", "two nodes add, p50", "p99", "limit at p99", "room")
+	t := newTable("calls/s on each way", "two nodes add, p50", "p99", "limit at p99", "room", "two processes that only pass bytes on, p50", "p99")
 	for _, r := range d.Path.Data {
-		t.row(num(r.Rate), fmt.Sprintf("%d µs", r.AddedP50), fmt.Sprintf("%d µs", r.AddedP99), fmt.Sprintf("%d µs", limitAddedMicros), room(float64(r.AddedP99), limitAddedMicros))
+		t.row(num(r.Rate), fmt.Sprintf("%d µs", r.AddedP50), fmt.Sprintf("%d µs", r.AddedP99), fmt.Sprintf("%d µs", limitAddedMicros), room(float64(r.AddedP99), limitAddedMicros), fmt.Sprintf("%d µs", r.BareP50), fmt.Sprintf("%d µs", r.BareP99))
 	}
 	t.WriteString("\n")
 	u := newTable("nodes of one data centre", "relays", "in force p50", "p99", "max", "kill noticed", "false alarms", "falsely failed")
--- a/internal/e2e/bench_test.go
+++ b/internal/e2e/bench_test.go
@@ -4,7 +4,9 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"net"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"runtime"
 	"strings"
@@ -13,6 +15,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"cactuspath/internal/capacity"
 	"cactuspath/internal/loadgen"
 )
 
@@ -21,32 +24,17 @@
 	duration = flag.Duration("duration", 10*time.Second, "how long each rate is measured")
 )
 
-// measurement is one run, as it is kept in docs/measurements.
-type measurement struct {
-	What    string `json:"what"`
-	Command string `json:"command"`
-	Date    string `json:"date"`
-	Cores   int    `json:"cores"`
-	Data    any    `json:"data"`
-}
-
-func keep(t testing.TB, file, what, command string, data any) {
+// keep writes a measurement to the folder that -record names.
+func keep[T any](t testing.TB, file, what, command string, data []T) {
 	t.Helper()
 	if *record == "" {
 		return
 	}
-	text, err := json.MarshalIndent(measurement{what, command, time.Now().UTC().Format(time.DateOnly), runtime.NumCPU(), data}, "", "  ")
+	text, err := json.MarshalIndent(capacity.Run[T]{What: what, Command: command, Date: time.Now().UTC().Format(time.DateOnly), Cores: runtime.NumCPU(), Data: data}, "", "  ")
 	assert.NilError(t, err)
 	assert.NilError(t, os.WriteFile(filepath.Join(*record, file), append(text, '\n'), 0o644))
 }
 
-type pathRun struct {
-	RatePerTarget float64          `json:"ratePerTarget"`
-	Results       []loadgen.Result `json:"results"`
-	AddedP50      int64            `json:"twoNodesAddedP50us"`
-	AddedP99      int64            `json:"twoNodesAddedP99us"`
-}
-
 // BenchmarkPath measures what the path adds: the stand-in asked directly, through
 // its own node, and through two nodes, in turn within one run.
 //
@@ -63,20 +51,25 @@
 	n, front := c.nodes[0], c.nodes[1]
 	direct := standinAddress(t, n)
 	path := "/?sleep=1ms"
+	// Two processes that only pass bytes on: what two more processes in the way
+	// cost on this machine, whatever they do.
+	bare := bareRelay(t, bareRelay(t, direct))
 	targets := []loadgen.Target{
 		{Name: "direct", Address: direct, Host: "hello.example", Path: path},
 		{Name: "one node", Address: n.callers, Host: "hello.example", Path: path},
 		{Name: "two nodes", Address: front.callers, Host: "hello.example", Path: path},
+		{Name: "two bare relays", Address: bare, Host: "hello.example", Path: path},
 	}
 	loadgen.Run(t.Context(), targets, 200, 2*time.Second, 1)
-	var runs []pathRun
+	var runs []capacity.PathRun
 	for _, rate := range []float64{58, 500, 2000} {
 		r := loadgen.Run(t.Context(), targets, rate, *duration, 1)
-		run := pathRun{rate, r, r[2].P50 - r[0].P50, r[2].P99 - r[0].P99}
+		run := capacity.PathRun{Rate: rate, Results: r, AddedP50: r[2].P50 - r[0].P50, AddedP99: r[2].P99 - r[0].P99, BareP50: r[3].P50 - r[0].P50, BareP99: r[3].P99 - r[0].P99}
 		runs = append(runs, run)
 		for _, x := range r {
 			fmt.Printf("rate %5.0f %-10s n %6d errors %d p50 %5d p99 %5d p99.9 %6d max %6d us\n", rate, x.Name, x.Count, x.Errors, x.P50, x.P99, x.P999, x.Max)
 		}
+		fmt.Printf("rate %5.0f two bare relays add p50 %d us, p99 %d us\n", rate, run.BareP50, run.BareP99)
 		fmt.Printf("rate %5.0f two nodes add p50 %d us, p99 %d us; resident %d MB (endpoint's node), %d MB (caller's node)\n",
 			rate, run.AddedP50, run.AddedP99, residentMB(t, n.proc), residentMB(t, front.proc))
 	}
@@ -102,3 +95,34 @@
 	assert.Assert(t, strings.Contains(address, ":"))
 	return address
 }
+
+// bareRelayEnv makes this test binary a process that passes bytes on, from one
+// address to another: "LISTEN>TO".
+const bareRelayEnv = "CACTUSPATH_E2E_BARE_RELAY"
+
+func bareRelay(t testing.TB, to string) string {
+	t.Helper()
+	listen := addresses(t, 1)[0]
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), bareRelayEnv+"="+listen+">"+to)
+	assert.NilError(t, cmd.Start())
+	t.Cleanup(func() { _ = cmd.Process.Kill(); _ = cmd.Wait() })
+	eventually(t, "the bare relay listens", func() bool {
+		conn, err := net.Dial("tcp", listen)
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err == nil
+	})
+	return listen
+}
+
+func runBareRelay(spec string) {
+	listen, to, _ := strings.Cut(spec, ">")
+	l, err := net.Listen("tcp", listen)
+	if err != nil {
+		panic(err)
+	}
+	c := &cut{listener: l, to: to, open: map[net.Conn]bool{}}
+	c.accept()
+}
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -35,6 +35,10 @@
 var binaries string
 
 func TestMain(m *testing.M) {
+	if v := os.Getenv(bareRelayEnv); v != "" {
+		runBareRelay(v)
+		return
+	}
 	folder, err := os.MkdirTemp("", "cactuspath-e2e-")
 	if err != nil {
 		panic(err)
--- a/internal/e2e/scale_test.go
+++ b/internal/e2e/scale_test.go
@@ -15,32 +15,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
-)
 
-// scaleRun is what one size of a data centre cost, per node and second, and how
-// long news took.
-type scaleRun struct {
-	Nodes int `json:"nodes"`
-	// Per node that is no relay.
-	NodeBytes    float64 `json:"nodeBytesPerSecond"`
-	NodeMessages float64 `json:"nodeMessagesPerSecond"`
-	NodeCPU      float64 `json:"nodeCorePercent"`
-	NodeMB       float64 `json:"nodeResidentMB"`
-	// Per relay, the heartbeats it serves included.
-	Relays    int     `json:"relays"`
-	RelayCPU  float64 `json:"relayCorePercent"`
-	RelayMB   float64 `json:"relayResidentMB"`
-	LeaderCPU float64 `json:"leaderCorePercent"`
-	LeaderMB  float64 `json:"leaderResidentMB"`
-	// Milliseconds from accepted to in force, over all nodes and changes.
-	ForceP50 float64 `json:"inForceP50ms"`
-	ForceP99 float64 `json:"inForceP99ms"`
-	ForceMax float64 `json:"inForceMaxms"`
-	// Milliseconds from a kill until every other node of the service dropped it.
-	NoticeMax   float64 `json:"killNoticedMaxms"`
-	FalseAlarms float64 `json:"falseAlarms"`
-	FalseFailed float64 `json:"falselyFailed"`
-}
+	"cactuspath/internal/capacity"
+)
 
 const (
 	scaleServices = 10
@@ -54,7 +31,7 @@
 //	go test ./internal/e2e -run '^$' -bench Scale -benchtime 1x -timeout 30m -args -record ../../docs/measurements
 func BenchmarkScale(b *testing.B) {
 	for b.Loop() {
-		var runs []scaleRun
+		var runs []capacity.ScaleRun
 		for _, n := range sizes(b) {
 			b.Run(fmt.Sprint(n), func(b *testing.B) {
 				r := measureScale(b, n)
@@ -78,7 +55,7 @@
 	return list
 }
 
-func measureScale(b *testing.B, size int) scaleRun {
+func measureScale(b *testing.B, size int) capacity.ScaleRun {
 	c := newCluster(b, 1).start()
 	for range size {
 		c.addNode("")
@@ -93,7 +70,7 @@
 	eventually(b, "all nodes know their service's endpoints", func() bool { return knowAll(b, c) })
 	time.Sleep(3 * time.Second)
 
-	r := scaleRun{Nodes: size}
+	r := capacity.ScaleRun{Nodes: size}
 	before, start := c.snapshots(b), time.Now()
 	time.Sleep(scaleWindow)
 	c.costs(b, &r, before, c.snapshots(b), time.Since(start))
@@ -165,7 +142,7 @@
 	return append(list, procCost{cpu: cpuSeconds(b, l), mb: float64(residentMB(b, l))})
 }
 
-func (c *cluster) costs(b testing.TB, r *scaleRun, before, after []procCost, took time.Duration) {
+func (c *cluster) costs(b testing.TB, r *capacity.ScaleRun, before, after []procCost, took time.Duration) {
 	seconds := took.Seconds()
 	plain := 0.0
 	for i := range c.nodes {
@@ -201,7 +178,7 @@
 }
 
 // measureForce submits changes and reads when each node applied them.
-func (c *cluster) measureForce(b testing.TB, r *scaleRun, services []string) {
+func (c *cluster) measureForce(b testing.TB, r *capacity.ScaleRun, services []string) {
 	var took []float64
 	for i := range scaleChanges {
 		revision := c.submitOnly(b, estateText(fmt.Sprint("change ", i), append(services, fmt.Sprint("extra-", i))...))
@@ -234,7 +211,7 @@
 
 // measureNotice kills a node that is no relay and waits until the others of its
 // service dropped it.
-func (c *cluster) measureNotice(b testing.TB, r *scaleRun) {
+func (c *cluster) measureNotice(b testing.TB, r *capacity.ScaleRun) {
 	victim := -1
 	for i, n := range c.nodes {
 		if !n.vars(b)["directory_acts_as_relay"].(bool) {
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -32,7 +32,7 @@
 var mutations = []mutation{
 	{"an empty disk does not answer for its former self", "core/consensus/step.go", "if m.To != r.id {", "if false {", "core/consensus", "EmptyDisk"},
 	{"voters that hear the leader do not follow a newer term", "core/consensus/step.go", "if m.Hint != forcedCampaign && r.leader != 0 && r.electionElapsed < r.electionTicks {", "if false {", "core/consensus", "ReturningReplica"},
-	{"a leader without a majority steps down", "core/consensus/raft.go", "if !r.quorumActive() {", "if false {", "core/consensus", "IsolatedLeader"},
+	{"a leader without a majority steps down", "core/consensus/election.go", "if !r.quorumActive() {", "if false {", "core/consensus", "IsolatedLeader"},
 	{"a new leader answers no read before its first commit", "core/consensus/raft.go", "if term, _ := r.log.term(r.log.committed); term != r.term {", "if false {", "core/consensus", "NewLeaderAnswers"},
 	{"a learner catches up before it votes", "core/consensus/members.go", "if p == nil || !p.active || p.match+catchUpSlack < r.log.lastIndex() || p.match == 0 {", "if false {", "core/consensus", "LearnerMust"},
 	{"one change of members at a time", "core/consensus/members.go", "if r.configIndex > r.log.committed {", "if false {", "core/consensus", "OneChange"},
@@ -41,9 +41,9 @@
 	{"entries held already stay", "core/consensus/step.go", "if term, ok := r.log.term(e.Index); ok && term == e.Term {\n\t\t\tcontinue", "if false {\n\t\t\tcontinue", "core/consensus", "Explore"},
 	{"only an up-to-date log is voted for", "core/consensus/step.go", "if (free || r.vote == m.From) && upToDate {", "if free || r.vote == m.From {", "core/consensus", "Explore"},
 	{"one vote a term", "core/consensus/step.go", "free := r.vote == 0 && r.leader == 0", "free := true", "core/consensus", "Explore"},
-	{"a vote is synced before it is sent", "core/consensus/raft.go", "rd.MustSync = len(rd.Entries) > 0 || rd.Snapshot != nil || hard.Term != r.saved.Term || hard.Vote != r.saved.Vote", "rd.MustSync = len(rd.Entries) > 0", "core/consensus", "ReadyOrders"},
+	{"a vote is synced before it is sent", "core/consensus/ready.go", "rd.MustSync = len(rd.Entries) > 0 || rd.Snapshot != nil || hard.Term != r.saved.Term || hard.Vote != r.saved.Vote", "rd.MustSync = len(rd.Entries) > 0", "core/consensus", "ReadyOrders"},
 	{"reads are confirmed by a majority", "core/consensus/step.go", "r.progress[id].round >= first.round", "true", "core/consensus", "Explore"},
-	{"a leader counts only its synced entries", "core/consensus/raft.go", "r.progress[r.id].match = r.log.stable", "r.progress[r.id].match = r.log.lastIndex()", "core/consensus", ""},
+	{"a leader counts only its synced entries", "core/consensus/ready.go", "r.progress[r.id].match = r.log.stable", "r.progress[r.id].match = r.log.lastIndex()", "core/consensus", ""},
 
 	{"a revoked attempt is fenced", "core/gate/gate.go", "case g.memory.fenced(now, r.ID):", "case false:", "core/gate", "Revoke"},
 	{"a gate does not vouch for what it forgot", "core/gate/fence.go", "return !m.anyForgotten || m.forgotten < now-sentAgo-travelSlack", "return true", "core/gate", "Forgotten"},
@@ -71,11 +71,11 @@
 	{"equal base revisions admit one", "core/estate/state.go", "if change.BaseRevision != current {", "if false {", "core/estate", "EqualBase"},
 
 	{"failed beats serving of the same claim", "core/directory/table.go", "return a.State == failed && b.State != failed", "return false", "core/directory", ""},
-	{"a frozen relay forgives its own silence", "core/directory/relay.go", "r.forgive(gap)", "_ = gap", "core/directory", "FrozenRelay"},
-	{"an isolated relay marks nobody", "core/directory/relay.go", "if silence >= confirmAfter && now-r.lastContact < suspectAfter {", "if silence >= confirmAfter {", "core/directory", "IsolatedRelay"},
-	{"a suspect is probed from another place", "core/directory/relay.go", "if helper := r.helper(host); helper != \"\" {", "if helper := \"\"; helper != \"\" {", "core/directory", "CutBetween"},
+	{"a frozen relay forgives its own silence", "core/directory/detect.go", "r.forgive(gap)", "_ = gap", "core/directory", "FrozenRelay"},
+	{"an isolated relay marks nobody", "core/directory/detect.go", "if silence >= confirmAfter && now-r.lastContact < suspectAfter {", "if silence >= confirmAfter {", "core/directory", "IsolatedRelay"},
+	{"a suspect is probed from another place", "core/directory/detect.go", "if helper := r.helper(host); helper != \"\" {", "if helper := \"\"; helper != \"\" {", "core/directory", "CutBetween"},
 	{"a relay that knows nothing is not ready", "core/directory/relay.go", "if p.info.DataCenter == r.self.DataCenter && p.cursor == nil {", "if false {", "core/directory", "NotReady"},
-	{"other data centres' entries are not passed on between data centres", "core/directory/relay.go", "return sibling || e.DataCenter == r.self.DataCenter }", "return true }", "core/directory", ""},
+	{"other data centres' entries are not passed on between data centres", "core/directory/exchange.go", "return sibling || e.DataCenter == r.self.DataCenter }", "return true }", "core/directory", ""},
 
 	{"a changed byte is damage", "internal/wal/record.go", "if binary.LittleEndian.Uint64(header[8:]) != xxhash.Sum64(body) {", "if false {", "internal/wal", "Flipped"},
 	{"a torn tail is told from damage", "internal/wal/record.go", "if len(data) < headerSize+length {\n\t\treturn 0, nil, 0, errTorn", "if len(data) < headerSize+length {\n\t\treturn 0, nil, 0, errors.New(\"short\")", "internal/wal", "Torn"},
