--- a/internal/dev/cluster.go
+++ b/internal/dev/cluster.go
@@ -92,7 +92,12 @@
 		return err
 	}
 	c.Servers = append(c.Servers, server)
-	c.wait.Go(func() { _ = server.Run(ctx) })
+	// The backend server outlives the drain of the node beside it, as it must
+	// wherever a planned stop is to cut nothing.
+	ended := c.ended[i]
+	serverContext, stopServer := context.WithCancel(context.Background())
+	c.wait.Go(func() { _ = server.Run(serverContext) })
+	c.wait.Go(func() { <-ended; stopServer() })
 	return nil
 }
 
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -83,6 +83,13 @@
 	{"a folder has one process", "internal/wal/wal.go", "return ErrLocked", "", "internal/wal", "Locked"},
 	{"a connection with bytes waiting is not used again", "internal/hop/conn.go", "if time.Since(c.since) < idleTimeout && c.quiet() {", "if time.Since(c.since) < idleTimeout {", "internal/hop", "SecondAnswer|ClosedIdle"},
 	{"a streamed body waits to be asked for", "internal/hop/exchange.go", "return x.readHead(out)\n}", "if out.Stream != nil {\n\t\tx.sendBody(out)\n\t}\n\treturn x.readHead(out)\n}", "internal/hop", "RefusedStream"},
+	{"a refused request is not moved any more", "internal/proxy/call.go", "return c.rules.Movable() && len(c.tried) == 0", "return c.rules.Movable()", "internal/proxy", "NotMovedBack"},
+	{"an endpoint that moved a request has not refused it", "internal/proxy/call.go", "if ended != retry.Moved && ended != retry.Restarted {", "if true {", "internal/proxy", "MovedAbout"},
+	{"an answer's id is checked", "internal/proxy/call.go", "if err == nil && reply.ID != a.id {", "if false {", "internal/proxy", "ForeignAnswer"},
+	{"a planned stop costs no retry budget", "core/retry/retry.go", "if ended != Leaving && !budget.Take() {", "if !budget.Take() {", "core/retry", "PlannedStop"},
+	{"a service that was not answered is asked for again", "core/directory/view.go", "if cursor == nil {\n\t\treturn false", "if cursor == nil && false {\n\t\treturn false", "core/directory", "NotAnswered"},
+	{"a relay that was ready stays ready", "core/directory/relay.go", "r.ready = r.ready || ", "r.ready = ", "core/directory", "StaysReady"},
+	{"a retry goes to a proven endpoint", "core/balancer/balancer.go", "c = p.pickAmong(now, tried, proven)", "c = p.pickAmong(now, tried, fit)", "core/balancer", "Proven"},
 	{"callers cannot forge our headers", "internal/hop/relay.go", "delete(h, Header)\n\tdelete(h, \"Expect\")", "delete(h, \"Expect\")", "internal/hop", "CleanRequest"},
 }
 
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -125,7 +125,7 @@
 		c.last = hop.Reply{Verdict: hop.Refused, Reason: gate.TooLate}
 		return nil, retry.NotRunAnywhere
 	}
-	req := hop.Request{ID: a.id, Incarnation: a.incarnation, Timeout: timeout, Movable: c.rules.Movable(), Revision: c.h.options.Revision(), Caller: c.caller}
+	req := hop.Request{ID: a.id, Incarnation: a.incarnation, Timeout: timeout, Movable: c.movable(), Revision: c.h.options.Revision(), Caller: c.caller}
 	out := c.outgoing(timeout)
 	if to.Host == c.h.options.Host {
 		if local := c.h.options.Local.Endpoint(c.s.name); local != nil {
@@ -137,6 +137,11 @@
 	return c.remote(a, req, out)
 }
 
+// movable tells whether a gate may move the request. One that an endpoint refused
+// or lost stays where it is sent next: the gate there does not know where it has
+// been, and could send it to the same dead server again.
+func (c *call) movable() bool { return c.rules.Movable() && len(c.tried) == 0 }
+
 // outgoing is the request for one attempt; streamed bodies note their use.
 func (c *call) outgoing(timeout time.Duration) *hop.Outgoing {
 	out := *c.out
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -367,3 +367,23 @@
 	_, text := send(t, front(t, gate.RevokeUnknown, leaving, other), "POST", "/", "x")
 	assert.Equal(t, text, "found")
 }
+
+// A backend server died; a gate that has not heard of it moves a request there
+// each time. Once the dead end has refused it, it must stay where it is sent.
+func TestRefusedRequestIsNotMovedBack(t *testing.T) {
+	dead := newFakeNode(t, func(w http.ResponseWriter, _ *http.Request, req hop.Request) {
+		reply(w, req, hop.Reply{Verdict: hop.Unreached})
+	})
+	slow := newFakeNode(t, func(w http.ResponseWriter, r *http.Request, req hop.Request) {
+		if req.Movable {
+			reply(w, req, hop.Reply{Verdict: hop.Moved, To: "a"})
+			return
+		}
+		answers("stayed")(w, r, req)
+	})
+	s := front(t, gate.RevokeUnknown, dead, slow)
+	for range 5 {
+		_, text := send(t, s, "POST", "/", "x")
+		assert.Equal(t, text, "stayed")
+	}
+}
--- a/internal/replay/node.go
+++ b/internal/replay/node.go
@@ -77,7 +77,7 @@
 	n.next++
 	n.requests[n.next] = a
 	n.carryOut(n.gate.Arrive(n.s.now, gate.Request{Handle: n.next, ID: a.id, Caller: callerName(a.call.caller), Deadline: a.call.deadline,
-		Movable: a.call.retry.Movable()}))
+		Movable: a.call.retry.Movable() && len(a.call.tried) == 0}))
 	n.arm()
 }
 
