--- a/core/gate/siblings.go
+++ b/core/gate/siblings.go
@@ -118,7 +118,6 @@
 	byHost   map[string]*sibling
 	// audience are the siblings that this gate reports to.
 	audience []*sibling
-	moves    uint64
 	// reported is the load that siblings were last told, and when.
 	reported   Load
 	reportedAt time.Duration
@@ -258,7 +257,6 @@
 		return false
 	}
 	sib.sent = append(sib.sent, now)
-	g.siblings.moves++
 	g.forget(it)
 	g.emit(Event{Kind: Moved, Handle: it.Handle, To: sib.Host})
 	return true
@@ -308,14 +306,6 @@
 	return refresh, true
 }
 
-// Reported counts the reports sent and their bytes.
-func (g *Gate) Reported() (reports, bytes uint64) {
-	return g.siblings.budget.Admitted, g.siblings.budget.AdmittedBytes
-}
-
-// Moves counts the requests this gate moved to a sibling.
-func (g *Gate) Moves() uint64 { return g.siblings.moves }
-
 // fullEverywhere tells whether the siblings that this gate knows of are as busy
 // as it is, so that trying one of them would only add to the load.
 func (g *Gate) fullEverywhere(now time.Duration) bool {
--- a/core/measure/budget.go
+++ b/core/measure/budget.go
@@ -89,9 +89,3 @@
 		b.count--
 	}
 }
-
-// Left tells how many reports may be sent now.
-func (b *Budget) Left(now time.Duration) int {
-	b.forget(now)
-	return b.reports - b.count
-}
--- a/internal/e2e/control_test.go
+++ b/internal/e2e/control_test.go
@@ -225,3 +225,19 @@
 	assert.NilError(t, err)
 	assert.Equal(t, record.Revision, uint64(1))
 }
+
+// The leader's process is told to stop. It hands the lead over and exits 0, and
+// operators go on without a pause that they would notice.
+func TestControlReplicaStopsAsPlanned(t *testing.T) {
+	c := newCluster(t, 3).start()
+	ctx := contextOf(t)
+	first, err := c.client.Submit(ctx, []byte(estateText("first", "hello")), 0, "first")
+	assert.NilError(t, err)
+	l := c.leader()
+	c.replicas[l].signal(syscall.SIGTERM)
+	second, err := c.client.Submit(ctx, []byte(estateText("second", "hello")), first.Revision, "second")
+	assert.NilError(t, err)
+	assert.Equal(t, second.Revision, first.Revision+1)
+	<-c.replicas[l].done
+	assert.Equal(t, c.replicas[l].cmd.ProcessState.ExitCode(), 0, c.replicas[l].log.String())
+}
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -191,13 +191,6 @@
 	return e.gate.Load(e.now())
 }
 
-// Reported counts the reports sent to siblings and their bytes.
-func (e *Endpoint) Reported() (reports, bytes uint64) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.gate.Reported()
-}
-
 // Attempt admits a request and, if it may run, forwards it. The response is
 // nil unless the reply's verdict is Ran; its body must be read or closed.
 func (e *Endpoint) Attempt(ctx context.Context, req hop.Request, out *hop.Outgoing) (*http.Response, hop.Reply) {
--- a/internal/hop/header.go
+++ b/internal/hop/header.go
@@ -100,13 +100,6 @@
 	return r, p.err
 }
 
-// ParseID reads an attempt's id.
-func ParseID(s string) (gate.AttemptID, error) {
-	p := parser{}
-	id := p.id(s)
-	return id, p.err
-}
-
 // FormatID renders an attempt's id.
 func FormatID(id gate.AttemptID) string { return string(appendID(nil, id)) }
 
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -11,7 +11,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -30,12 +29,8 @@
 	listener net.Listener
 	http     *http.Server
 	delay    atomic.Int64
-	failing  atomic.Bool
 	draining atomic.Bool
 	slots    chan struct{}
-
-	mu   sync.Mutex
-	runs map[string]int
 }
 
 const (
@@ -52,7 +47,6 @@
 		return errors.Wrap(err, "open the stand-in; use another address")
 	}
 	s.listener = l
-	s.runs = map[string]int{}
 	s.slots = make(chan struct{}, maxSlots)
 	s.http = &http.Server{Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: time.Minute}
 	return nil
@@ -64,16 +58,6 @@
 // SetDelay sets how long a request takes.
 func (s *Server) SetDelay(d time.Duration) { s.delay.Store(int64(d)) }
 
-// SetFailing makes every answer a server error.
-func (s *Server) SetFailing(failing bool) { s.failing.Store(failing) }
-
-// Runs tells how often a request with the id ran.
-func (s *Server) Runs(id string) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.runs[id]
-}
-
 // Run serves and announces until ctx ends.
 func (s *Server) Run(ctx context.Context) error {
 	failed := make(chan error, 1)
@@ -133,21 +117,11 @@
 	s.slots <- struct{}{}
 	defer func() { <-s.slots }()
 	q := r.URL.Query()
-	id := q.Get("id")
-	if id != "" {
-		s.mu.Lock()
-		s.runs[id]++
-		s.mu.Unlock()
-	}
 	received, err := io.Copy(io.Discard, r.Body)
 	if err != nil {
 		return
 	}
 	s.pause(r.Context(), q.Get("sleep"))
-	if s.failing.Load() {
-		http.Error(w, "the stand-in fails as it was told", http.StatusInternalServerError)
-		return
-	}
 	if n, err := strconv.Atoi(q.Get("reset")); err == nil {
 		s.reset(w, n)
 		return
