A node that stops waits for its gate, not for a moment without callers; gates hear of revisions too

Cause: reading through: a stopping node waited until no caller's request was under way at one moment; with steady callers that never comes, and after stopTimeout they were cut. Endpoints ignored the revision that calls carry. Change: as the title says; test added.

--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -23,7 +23,6 @@
 
 type item struct {
 	Request
-	caller  string
 	arrived time.Duration
 	started time.Duration
 	state   itemState
@@ -105,7 +104,7 @@
 // Arrive takes in a request.
 func (g *Gate) Arrive(now time.Duration, r Request) []Event {
 	g.begin(now)
-	it := &item{Request: r, caller: r.Caller, arrived: now}
+	it := &item{Request: r, arrived: now}
 	if reason := g.unfit(now, r); reason != 0 {
 		g.emit(Event{Kind: Refused, Handle: r.Handle, Reason: reason, RetryAfter: g.retryAfter(now)})
 		return g.take()
@@ -198,7 +197,7 @@
 // of it, if that is not the arriving one.
 func (g *Gate) pushOut(now time.Duration, it *item) bool {
 	longest := g.queue.longest()
-	if longest == nil || longest.length < unfairFactor*(g.queue.of(it.caller)+1) {
+	if longest == nil || longest.length < unfairFactor*(g.queue.of(it.Caller)+1) {
 		g.refuse(now, it, QueueFull)
 		return false
 	}
--- a/core/gate/queue.go
+++ b/core/gate/queue.go
@@ -20,10 +20,10 @@
 func newFairQueue() fairQueue { return fairQueue{callers: map[string]*callerQueue{}} }
 
 func (q *fairQueue) push(it *item) {
-	c := q.callers[it.caller]
+	c := q.callers[it.Caller]
 	if c == nil {
-		c = &callerQueue{name: it.caller}
-		q.callers[it.caller] = c
+		c = &callerQueue{name: it.Caller}
+		q.callers[it.Caller] = c
 		q.link(c)
 	}
 	it.queue = c
--- a/internal/e2e/path_test.go
+++ b/internal/e2e/path_test.go
@@ -146,6 +146,37 @@
 	assert.Equal(t, leaving.cmd.ProcessState.ExitCode(), 0, leaving.log.String())
 }
 
+// Callers keep sending through a node that is told to stop. It must not wait for
+// a moment without any of them, which may never come, until its time runs out
+// and it cuts them: it stops taking new ones and ends with code 0.
+func TestStopDoesNotWaitForCallersToPause(t *testing.T) {
+	c := newCluster(t, 1).start()
+	c.addNode("hello")
+	leaving := c.addNode("")
+	c.submit(estateText("hello", "hello"))
+	leaving.serves(t, "hello")
+	var answered atomic.Int64
+	var wait sync.WaitGroup
+	for range 6 {
+		wait.Go(func() {
+			for {
+				resp, _, err := leaving.request(http.MethodGet, "hello", "/?sleep=5ms", nil)
+				if err != nil {
+					return
+				}
+				if resp.StatusCode == http.StatusOK {
+					answered.Add(1)
+				}
+			}
+		})
+	}
+	eventually(t, "load runs", func() bool { return answered.Load() > 100 })
+	leaving.signal(syscall.SIGTERM)
+	<-leaving.done
+	wait.Wait()
+	assert.Equal(t, leaving.cmd.ProcessState.ExitCode(), 0, leaving.log.String())
+}
+
 // A drained host gets no new work once its gate knows, and cactusctl answers
 // only when nothing runs there any more.
 func TestDrainAnswersWhenSafe(t *testing.T) {
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -32,8 +32,10 @@
 	Incarnation func() uint64
 	// Send posts a report to the gate of a sibling host.
 	Send func(host string, report gate.Report)
-	// Revision is the newest configuration this node knows.
+	// Revision is the newest configuration this node knows; Heard takes note of
+	// one that a caller's node mentioned.
 	Revision func() uint64
+	Heard    func(revision uint64)
 	Counters *Counters
 }
 
@@ -194,6 +196,7 @@
 // Attempt admits a request and, if it may run, forwards it. The response is
 // nil unless the reply's verdict is Ran; its body must be read or closed.
 func (e *Endpoint) Attempt(ctx context.Context, req hop.Request, out *hop.Outgoing) (*http.Response, hop.Reply) {
+	e.options.Heard(req.Revision)
 	reply := hop.Reply{ID: req.ID, Incarnation: e.options.Incarnation(), Revision: e.options.Revision()}
 	if req.Incarnation != reply.Incarnation {
 		reply.Verdict = hop.Restarted
--- a/internal/node/member.go
+++ b/internal/node/member.go
@@ -233,8 +233,12 @@
 			req.Added = append(req.Added, s)
 		}
 	}
+	inFlight := 0
+	if n.server != nil {
+		inFlight = n.server.endpoint.InFlight()
+	}
 	req.Report = &apiv1.NodeReport{Host: n.options.Host, Incarnation: n.incarnation.Load(), Sequence: n.sequence, Revision: n.records.Revision(),
-		Draining: n.draining(), Drained: n.draining() && n.inFlightLocked() == 0, InFlight: uint32(n.inFlightLocked())}
+		Draining: n.draining(), Drained: n.draining() && inFlight == 0, InFlight: uint32(inFlight)}
 	if m.worthAnnouncing() {
 		req.Entry = n.entry(r.Host)
 		req.Report.Sequence = n.sequence
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -149,7 +149,7 @@
 	n.member.kick()
 	ctx, cancel := context.WithTimeout(context.Background(), n.options.StopTimeout)
 	defer cancel()
-	n.waitIdle(ctx)
+	n.waitDrained(ctx)
 	n.depart(ctx)
 	n.farewell(ctx)
 	var cut error
@@ -162,7 +162,10 @@
 	return cut
 }
 
-func (n *Node) waitIdle(ctx context.Context) {
+// waitDrained waits until nothing runs or waits at the gate. Callers' requests
+// that this node sends elsewhere are not waited for here: new ones may go on
+// coming until the listeners close, which lets those under way end.
+func (n *Node) waitDrained(ctx context.Context) {
 	for n.InFlight() > 0 && ctx.Err() == nil {
 		time.Sleep(drainPoll)
 	}
@@ -188,14 +191,12 @@
 	}
 }
 
-// InFlight counts the requests that run or wait at the gate, and those of
-// callers.
+// InFlight counts the requests that run or wait at the gate here.
 func (n *Node) InFlight() int {
-	total := n.callers.now()
 	if e := n.currentEndpoint(); e != nil {
-		total += e.InFlight()
+		return e.InFlight()
 	}
-	return total
+	return 0
 }
 
 // Revision is the newest configuration this node holds.
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -130,11 +130,3 @@
 	sort.Strings(list)
 	return list
 }
-
-func (n *Node) inFlightLocked() int {
-	total := n.callers.now()
-	if n.server != nil {
-		total += n.server.endpoint.InFlight()
-	}
-	return total
-}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -82,7 +82,7 @@
 
 func (n *Node) newEndpoint() *endpoint.Endpoint {
 	return endpoint.New(endpoint.Options{
-		Host: n.options.Host, Incarnation: n.incarnation.Load, Send: n.reports.send, Revision: n.Revision, Counters: n.gates,
+		Host: n.options.Host, Incarnation: n.incarnation.Load, Send: n.reports.send, Revision: n.Revision, Heard: n.heard, Counters: n.gates,
 	}, gate.Config{})
 }
 
