--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -46,6 +46,11 @@
 	raw    syscall.RawConn
 	since  time.Time
 	reused bool
+	// peek looks at the socket without reading from it; it is made once, since a
+	// look comes before every request. It leaves its finding in clean.
+	peek   func(fd uintptr) bool
+	peeked [1]byte
+	clean  bool
 }
 
 // DialError means that no connection could be made: nothing was sent.
@@ -144,6 +149,11 @@
 	if tcp, ok := plain.(*net.TCPConn); ok {
 		c.raw, _ = tcp.SyscallConn()
 	}
+	c.peek = func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), c.peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		c.clean = errors.Is(err, syscall.EAGAIN)
+		return true
+	}
 	return c, nil
 }
 
@@ -155,8 +165,6 @@
 	}
 }
 
-var errNotQuiet = errors.New("connection has bytes or an end that belong to no request")
-
 // quiet tells whether an idle connection is open with nothing to read. One that
 // the peer closed would lose the request; one with bytes waiting holds an answer
 // to an earlier request, which must not reach this caller.
@@ -167,14 +175,6 @@
 	if c.raw == nil {
 		return true
 	}
-	var state error
-	err := c.raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		if !errors.Is(err, syscall.EAGAIN) {
-			state = errNotQuiet
-		}
-		return true
-	})
-	return err == nil && state == nil
+	c.clean = false
+	return c.raw.Read(c.peek) == nil && c.clean
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -64,28 +64,34 @@
 // comes or ctx ends, so that a lost answer does not leave the outcome open.
 func (c *Client) Submit(ctx context.Context, text []byte, base uint64, changeID string) (*apiv1.AuditRecord, error) {
 	req := &apiv1.SubmitRequest{ChangeId: changeID, Operator: c.Name, BaseRevision: base, Text: text}
-	var record *apiv1.AuditRecord
-	err := c.Control.Until(ctx, func(ctx context.Context, r *controlclient.Replica) error {
+	return c.change(ctx, changeID, func(ctx context.Context, r *controlclient.Replica) (*apiv1.AuditRecord, error) {
 		resp, err := r.Command.Submit(ctx, connect.NewRequest(req))
-		if err == nil {
-			record = resp.Msg.Record
+		if err != nil {
+			return nil, err
 		}
-		return err
+		return resp.Msg.Record, nil
 	})
-	if err != nil {
-		return nil, changeFailed(err, changeID)
-	}
-	return record, outcomeOf(record)
 }
 
-// Drain announces a planned stop of a host, or its end.
+// Drain announces a planned stop of a host, or its end. It resends as Submit does.
 func (c *Client) Drain(ctx context.Context, host string, draining bool, changeID string) (*apiv1.AuditRecord, error) {
 	req := &apiv1.DrainRequest{ChangeId: changeID, Operator: c.Name, Host: host, Draining: draining}
+	return c.change(ctx, changeID, func(ctx context.Context, r *controlclient.Replica) (*apiv1.AuditRecord, error) {
+		resp, err := r.Command.Drain(ctx, connect.NewRequest(req))
+		if err != nil {
+			return nil, err
+		}
+		return resp.Msg.Record, nil
+	})
+}
+
+// change sends a change until it is decided or ctx ends.
+func (c *Client) change(ctx context.Context, changeID string, send func(context.Context, *controlclient.Replica) (*apiv1.AuditRecord, error)) (*apiv1.AuditRecord, error) {
 	var record *apiv1.AuditRecord
 	err := c.Control.Until(ctx, func(ctx context.Context, r *controlclient.Replica) error {
-		resp, err := r.Command.Drain(ctx, connect.NewRequest(req))
+		answer, err := send(ctx, r)
 		if err == nil {
-			record = resp.Msg.Record
+			record = answer
 		}
 		return err
 	})
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -126,10 +126,11 @@
 		return nil, retry.NotRunAnywhere
 	}
 	req := hop.Request{ID: a.id, Incarnation: a.incarnation, Timeout: timeout, Movable: c.movable(), Revision: c.h.options.Revision(), Caller: c.caller}
-	out := c.outgoing(timeout)
+	out := c.outgoing()
 	if to.Host == c.h.options.Host {
 		if local := c.h.options.Local.Endpoint(c.s.name); local != nil {
 			out.Deadline = c.deadline
+			out.Extra = []hop.Field{{Name: hop.TimeoutHeader, Value: strconv.FormatInt(timeout.Milliseconds(), 10)}}
 			resp, reply := local.Attempt(c.r.Context(), req, out)
 			return c.settle(a, resp, reply)
 		}
@@ -143,10 +144,9 @@
 func (c *call) movable() bool { return c.rules.Movable() && len(c.tried) == 0 }
 
 // outgoing is the request for one attempt; streamed bodies note their use.
-func (c *call) outgoing(timeout time.Duration) *hop.Outgoing {
+func (c *call) outgoing() *hop.Outgoing {
 	out := *c.out
 	out.Deadline = c.deadline.Add(grace)
-	out.Extra = append(out.Extra[:0:0], hop.Field{Name: hop.TimeoutHeader, Value: strconv.FormatInt(timeout.Milliseconds(), 10)})
 	if out.Stream != nil {
 		out.Stream = &noteUse{c.out.Stream, &c.bodyUsed}
 	}
@@ -165,7 +165,9 @@
 }
 
 func (c *call) remote(a attempt, req hop.Request, out *hop.Outgoing) (*http.Response, retry.Ended) {
-	out.Extra = append(out.Extra, hop.Field{Name: hop.Header, Value: req.Encode()}, hop.Field{Name: hop.ServiceHeader, Value: c.s.name})
+	// The time left is in the hop's own header; the empty field keeps the caller's
+	// from being sent beside it.
+	out.Extra = []hop.Field{{Name: hop.Header, Value: req.Encode()}, {Name: hop.ServiceHeader, Value: c.s.name}, {Name: hop.TimeoutHeader}}
 	resp, err := c.h.peer(a.to.PeerAddress).Do(c.r.Context(), out)
 	if err != nil {
 		return nil, c.unanswered(a, err)
