--- a/core/directory/detect.go
+++ b/core/directory/detect.go
@@ -72,14 +72,15 @@
 // it by rendezvous; a node that found another relay says so in its entry.
 func (r *Relay) adopt(now time.Duration) {
 	live := r.liveSiblings(now)
-	r.table.All(func(e *apiv1.Entry) {
-		if e.DataCenter != r.self.DataCenter || Gone(e) || r.watched[e.Host] != nil || slices.Contains(live, e.Relay) {
-			return
+	for host := range r.own {
+		e := r.table.Get(host)
+		if Gone(e) || r.watched[host] != nil || slices.Contains(live, e.Relay) {
+			continue
 		}
-		if Rendezvous(e.Host, live)[0] == r.self.Host {
-			r.watched[e.Host] = &watch{heard: now + adoptAfter - suspectAfter}
+		if Rendezvous(host, live)[0] == r.self.Host {
+			r.watched[host] = &watch{heard: now + adoptAfter - suspectAfter}
 		}
-	})
+	}
 }
 
 // detect probes silent nodes and marks those failed that no probe reached.
@@ -170,6 +171,7 @@
 		if now-since > goneKept {
 			r.table.Forget(host)
 			delete(r.gone, host)
+			delete(r.own, host)
 		}
 	}
 }
--- a/core/directory/relay.go
+++ b/core/directory/relay.go
@@ -62,7 +62,10 @@
 	// cursors of relays that left the list, for when they are back.
 	cursors map[string]*apiv1.Cursor
 	gone    map[string]time.Duration
-	turn    int
+	// own are the hosts of this data centre, so that what is done for them each
+	// tick does not look through all others.
+	own  map[string]bool
+	turn int
 
 	started     time.Duration
 	listed      bool
@@ -80,7 +83,7 @@
 // NewRelay returns a relay that knows nothing yet. Epoch must differ from that
 // of any earlier relay on this host: cursors of another epoch are not continued.
 func NewRelay(self *apiv1.RelayInfo, epoch uint64, now time.Duration) *Relay {
-	return &Relay{self: self, epoch: epoch, table: NewTable(), watched: map[string]*watch{}, peers: map[string]*peer{}, cursors: map[string]*apiv1.Cursor{},
+	return &Relay{self: self, epoch: epoch, table: NewTable(), watched: map[string]*watch{}, peers: map[string]*peer{}, cursors: map[string]*apiv1.Cursor{}, own: map[string]bool{},
 		gone: map[string]time.Duration{}, started: now, lastTick: now, lastPlan: now - pullInterval, lastContact: now}
 }
 
@@ -182,6 +185,9 @@
 	if !r.table.Merge(e) {
 		return
 	}
+	if e.DataCenter == r.self.DataCenter {
+		r.own[e.Host] = true
+	}
 	if Gone(e) {
 		r.gone[e.Host] = now
 		delete(r.watched, e.Host)
--- a/internal/capacity/slopes_test.go
+++ b/internal/capacity/slopes_test.go
@@ -104,7 +104,9 @@
 	r.SetRelays([]*apiv1.RelayInfo{{Host: "sibling", DataCenter: "dc-00"}}, 0)
 	resp := &apiv1.ExchangeResponse{Cursor: &apiv1.Cursor{Epoch: 1}}
 	for i := range n {
-		resp.Entries = append(resp.Entries, entryOf(i))
+		e := entryOf(i)
+		e.Relay = "sibling"
+		resp.Entries = append(resp.Entries, e)
 	}
 	r.Pulled(0, "sibling", resp)
 	return r
@@ -133,6 +135,7 @@
 	now := time.Duration(0)
 	s.TickMicros = micros(50, func() {
 		now += 500 * time.Millisecond
+		r.Exchange(now, &apiv1.ExchangeRequest{FromHost: "sibling", FromDataCenter: "dc-00", Cursor: cursor})
 		for j := range nodes {
 			e := entryOf(j * 22)
 			r.Heartbeat(now, &apiv1.NodeReport{Host: e.Host, Incarnation: e.Incarnation, Sequence: 4}, nil)
