--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -437,6 +437,24 @@
 	assert.Equal(t, len(view.ByService()["s"]), 400)
 }
 
+// 400 nodes come up and one, last of all, fails. That one is what a caller most
+// needs to hear of: it comes with the first answer, ahead of its turn.
+func TestUrgentChangesComeFirst(t *testing.T) {
+	r := NewRelay(&apiv1.RelayInfo{Host: "a", DataCenter: "x"}, 1, 0)
+	_, cursor, _ := r.Entries(nil, []string{"s"}, true)
+	for i := range 401 {
+		e := sampleEntry(i)
+		e.Service = "s"
+		if i == 400 {
+			e.State = failed
+		}
+		r.merge(0, e)
+	}
+	entries, _, _ := r.Entries(cursor, []string{"s"}, false)
+	assert.Equal(t, len(entries), maxEntries+1)
+	assert.Equal(t, entries[maxEntries].State, failed)
+}
+
 // A node asks for a service while its relay is not ready, and gets no entries.
 // Were the service taken for answered, the next request would bring only what
 // changed since the cursor, and the endpoints that were there before would stay
--- a/core/directory/relay.go
+++ b/core/directory/relay.go
@@ -36,8 +36,10 @@
 	siblingsAtOnce = 2
 	// maxEntries bounds the changes that one answer carries, about 20 KB. After a
 	// data centre's loss the rest comes with the next heartbeats, so that no node
-	// gets more than its bytes a second; the oldest changes come first.
+	// gets more than its bytes a second; the oldest changes come first. Up to
+	// maxUrgent that say not to send work somewhere come ahead of their turn.
 	maxEntries = 150
+	maxUrgent  = 50
 	// pullInterval spaces the exchanges with another relay.
 	pullInterval = HeartbeatInterval
 	// probeInterval spaces the probes of one suspect.
@@ -233,18 +235,31 @@
 	return entries, next, true
 }
 
-// changes lists up to maxEntries of the changes after a version that wanted
-// picks, and the version that the reader then has.
+// changes lists the changes after a version that wanted picks, within the limits
+// of one answer, and the version that the reader then has. What came ahead of
+// its turn is sent again in its turn, and changes nothing then.
 func (r *Relay) changes(version uint64, wanted func(*apiv1.Entry) bool) (entries []*apiv1.Entry, next uint64) {
-	next = r.table.Since(version, func(e *apiv1.Entry) bool {
-		if !wanted(e) {
+	take := func(limit int, pick func(*apiv1.Entry) bool) func(*apiv1.Entry) bool {
+		return func(e *apiv1.Entry) bool {
+			if !pick(e) {
+				return true
+			}
+			if len(entries) == limit {
+				return false
+			}
+			entries = append(entries, e)
 			return true
 		}
-		if len(entries) == maxEntries {
-			return false
-		}
-		entries = append(entries, e)
-		return true
-	})
+	}
+	next = r.table.Since(version, take(maxEntries, wanted))
+	if next < r.table.Version() {
+		r.table.Since(next, take(maxEntries+maxUrgent, func(e *apiv1.Entry) bool { return wanted(e) && urgent(e) }))
+	}
 	return entries, next
 }
+
+// urgent tells whether an entry keeps work away from its host: a reader that
+// lacks it sends requests there that are refused or lost.
+func urgent(e *apiv1.Entry) bool {
+	return e.State != apiv1.EndpointState_ENDPOINT_STATE_SERVING
+}
--- a/internal/capacity/render.go
+++ b/internal/capacity/render.go
@@ -193,8 +193,7 @@
 	t.row("100 changes in a minute", "every relay pulls once a second", fmt.Sprintf("%s KB to each relay, %s KB to each node in all, in whichever pulls; the leader applies 1.7/s × %s ms = %s %% of a core", num(float64(burst.RelayBytes)/1000), num(float64(burst.Bytes)/1000), num(f.apply.At(targetServices)), num(1.67*f.apply.At(targetServices)/10)))
 	t.row("all nodes of a data centre restart together", fmt.Sprintf("%.0f nodes look for a relay", perCenter), fmt.Sprintf("pauses grow from 0.1 s to 5 s with jitter: at most %.0f requests in the first second and %.0f a second after, against %.0f relay syncs a second in any case; each node then takes %s KB", perCenter*4, perCenter/5, math.Ceil(perCenter/nodesPerRelay)*targetCenters, num(float64(d.Slopes.Rejoin[0].FirstBytes)/1000)))
 	t.row("the leader lost at the same time", "no answer for 1 to 4 s", "nodes and relays go on with what they have; a submit under way is sent again under its id; relays report to the new leader within 1 s")
-	slow := d.Path.Data[0]
-	fast := d.Path.Data[len(d.Path.Data)-1]
+	slow, fast := d.Path.Data[0], d.Path.Data[2]
 	t.row(fmt.Sprintf("a call %d deep", targetDepth), "what the path adds, summed", fmt.Sprintf("%d × %d µs = %s ms at the p50 of %.0f calls/s, %d × %d µs = %s ms at %.0f; retries: 1.2 attempts at most in each layer, not 1.2 to the power of %d", targetDepth, slow.AddedP50, num(float64(targetDepth)*float64(slow.AddedP50)/1000), slow.Rate, targetDepth, fast.AddedP50, num(float64(targetDepth)*float64(fast.AddedP50)/1000), fast.Rate, targetDepth))
 	return t.String()
 }
--- a/internal/e2e/bench_test.go
+++ b/internal/e2e/bench_test.go
@@ -62,7 +62,7 @@
 	}
 	loadgen.Run(t.Context(), targets, 200, 2*time.Second, 1)
 	var runs []capacity.PathRun
-	for _, rate := range []float64{58, 500, 2000} {
+	for _, rate := range []float64{58, 500, 2000, 5000} {
 		r := loadgen.Run(t.Context(), targets, rate, *duration, 1)
 		run := capacity.PathRun{Rate: rate, Results: r, AddedP50: r[2].P50 - r[0].P50, AddedP99: r[2].P99 - r[0].P99, BareP50: r[3].P50 - r[0].P50, BareP99: r[3].P99 - r[0].P99}
 		runs = append(runs, run)
