--- a/core/directory/detect.go
+++ b/core/directory/detect.go
@@ -47,7 +47,7 @@
 		// This process was stopped (suspended, or starved by a neighbour).
 		// Its own silence must not count as the nodes': it would mark a whole
 		// data centre failed at the moment it wakes.
-		r.forgive(gap)
+		r.creditStall(gap)
 	}
 	r.lastTick = now
 	var work Work
@@ -58,7 +58,7 @@
 	return work
 }
 
-func (r *Relay) forgive(gap time.Duration) {
+func (r *Relay) creditStall(gap time.Duration) {
 	r.lastContact += gap
 	for _, w := range r.watched {
 		w.heard += gap
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -46,7 +46,7 @@
 	coldSince time.Duration
 	cold      bool
 
-	standing standing
+	outlier  outlier
 	siblings siblings
 	events   []Event
 	lastScan time.Duration
@@ -259,7 +259,7 @@
 		g.estimate.abandon(now)
 	}
 	if outcome != Abandoned {
-		g.standing.answer(outcome != Completed)
+		g.outlier.answer(outcome != Completed)
 	}
 	if outcome != NeverReached {
 		g.memory.finish(it.ID, it.arrived)
@@ -352,6 +352,6 @@
 		Running: g.running, Waiting: g.queue.size, Slots: g.slots(now),
 		Service: g.estimate.mean(now), Draining: g.draining || g.down,
 		Full:      g.queue.size >= g.config.Queue*fullPercent/100 && g.free(now) <= 0,
-		FailRatio: g.standing.ratio, Failing: g.failing(now),
+		FailRatio: g.outlier.ratio, Failing: g.failing(now),
 	}
 }
--- a/core/gate/standing.go
+++ b/core/gate/outlier.go
@@ -18,17 +18,17 @@
 	trialInterval = 100 * time.Millisecond
 )
 
-// standing judges whether this server fails where its siblings do not. A
+// outlier judges whether this server fails where its siblings do not. A
 // server that fails fast looks idle and would draw all the work; its gate sees
 // every answer, so it notices within a few, and moves requests to siblings
 // before they run.
-type standing struct {
+type outlier struct {
 	ratio     float64
 	seen      int
 	lastTrial time.Duration
 }
 
-func (s *standing) answer(failed bool) {
+func (s *outlier) answer(failed bool) {
 	value := 0.0
 	if failed {
 		value = 1
@@ -39,7 +39,7 @@
 
 // failing compares this server's ratio with its siblings'.
 func (g *Gate) failing(now time.Duration) bool {
-	s := &g.standing
+	s := &g.outlier
 	if s.seen < failWeight/4 || s.ratio < failFloor {
 		return false
 	}
@@ -57,7 +57,7 @@
 }
 
 // trial tells whether a request is let through to a failing server.
-func (s *standing) trial(now time.Duration) bool {
+func (s *outlier) trial(now time.Duration) bool {
 	if now-s.lastTrial < trialInterval {
 		return false
 	}
--- a/core/gate/siblings.go
+++ b/core/gate/siblings.go
@@ -31,17 +31,17 @@
 	// Lower values move on noise; higher ones leave requests at slow servers.
 	gainWaiting = 1.6
 	gainFree    = 1.7
-	// crowd stands for the other gates that move requests to the same sibling
+	// herdFactor stands for the other gates that move requests to the same sibling
 	// at the same time and whose moves are not seen here: each own move since
 	// the sibling's report counts that often. With 1 the gates herd.
-	crowd = 3
+	herdFactor = 3
 	// maxSiblings bounds the gates that one gate knows, and so its memory, in a
 	// service of hundreds of endpoints.
 	maxSiblings = 16
-	// audience is how many siblings a gate reports to. More would learn each
+	// fanout is how many siblings a gate reports to. More would learn each
 	// change later under the same budget, and need not know it: a request can
 	// move twice.
-	audience = 5
+	fanout = 5
 	// scanInterval is how often waiting requests are looked at again.
 	scanInterval = 2 * time.Millisecond
 	// defaultDistance is assumed for a sibling not measured yet.
@@ -116,8 +116,8 @@
 	budget   *measure.Budget
 	list     []*sibling
 	byHost   map[string]*sibling
-	// audience are the siblings that this gate reports to.
-	audience []*sibling
+	// fanout are the siblings that this gate reports to.
+	fanout []*sibling
 	// reported is the load that siblings were last told, and when.
 	reported   Load
 	reportedAt time.Duration
@@ -151,7 +151,7 @@
 		return pairWeight(s.self, s.list[i].Host) > pairWeight(s.self, s.list[j].Host)
 	})
 	s.list = s.list[:min(maxSiblings, len(s.list))]
-	s.audience = s.list[:min(audience, len(s.list))]
+	s.fanout = s.list[:min(fanout, len(s.list))]
 	s.byHost = map[string]*sibling{}
 	for _, sib := range s.list {
 		s.byHost[sib.Host] = sib
@@ -200,7 +200,7 @@
 		return
 	}
 	s.reported, s.reportedAt = load, now
-	for _, sib := range s.audience {
+	for _, sib := range s.fanout {
 		if !s.budget.Allow(now, ReportBytes) {
 			return
 		}
@@ -212,7 +212,7 @@
 // reportSpacing is the time that the budget leaves between two rounds.
 func (g *Gate) reportSpacing() time.Duration {
 	perSecond := min(g.config.ReportsPerSecond, g.config.BytesPerSecond/ReportBytes)
-	return time.Second * time.Duration(len(g.siblings.audience)) / time.Duration(max(1, perSecond))
+	return time.Second * time.Duration(len(g.siblings.fanout)) / time.Duration(max(1, perSecond))
 }
 
 // differs tells whether a load is worth a report after another one.
@@ -233,7 +233,7 @@
 		if !sib.fresh(now) || !sib.report.Load.open() {
 			continue
 		}
-		f := sib.report.Load.finishIn(crowd*len(sib.sent)) + 2*sib.Distance
+		f := sib.report.Load.finishIn(herdFactor*len(sib.sent)) + 2*sib.Distance
 		if best == nil || f < finish {
 			best, finish = sib, f
 		}
@@ -252,7 +252,7 @@
 	if sib == nil {
 		return false
 	}
-	forced := g.draining || g.down || g.failing(now) && !g.standing.trial(now)
+	forced := g.draining || g.down || g.failing(now) && !g.outlier.trial(now)
 	if !forced && float64(there)*gain > float64(g.finishIn(now)) {
 		return false
 	}
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -54,7 +54,7 @@
 	{"an older report changes nothing", "core/gate/siblings.go", "if sib == nil || sib.known && !r.Newer(sib.report) {", "if sib == nil {", "core/gate", "OlderReport"},
 	{"a request moves a limited number of times", "core/gate/siblings.go", "if !g.config.Siblings || !it.Movable {", "if !g.config.Siblings {", "core/gate", "MovedStays"},
 	{"nothing moves to a closed sibling", "core/gate/siblings.go", "if !sib.fresh(now) || !sib.report.Load.open() {", "if !sib.fresh(now) {", "core/gate", "FasterSibling"},
-	{"a failing server is moved away from", "core/gate/siblings.go", "forced := g.draining || g.down || g.failing(now) && !g.standing.trial(now)", "forced := false", "core/gate", "FailFast"},
+	{"a failing server is moved away from", "core/gate/siblings.go", "forced := g.draining || g.down || g.failing(now) && !g.outlier.trial(now)", "forced := false", "core/gate", "FailFast"},
 	{"running requests count in the estimate", "core/gate/estimate.go", "e.busy = e.busy*decay + elapsed*float64(e.running)", "e.busy = e.busy * decay", "core/gate", "Stall"},
 
 	{"what may have run is not sent again", "core/retry/retry.go", "if !r.Idempotent {\n\t\t\treturn GiveUpUnknown", "if false {\n\t\t\treturn GiveUpUnknown", "core/retry", ""},
@@ -71,7 +71,7 @@
 	{"equal base revisions admit one", "core/estate/state.go", "if change.BaseRevision != current {", "if false {", "core/estate", "EqualBase"},
 
 	{"failed beats serving of the same claim", "core/directory/table.go", "return a.State == failed && b.State != failed", "return false && a.State == failed", "core/directory", ""},
-	{"a frozen relay forgives its own silence", "core/directory/detect.go", "r.forgive(gap)", "_ = gap", "core/directory", "WakingRelay"},
+	{"a frozen relay forgives its own silence", "core/directory/detect.go", "r.creditStall(gap)", "_ = gap", "core/directory", "WakingRelay"},
 	{"an isolated relay marks nobody", "core/directory/detect.go", "if silence >= confirmAfter && now-r.lastContact < suspectAfter {", "if silence >= confirmAfter {", "core/directory", "IsolatedRelay"},
 	{"a suspect is probed from another place", "core/directory/detect.go", "if helper := r.helper(host); helper != \"\" {", "if helper := \"\"; helper != \"\" {", "core/directory", "CutBetween"},
 	{"a relay that knows nothing is not ready", "core/directory/relay.go", "if p.info.DataCenter == r.self.DataCenter && p.cursor == nil {", "if p.info.DataCenter == r.self.DataCenter && p.cursor == nil && false {", "core/directory", "NotReady"},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -151,7 +151,7 @@
 	defer cancel()
 	n.waitDrained(ctx)
 	n.depart(ctx)
-	n.farewell(ctx)
+	n.linger(ctx)
 	var cut error
 	for _, s := range servers {
 		if err := s.Shutdown(ctx); err != nil {
@@ -179,15 +179,15 @@
 	n.member.syncNow(ctx)
 }
 
-// farewellTime is how long a node that left still answers: as long as the
+// lingerTime is how long a node that left still answers: as long as the
 // directory takes to tell everybody. A connection closed under a request that
 // was just sent would leave its outcome unknown; refused, it goes elsewhere.
-const farewellTime = 2500 * time.Millisecond
+const lingerTime = 2500 * time.Millisecond
 
-func (n *Node) farewell(ctx context.Context) {
+func (n *Node) linger(ctx context.Context) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(farewellTime):
+	case <-time.After(lingerTime):
 	}
 }
 
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -245,7 +245,7 @@
 		resp.Entries, resp.Cursor, resp.Complete = r.state.Entries(req.Cursor, req.Services, req.Resubscribe)
 	}
 	relays := r.state.Relays()
-	resp.BecomeRelay = r.appoint(req.Report.Host, relays)
+	resp.BecomeRelay = r.promote(req.Report.Host, relays)
 	if replica.RelaysDigest(relays) == req.RelaysDigest {
 		resp.RelaysUnchanged = true
 	} else {
@@ -257,9 +257,9 @@
 	return resp
 }
 
-// appoint tells whether a node is to become a relay: the first that reports and
+// promote tells whether a node is to become a relay: the first that reports and
 // is none, while the leader asked for more.
-func (r *relay) appoint(host string, relays []*apiv1.RelayInfo) bool {
+func (r *relay) promote(host string, relays []*apiv1.RelayInfo) bool {
 	if r.more == 0 {
 		return false
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -103,8 +103,8 @@
 	seed := rand.New(rand.NewPCG(rand.Uint64(), identity.MemberID))
 	r.raft = consensus.New(consensus.Config{ID: identity.MemberID, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, Rand: seed}, restored)
 	r.publish()
-	if disk.Cut > 0 {
-		klog.InfoS("Cut a torn tail off the log", "bytes", disk.Cut)
+	if disk.TornBytes > 0 {
+		klog.InfoS("Cut a torn tail off the log", "bytes", disk.TornBytes)
 	}
 	return r, nil
 }
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -85,8 +85,8 @@
 	file   *os.File
 	buffer []byte
 	size   int64
-	// Cut is how many bytes of a torn tail were removed when it was opened.
-	Cut int64
+	// TornBytes is how much of a torn tail was removed when it was opened.
+	TornBytes int64
 }
 
 // Open locks the folder and reads what it holds.
@@ -189,7 +189,7 @@
 		}
 		offset += size
 	}
-	l.Cut = int64(len(data) - offset)
+	l.TornBytes = int64(len(data) - offset)
 	restored.HardState = r.hard
 	restored.Entries = r.after(restored.Snapshot)
 	return l.openAt(path, int64(offset))
