--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -382,8 +382,10 @@
 		answers("stayed")(w, r, req)
 	})
 	s := front(t, gate.RevokeUnknown, dead, slow)
-	for range 5 {
+	const requests = 5
+	for range requests {
 		_, text := send(t, s, "POST", "/", "x")
 		assert.Equal(t, text, "stayed")
 	}
+	assert.Assert(t, dead.hits.Load() <= requests, "%d requests went to the dead end %d times", requests, dead.hits.Load())
 }
