Read once more: one piece of code where the same stood twice; the revision without a lock

Cause: reading the whole change. Ruled out: the small load loops of three e2e tests (they differ in what they count), the balancer's report code (the replay's baselines need it).

--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -8,6 +8,7 @@
 package balancer
 
 import (
+	"slices"
 	"time"
 
 	"cactuspath/core/gate"
@@ -116,7 +117,7 @@
 // Others tells whether a candidate exists that is not in tried.
 func (p *Pool) Others(tried []string) bool {
 	for _, c := range p.all {
-		if !contains(tried, c.Host) {
+		if !slices.Contains(tried, c.Host) {
 			return true
 		}
 	}
@@ -142,7 +143,7 @@
 func (p *Pool) pickAmong(now time.Duration, tried []string, test func(time.Duration, *Candidate) bool) *Candidate {
 	p.eligible = p.eligible[:0]
 	for _, c := range p.all {
-		if test(now, c) && !contains(tried, c.Host) {
+		if test(now, c) && !slices.Contains(tried, c.Host) {
 			p.eligible = append(p.eligible, c)
 		}
 	}
@@ -152,15 +153,6 @@
 	return p.policy.Pick(now, p.eligible)
 }
 
-func contains(list []string, s string) bool {
-	for _, x := range list {
-		if x == s {
-			return true
-		}
-	}
-	return false
-}
-
 // Done counts an attempt's end. Reached tells whether the endpoint's node
 // answered at all.
 func (p *Pool) Done(now time.Duration, c *Candidate, reached bool) {
--- a/core/directory/detect.go
+++ b/core/directory/detect.go
@@ -1,10 +1,12 @@
 package directory
 
 import (
+	"maps"
 	"slices"
-	"sort"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	apiv1 "cactuspath/api/cactuspath/v1"
 )
 
@@ -85,12 +87,7 @@
 
 // detect probes silent nodes and marks those failed that no probe reached.
 func (r *Relay) detect(now time.Duration, work *Work) {
-	hosts := make([]string, 0, len(r.watched))
-	for host := range r.watched {
-		hosts = append(hosts, host)
-	}
-	sort.Strings(hosts)
-	for _, host := range hosts {
+	for _, host := range slices.Sorted(maps.Keys(r.watched)) {
 		w := r.watched[host]
 		silence := now - w.heard
 		if silence < suspectAfter {
@@ -161,8 +158,9 @@
 }
 
 func withState(e *apiv1.Entry, state apiv1.EndpointState) *apiv1.Entry {
-	return &apiv1.Entry{Host: e.Host, DataCenter: e.DataCenter, Region: e.Region, Service: e.Service, PeerAddress: e.PeerAddress,
-		Incarnation: e.Incarnation, Sequence: e.Sequence, State: state, Slots: e.Slots, Relay: e.Relay, ChangedUnixMs: e.ChangedUnixMs}
+	changed := proto.Clone(e).(*apiv1.Entry)
+	changed.State = state
+	return changed
 }
 
 // expire forgets entries that have been gone for long.
--- a/core/directory/exchange.go
+++ b/core/directory/exchange.go
@@ -37,7 +37,7 @@
 // restart most buckets agree, and agreeing ones cost 8 bytes each.
 func (r *Relay) reconcile(req *apiv1.ExchangeRequest, ours func(*apiv1.Entry) bool, resp *apiv1.ExchangeResponse) {
 	differs := make([]bool, Buckets)
-	own := r.table.Digests(r.scope(req.FromDataCenter))
+	own := r.table.Digests(scope(req.FromDataCenter, r.self.DataCenter))
 	for i := range differs {
 		differs[i] = len(req.Digests) != Buckets || req.Digests[i] != own[i]
 		if differs[i] {
@@ -54,11 +54,11 @@
 
 // scope is whose entries two relays compare: all of them within a data centre,
 // otherwise those of the answering relay's.
-func (r *Relay) scope(other string) string {
-	if other == r.self.DataCenter {
+func scope(asking, answering string) string {
+	if asking == answering {
 		return AllCenters
 	}
-	return r.self.DataCenter
+	return answering
 }
 
 // Pulled takes in a relay's answer to a Pull. A nil answer means none came.
@@ -134,11 +134,7 @@
 func (r *Relay) pull(p *peer) Pull {
 	req := &apiv1.ExchangeRequest{FromHost: r.self.Host, FromDataCenter: r.self.DataCenter, Cursor: p.cursor}
 	if p.cursor == nil || r.otherEpoch(p) {
-		scope := p.info.DataCenter
-		if scope == r.self.DataCenter {
-			scope = AllCenters
-		}
-		req.Digests = r.table.Digests(scope)
+		req.Digests = r.table.Digests(scope(r.self.DataCenter, p.info.DataCenter))
 	}
 	return Pull{Relay: p.info, Request: req}
 }
--- a/core/estate/document.go
+++ b/core/estate/document.go
@@ -8,7 +8,8 @@
 
 import (
 	"fmt"
-	"sort"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -207,7 +208,7 @@
 // request that can come back to its own service can wait for itself until
 // every slot on the way is taken.
 func checkDependencies(doc *Document, places map[string]jsonc.Node) {
-	for _, from := range sortedServices(doc) {
+	for _, from := range slices.Sorted(maps.Keys(doc.Services)) {
 		for _, to := range doc.Services[from].DependsOn {
 			if _, ok := doc.Services[to]; !ok {
 				places[from].Fail(fmt.Sprintf("service %q depends on %q, which is not in this text", from, to), "add the service or drop the dependency")
@@ -219,15 +220,6 @@
 	}
 }
 
-func sortedServices(doc *Document) []string {
-	list := make([]string, 0, len(doc.Services))
-	for s := range doc.Services {
-		list = append(list, s)
-	}
-	sort.Strings(list)
-	return list
-}
-
 func findCycle(doc *Document) []string {
 	const (
 		unseen = iota
@@ -255,7 +247,7 @@
 		state[s] = closed
 		return nil
 	}
-	for _, s := range sortedServices(doc) {
+	for _, s := range slices.Sorted(maps.Keys(doc.Services)) {
 		if state[s] == unseen {
 			if cycle := visit(s); cycle != nil {
 				return cycle
@@ -278,7 +270,7 @@
 // request would then reach one or the other by chance.
 func checkRoutes(doc *Document, places map[string]jsonc.Node) {
 	claimed := map[string]string{}
-	for _, s := range sortedServices(doc) {
+	for _, s := range slices.Sorted(maps.Keys(doc.Services)) {
 		for _, route := range routes(doc.Services[s]) {
 			if other, taken := claimed[route]; taken {
 				places[s].Fail(fmt.Sprintf("services %q and %q claim the same route %q", other, s, route), "change a host or a path prefix of one of them")
--- a/core/estate/state.go
+++ b/core/estate/state.go
@@ -5,6 +5,8 @@
 	"compress/gzip"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
@@ -47,8 +49,8 @@
 // Document returns an institution's newest text, or nil.
 func (s *State) Document(institution string) *apiv1.Document { return s.documents[institution] }
 
-// Institutions returns the number of documents held.
-func (s *State) Institutions() []string { return sortedDocuments(s.documents) }
+// Institutions names the institutions that have a document.
+func (s *State) Institutions() []string { return slices.Sorted(maps.Keys(s.documents)) }
 
 // Outcome returns the record of a change that was decided already, or nil.
 func (s *State) Outcome(changeID string) *apiv1.AuditRecord { return s.byID[changeID] }
@@ -120,7 +122,7 @@
 // are the key that nodes route by, so one name must mean one service.
 func (s *State) clashes(doc *Document) []jsonc.Problem {
 	var problems []jsonc.Problem
-	for _, name := range sortedServices(doc) {
+	for _, name := range slices.Sorted(maps.Keys(doc.Services)) {
 		if held := s.records.Service(name); held != nil && !held.Removed && held.Institution != doc.Institution {
 			problems = append(problems, jsonc.Problem{Line: 1, Column: 1, Field: "services." + name,
 				Message: fmt.Sprintf("institution %q holds a service named %q", held.Institution, name), Remedy: "choose another name"})
@@ -160,7 +162,7 @@
 // Snapshot returns the whole state in a deterministic order.
 func (s *State) Snapshot() *apiv1.EstateSnapshot {
 	snap := s.records.Snapshot()
-	for _, name := range sortedDocuments(s.documents) {
+	for _, name := range slices.Sorted(maps.Keys(s.documents)) {
 		snap.Documents = append(snap.Documents, s.documents[name])
 	}
 	snap.Audit = s.audit
--- a/core/jsonc/jsonc.go
+++ b/core/jsonc/jsonc.go
@@ -6,6 +6,8 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -247,7 +249,7 @@
 	for _, m := range n.Members() {
 		read, known := fields[m.Name]
 		if !known {
-			m.Key.Fail(fmt.Sprintf("unknown field %q", m.Name), "known fields here: "+strings.Join(sortedKeys(fields), ", "))
+			m.Key.Fail(fmt.Sprintf("unknown field %q", m.Name), "known fields here: "+strings.Join(slices.Sorted(maps.Keys(fields)), ", "))
 			continue
 		}
 		present[m.Name] = true
@@ -263,15 +265,6 @@
 	}
 }
 
-func sortedKeys(fields map[string]func(Node)) []string {
-	keys := make([]string, 0, len(fields))
-	for k := range fields {
-		keys = append(keys, k)
-	}
-	sort.Strings(keys)
-	return keys
-}
-
 // Elements returns an array's elements.
 func (n Node) Elements() []Node {
 	if n.value == nil {
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -69,9 +69,6 @@
 // Movable tells whether a gate may still move the request.
 func (r *Request) Movable() bool { return r.moves < maxMoves }
 
-// Attempts counts the attempts that ended.
-func (r *Request) Attempts() int { return r.attempts }
-
 // Next decides after an attempt. OthersLeft tells whether an endpoint exists
 // that was not tried, or is worth trying again.
 func (r *Request) Next(ended Ended, budget *Budget, othersLeft bool) Action {
--- a/internal/node/member.go
+++ b/internal/node/member.go
@@ -275,6 +275,7 @@
 	if n.records.Apply(resp.Delta) {
 		changed = true
 	}
+	n.revision.Store(n.records.Revision())
 	if n.records.Revision() > before {
 		n.counters.configurationChanged.Set(time.Now().UnixMilli())
 		n.confirmed = resp.ConfirmedAgeMs < uint64(staleConfirmation.Milliseconds())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,8 +5,10 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -41,15 +43,18 @@
 	options     Options
 	start       time.Time
 	incarnation atomic.Uint64
-	proxy       *proxy.Handler
-	calls       *proxy.Counters
-	gates       *endpoint.Counters
-	counters    counters
-	member      *member
-	relay       *relay
-	peers       *peerClients
-	reports     *reports
-	callers     *inFlight
+	// revision is that of records. Every call reads it, without waiting for a
+	// heartbeat's answer to be taken in.
+	revision atomic.Uint64
+	proxy    *proxy.Handler
+	calls    *proxy.Counters
+	gates    *endpoint.Counters
+	counters counters
+	member   *member
+	relay    *relay
+	peers    *peerClients
+	reports  *reports
+	callers  *inFlight
 
 	mu       sync.Mutex
 	records  *rollout.Records
@@ -200,11 +205,7 @@
 }
 
 // Revision is the newest configuration this node holds.
-func (n *Node) Revision() uint64 {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.records.Revision()
-}
+func (n *Node) Revision() uint64 { return n.revision.Load() }
 
 // heard takes note of a revision that another node mentioned: one that missed
 // a change pulls it at once.
@@ -257,7 +258,7 @@
 			set[d] = true
 		}
 	}
-	return sortedKeys(set)
+	return slices.Sorted(maps.Keys(set))
 }
 
 // entry renders what this node says of itself.
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sort"
 	"sync"
 	"time"
 
@@ -121,12 +120,3 @@
 	}
 	return gate.RevokeAnswer(resp.Msg.Answer)
 }
-
-func sortedKeys(set map[string]bool) []string {
-	list := make([]string, 0, len(set))
-	for k := range set {
-		list = append(list, k)
-	}
-	sort.Strings(list)
-	return list
-}
--- a/internal/replay/run.go
+++ b/internal/replay/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"cactuspath/core/balancer"
@@ -160,7 +161,7 @@
 	var best *node
 	var soonest float64
 	for _, n := range s.nodes {
-		if n.draining || n.server.failFast || contains(k.tried, n.host) {
+		if n.draining || n.server.failFast || slices.Contains(k.tried, n.host) {
 			continue
 		}
 		ahead := float64(n.underway() + len(n.requests))
@@ -177,15 +178,6 @@
 	return best
 }
 
-func contains(list []string, s string) bool {
-	for _, x := range list {
-		if x == s {
-			return true
-		}
-	}
-	return false
-}
-
 // answered is the end of a call: the backend server's own answer.
 func (s *simulation) answered(a *attempt, outcome jobOutcome) {
 	if a.settled {
