--- a/api/cactuspath/v1/apiv1connect/consensus.connect.go
+++ b/api/cactuspath/v1/apiv1connect/consensus.connect.go
@@ -40,12 +40,16 @@
 	// ReplicaServiceLogStatusProcedure is the fully-qualified name of the ReplicaService's LogStatus
 	// RPC.
 	ReplicaServiceLogStatusProcedure = "/cactuspath.v1.ReplicaService/LogStatus"
+	// ReplicaServiceJoinProcedure is the fully-qualified name of the ReplicaService's Join RPC.
+	ReplicaServiceJoinProcedure = "/cactuspath.v1.ReplicaService/Join"
 )
 
 // ReplicaServiceClient is a client for the cactuspath.v1.ReplicaService service.
 type ReplicaServiceClient interface {
 	Step(context.Context, *connect.Request[v1.StepRequest]) (*connect.Response[v1.StepResponse], error)
 	LogStatus(context.Context, *connect.Request[v1.LogStatusRequest]) (*connect.Response[v1.LogStatusResponse], error)
+	// Join is answered by the leader, or by a founder of a group that forms.
+	Join(context.Context, *connect.Request[v1.JoinRequest]) (*connect.Response[v1.JoinResponse], error)
 }
 
 // NewReplicaServiceClient constructs a client for the cactuspath.v1.ReplicaService service. By
@@ -71,6 +75,12 @@
 			connect.WithSchema(replicaServiceMethods.ByName("LogStatus")),
 			connect.WithClientOptions(opts...),
 		),
+		join: connect.NewClient[v1.JoinRequest, v1.JoinResponse](
+			httpClient,
+			baseURL+ReplicaServiceJoinProcedure,
+			connect.WithSchema(replicaServiceMethods.ByName("Join")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -78,6 +88,7 @@
 type replicaServiceClient struct {
 	step      *connect.Client[v1.StepRequest, v1.StepResponse]
 	logStatus *connect.Client[v1.LogStatusRequest, v1.LogStatusResponse]
+	join      *connect.Client[v1.JoinRequest, v1.JoinResponse]
 }
 
 // Step calls cactuspath.v1.ReplicaService.Step.
@@ -90,10 +101,17 @@
 	return c.logStatus.CallUnary(ctx, req)
 }
 
+// Join calls cactuspath.v1.ReplicaService.Join.
+func (c *replicaServiceClient) Join(ctx context.Context, req *connect.Request[v1.JoinRequest]) (*connect.Response[v1.JoinResponse], error) {
+	return c.join.CallUnary(ctx, req)
+}
+
 // ReplicaServiceHandler is an implementation of the cactuspath.v1.ReplicaService service.
 type ReplicaServiceHandler interface {
 	Step(context.Context, *connect.Request[v1.StepRequest]) (*connect.Response[v1.StepResponse], error)
 	LogStatus(context.Context, *connect.Request[v1.LogStatusRequest]) (*connect.Response[v1.LogStatusResponse], error)
+	// Join is answered by the leader, or by a founder of a group that forms.
+	Join(context.Context, *connect.Request[v1.JoinRequest]) (*connect.Response[v1.JoinResponse], error)
 }
 
 // NewReplicaServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -115,12 +133,20 @@
 		connect.WithSchema(replicaServiceMethods.ByName("LogStatus")),
 		connect.WithHandlerOptions(opts...),
 	)
+	replicaServiceJoinHandler := connect.NewUnaryHandler(
+		ReplicaServiceJoinProcedure,
+		svc.Join,
+		connect.WithSchema(replicaServiceMethods.ByName("Join")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/cactuspath.v1.ReplicaService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case ReplicaServiceStepProcedure:
 			replicaServiceStepHandler.ServeHTTP(w, r)
 		case ReplicaServiceLogStatusProcedure:
 			replicaServiceLogStatusHandler.ServeHTTP(w, r)
+		case ReplicaServiceJoinProcedure:
+			replicaServiceJoinHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -137,3 +163,7 @@
 func (UnimplementedReplicaServiceHandler) LogStatus(context.Context, *connect.Request[v1.LogStatusRequest]) (*connect.Response[v1.LogStatusResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cactuspath.v1.ReplicaService.LogStatus is not implemented"))
 }
+
+func (UnimplementedReplicaServiceHandler) Join(context.Context, *connect.Request[v1.JoinRequest]) (*connect.Response[v1.JoinResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cactuspath.v1.ReplicaService.Join is not implemented"))
+}
--- a/api/cactuspath/v1/apiv1connect/directory.connect.go
+++ b/api/cactuspath/v1/apiv1connect/directory.connect.go
@@ -46,6 +46,8 @@
 	NodeServiceProbeProcedure = "/cactuspath.v1.NodeService/Probe"
 	// NodeServiceRevokeProcedure is the fully-qualified name of the NodeService's Revoke RPC.
 	NodeServiceRevokeProcedure = "/cactuspath.v1.NodeService/Revoke"
+	// ControlServiceWatchProcedure is the fully-qualified name of the ControlService's Watch RPC.
+	ControlServiceWatchProcedure = "/cactuspath.v1.ControlService/Watch"
 	// ControlServiceFindRelaysProcedure is the fully-qualified name of the ControlService's FindRelays
 	// RPC.
 	ControlServiceFindRelaysProcedure = "/cactuspath.v1.ControlService/FindRelays"
@@ -204,6 +206,7 @@
 
 // ControlServiceClient is a client for the cactuspath.v1.ControlService service.
 type ControlServiceClient interface {
+	Watch(context.Context, *connect.Request[v1.WatchRequest]) (*connect.Response[v1.WatchResponse], error)
 	FindRelays(context.Context, *connect.Request[v1.FindRelaysRequest]) (*connect.Response[v1.FindRelaysResponse], error)
 	RelaySync(context.Context, *connect.Request[v1.RelaySyncRequest]) (*connect.Response[v1.RelaySyncResponse], error)
 }
@@ -219,6 +222,12 @@
 	baseURL = strings.TrimRight(baseURL, "/")
 	controlServiceMethods := v1.File_cactuspath_v1_directory_proto.Services().ByName("ControlService").Methods()
 	return &controlServiceClient{
+		watch: connect.NewClient[v1.WatchRequest, v1.WatchResponse](
+			httpClient,
+			baseURL+ControlServiceWatchProcedure,
+			connect.WithSchema(controlServiceMethods.ByName("Watch")),
+			connect.WithClientOptions(opts...),
+		),
 		findRelays: connect.NewClient[v1.FindRelaysRequest, v1.FindRelaysResponse](
 			httpClient,
 			baseURL+ControlServiceFindRelaysProcedure,
@@ -236,10 +245,16 @@
 
 // controlServiceClient implements ControlServiceClient.
 type controlServiceClient struct {
+	watch      *connect.Client[v1.WatchRequest, v1.WatchResponse]
 	findRelays *connect.Client[v1.FindRelaysRequest, v1.FindRelaysResponse]
 	relaySync  *connect.Client[v1.RelaySyncRequest, v1.RelaySyncResponse]
 }
 
+// Watch calls cactuspath.v1.ControlService.Watch.
+func (c *controlServiceClient) Watch(ctx context.Context, req *connect.Request[v1.WatchRequest]) (*connect.Response[v1.WatchResponse], error) {
+	return c.watch.CallUnary(ctx, req)
+}
+
 // FindRelays calls cactuspath.v1.ControlService.FindRelays.
 func (c *controlServiceClient) FindRelays(ctx context.Context, req *connect.Request[v1.FindRelaysRequest]) (*connect.Response[v1.FindRelaysResponse], error) {
 	return c.findRelays.CallUnary(ctx, req)
@@ -252,6 +267,7 @@
 
 // ControlServiceHandler is an implementation of the cactuspath.v1.ControlService service.
 type ControlServiceHandler interface {
+	Watch(context.Context, *connect.Request[v1.WatchRequest]) (*connect.Response[v1.WatchResponse], error)
 	FindRelays(context.Context, *connect.Request[v1.FindRelaysRequest]) (*connect.Response[v1.FindRelaysResponse], error)
 	RelaySync(context.Context, *connect.Request[v1.RelaySyncRequest]) (*connect.Response[v1.RelaySyncResponse], error)
 }
@@ -263,6 +279,12 @@
 // and JSON codecs. They also support gzip compression.
 func NewControlServiceHandler(svc ControlServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
 	controlServiceMethods := v1.File_cactuspath_v1_directory_proto.Services().ByName("ControlService").Methods()
+	controlServiceWatchHandler := connect.NewUnaryHandler(
+		ControlServiceWatchProcedure,
+		svc.Watch,
+		connect.WithSchema(controlServiceMethods.ByName("Watch")),
+		connect.WithHandlerOptions(opts...),
+	)
 	controlServiceFindRelaysHandler := connect.NewUnaryHandler(
 		ControlServiceFindRelaysProcedure,
 		svc.FindRelays,
@@ -277,6 +299,8 @@
 	)
 	return "/cactuspath.v1.ControlService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
+		case ControlServiceWatchProcedure:
+			controlServiceWatchHandler.ServeHTTP(w, r)
 		case ControlServiceFindRelaysProcedure:
 			controlServiceFindRelaysHandler.ServeHTTP(w, r)
 		case ControlServiceRelaySyncProcedure:
@@ -290,6 +314,10 @@
 // UnimplementedControlServiceHandler returns CodeUnimplemented from all methods.
 type UnimplementedControlServiceHandler struct{}
 
+func (UnimplementedControlServiceHandler) Watch(context.Context, *connect.Request[v1.WatchRequest]) (*connect.Response[v1.WatchResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cactuspath.v1.ControlService.Watch is not implemented"))
+}
+
 func (UnimplementedControlServiceHandler) FindRelays(context.Context, *connect.Request[v1.FindRelaysRequest]) (*connect.Response[v1.FindRelaysResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cactuspath.v1.ControlService.FindRelays is not implemented"))
 }
--- /dev/null
+++ b/cmd/cactusctl/cgo.go
@@ -0,0 +1,4 @@
+package main
+
+// Linked against the system's C library, as cactuspath is.
+import _ "runtime/cgo"
--- a/cmd/cactuspath/run.go
+++ b/cmd/cactuspath/run.go
@@ -7,8 +7,10 @@
 	"github.com/spf13/cobra"
 	"k8s.io/klog/v2"
 
+	"cactuspath/internal/adapter"
 	"cactuspath/internal/process"
 	"cactuspath/internal/settings"
+	"cactuspath/platform"
 )
 
 func runCommand() *cobra.Command {
@@ -28,7 +30,7 @@
 			defer klog.Flush()
 			ctx, cancel := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
 			defer cancel()
-			p, err := process.Open(s)
+			p, err := process.Open(s, adapters())
 			if err != nil {
 				return err
 			}
@@ -39,6 +41,11 @@
 	return cmd
 }
 
+// adapters are the platforms that this program can run on.
+func adapters() map[string]adapter.Adapter {
+	return map[string]adapter.Adapter{platform.Name: platform.New()}
+}
+
 func settingsFlag(cmd *cobra.Command, file *string) {
 	cmd.Flags().StringVar(file, "settings", "", "settings file (JSON with comments)")
 	_ = cmd.MarkFlagRequired("settings")
--- a/core/consensus/election.go
+++ b/core/consensus/election.go
@@ -7,6 +7,7 @@
 func (r *Raft) tickLeader() {
 	r.heartbeatElapsed++
 	for _, p := range r.progress {
+		p.silent++
 		r.tickSnapshot(p)
 	}
 	if r.electionElapsed >= r.electionTicks {
--- a/core/consensus/raft.go
+++ b/core/consensus/raft.go
@@ -49,8 +49,8 @@
 	maxEntriesPerAppend = 64
 	maxBytesPerAppend   = 1 << 20
 	maxUncommitted      = 4096
-	// catchUpSlack is how many entries a learner may lack when it is promoted.
-	catchUpSlack = 64
+	// CatchUpSlack is how many entries a learner may lack when it is promoted.
+	CatchUpSlack = 64
 	// forcedCampaign in a vote's Hint marks a transfer the leader asked for, so
 	// that voters do not hold the election off on the leader's behalf.
 	forcedCampaign = 1
@@ -85,6 +85,8 @@
 	pendingSnapshot uint64
 	snapshotTicks   int
 	round           uint64
+	// silent counts the ticks since the member last answered.
+	silent int
 }
 
 type pendingRead struct {
@@ -157,16 +159,37 @@
 	Membership                 *apiv1.Membership
 	// Match is each member's replicated index; leader only.
 	Match map[uint64]uint64
+	// Silent is how many ticks ago each member last answered; leader only.
+	Silent map[uint64]int
+	// LeaderSilent is how many ticks ago a follower last heard its leader.
+	LeaderSilent int
+	// ConfigCommitted: the newest change of members is agreed.
+	ConfigCommitted bool
+}
+
+// Voters counts the members that vote.
+func (s Status) Voters() int {
+	voters := 0
+	for _, m := range s.Membership.GetMembers() {
+		if !m.Learner {
+			voters++
+		}
+	}
+	return voters
 }
 
 // Status returns the replica's view.
 func (r *Raft) Status() Status {
 	s := Status{ID: r.id, Term: r.term, Leader: r.leader, Role: r.role, Commit: r.log.committed, Applied: r.log.applied,
-		LastIndex: r.log.lastIndex(), SnapshotIndex: r.log.snapIndex, Membership: r.membership}
+		LastIndex: r.log.lastIndex(), SnapshotIndex: r.log.snapIndex, Membership: r.membership,
+		LeaderSilent: r.electionElapsed, ConfigCommitted: r.configIndex <= r.log.committed}
 	if r.role == Leader {
-		s.Match = map[uint64]uint64{}
+		s.Match, s.Silent, s.LeaderSilent = map[uint64]uint64{}, map[uint64]int{}, 0
 		for id, p := range r.progress {
 			s.Match[id] = p.match
+			if id != r.id {
+				s.Silent[id] = p.silent
+			}
 		}
 	}
 	return s
--- a/core/consensus/step.go
+++ b/core/consensus/step.go
@@ -196,7 +196,7 @@
 	if r.role != Leader || p == nil {
 		return
 	}
-	p.active = true
+	p.active, p.silent = true, 0
 	if m.Reject {
 		if m.Index != 0 && (p.probing && m.Index == p.next-1 || !p.probing && m.Index > p.match) {
 			p.next = max(p.match+1, min(m.Hint+1, m.Index))
@@ -228,7 +228,7 @@
 	if r.role != Leader || p == nil {
 		return
 	}
-	p.active = true
+	p.active, p.silent = true, 0
 	p.paused = false
 	p.round = max(p.round, m.Round)
 	if p.match < r.log.lastIndex() {
--- a/core/estate/document.go
+++ b/core/estate/document.go
@@ -15,12 +15,24 @@
 
 	apiv1 "cactuspath/api/cactuspath/v1"
 	"cactuspath/core/jsonc"
+	"cactuspath/core/rollout"
 )
 
 // Document is a checked estate text of one institution.
 type Document struct {
 	Institution string
-	Services    map[string]*apiv1.ServiceSpec
+	// Revision is the number that the operator gives this text; 0 leaves it to
+	// the control replicas, which then take the next one.
+	Revision uint64
+	Services map[string]*apiv1.ServiceSpec
+	Routes   map[string]*apiv1.RouteSpec
+	// Limits bound what callers may send; nil if the text has none.
+	Limits *apiv1.CallerLimits
+}
+
+// Contents is what a text compiles to.
+func (d *Document) Contents() rollout.Contents {
+	return rollout.Contents{Services: d.Services, Routes: d.Routes, Limits: d.Limits}
 }
 
 // Limits that a text may not exceed. They keep one institution's mistake from
@@ -34,6 +46,9 @@
 	maxRetryPercent = 100
 	maxTimeout      = time.Hour
 	maxBudgetRate   = 10_000_000
+	maxConnections  = 1_000_000
+	// maxRevision leaves room above any number that an operator gives.
+	maxRevision = 1 << 53
 )
 
 // Defaults for fields that a text leaves out.
@@ -59,19 +74,23 @@
 	if len(reader.Problems()) > 0 {
 		return nil, reader.Problems()
 	}
-	doc := &Document{Services: map[string]*apiv1.ServiceSpec{}}
+	doc := &Document{Services: map[string]*apiv1.ServiceSpec{}, Routes: map[string]*apiv1.RouteSpec{}}
 	contract := terms{
 		measure:      &apiv1.MeasureBudget{ReportsPerSecond: defaultReports, BytesPerSecond: defaultBytes},
 		retryPercent: defaultRetryPercent,
 	}
-	places := map[string]jsonc.Node{}
+	places, routePlaces := map[string]jsonc.Node{}, map[string]jsonc.Node{}
 	root.Object(map[string]func(jsonc.Node){
 		"institution": func(n jsonc.Node) { doc.Institution = name(n) },
 		"terms":       func(n jsonc.Node) { contract.read(n) },
+		"revision":    func(n jsonc.Node) { doc.Revision = n.Uint(1, maxRevision) },
 		"services":    func(n jsonc.Node) { readServices(n, doc, places) },
+		"routes":      func(n jsonc.Node) { readRoutes(n, doc, routePlaces) },
+		"limits":      func(n jsonc.Node) { doc.Limits = readLimits(n) },
 	}, "institution", "services")
 	checkDependencies(doc, places)
 	checkRoutes(doc, places)
+	checkRouteTargets(doc, routePlaces)
 	contract.apply(doc)
 	if problems := reader.Problems(); len(problems) > 0 {
 		return nil, problems
@@ -132,6 +151,10 @@
 		"maxAttempts":  func(n jsonc.Node) { spec.MaxAttempts = uint32(n.Uint(1, maxAttempts)) },
 		"slowStart":    func(n jsonc.Node) { spec.SlowStartMs = millis(n, 0, maxTimeout) },
 		"maxBodyBytes": func(n jsonc.Node) { spec.MaxBodyBytes = n.Uint(0, 1<<50) },
+		"healthPath":   func(n jsonc.Node) { spec.HealthPath = prefix(n) },
+		"maxConnections": func(n jsonc.Node) {
+			spec.MaxConnections = uint32(n.Uint(0, maxConnections))
+		},
 	}, "slots")
 	if !queueGiven {
 		spec.Queue = spec.Slots * queuePerSlot
@@ -187,11 +210,7 @@
 func prefixes(n jsonc.Node) []string {
 	var list []string
 	for _, e := range n.Elements() {
-		s := e.String()
-		if !strings.HasPrefix(s, "/") {
-			e.Fail(fmt.Sprintf("path prefix %q does not start with a slash", s), `write "/…"`)
-		}
-		list = append(list, s)
+		list = append(list, prefix(e))
 	}
 	return list
 }
--- /dev/null
+++ b/core/estate/routes.go
@@ -0,0 +1,134 @@
+package estate
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	apiv1 "cactuspath/api/cactuspath/v1"
+	"cactuspath/core/jsonc"
+)
+
+// Limits of a text's routes.
+const (
+	// maxRoutes keeps one text from costing every node its memory: a route takes
+	// some 300 bytes there.
+	maxRoutes = 20_000
+	maxShares = 16
+	maxWeight = 1_000_000
+	// maxRouteTimeout is the longest that a caller may be kept waiting.
+	maxRouteTimeout = 10 * time.Minute
+	maxPriority     = 100
+	maxRouteTries   = 100
+	maxHeaderBytes  = 1 << 20
+	maxBodyBytes    = 1 << 40
+	maxCallerWait   = time.Hour
+)
+
+var routeKinds = map[string]apiv1.RouteKind{
+	"safe":   apiv1.RouteKind_ROUTE_KIND_SAFE,
+	"unsafe": apiv1.RouteKind_ROUTE_KIND_UNSAFE,
+	"upload": apiv1.RouteKind_ROUTE_KIND_UPLOAD,
+}
+
+// readRoutes reads the routes by name.
+func readRoutes(n jsonc.Node, doc *Document, places map[string]jsonc.Node) {
+	members := n.Members()
+	if len(members) > maxRoutes {
+		n.Fail(fmt.Sprintf("%d routes, more than the %d allowed", len(members), maxRoutes), "split the institution's text")
+		return
+	}
+	for _, m := range members {
+		if m.Name == "" {
+			m.Key.Fail("a route has an empty name", "name the route")
+			continue
+		}
+		places[m.Name] = m.Value
+		doc.Routes[m.Name] = readRoute(m.Value)
+	}
+}
+
+func readRoute(n jsonc.Node) *apiv1.RouteSpec {
+	spec := &apiv1.RouteSpec{TimeoutMs: uint32(defaultTimeout.Milliseconds()), MaxAttempts: defaultAttempts}
+	n.Object(map[string]func(jsonc.Node){
+		"host":        func(n jsonc.Node) { spec.Host = strings.ToLower(n.String()) },
+		"pathPrefix":  func(n jsonc.Node) { spec.PathPrefix = prefix(n) },
+		"kind":        func(n jsonc.Node) { spec.Kind = routeKinds[n.OneOf("safe", "unsafe", "upload")] },
+		"timeout":     func(n jsonc.Node) { spec.TimeoutMs = millis(n, time.Millisecond, maxRouteTimeout) },
+		"aim":         func(n jsonc.Node) { spec.AimMs = millis(n, 0, maxRouteTimeout) },
+		"priority":    func(n jsonc.Node) { spec.Priority = uint32(n.Uint(0, maxPriority)) },
+		"maxAttempts": func(n jsonc.Node) { spec.MaxAttempts = uint32(n.Uint(1, maxRouteTries)) },
+		"service": func(n jsonc.Node) {
+			spec.Shares = []*apiv1.RouteShare{{Service: name(n), Weight: 1}}
+		},
+		"split": func(n jsonc.Node) { spec.Shares = readShares(n) },
+	}, "pathPrefix", "kind")
+	if len(spec.Shares) == 0 {
+		n.Fail("the route leads to no service", `add "service": "…" or "split": […]`)
+	}
+	return spec
+}
+
+func prefix(n jsonc.Node) string {
+	s := n.String()
+	if !strings.HasPrefix(s, "/") {
+		n.Fail(fmt.Sprintf("path prefix %q does not start with a slash", s), `write "/…"`)
+	}
+	return s
+}
+
+func readShares(n jsonc.Node) []*apiv1.RouteShare {
+	elements := n.Elements()
+	if len(elements) > maxShares {
+		n.Fail(fmt.Sprintf("%d shares, more than the %d allowed", len(elements), maxShares), "shorten the list")
+		return nil
+	}
+	var list []*apiv1.RouteShare
+	total := uint32(0)
+	for _, e := range elements {
+		share := &apiv1.RouteShare{}
+		e.Object(map[string]func(jsonc.Node){
+			"service": func(n jsonc.Node) { share.Service = name(n) },
+			"weight":  func(n jsonc.Node) { share.Weight = uint32(n.Uint(0, maxWeight)) },
+		}, "service", "weight")
+		total += share.Weight
+		list = append(list, share)
+	}
+	if total == 0 {
+		n.Fail("the weights add up to 0, so no request could be served", "give at least one service a weight above 0")
+	}
+	return list
+}
+
+// checkRouteTargets refuses routes to services that are not in the text, and
+// two routes for the same host and path prefix.
+func checkRouteTargets(doc *Document, places map[string]jsonc.Node) {
+	claimed := map[string]string{}
+	for _, route := range slices.Sorted(maps.Keys(doc.Routes)) {
+		spec := doc.Routes[route]
+		for _, share := range spec.Shares {
+			if doc.Services[share.Service] == nil {
+				places[route].Fail(fmt.Sprintf("route %q leads to service %q, which is not in this text", route, share.Service), "add the service or change the route")
+			}
+		}
+		place := spec.Host + spec.PathPrefix
+		if other, taken := claimed[place]; taken {
+			places[route].Fail(fmt.Sprintf("routes %q and %q have the same host and path prefix %q", other, route, place), "change the host or the prefix of one of them")
+			continue
+		}
+		claimed[place] = route
+	}
+}
+
+func readLimits(n jsonc.Node) *apiv1.CallerLimits {
+	limits := &apiv1.CallerLimits{}
+	n.Object(map[string]func(jsonc.Node){
+		"maxHeaderBytes": func(n jsonc.Node) { limits.MaxHeaderBytes = uint32(n.Uint(0, maxHeaderBytes)) },
+		"maxBodyBytes":   func(n jsonc.Node) { limits.MaxBodyBytes = n.Uint(0, maxBodyBytes) },
+		"headerTimeout":  func(n jsonc.Node) { limits.HeaderTimeoutMs = millis(n, 0, maxCallerWait) },
+		"idleTimeout":    func(n jsonc.Node) { limits.IdleTimeoutMs = millis(n, 0, maxCallerWait) },
+	})
+	return limits
+}
--- a/core/estate/state.go
+++ b/core/estate/state.go
@@ -71,7 +71,7 @@
 // answer must not have the change applied a second time.
 func (s *State) Apply(index uint64, change *apiv1.Change) *apiv1.AuditRecord {
 	digest := Digest(change)
-	if first := s.byID[change.Id]; first != nil {
+	if first := s.byID[change.Id]; first != nil && !s.decideAgain(change, first) {
 		if first.Digest != digest {
 			return &apiv1.AuditRecord{Id: change.Id, Digest: digest, Outcome: apiv1.Outcome_OUTCOME_ID_REUSED, Revision: first.Revision, Index: index}
 		}
@@ -90,6 +90,13 @@
 	return record
 }
 
+// decideAgain tells whether a change that was refused under its id is looked at
+// anew. An id that is a digest of the change says nothing of when it was sent:
+// the same text may be refused today and right on top of tomorrow's revision.
+func (s *State) decideAgain(change *apiv1.Change, first *apiv1.AuditRecord) bool {
+	return change.GetSubmit().GetContentId() && first.Outcome != apiv1.Outcome_OUTCOME_ACCEPTED
+}
+
 func (s *State) applySubmit(change *apiv1.SubmitChange, record *apiv1.AuditRecord) {
 	record.What = "submit " + change.Institution
 	current := s.documents[change.Institution].GetRevision()
@@ -112,8 +119,16 @@
 		return
 	}
 	revision := s.records.Revision() + 1
-	s.records.Replace(doc.Institution, doc.Services, revision)
-	s.documents[doc.Institution] = &apiv1.Document{Institution: doc.Institution, Revision: revision, TextGzip: change.TextGzip}
+	if doc.Revision != 0 {
+		if doc.Revision < revision {
+			refuse(record, jsonc.Problem{Line: 1, Column: 1, Field: "revision", Message: fmt.Sprintf("revision %d is not above the current one, %d", doc.Revision, revision-1),
+				Remedy: "choose a higher number"})
+			return
+		}
+		revision = doc.Revision
+	}
+	s.records.Replace(doc.Institution, doc.Contents(), revision)
+	s.documents[doc.Institution] = &apiv1.Document{Institution: doc.Institution, Revision: revision, TextGzip: change.TextGzip, SourceGzip: change.SourceGzip}
 	record.Outcome = apiv1.Outcome_OUTCOME_ACCEPTED
 	record.Revision = revision
 }
--- a/core/rollout/records.go
+++ b/core/rollout/records.go
@@ -1,5 +1,5 @@
-// Package rollout holds the compiled estate as one record per service and per
-// host, each stamped with the revision that last changed it. What a receiver
+// Package rollout holds the compiled estate as one record per service, per route,
+// per host and per institution's limits, each stamped with the revision that last changed it. What a receiver
 // at revision R lacks is every record stamped after R, so no history of deltas
 // is kept and a receiver may be any number of revisions behind.
 //
@@ -8,6 +8,8 @@
 package rollout
 
 import (
+	"maps"
+	"slices"
 	"sort"
 
 	"google.golang.org/protobuf/proto"
@@ -20,11 +22,21 @@
 	revision uint64
 	services map[string]*apiv1.ServiceRecord
 	hosts    map[string]*apiv1.HostRecord
+	routes   map[string]*apiv1.RouteRecord
+	limits   map[string]*apiv1.LimitsRecord
+}
+
+// Contents is what an institution's text says, compiled.
+type Contents struct {
+	Services map[string]*apiv1.ServiceSpec
+	Routes   map[string]*apiv1.RouteSpec
+	Limits   *apiv1.CallerLimits
 }
 
 // NewRecords returns the records before the first revision.
 func NewRecords() *Records {
-	return &Records{services: map[string]*apiv1.ServiceRecord{}, hosts: map[string]*apiv1.HostRecord{}}
+	return &Records{services: map[string]*apiv1.ServiceRecord{}, hosts: map[string]*apiv1.HostRecord{},
+		routes: map[string]*apiv1.RouteRecord{}, limits: map[string]*apiv1.LimitsRecord{}}
 }
 
 // Revision is the newest revision held.
@@ -58,9 +70,18 @@
 	return list
 }
 
-// Replace sets an institution's services as of revision. Records whose spec is
+// Replace sets an institution's contents as of revision. Records whose spec is
 // unchanged keep their stamp, so they do not travel.
-func (r *Records) Replace(institution string, specs map[string]*apiv1.ServiceSpec, revision uint64) {
+func (r *Records) Replace(institution string, contents Contents, revision uint64) {
+	r.replaceServices(institution, contents.Services, revision)
+	r.replaceRoutes(institution, contents.Routes, revision)
+	if held := r.limits[institution]; (held != nil || contents.Limits != nil) && !proto.Equal(held.GetLimits(), contents.Limits) {
+		r.limits[institution] = &apiv1.LimitsRecord{Institution: institution, ChangedAt: revision, Limits: contents.Limits}
+	}
+	r.revision = revision
+}
+
+func (r *Records) replaceServices(institution string, specs map[string]*apiv1.ServiceSpec, revision uint64) {
 	for name, held := range r.services {
 		if _, kept := specs[name]; !kept && held.Institution == institution && !held.Removed {
 			r.services[name] = &apiv1.ServiceRecord{Name: name, Institution: institution, ChangedAt: revision, Removed: true}
@@ -73,7 +94,58 @@
 		}
 		r.services[name] = &apiv1.ServiceRecord{Name: name, Institution: institution, ChangedAt: revision, Spec: spec}
 	}
-	r.revision = revision
+}
+
+func (r *Records) replaceRoutes(institution string, specs map[string]*apiv1.RouteSpec, revision uint64) {
+	for key, held := range r.routes {
+		if _, kept := specs[held.Name]; !kept && held.Institution == institution && !held.Removed {
+			r.routes[key] = &apiv1.RouteRecord{Name: held.Name, Institution: institution, ChangedAt: revision, Removed: true}
+		}
+	}
+	for name, spec := range specs {
+		key := routeKey(institution, name)
+		held := r.routes[key]
+		if held != nil && !held.Removed && proto.Equal(held.Spec, spec) {
+			continue
+		}
+		r.routes[key] = &apiv1.RouteRecord{Name: name, Institution: institution, ChangedAt: revision, Spec: spec}
+	}
+}
+
+// routeKey keeps the routes of two institutions apart that have the same name.
+func routeKey(institution, name string) string { return institution + "\x00" + name }
+
+// Routes returns the routes that are not removed, by institution and name.
+func (r *Records) Routes() []*apiv1.RouteRecord {
+	var list []*apiv1.RouteRecord
+	for _, route := range r.sortedRoutes() {
+		if !route.Removed {
+			list = append(list, route)
+		}
+	}
+	return list
+}
+
+// Limits returns the tightest of the institutions' limits; a value of 0 means
+// that none sets it.
+func (r *Records) Limits() *apiv1.CallerLimits {
+	out := &apiv1.CallerLimits{}
+	for _, record := range r.limits {
+		l := record.Limits
+		out.MaxHeaderBytes = tighter(out.MaxHeaderBytes, l.GetMaxHeaderBytes())
+		out.MaxBodyBytes = tighter(out.MaxBodyBytes, l.GetMaxBodyBytes())
+		out.HeaderTimeoutMs = tighter(out.HeaderTimeoutMs, l.GetHeaderTimeoutMs())
+		out.IdleTimeoutMs = tighter(out.IdleTimeoutMs, l.GetIdleTimeoutMs())
+	}
+	return out
+}
+
+// tighter is the smaller of two limits, where 0 stands for none.
+func tighter[T uint32 | uint64](a, b T) T {
+	if a == 0 || b != 0 && b < a {
+		return b
+	}
+	return a
 }
 
 // SetHost records a planned stop, or its end, as of revision.
@@ -121,9 +193,25 @@
 	if h := r.hosts[host]; h != nil && h.ChangedAt > since {
 		delta.Hosts = append(delta.Hosts, h)
 	}
+	r.addRoutes(since, delta)
 	return delta
 }
 
+// addRoutes adds the routes and limits that changed. Every node needs all routes:
+// a request for any of them may come to it.
+func (r *Records) addRoutes(since uint64, delta *apiv1.EstateDelta) {
+	for _, route := range r.sortedRoutes() {
+		if route.ChangedAt > since {
+			delta.Routes = append(delta.Routes, route)
+		}
+	}
+	for _, l := range r.sortedLimits() {
+		if l.ChangedAt > since {
+			delta.Limits = append(delta.Limits, l)
+		}
+	}
+}
+
 func routesOnly(s *apiv1.ServiceRecord) *apiv1.ServiceRecord {
 	spec := &apiv1.ServiceSpec{Hosts: s.Spec.GetHosts(), PathPrefixes: s.Spec.GetPathPrefixes()}
 	return &apiv1.ServiceRecord{Name: s.Name, Institution: s.Institution, ChangedAt: s.ChangedAt, Spec: spec, Partial: true}
@@ -140,6 +228,7 @@
 			delta.Hosts = append(delta.Hosts, h)
 		}
 	}
+	r.addRoutes(since, delta)
 }
 
 // Apply takes in a delta and reports whether anything changed.
@@ -166,6 +255,19 @@
 			changed = true
 		}
 	}
+	for _, route := range delta.Routes {
+		key := routeKey(route.Institution, route.Name)
+		if held := r.routes[key]; held == nil || held.ChangedAt < route.ChangedAt {
+			r.routes[key] = route
+			changed = true
+		}
+	}
+	for _, l := range delta.Limits {
+		if held := r.limits[l.Institution]; held == nil || held.ChangedAt < l.ChangedAt {
+			r.limits[l.Institution] = l
+			changed = true
+		}
+	}
 	r.revision = delta.Revision
 	return changed
 }
@@ -181,7 +283,7 @@
 
 // Snapshot returns all records by name.
 func (r *Records) Snapshot() *apiv1.EstateSnapshot {
-	return &apiv1.EstateSnapshot{Revision: r.revision, Services: r.sortedServices(), Hosts: r.Hosts()}
+	return &apiv1.EstateSnapshot{Revision: r.revision, Services: r.sortedServices(), Hosts: r.Hosts(), Routes: r.sortedRoutes(), Limits: r.sortedLimits()}
 }
 
 // Restore replaces the records by a snapshot's.
@@ -194,6 +296,28 @@
 	for _, h := range snap.Hosts {
 		r.hosts[h.Host] = h
 	}
+	for _, route := range snap.Routes {
+		r.routes[routeKey(route.Institution, route.Name)] = route
+	}
+	for _, l := range snap.Limits {
+		r.limits[l.Institution] = l
+	}
+}
+
+func (r *Records) sortedRoutes() []*apiv1.RouteRecord {
+	list := make([]*apiv1.RouteRecord, 0, len(r.routes))
+	for _, key := range slices.Sorted(maps.Keys(r.routes)) {
+		list = append(list, r.routes[key])
+	}
+	return list
+}
+
+func (r *Records) sortedLimits() []*apiv1.LimitsRecord {
+	list := make([]*apiv1.LimitsRecord, 0, len(r.limits))
+	for _, institution := range slices.Sorted(maps.Keys(r.limits)) {
+		list = append(list, r.limits[institution])
+	}
+	return list
 }
 
 func (r *Records) sortedServices() []*apiv1.ServiceRecord {
--- a/core/rollout/records_test.go
+++ b/core/rollout/records_test.go
@@ -26,7 +26,7 @@
 			for i := range rapid.IntRange(0, 4).Draw(t, "services") {
 				specs[fmt.Sprint(i)] = spec(uint32(rapid.IntRange(1, 3).Draw(t, "slots")))
 			}
-			source.Replace("a", specs, rev)
+			source.Replace("a", Contents{Services: specs}, rev)
 			copied := NewRecords()
 			copied.Restore(source.Snapshot())
 			history = append(history, copied)
@@ -62,7 +62,7 @@
 func TestOneDeltaMakesUpForAllMissed(t *testing.T) {
 	source, follower, late := NewRecords(), NewRecords(), NewRecords()
 	for rev := uint64(1); rev <= 500; rev++ {
-		source.Replace("a", map[string]*apiv1.ServiceSpec{"x": spec(uint32(rev%7 + 1)), fmt.Sprint("s", rev%5): spec(1)}, rev)
+		source.Replace("a", Contents{Services: map[string]*apiv1.ServiceSpec{"x": spec(uint32(rev%7 + 1)), fmt.Sprint("s", rev%5): spec(1)}}, rev)
 		follower.Apply(source.Delta(follower.Revision()))
 	}
 	late.Apply(source.Delta(0))
@@ -74,7 +74,7 @@
 // come whole although its stamp is old.
 func TestNewlyNeededServiceComesWhole(t *testing.T) {
 	source, node := NewRecords(), NewRecords()
-	source.Replace("a", map[string]*apiv1.ServiceSpec{"x": spec(5), "y": spec(6)}, 1)
+	source.Replace("a", Contents{Services: map[string]*apiv1.ServiceSpec{"x": spec(5), "y": spec(6)}}, 1)
 	node.Apply(source.DeltaFor(0, []string{"x"}, nil, ""))
 	assert.Assert(t, node.Service("y").Partial)
 	node.Apply(source.DeltaFor(1, []string{"x", "y"}, []string{"y"}, ""))
@@ -87,7 +87,7 @@
 // It must not take the record's rest away again.
 func TestLatePartialRecordDoesNotReplaceAWholeOne(t *testing.T) {
 	source, node := NewRecords(), NewRecords()
-	source.Replace("a", map[string]*apiv1.ServiceSpec{"x": spec(5), "y": spec(6)}, 1)
+	source.Replace("a", Contents{Services: map[string]*apiv1.ServiceSpec{"x": spec(5), "y": spec(6)}}, 1)
 	late := source.DeltaFor(0, []string{"x"}, nil, "")
 	node.Apply(source.DeltaFor(0, []string{"x", "y"}, nil, ""))
 	node.Apply(late)
--- a/internal/capacity/slopes_test.go
+++ b/internal/capacity/slopes_test.go
@@ -188,7 +188,7 @@
 		specs[fmt.Sprintf("service-%03d", i)] = specOf(i, 0)
 	}
 	source := rollout.NewRecords()
-	source.Replace("a", specs, 1)
+	source.Replace("a", rollout.Contents{Services: specs}, 1)
 	needed := []string{"service-001", "service-002", "service-003", "service-004", "service-005"}
 	node := rollout.NewRecords()
 	first := source.DeltaFor(0, needed, nil, "h")
@@ -196,7 +196,7 @@
 	for v := range missed {
 		i := v * 7 % services
 		specs[fmt.Sprintf("service-%03d", i)] = specOf(i, v+1)
-		source.Replace("a", specs, uint64(v+2))
+		source.Replace("a", rollout.Contents{Services: specs}, uint64(v+2))
 	}
 	delta := source.DeltaFor(1, needed, nil, "h")
 	heap, kept := heapMB(func() any {
@@ -279,7 +279,7 @@
 	if !wal.HasIdentity(folder) {
 		assert.NilError(b, wal.WriteIdentity(folder, wal.Identity{MemberID: 1, Name: "c", Founders: map[string]wal.Member{"c": {ID: 1, Address: address}}}))
 	}
-	p, err := process.Open(&settings.Settings{Host: "c", Control: &settings.Control{Name: "c", Address: address, Listen: address, DataFolder: folder}})
+	p, err := process.Open(&settings.Settings{Host: "c", Control: &settings.Control{Name: "c", Address: address, Listen: address, DataFolder: folder}}, nil)
 	assert.NilError(b, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -45,7 +45,9 @@
 	// Traffic counts the bytes exchanged with the replicas.
 	Traffic transport.Traffic
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// learned are the addresses that a replica named, beside those given.
+	learned  []string
 	leader   string
 	replicas map[string]*Replica
 }
@@ -69,6 +71,28 @@
 	}
 }
 
+// Addresses are those that the client was given.
+func (c *Client) Addresses() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.addresses
+}
+
+// SetAddresses replaces the addresses given.
+func (c *Client) SetAddresses(addresses []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.addresses = addresses
+}
+
+// Learn notes the addresses of all replicas, as one of them named them: those
+// given may all have been replaced since.
+func (c *Client) Learn(addresses []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.learned = addresses
+}
+
 // At returns the clients for one address.
 func (c *Client) At(address string) *Replica {
 	c.mu.Lock()
@@ -158,9 +182,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	list := []string{c.leader}
-	start := rand.IntN(max(1, len(c.addresses)))
-	for i := range c.addresses {
-		list = append(list, c.addresses[(start+i)%len(c.addresses)])
+	for _, addresses := range [][]string{c.learned, c.addresses} {
+		start := rand.IntN(max(1, len(addresses)))
+		for i := range addresses {
+			list = append(list, addresses[(start+i)%len(addresses)])
+		}
 	}
 	return list
 }
--- a/internal/dev/cluster.go
+++ b/internal/dev/cluster.go
@@ -102,7 +102,7 @@
 }
 
 func (c *Cluster) run(ctx context.Context, s *settings.Settings, control net.Listener) error {
-	p, err := process.OpenOn(s, control)
+	p, err := process.OpenOn(s, control, nil)
 	if err != nil {
 		return err
 	}
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -7,6 +7,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,6 +38,8 @@
 	Revision func() uint64
 	Heard    func(revision uint64)
 	Counters *Counters
+	// Dialect names the header fields of the backend server.
+	Dialect *hop.Dialect
 }
 
 // Endpoint is one backend server's gate with its driver. Safe for concurrent
@@ -54,12 +57,16 @@
 	closed  bool
 
 	backend  atomic.Pointer[hop.Pool]
+	instance atomic.Pointer[string]
 	failures atomic.Int32
 	down     atomic.Bool
 }
 
 // New returns an endpoint whose gate is closed until a backend server is set.
 func New(options Options, config gate.Config) *Endpoint {
+	if options.Dialect == nil {
+		options.Dialect = &hop.Dialect{}
+	}
 	e := &Endpoint{options: options, start: time.Now(), waiting: map[gate.Handle]chan gate.Event{}}
 	e.gate = gate.New(options.Host, config, 0)
 	return e
@@ -135,6 +142,10 @@
 	e.setDown(false)
 }
 
+// SetInstance names the instance of the backend server that requests are meant
+// for; empty for a backend server that has no instances.
+func (e *Endpoint) SetInstance(instance string) { e.instance.Store(&instance) }
+
 // Configure applies what the estate says of the service.
 func (e *Endpoint) Configure(config gate.Config) {
 	e.with(func(now time.Duration) []gate.Event { return e.gate.Configure(now, config) })
@@ -253,11 +264,20 @@
 		reply.Verdict = hop.Unreached
 		return nil, reply
 	}
-	resp, err := pool.Do(ctx, out)
+	left := time.Until(out.Deadline)
+	if left < time.Millisecond {
+		e.finish(handle, gate.NeverReached)
+		reply.Verdict, reply.Reason = hop.Refused, gate.TooLate
+		return nil, reply
+	}
+	resp, err := pool.Do(ctx, e.toBackend(out, left))
 	if err != nil {
 		return nil, e.failed(ctx, handle, err, reply)
 	}
 	e.failures.Store(0)
+	if e.options.Dialect.SaysNotRun(resp) {
+		return nil, e.rejected(handle, resp, reply)
+	}
 	outcome := gate.Completed
 	if resp.StatusCode >= http.StatusInternalServerError {
 		outcome = gate.Failed
@@ -274,6 +294,28 @@
 	return resp, reply
 }
 
+// toBackend is the request as the backend server gets it: with what is left of
+// its time now, after it waited, and for the instance that this gate stands for.
+func (e *Endpoint) toBackend(out *hop.Outgoing, left time.Duration) *hop.Outgoing {
+	sent := *out
+	dialect := e.options.Dialect
+	sent.Unasked = true
+	sent.Extra = []hop.Field{{Name: dialect.TimeoutField(), Value: strconv.FormatInt(left.Milliseconds(), 10)}, {Name: hop.ServiceHeader}}
+	if instance := e.instance.Load(); dialect.ExpectInstance != "" && instance != nil {
+		sent.Extra = append(sent.Extra, hop.Field{Name: dialect.ExpectInstance, Value: *instance})
+	}
+	return &sent
+}
+
+// rejected takes in an answer which says that the request did not run.
+func (e *Endpoint) rejected(handle gate.Handle, resp *http.Response, reply hop.Reply) hop.Reply {
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	e.finish(handle, gate.NeverReached)
+	reply.Verdict = hop.Rejected
+	return reply
+}
+
 func (e *Endpoint) failed(ctx context.Context, handle gate.Handle, err error, reply hop.Reply) hop.Reply {
 	var dial *hop.DialError
 	switch {
--- a/internal/endpoint/serve.go
+++ b/internal/endpoint/serve.go
@@ -2,7 +2,7 @@
 
 import (
 	"net/http"
-	"strconv"
+	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -22,7 +22,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	out, err := Outgoing(r, req.Timeout)
+	out, err := Outgoing(r, e.options.Dialect, req.Timeout)
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
@@ -48,9 +48,11 @@
 
 // Outgoing builds the request to a backend server from one that arrived. A
 // short body is read into memory first.
-func Outgoing(r *http.Request, timeout time.Duration) (*hop.Outgoing, error) {
-	out := &hop.Outgoing{Method: r.Method, URI: r.URL.RequestURI(), Host: r.Host, Header: r.Header, Length: r.ContentLength, Deadline: time.Now().Add(timeout)}
-	out.Extra = []hop.Field{{Name: hop.TimeoutHeader, Value: strconv.FormatInt(timeout.Milliseconds(), 10)}}
+func Outgoing(r *http.Request, dialect *hop.Dialect, timeout time.Duration) (*hop.Outgoing, error) {
+	out := &hop.Outgoing{Method: r.Method, URI: requestURI(r), Host: r.Host, Header: r.Header, Length: r.ContentLength, Deadline: time.Now().Add(timeout)}
+	if dialect.RequestID != "" {
+		out.IDField, out.ID = dialect.RequestID, r.Header.Get(dialect.RequestID)
+	}
 	hop.CleanRequest(r.Header)
 	switch {
 	case r.ContentLength == 0:
@@ -66,6 +68,15 @@
 	return out, nil
 }
 
+// requestURI is the path and query as they came. Rendered anew from the parsed
+// form, a path with unusual escapes would reach the backend server changed.
+func requestURI(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
 func readBody(r *http.Request) ([]byte, error) {
 	body := make([]byte, r.ContentLength)
 	for n := 0; n < len(body); {
--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -24,6 +24,11 @@
 	// negative. It is sent only after the peer asked for it (100 Continue).
 	Stream io.Reader
 	Length int64
+	// Unasked: the peer does not ask for a streamed body; it is sent at once.
+	Unasked bool
+	// IDField and ID: an answer that carries another id in this field belongs to
+	// an earlier request and is dropped. Empty means not checked.
+	IDField, ID string
 	// Deadline bounds the exchange up to the end of the answer's head.
 	Deadline time.Time
 }
@@ -84,6 +89,7 @@
 	sent     chan struct{}
 	sendErr  error
 	unusable bool
+	foreign  int
 	done     bool
 }
 
@@ -99,6 +105,9 @@
 	if err := x.conn.writer.Flush(); err != nil {
 		return nil, err
 	}
+	if out.Stream != nil && out.Unasked {
+		x.sendBody(out)
+	}
 	return x.readHead(out)
 }
 
@@ -116,6 +125,12 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
+		if out.foreign(resp) {
+			if err := x.drop(resp); err != nil {
+				return nil, err
+			}
+			continue
+		}
 		if out.Stream != nil && x.sent == nil {
 			// The answer came without the body: what the peer expects next on
 			// this connection is not certain.
@@ -126,6 +141,33 @@
 	}
 }
 
+// maxForeign bounds the answers to earlier requests that are dropped before a
+// connection is given up.
+const maxForeign = 3
+
+// foreign tells whether an answer belongs to an earlier request.
+func (out *Outgoing) foreign(resp *http.Response) bool {
+	if out.IDField == "" {
+		return false
+	}
+	id := resp.Header.Get(out.IDField)
+	return id != "" && id != out.ID
+}
+
+var errForeign = errors.New("the answers on this connection belong to other requests")
+
+// drop reads an answer that is not this request's out of the way. The connection
+// is not used again: what else waits on it is not known.
+func (x *exchange) drop(resp *http.Response) error {
+	x.unusable = true
+	x.foreign++
+	if x.foreign > maxForeign || resp.Close {
+		return errForeign
+	}
+	_, err := io.Copy(io.Discard, resp.Body)
+	return err
+}
+
 // lift takes the deadline off, unless the caller went away meanwhile.
 func (x *exchange) lift() {
 	_ = x.conn.SetDeadline(time.Time{})
@@ -207,14 +249,22 @@
 	case out.Stream == nil:
 		writeAll(w, "Content-Length: ", strconv.Itoa(len(out.Buffered)), "\r\n")
 	case out.Length >= 0:
-		writeAll(w, "Expect: 100-continue\r\nContent-Length: ", strconv.FormatInt(out.Length, 10), "\r\n")
+		writeAll(w, out.expect(), "Content-Length: ", strconv.FormatInt(out.Length, 10), "\r\n")
 	default:
-		writeAll(w, "Expect: 100-continue\r\nTransfer-Encoding: chunked\r\n")
+		writeAll(w, out.expect(), "Transfer-Encoding: chunked\r\n")
 	}
 	_, err := w.WriteString("\r\n")
 	return err
 }
 
+// expect is the field that asks the peer whether to send the body.
+func (out *Outgoing) expect() string {
+	if out.Unasked {
+		return ""
+	}
+	return "Expect: 100-continue\r\n"
+}
+
 // writeAll leaves errors to the final write: a bufio.Writer keeps the first.
 func writeAll(w *bufio.Writer, parts ...string) {
 	for _, p := range parts {
@@ -257,7 +307,9 @@
 			reusable = false
 		}
 	}
-	if !reusable || x.unusable || !x.stop() {
+	// Bytes after the answer's end belong to no request.
+	spare := x.conn.reader.Buffered() > 0
+	if !reusable || spare || x.unusable || !x.stop() {
 		x.abort()
 		return
 	}
--- a/internal/hop/header.go
+++ b/internal/hop/header.go
@@ -142,11 +142,13 @@
 	Unreached
 	// Broke: the connection to the backend server broke before its answer; it may have run.
 	Broke
+	// Rejected: the backend server said that it did not run the request.
+	Rejected
 )
 
 // String names the verdict.
 func (v Verdict) String() string {
-	return [...]string{"ran", "refused", "moved", "restarted", "unreached", "broke"}[v]
+	return [...]string{"ran", "refused", "moved", "restarted", "unreached", "broke", "rejected"}[v]
 }
 
 // Reply is what the endpoint's node tells back, beside the answer.
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -34,7 +34,7 @@
 	{"voters that hear the leader do not follow a newer term", "core/consensus/step.go", "if m.Hint != forcedCampaign && r.leader != 0 && r.electionElapsed < r.electionTicks {", "if false {", "core/consensus", "ReturningReplica"},
 	{"a leader without a majority steps down", "core/consensus/election.go", "if !r.quorumActive() {", "if false {", "core/consensus", "IsolatedLeader"},
 	{"a new leader answers no read before its first commit", "core/consensus/raft.go", "if term, _ := r.log.term(r.log.committed); term != r.term {", "if false {", "core/consensus", "NewLeaderAnswers"},
-	{"a learner catches up before it votes", "core/consensus/members.go", "if p == nil || !p.active || p.match+catchUpSlack < r.log.lastIndex() || p.match == 0 {", "if p == nil {", "core/consensus", "LearnerMust"},
+	{"a learner catches up before it votes", "core/consensus/members.go", "if p == nil || !p.active || p.match+CatchUpSlack < r.log.lastIndex() || p.match == 0 {", "if p == nil {", "core/consensus", "LearnerMust"},
 	{"one change of members at a time", "core/consensus/members.go", "if r.configIndex > r.log.committed {", "if false {", "core/consensus", "OneChange"},
 	{"a delayed snapshot keeps acknowledged entries", "core/consensus/step.go", "if term, ok := r.log.term(s.Index); ok && term == s.Term {", "if false {", "core/consensus", "DelayedSnapshot"},
 	{"an older term's entry is not counted as committed", "core/consensus/step.go", "if term, ok := r.log.term(index); !ok || term != r.term || index <= r.log.committed {", "if index <= r.log.committed {", "core/consensus", "OlderTerm"},
@@ -67,7 +67,7 @@
 	{"an older delta is left out", "core/rollout/records.go", "delta.Revision < r.revision || ", "", "core/rollout", "NeverMoves"},
 	{"an older or partial record is left out", "core/rollout/records.go", "if held == nil || held.ChangedAt < s.ChangedAt {", "if true {", "core/rollout", "LatePartial"},
 	{"a newly needed service comes whole", "core/rollout/records.go", "if s := r.services[name]; s != nil && s.ChangedAt <= since {", "if s := r.services[name]; s != nil && false {", "core/rollout", "NewlyNeeded"},
-	{"a resent change gets its first answer", "core/estate/state.go", "if first := s.byID[change.Id]; first != nil {", "if first := s.byID[change.Id]; false {", "core/estate", "Resent"},
+	{"a resent change gets its first answer", "core/estate/state.go", "if first := s.byID[change.Id]; first != nil && !s.decideAgain(change, first) {", "if first := s.byID[change.Id]; false {", "core/estate", "Resent"},
 	{"equal base revisions admit one", "core/estate/state.go", "if change.BaseRevision != current {", "if false {", "core/estate", "EqualBase"},
 
 	{"failed beats serving of the same claim", "core/directory/table.go", "return a.State == failed && b.State != failed", "return false && a.State == failed", "core/directory", ""},
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -95,10 +95,7 @@
 }
 
 func (n *Node) readyz(w http.ResponseWriter, _ *http.Request) {
-	n.mu.Lock()
-	ready := n.records.Revision() > 0 && !n.stopping
-	n.mu.Unlock()
-	if !ready {
+	if !n.Ready() {
 		adminError(w, http.StatusServiceUnavailable, "no configuration yet, or stopping; look at /debug/vars")
 		return
 	}
--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -7,6 +7,7 @@
 type counters struct {
 	heartbeats, relayFailures, relaySearches, controlFailures expvar.Int
 	exchanges, exchangeFailures, probes                       expvar.Int
+	watches, watchFailures                                    expvar.Int
 	reportsSent, reportsReceived, reportsMalformed            expvar.Int
 	// viewChanged and configurationChanged are when these last changed.
 	viewChanged, configurationChanged expvar.Int
@@ -36,6 +37,8 @@
 		"directory_relay_failures":      &n.counters.relayFailures,
 		"directory_relay_searches":      &n.counters.relaySearches,
 		"directory_exchanges":           &n.counters.exchanges,
+		"configuration_watches":         &n.counters.watches,
+		"configuration_watch_failures":  &n.counters.watchFailures,
 		"directory_exchange_failures":   &n.counters.exchangeFailures,
 		"directory_probes":              &n.counters.probes,
 		"directory_control_failures":    &n.counters.controlFailures,
--- a/internal/node/member.go
+++ b/internal/node/member.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"connectrpc.com/connect"
-	"k8s.io/klog/v2"
 
 	apiv1 "cactuspath/api/cactuspath/v1"
 	"cactuspath/core/directory"
@@ -275,12 +274,7 @@
 	if n.records.Apply(resp.Delta) {
 		changed = true
 	}
-	n.revision.Store(n.records.Revision())
-	if n.records.Revision() > before {
-		n.counters.configurationChanged.Set(time.Now().UnixMilli())
-		n.confirmed = resp.ConfirmedAgeMs < uint64(staleConfirmation.Milliseconds())
-		klog.InfoS("Configuration in force", "host", n.options.Host, "revision", n.records.Revision(), "confirmed", n.confirmed)
-	}
+	n.noteRevision(before, resp.ConfirmedAgeMs < uint64(staleConfirmation.Milliseconds()), "relay "+m.current.GetHost())
 	// A service that became needed meanwhile is asked for at once; one that the
 	// relay could not answer for waits for the next heartbeat.
 	again = again || resp.Cursor != nil && !n.view.Covers(n.subscription())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"cactuspath/core/rollout"
 	"cactuspath/internal/controlclient"
 	"cactuspath/internal/endpoint"
+	"cactuspath/internal/hop"
 	"cactuspath/internal/proxy"
 	"cactuspath/internal/transport"
 )
@@ -36,6 +37,14 @@
 	Security             *transport.Security
 	Control              *controlclient.Client
 	StopTimeout          time.Duration
+	// Dialect names the header fields of callers and backend servers; nil for ours.
+	Dialect *hop.Dialect
+	// Service is the service beside this node, if the settings say so; otherwise
+	// it is what the backend server announces.
+	Service string
+	// WatchControl has the node watch control replicas, so that changes are in
+	// force within milliseconds; without it they come with the heartbeats.
+	WatchControl bool
 }
 
 // Node is one node. Safe for concurrent use.
@@ -54,6 +63,7 @@
 	relay    *relay
 	peers    *peerClients
 	reports  *reports
+	watcher  *watcher
 	callers  *inFlight
 
 	mu       sync.Mutex
@@ -83,8 +93,10 @@
 	n.reports = newReports(n)
 	n.relay = newRelay(n)
 	n.member = newMember(n)
+	n.watcher = newWatcher(n)
 	n.proxy = proxy.New(proxy.Options{
 		Host: options.Host, Security: options.Security, Local: n, Need: n.need, Heard: n.heard, Revision: n.Revision, Revoke: n.revoke, Counters: n.calls,
+		Dialect: options.Dialect, CallerService: n.service,
 	})
 	return n
 }
@@ -96,7 +108,7 @@
 	defer cancel()
 	servers := n.serve()
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){n.member.run, n.relay.run, n.reports.run, n.watchServer} {
+	for _, loop := range []func(context.Context){n.member.run, n.relay.run, n.reports.run, n.watchServer, n.watcher.run} {
 		loops.Go(func() { loop(background) })
 	}
 	klog.InfoS("Node started", "host", n.options.Host, "callers", n.options.Callers.Addr(), "peer", n.options.PeerAddress, "admin", n.options.Admin.Addr())
@@ -240,18 +252,41 @@
 	}
 }
 
+// service is the service beside this node.
+func (n *Node) service() string {
+	if n.options.Service != "" {
+		return n.options.Service
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.server == nil {
+		return ""
+	}
+	return n.server.service
+}
+
 // signalChange wakes those who wait for records or entries.
 func (n *Node) signalChange() {
 	close(n.changed)
 	n.changed = make(chan struct{})
 }
 
+// maxPrefetched is up to how many services a node asks for all that have routes,
+// so that no first request waits for a round trip to a relay. In a fleet of
+// hundreds of services it asks for those that are called.
+const maxPrefetched = 64
+
 // subscription lists the services this node needs in full.
 func (n *Node) subscription() []string {
 	set := map[string]bool{}
 	for s := range n.needed {
 		set[s] = true
 	}
+	if routed := n.proxy.RoutedServices(); len(routed) <= maxPrefetched {
+		for _, s := range routed {
+			set[s] = true
+		}
+	}
 	if n.server != nil {
 		set[n.server.service] = true
 		for _, d := range n.records.Service(n.server.service).GetSpec().GetDependsOn() {
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -21,8 +21,16 @@
 	// Address is where the node reaches the backend server.
 	Address string `json:"address"`
 	// Slots is how many requests it runs at once; the estate's number if 0.
-	Slots    uint32 `json:"slots,omitempty"`
-	Draining bool   `json:"draining,omitempty"`
+	Slots uint32 `json:"slots,omitempty"`
+	// Instance identifies this start of the backend server, if its requests name
+	// the instance that is to run them.
+	Instance string `json:"instance,omitempty"`
+	// Sequence orders the announcements of one instance; one that comes late is
+	// left out. 0 means that they have no order.
+	Sequence uint64 `json:"sequence,omitempty"`
+	// ColdFor is how long the server stays slow; the estate's slow start if 0.
+	ColdFor  time.Duration `json:"coldFor,omitempty"`
+	Draining bool          `json:"draining,omitempty"`
 	// Cold asks for a slow start.
 	Cold bool `json:"cold,omitempty"`
 }
@@ -39,12 +47,41 @@
 	address  string
 	slots    uint32
 	draining bool
+	instance string
 	expires  time.Time
 	endpoint *endpoint.Endpoint
 }
 
 var errOtherService = errors.New("this node serves a backend server of another service; withdraw that one first, or run one node for each")
 
+// Announce takes in an announcement or its renewal. When it returns, a drain
+// that it asks for holds: the gate starts no request any more.
+func (n *Node) Announce(a Announcement) error {
+	if problem := a.check(); problem != "" {
+		return errors.New(problem)
+	}
+	return n.announce(a)
+}
+
+// Withdraw ends the announcement of an instance; one of an earlier instance is
+// over already.
+func (n *Node) Withdraw(instance, why string) {
+	n.mu.Lock()
+	current := n.server != nil && n.server.instance == instance
+	n.mu.Unlock()
+	if current {
+		n.withdraw(why)
+	}
+}
+
+// Ready tells whether callers may be sent here: there is a configuration and no
+// planned stop.
+func (n *Node) Ready() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.records.Revision() > 0 && !n.stopping
+}
+
 // announce takes in an announcement or its renewal.
 func (n *Node) announce(a Announcement) error {
 	n.mu.Lock()
@@ -58,15 +95,16 @@
 		s = &server{service: a.Service, endpoint: n.newEndpoint()}
 		n.server = s
 	}
-	moved := s.address != a.Address
+	moved := s.address != a.Address || s.instance != a.Instance
 	changed := fresh || moved || s.slots != a.Slots || s.draining != a.Draining
-	s.address, s.slots, s.draining = a.Address, a.Slots, a.Draining
+	s.address, s.slots, s.draining, s.instance = a.Address, a.Slots, a.Draining, a.Instance
 	s.expires = time.Now().Add(serverLease)
 	if changed {
 		n.sequence++
 	}
 	n.mu.Unlock()
 	if moved {
+		s.endpoint.SetInstance(a.Instance)
 		s.endpoint.SetBackend(a.Address)
 	}
 	if a.Cold && (fresh || moved) {
@@ -82,7 +120,7 @@
 
 func (n *Node) newEndpoint() *endpoint.Endpoint {
 	return endpoint.New(endpoint.Options{
-		Host: n.options.Host, Incarnation: n.incarnation.Load, Send: n.reports.send, Revision: n.Revision, Heard: n.heard, Counters: n.gates,
+		Host: n.options.Host, Incarnation: n.incarnation.Load, Send: n.reports.send, Revision: n.Revision, Heard: n.heard, Counters: n.gates, Dialect: n.options.Dialect,
 	}, gate.Config{})
 }
 
@@ -159,11 +197,15 @@
 // apply carries the newest records and entries to the proxy and the gate.
 func (n *Node) apply() {
 	n.mu.Lock()
-	records := n.records.Services()
+	records, routes := n.records.Services(), n.records.Routes()
 	byService := n.view.ByService()
 	s := n.server
 	n.mu.Unlock()
-	n.proxy.Configure(records)
+	if n.Revision() > 0 {
+		// Without a configuration every request would be told that it has no route,
+		// which its caller takes for final.
+		n.proxy.Configure(records, routes)
+	}
 	n.proxy.Update(n.candidates(byService))
 	if s != nil {
 		n.applyGate(s, byService[s.service])
--- /dev/null
+++ b/internal/node/watch.go
@@ -0,0 +1,198 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"k8s.io/klog/v2"
+
+	apiv1 "cactuspath/api/cactuspath/v1"
+)
+
+const (
+	// watches is how many control replicas a node watches at once: with one, the
+	// loss of that replica would delay a change by the time to notice it.
+	watches = 2
+	// watchHold is how long a replica may hold a watch that has nothing to tell.
+	// It bounds the time to notice that a link went silent.
+	watchHold = 800 * time.Millisecond
+	// watchSlack is added to the hold before a watch counts as lost: a few round
+	// trips on a busy host.
+	watchSlack = 500 * time.Millisecond
+	// watchPause and longestWatchPause space the tries while no replica answers.
+	watchPause        = 100 * time.Millisecond
+	longestWatchPause = 2 * time.Second
+	// fullPause is how long a node leaves the replicas alone that serve as many
+	// watchers as they may; its relay tells it meanwhile.
+	fullPause = time.Minute
+)
+
+// watcher follows the control replicas, so that a change is known within a few
+// round trips of its acknowledgement. Safe for concurrent use.
+type watcher struct {
+	n *Node
+
+	mu sync.Mutex
+	// replicas are the addresses of all control replicas, as one of them told.
+	replicas []string
+	// used are the addresses that are being watched.
+	used map[string]bool
+	// lost: no replica answers.
+	lost bool
+}
+
+func newWatcher(n *Node) *watcher {
+	return &watcher{n: n, used: map[string]bool{}}
+}
+
+// run keeps the watches until ctx ends.
+func (w *watcher) run(ctx context.Context) {
+	if !w.n.options.WatchControl {
+		return
+	}
+	var wait sync.WaitGroup
+	for range watches {
+		wait.Go(func() { w.follow(ctx) })
+	}
+	wait.Wait()
+}
+
+// follow watches one replica after another.
+func (w *watcher) follow(ctx context.Context) {
+	pause := watchPause
+	for ctx.Err() == nil {
+		address := w.choose()
+		if address != "" && w.stay(ctx, address) {
+			pause = watchPause
+		}
+		w.leave(address)
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause/2 + rand.N(pause)):
+		}
+		pause = min(2*pause, longestWatchPause)
+	}
+}
+
+// choose takes a replica that is not watched yet, at random.
+func (w *watcher) choose() string {
+	addresses := w.n.options.Control.Addresses()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	candidates := slices.Concat(w.replicas, addresses)
+	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	for _, a := range candidates {
+		if !w.used[a] {
+			w.used[a] = true
+			return a
+		}
+	}
+	return ""
+}
+
+func (w *watcher) leave(address string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.used, address)
+}
+
+// stay watches a replica until it fails or loses its leader; it reports whether
+// the replica was of use.
+func (w *watcher) stay(ctx context.Context, address string) (useful bool) {
+	for ctx.Err() == nil {
+		resp, err := w.once(ctx, address)
+		if err != nil {
+			w.n.counters.watchFailures.Add(1)
+			w.note(address, false, err)
+			return useful
+		}
+		w.n.counters.watches.Add(1)
+		w.learn(resp.Replicas)
+		w.n.takeDelta(resp.Delta, !resp.Detached, "watch of "+address)
+		if resp.Detached {
+			w.note(address, false, nil)
+			return useful
+		}
+		w.note(address, true, nil)
+		useful = true
+		if resp.Full {
+			select {
+			case <-ctx.Done():
+			case <-time.After(fullPause):
+			}
+		}
+	}
+	return useful
+}
+
+func (w *watcher) once(ctx context.Context, address string) (*apiv1.WatchResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchHold+watchSlack)
+	defer cancel()
+	resp, err := w.n.options.Control.At(address).Control.Watch(ctx, connect.NewRequest(&apiv1.WatchRequest{
+		Host: w.n.options.Host, Revision: w.n.Revision(), HoldMs: uint32(watchHold.Milliseconds())}))
+	if err != nil {
+		return nil, err
+	}
+	return resp.Msg, nil
+}
+
+func (w *watcher) learn(replicas []string) {
+	if len(replicas) == 0 {
+		return
+	}
+	w.mu.Lock()
+	w.replicas = replicas
+	w.mu.Unlock()
+	w.n.options.Control.Learn(replicas)
+}
+
+// note logs when the control replicas are lost and when they are back.
+func (w *watcher) note(address string, good bool, err error) {
+	w.mu.Lock()
+	changed := w.lost == good
+	w.lost = !good
+	w.mu.Unlock()
+	if !changed {
+		return
+	}
+	if good {
+		klog.InfoS("Control replica watched", "host", w.n.options.Host, "replica", address)
+		return
+	}
+	klog.InfoS("Control replica lost", "host", w.n.options.Host, "replica", address, "detached", err == nil, "err", err)
+}
+
+// takeDelta applies what a replica told, and never an older revision.
+func (n *Node) takeDelta(delta *apiv1.EstateDelta, confirmed bool, from string) {
+	if delta == nil {
+		return
+	}
+	n.mu.Lock()
+	before := n.records.Revision()
+	changed := n.records.Apply(delta)
+	n.noteRevision(before, confirmed, from)
+	if changed {
+		n.signalChange()
+	}
+	n.mu.Unlock()
+	if changed {
+		n.apply()
+		n.member.kick()
+	}
+}
+
+// noteRevision publishes the revision after an Apply; the caller holds the lock.
+func (n *Node) noteRevision(before uint64, confirmed bool, from string) {
+	now := n.records.Revision()
+	n.revision.Store(now)
+	if now <= before {
+		return
+	}
+	n.counters.configurationChanged.Set(time.Now().UnixMilli())
+	n.confirmed = confirmed
+	klog.InfoS("Configuration in force", "host", n.options.Host, "revision", now, "before", before, "confirmed", confirmed, "from", from)
+}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -8,6 +8,7 @@
 	"expvar"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +19,7 @@
 	"github.com/gorilla/mux"
 	"k8s.io/klog/v2"
 
+	"cactuspath/internal/adapter"
 	"cactuspath/internal/controlclient"
 	"cactuspath/internal/node"
 	"cactuspath/internal/replica"
@@ -33,18 +35,29 @@
 	Replica  *replica.Replica
 	control  net.Listener
 	security *transport.Security
+	adapter  adapter.Adapter
+	client   *controlclient.Client
+	// extra are the listeners of the adapter and of the metrics.
+	extra []extraListener
 }
 
-// Open opens the listeners and the data folder; nothing is served yet.
-func Open(s *settings.Settings) (*Process, error) { return OpenOn(s, nil) }
+// Open opens the listeners and the data folder; nothing is served yet. The
+// settings may name one of the adapters.
+func Open(s *settings.Settings, adapters map[string]adapter.Adapter) (*Process, error) {
+	return OpenOn(s, nil, adapters)
+}
 
 // OpenOn is Open with the control replica's listener open already, or nil.
-func OpenOn(s *settings.Settings, control net.Listener) (*Process, error) {
+func OpenOn(s *settings.Settings, control net.Listener, adapters map[string]adapter.Adapter) (*Process, error) {
+	chosen, err := choose(s, adapters)
+	if err != nil {
+		return nil, err
+	}
 	security, err := transport.NewSecurity(s.TLS)
 	if err != nil {
 		return nil, err
 	}
-	p := &Process{Settings: s, security: security, control: control}
+	p := &Process{Settings: s, security: security, control: control, adapter: chosen, client: controlclient.New(security, s.ControlReplicas, "")}
 	if s.Control != nil {
 		if err := p.openControl(); err != nil {
 			return nil, err
@@ -55,21 +68,19 @@
 			return nil, err
 		}
 	}
-	return p, nil
+	return p, p.openExtra()
 }
 
 func (p *Process) openControl() error {
 	c := p.Settings.Control
-	if !wal.HasIdentity(c.DataFolder) {
-		// An empty folder starts as a new member that waits to be admitted: it
-		// has no vote, and never that of the replica it replaces.
-		id := wal.Identity{MemberID: newMemberID(), Name: c.Name}
-		if err := wal.WriteIdentity(c.DataFolder, id); err != nil {
-			return err
-		}
-		klog.InfoS("Empty data folder: waiting to be admitted", "replica", c.Name, "member", id.MemberID, "remedy", "cactusctl replica add, or cactuspath init for a new cluster")
+	if err := p.claimFolder(); err != nil {
+		return err
+	}
+	options := replica.Options{Name: c.Name, Address: c.Address, DataFolder: c.DataFolder, Security: p.security, Operators: operators(c)}
+	if c.Group != nil {
+		options.Group = &replica.Group{Tolerate: c.Group.Tolerate, Control: p.client}
 	}
-	r, err := replica.Open(replica.Options{Name: c.Name, Address: c.Address, DataFolder: c.DataFolder, Security: p.security, Operators: operators(c)})
+	r, err := replica.Open(options)
 	if err != nil {
 		return err
 	}
@@ -80,6 +91,34 @@
 	return err
 }
 
+// claimFolder gives an empty data folder its identity. It starts as a new member
+// that waits to be admitted: it has no vote, and never that of the replica it
+// replaces. Only at the first start of the whole system do the addresses that
+// all processes were given found the group.
+func (p *Process) claimFolder() error {
+	c := p.Settings.Control
+	if wal.HasIdentity(c.DataFolder) {
+		return nil
+	}
+	id := wal.Identity{MemberID: newMemberID(), Name: c.Name}
+	founds := c.Group != nil && c.Group.Found && slices.Contains(p.Settings.ControlReplicas, c.Address)
+	if founds {
+		id.MemberID, id.Founders = FounderID(c.Address), map[string]wal.Member{}
+		for _, address := range p.Settings.ControlReplicas {
+			id.Founders[address] = wal.Member{ID: FounderID(address), Address: address}
+		}
+	}
+	if err := wal.WriteIdentity(c.DataFolder, id); err != nil {
+		return err
+	}
+	if founds {
+		klog.InfoS("Empty data folder: founds the control group", "replica", c.Name, "member", id.MemberID, "founders", p.Settings.ControlReplicas)
+		return nil
+	}
+	klog.InfoS("Empty data folder: waiting to be admitted", "replica", c.Name, "member", id.MemberID, "remedy", "cactusctl replica add, or cactuspath init for a new cluster")
+	return nil
+}
+
 func operators(c *settings.Control) []replica.Operator {
 	var list []replica.Operator
 	for _, o := range c.Operators {
@@ -118,7 +157,8 @@
 	}
 	p.Node = node.New(node.Options{
 		Host: s.Host, DataCenter: s.DataCenter, Region: s.Region, Callers: callers, Peer: peer, Admin: admin, Reports: socket, PeerAddress: peerAddress,
-		Security: p.security, Control: controlclient.New(p.security, s.ControlReplicas, ""), StopTimeout: s.StopTimeout,
+		Security: p.security, Control: p.client, StopTimeout: s.StopTimeout,
+		Dialect: p.dialect(), Service: n.Service, WatchControl: n.WatchControl,
 	})
 	return nil
 }
@@ -161,6 +201,7 @@
 	defer stopReplica()
 	var wait sync.WaitGroup
 	var replicaErr, nodeErr error
+	defer p.serveExtra()()
 	var server *http.Server
 	if p.Replica != nil {
 		server = p.serveControl()
@@ -186,7 +227,11 @@
 	router := mux.NewRouter()
 	router.HandleFunc("/debug/vars", node.ServeVars(func() map[string]expvar.Var { return p.Replica.Vars() }))
 	router.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
-	router.PathPrefix("/").Handler(p.Replica.Handler())
+	handler := p.Replica.Handler()
+	if p.adapter != nil {
+		handler = either(handler, p.adapter.EstateHandler(p.Replica))
+	}
+	router.PathPrefix("/").Handler(handler)
 	server := &http.Server{Handler: router, ReadHeaderTimeout: controlHeaderTimeout}
 	go func() {
 		if err := server.Serve(p.control); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/proxy/bench_test.go
+++ b/internal/proxy/bench_test.go
@@ -28,7 +28,7 @@
 	peer := serveOn(b, http.HandlerFunc(e.ServeHop))
 	h := New(Options{Host: "front", Local: noLocal{}, Counters: NewCounters(), Heard: func(uint64) {}, Revision: func() uint64 { return 1 },
 		Need: func(context.Context, string) error { return nil }})
-	h.Configure([]*apiv1.ServiceRecord{{Name: "pay", Spec: &apiv1.ServiceSpec{Hosts: []string{"pay.example"}, Slots: 100, TimeoutMs: 5000, MaxAttempts: 3}}})
+	h.Configure([]*apiv1.ServiceRecord{{Name: "pay", Spec: &apiv1.ServiceSpec{Hosts: []string{"pay.example"}, Slots: 100, TimeoutMs: 5000, MaxAttempts: 3}}}, nil)
 	h.Update(map[string][]balancer.Candidate{"pay": {{Host: "a", PeerAddress: peer, Incarnation: 1, Slots: 100}}})
 	for _, target := range []struct{ name, address string }{{"direct", backend}, {"two-nodes", serveOn(b, h)}} {
 		b.Run(target.name, func(b *testing.B) {
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -130,7 +129,6 @@
 	if to.Host == c.h.options.Host {
 		if local := c.h.options.Local.Endpoint(c.s.name); local != nil {
 			out.Deadline = c.deadline
-			out.Extra = []hop.Field{{Name: hop.TimeoutHeader, Value: strconv.FormatInt(timeout.Milliseconds(), 10)}}
 			resp, reply := local.Attempt(c.r.Context(), req, out)
 			return c.settle(a, resp, reply)
 		}
@@ -167,7 +165,7 @@
 func (c *call) remote(a attempt, req hop.Request, out *hop.Outgoing) (*http.Response, retry.Ended) {
 	// The time left is in the hop's own header; the empty field keeps the caller's
 	// from being sent beside it.
-	out.Extra = []hop.Field{{Name: hop.Header, Value: req.Encode()}, {Name: hop.ServiceHeader, Value: c.s.name}, {Name: hop.TimeoutHeader}}
+	out.Extra = []hop.Field{{Name: hop.Header, Value: req.Encode()}, {Name: hop.ServiceHeader, Value: c.s.name}, {Name: c.h.options.Dialect.TimeoutField()}}
 	resp, err := c.h.peer(a.to.PeerAddress).Do(c.r.Context(), out)
 	if err != nil {
 		return nil, c.unanswered(a, err)
@@ -211,6 +209,8 @@
 		return nil, retry.Restarted
 	case hop.Broke:
 		return nil, retry.Lost
+	case hop.Rejected:
+		return nil, retry.NotRun
 	}
 	if reply.Reason == gate.Draining {
 		c.s.setDraining(a.to)
@@ -311,7 +311,7 @@
 		f.Fault = fault.NotRun
 		f.Message = "no endpoint of service " + c.s.name + " took the request and it was not run; come back after the time given"
 	}
-	c.h.fail(c.w, f, retryAfter)
+	c.h.fail(c.w, c.r, f, retryAfter)
 }
 
 // reason is what the last endpoint that was asked said.
--- a/internal/proxy/fault.go
+++ b/internal/proxy/fault.go
@@ -38,7 +38,16 @@
 	fault.TooLarge:       http.StatusRequestEntityTooLarge,
 }
 
-func (h *Handler) fail(w http.ResponseWriter, f Fault, retryAfter time.Duration) {
+// retryAfter renders the standard field. Where the dialect takes fractions of a
+// second the caller is not kept away longer than there is reason to.
+func (h *Handler) retryAfter(d time.Duration) string {
+	if h.options.Dialect.FractionalRetryAfter {
+		return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
+	}
+	return strconv.Itoa(int(math.Ceil(d.Seconds())))
+}
+
+func (h *Handler) fail(w http.ResponseWriter, r *http.Request, f Fault, retryAfter time.Duration) {
 	kind := f.Fault
 	h.options.Counters.Faults.Add(string(kind), 1)
 	f.Ran, f.RetryAfterMs = "no", retryAfter.Milliseconds()
@@ -52,8 +61,11 @@
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
 	header.Set(fault.Header, string(kind))
+	if field := h.options.Dialect.RequestID; field != "" {
+		header.Set(field, r.Header.Get(field))
+	}
 	if retryAfter > 0 {
-		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(retryAfter.Seconds()))))
+		header.Set("Retry-After", h.retryAfter(retryAfter))
 		header.Set(RetryAfterHeader, strconv.FormatInt(retryAfter.Milliseconds(), 10))
 	}
 	w.WriteHeader(statusOf[kind])
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -35,6 +35,10 @@
 	// Need tells the node that a service is called which it does not know in
 	// full; it returns once it does, or when ctx ends.
 	Need func(ctx context.Context, service string) error
+	// Dialect names the header fields of callers and backend servers.
+	Dialect *hop.Dialect
+	// CallerService is the service beside this node, which its callers speak for.
+	CallerService func() string
 	// Heard passes on a revision that another node mentioned.
 	Heard func(revision uint64)
 	// Revision is the newest configuration this node holds.
@@ -61,15 +65,18 @@
 // New returns a handler that knows no service yet.
 func New(options Options) *Handler {
 	h := &Handler{options: options, start: time.Now(), seed: rand.Uint64(), services: map[string]*service{}, peers: map[string]*hop.Pool{}}
-	h.table.Store(NewTable(nil))
+	if h.options.Dialect == nil {
+		h.options.Dialect = &hop.Dialect{}
+	}
+	h.table.Store(NewTable(nil, nil, nil))
 	return h
 }
 
 func (h *Handler) now() time.Duration { return time.Since(h.start) }
 
 // Configure applies the newest records.
-func (h *Handler) Configure(records []*apiv1.ServiceRecord) {
-	h.table.Store(NewTable(records))
+func (h *Handler) Configure(records []*apiv1.ServiceRecord, routes []*apiv1.RouteRecord) {
+	h.table.Store(NewTable(records, routes, h.table.Load()))
 	for _, r := range records {
 		if !r.Partial {
 			h.service(r.Name).configure(r.Spec)
@@ -78,6 +85,9 @@
 	h.ready.Store(true)
 }
 
+// RoutedServices names the services that routes lead to.
+func (h *Handler) RoutedServices() []string { return h.table.Load().Services() }
+
 // Update replaces the endpoints of every service.
 func (h *Handler) Update(endpoints map[string][]balancer.Candidate) {
 	h.mu.RLock()
@@ -162,48 +172,57 @@
 // ServeHTTP serves one caller's request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	name, ok := h.table.Load().Find(r)
+	target, ok := h.table.Load().Find(r)
 	if !ok {
 		h.unknownService(w, r)
 		return
 	}
+	name := target.Service
+	if target.Route != nil {
+		name = target.Route.Pick()
+	}
 	s := h.service(name)
 	if s.endpoints() == 0 {
 		ctx, cancel := context.WithTimeout(r.Context(), needTimeout)
 		_ = h.options.Need(ctx, name)
 		cancel()
 	}
-	h.serve(w, r, s, arrived)
+	h.serve(w, r, s, target.Route, arrived)
 	h.options.Counters.observe(time.Since(arrived))
 }
 
 func (h *Handler) unknownService(w http.ResponseWriter, r *http.Request) {
 	if !h.ready.Load() {
-		h.fail(w, Fault{Fault: fault.NotReady, Message: "this node has no configuration yet; ask another node or come back when it is ready"}, time.Second)
+		h.fail(w, r, Fault{Fault: fault.NotReady, Message: "this node has no configuration yet; ask another node or come back when it is ready"}, time.Second)
 		return
 	}
-	h.fail(w, Fault{Fault: fault.NoSuchService, Message: "no service of the estate claims host " + strconv.Quote(r.Host) + " and path " + strconv.Quote(r.URL.Path) +
+	h.fail(w, r, Fault{Fault: fault.NoSuchService, Message: "no service of the estate claims host " + strconv.Quote(r.Host) + " and path " + strconv.Quote(r.URL.Path) +
 		"; check the hosts and pathPrefixes with `cactusctl show`"}, 0)
 }
 
-func (h *Handler) serve(w http.ResponseWriter, r *http.Request, s *service, arrived time.Time) {
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request, s *service, route *Route, arrived time.Time) {
 	spec, rules := s.begin(r.Method)
 	timeout := time.Duration(spec.TimeoutMs) * time.Millisecond
-	if ms, err := strconv.ParseInt(r.Header.Get(hop.TimeoutHeader), 10, 64); err == nil && ms >= 0 {
+	if route != nil {
+		rules, timeout = route.rules(), route.timeout()
+	}
+	dialect := h.options.Dialect
+	if ms, err := strconv.ParseInt(r.Header.Get(dialect.TimeoutField()), 10, 64); err == nil && ms >= 0 {
 		timeout = min(timeout, time.Duration(ms)*time.Millisecond)
 	}
 	if spec.MaxBodyBytes > 0 {
 		if r.ContentLength > int64(spec.MaxBodyBytes) {
-			h.fail(w, Fault{Fault: fault.TooLarge, Message: "the body exceeds the service's maxBodyBytes; send less, or have the estate changed"}, 0)
+			h.fail(w, r, Fault{Fault: fault.TooLarge, Message: "the body exceeds the service's maxBodyBytes; send less, or have the estate changed"}, 0)
 			return
 		}
 		r.Body = http.MaxBytesReader(w, r.Body, int64(spec.MaxBodyBytes))
 	}
-	out, err := endpoint.Outgoing(r, timeout)
+	out, err := endpoint.Outgoing(r, dialect, timeout)
 	if err != nil {
-		h.fail(w, Fault{Fault: fault.Malformed, Message: "the body could not be read: " + err.Error() + "; send as many bytes as Content-Length says"}, 0)
+		h.fail(w, r, Fault{Fault: fault.Malformed, Message: "the body could not be read: " + err.Error() + "; send as many bytes as Content-Length says"}, 0)
 		return
 	}
+	dialect.CleanCaller(out.Header, h.callerService())
 	if out.Stream != nil {
 		_ = http.NewResponseController(w).EnableFullDuplex()
 	}
@@ -212,6 +231,13 @@
 	c.run()
 }
 
+func (h *Handler) callerService() string {
+	if h.options.CallerService == nil {
+		return ""
+	}
+	return h.options.CallerService()
+}
+
 // callerOf identifies the sender for fair shares: its address without the port,
 // or this host for processes on it. All nodes have callers on loopback; told by
 // that address alone they would share one place in every queue.
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -72,7 +72,7 @@
 			return revoke
 		}})
 	h.Configure([]*apiv1.ServiceRecord{{Name: "pay", Spec: &apiv1.ServiceSpec{Hosts: []string{"pay.example"}, Slots: 4, TimeoutMs: 5000, MaxAttempts: 3,
-		RetryPerMille: 100, IdempotentMethods: []string{"GET"}, MaxBodyBytes: 1 << 20}}})
+		RetryPerMille: 100, IdempotentMethods: []string{"GET"}, MaxBodyBytes: 1 << 20}}}, nil)
 	var list []balancer.Candidate
 	for i, n := range nodes {
 		list = append(list, balancer.Candidate{Host: string(rune('a' + i)), PeerAddress: n.Listener.Addr().String(), Incarnation: 1, Slots: 4})
@@ -269,7 +269,7 @@
 		{Name: "deep", Spec: spec([]string{"a.example"}, []string{"/snags/deep/"})},
 		{Name: "anywhere", Spec: spec(nil, []string{"/any"})},
 		{Name: "unrouted", Spec: spec(nil, nil)},
-	})
+	}, nil, nil)
 	cases := []struct{ host, path, named, want string }{
 		{"a.example", "/", "", "site"},
 		{"A.example:8080", "/x", "", "site"},
@@ -290,7 +290,7 @@
 		got, ok := table.Find(r)
 		assert.Equal(t, ok, c.want != "", "%+v", c)
 		if ok {
-			assert.Equal(t, got, c.want, "%+v", c)
+			assert.Equal(t, got.Service, c.want, "%+v", c)
 		}
 	}
 }
--- a/internal/proxy/table.go
+++ b/internal/proxy/table.go
@@ -17,19 +17,26 @@
 type Table struct {
 	byHost map[string][]route
 	names  map[string]bool
+	routes map[string]*Route
 }
 
 type route struct {
-	prefix, service string
+	prefix string
+	target Target
 }
 
-// NewTable builds a table from service records, partial ones included.
-func NewTable(records []*apiv1.ServiceRecord) *Table {
-	t := &Table{byHost: map[string][]route{}, names: map[string]bool{}}
+// NewTable builds a table from routes and service records, partial ones
+// included. A route whose spec did not change is taken over from old, which may
+// be nil, with its place in the sequence of its shares.
+func NewTable(records []*apiv1.ServiceRecord, routes []*apiv1.RouteRecord, old *Table) *Table {
+	t := &Table{byHost: map[string][]route{}, names: map[string]bool{}, routes: map[string]*Route{}}
 	for _, r := range records {
 		t.names[r.Name] = true
 		t.add(r)
 	}
+	for _, r := range routes {
+		t.addRoute(r, old)
+	}
 	for _, routes := range t.byHost {
 		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].prefix) > len(routes[j].prefix) })
 	}
@@ -49,34 +56,62 @@
 	}
 	for _, h := range hosts {
 		for _, p := range prefixes {
-			t.byHost[h] = append(t.byHost[h], route{p, r.Name})
+			t.byHost[h] = append(t.byHost[h], route{p, Target{Service: r.Name}})
+		}
+	}
+}
+
+func (t *Table) addRoute(r *apiv1.RouteRecord, old *Table) {
+	key := r.Institution + "\x00" + r.Name
+	compiled := (*Route)(nil)
+	if old != nil && old.routes[key] != nil && old.routes[key].Revision == r.ChangedAt {
+		compiled = old.routes[key]
+	} else {
+		compiled = newRoute(r)
+	}
+	t.routes[key] = compiled
+	t.byHost[r.Spec.Host] = append(t.byHost[r.Spec.Host], route{r.Spec.PathPrefix, Target{Route: compiled}})
+}
+
+// Services names the services that the routes lead to.
+func (t *Table) Services() []string {
+	seen := map[string]bool{}
+	var list []string
+	for _, r := range t.routes {
+		for _, share := range r.Spec.Shares {
+			if !seen[share.Service] {
+				seen[share.Service] = true
+				list = append(list, share.Service)
+			}
 		}
 	}
+	sort.Strings(list)
+	return list
 }
 
-// Find returns the service that a request names: by the Cactus-Service header,
+// Find returns the target that a request names: by the Cactus-Service header,
 // or by its host and the longest matching path prefix.
-func (t *Table) Find(r *http.Request) (service string, ok bool) {
+func (t *Table) Find(r *http.Request) (target Target, ok bool) {
 	if name := r.Header.Get(hop.ServiceHeader); name != "" {
-		return name, t.names[name]
+		return Target{Service: name}, t.names[name]
 	}
 	host := strings.ToLower(r.Host)
 	if h, _, err := net.SplitHostPort(host); err == nil {
 		host = h
 	}
-	if service, ok := match(t.byHost[host], r.URL.Path); ok {
-		return service, true
+	if target, ok := match(t.byHost[host], r.URL.Path); ok {
+		return target, true
 	}
 	return match(t.byHost[""], r.URL.Path)
 }
 
-func match(routes []route, path string) (string, bool) {
+func match(routes []route, path string) (Target, bool) {
 	for _, r := range routes {
 		if underPrefix(path, r.prefix) {
-			return r.service, true
+			return r.target, true
 		}
 	}
-	return "", false
+	return Target{}, false
 }
 
 // underPrefix matches whole path segments: /snags covers /snags/7, not /snagsold.
--- a/internal/replica/commands.go
+++ b/internal/replica/commands.go
@@ -25,22 +25,28 @@
 	if err := requireID(req.Msg.ChangeId); err != nil {
 		return nil, err
 	}
-	doc, problems := estate.Parse(req.Msg.Text)
+	record, err := c.r.submit(ctx, who, Submission{ID: req.Msg.ChangeId, BaseRevision: req.Msg.BaseRevision, Text: req.Msg.Text})
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&apiv1.SubmitResponse{Record: record}), nil
+}
+
+func (r *Replica) submit(ctx context.Context, who Operator, s Submission) (*apiv1.AuditRecord, error) {
+	doc, problems := estate.Parse(s.Text)
 	if len(problems) > 0 {
-		record := &apiv1.AuditRecord{Id: req.Msg.ChangeId, Operator: who.Name, What: "submit", Outcome: apiv1.Outcome_OUTCOME_REFUSED, Problems: estate.Problems(problems)}
-		return connect.NewResponse(&apiv1.SubmitResponse{Record: record}), nil
+		return &apiv1.AuditRecord{Id: s.ID, Operator: who.Name, What: "submit", Outcome: apiv1.Outcome_OUTCOME_REFUSED, Problems: estate.Problems(problems)}, nil
 	}
-	if err := c.r.mayChange(who, doc.Institution); err != nil {
+	if err := r.mayChange(who, doc.Institution); err != nil {
 		return nil, err
 	}
-	change := newChange(req.Msg.ChangeId, who.Name)
-	change.Kind = &apiv1.Change_Submit{Submit: &apiv1.SubmitChange{
-		Institution: doc.Institution, BaseRevision: req.Msg.BaseRevision, TextGzip: estate.Gzip(req.Msg.Text)}}
-	record, err := c.r.propose(ctx, change)
-	if err != nil {
-		return nil, err
+	change := newChange(s.ID, who.Name)
+	submit := &apiv1.SubmitChange{Institution: doc.Institution, BaseRevision: s.BaseRevision, TextGzip: estate.Gzip(s.Text), ContentId: s.ContentID}
+	if len(s.Source) > 0 {
+		submit.SourceGzip = estate.Gzip(s.Source)
 	}
-	return connect.NewResponse(&apiv1.SubmitResponse{Record: record}), nil
+	change.Kind = &apiv1.Change_Submit{Submit: submit}
+	return r.propose(ctx, change)
 }
 
 // Drain announces a host's planned stop, or its end.
--- a/internal/replica/counters.go
+++ b/internal/replica/counters.go
@@ -11,7 +11,7 @@
 	messagesSent, messagesDropped, messagesFailed expvar.Int
 	syncs, compactions                            expvar.Int
 	changes                                       expvar.Map
-	relaySyncs, findRelays                        expvar.Int
+	relaySyncs, findRelays, watches               expvar.Int
 	traffic                                       transport.Traffic
 }
 
@@ -29,6 +29,7 @@
 		"control_changes":          &r.counters.changes,
 		"control_relay_syncs":      &r.counters.relaySyncs,
 		"control_find_relays":      &r.counters.findRelays,
+		"control_watches":          &r.counters.watches,
 		"control_peer_bytes_in":    &r.counters.traffic.In,
 		"control_peer_bytes_out":   &r.counters.traffic.Out,
 		"control_revision":         gauge(func() any { return r.Revision() }),
--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -14,8 +14,12 @@
 )
 
 const (
-	peerQueue   = 128
-	stepTimeout = 2 * time.Second
+	peerQueue = 128
+	// stepTimeout bounds one message to a peer, so that a link that went silent
+	// is dialled anew before a follower behind it would stand for election.
+	stepTimeout = 700 * time.Millisecond
+	// snapshotTimeout bounds one that carries a snapshot, which is megabytes.
+	snapshotTimeout = 5 * time.Second
 )
 
 // peers sends messages to the other replicas, one sender each, so that a slow
@@ -128,7 +132,13 @@
 }
 
 func (p *peers) post(ctx context.Context, client apiv1connect.ReplicaServiceClient, messages []*apiv1.RaftMessage) {
-	ctx, cancel := context.WithTimeout(ctx, stepTimeout)
+	timeout := stepTimeout
+	for _, m := range messages {
+		if m.Snapshot != nil {
+			timeout = snapshotTimeout
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	if _, err := client.Step(ctx, connect.NewRequest(&apiv1.StepRequest{Messages: messages, From: p.self, FromAddress: p.selfAddress})); err != nil {
 		p.counters.messagesFailed.Add(int64(len(messages)))
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -17,6 +17,9 @@
 
 // propose has the replicas agree on a change and returns its record.
 func (r *Replica) propose(ctx context.Context, change *apiv1.Change) (*apiv1.AuditRecord, error) {
+	if err := r.complete(); err != nil {
+		return nil, err
+	}
 	data, err := proto.Marshal(change)
 	if err != nil {
 		return nil, fault.New(fault.Invalid, err)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -22,9 +22,12 @@
 )
 
 const (
-	tickInterval   = 50 * time.Millisecond
-	electionTicks  = 20
-	heartbeatTicks = 4
+	tickInterval = 50 * time.Millisecond
+	// electionTicks and heartbeatTicks make a follower stand for election 0.7 to
+	// 1.4 s after the leader was last heard, and a leader step down 0.7 s after
+	// its majority: some five heartbeats, where links delay a few milliseconds.
+	electionTicks  = 14
+	heartbeatTicks = 3
 	// compactBytes bounds the log file, and with it the time to restart.
 	compactBytes = 8 << 20
 	inboxSize    = 256
@@ -39,6 +42,8 @@
 	Operators     []Operator
 	// Tick is the length of one tick; 0 means the usual 50 ms.
 	Tick time.Duration
+	// Group, if not nil, has the members chosen by the replicas themselves.
+	Group *Group
 }
 
 // Replica is one control replica. Its exported methods are safe for
@@ -69,6 +74,10 @@
 	appliedSignal chan struct{}
 
 	status atomic.Pointer[consensus.Status]
+
+	joiners   *joiners
+	joinState joinReporter
+	watchers  watchers
 }
 
 type waiter struct {
@@ -91,7 +100,7 @@
 		inbox: make(chan []*apiv1.RaftMessage, inboxSize), calls: make(chan func(), inboxSize), done: make(chan struct{}),
 		waiters: map[uint64]waiter{}, reads: map[uint64]chan<- consensus.Read{},
 		state: estate.NewState(), appliedSignal: make(chan struct{}),
-		hard: restored.HardState,
+		hard: restored.HardState, joiners: newJoiners(),
 	}
 	r.peers = newPeers(options.Security, r.counters, identity.MemberID, options.Address)
 	if restored.Snapshot != nil {
@@ -116,6 +125,9 @@
 	defer r.disk.Close()
 	ticker := time.NewTicker(r.options.Tick)
 	defer ticker.Stop()
+	background, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go r.runGroup(background)
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -25,6 +25,29 @@
 	LogLevel        int
 	// StopTimeout bounds a planned stop.
 	StopTimeout time.Duration
+	// Retry bounds second attempts; the estate's terms hold where it is zero.
+	Retry RetryBudget
+	// Metrics is where metrics are served to other hosts; empty for nowhere.
+	Metrics string
+	// Adapter connects the process to an outside platform; nil for none.
+	Adapter *Adapter
+}
+
+// RetryBudget bounds the second attempts that all nodes send to one service: in
+// each Window at most Ratio times its requests, and Slack more.
+type RetryBudget struct {
+	Ratio, Slack float64
+	Window       time.Duration
+}
+
+// Adapter names the code that speaks a platform's formats, where it listens, and
+// what the platform says that only this code understands.
+type Adapter struct {
+	Name string
+	// Listen are the addresses where the platform calls this process.
+	Listen []string
+	// Options are the platform's own, as it writes them.
+	Options []string
 }
 
 // Node is the part that runs beside a backend server.
@@ -34,6 +57,10 @@
 	Callers, Peer, Admin string
 	// PeerAddress is where other nodes reach Peer; Peer itself if empty.
 	PeerAddress string
+	// Service is the service beside this node, if it is known beforehand.
+	Service string
+	// WatchControl has changes come from the control replicas at once.
+	WatchControl bool
 }
 
 // Control is a control replica.
@@ -44,6 +71,18 @@
 	// Founders are the names and addresses of the first members.
 	Founders  map[string]string
 	Operators []Operator
+	// Group has the replicas choose their members by themselves; nil leaves them
+	// to operators.
+	Group *Group
+}
+
+// Group tells how a control group forms by itself.
+type Group struct {
+	// Tolerate is how many replicas may be lost at once.
+	Tolerate int
+	// Found: this is the first start of the whole system. The addresses that every
+	// process was given found the group.
+	Found bool
 }
 
 // Operator may change what it lists.
@@ -102,6 +141,8 @@
 		"allowPlainText":  func(n jsonc.Node) { plain = n.Bool() },
 		"logLevel":        func(n jsonc.Node) { s.LogLevel = int(n.Uint(0, 10)) },
 		"stopTimeout":     func(n jsonc.Node) { s.StopTimeout = n.Duration(time.Second, time.Hour) },
+		"metrics":         func(n jsonc.Node) { s.Metrics = address(n) },
+		"adapter":         func(n jsonc.Node) { s.Adapter = readAdapter(n) },
 	}, "host", "dataCenter", "region", "controlReplicas")
 	if s.Node == nil && s.Control == nil {
 		root.Fail("neither node nor control is set", `add "node": {…}, "control": {…}, or both`)
@@ -144,12 +185,26 @@
 	return ip != nil && ip.IsLoopback()
 }
 
+func readAdapter(n jsonc.Node) *Adapter {
+	a := &Adapter{}
+	n.Object(map[string]func(jsonc.Node){
+		"name":    func(n jsonc.Node) { a.Name = label(n) },
+		"listen":  func(n jsonc.Node) { a.Listen = addressList(n) },
+		"options": func(n jsonc.Node) { a.Options = n.Strings() },
+	}, "name")
+	return a
+}
+
 func readNode(n jsonc.Node) *Node {
 	node := &Node{}
 	n.Object(map[string]func(jsonc.Node){
 		"callers":     func(n jsonc.Node) { node.Callers = address(n) },
 		"peer":        func(n jsonc.Node) { node.Peer = address(n) },
 		"peerAddress": func(n jsonc.Node) { node.PeerAddress = address(n) },
+		"service":     func(n jsonc.Node) { node.Service = label(n) },
+		"watchControl": func(n jsonc.Node) {
+			node.WatchControl = n.Bool()
+		},
 		"admin": func(n jsonc.Node) {
 			node.Admin = address(n)
 			if !loopback(node.Admin) {
@@ -175,6 +230,7 @@
 				c.Founders[m.Name] = address(m.Value)
 			}
 		},
+		"group": func(n jsonc.Node) { c.Group = readGroup(n) },
 		"operators": func(n jsonc.Node) {
 			for _, e := range n.Elements() {
 				c.Operators = append(c.Operators, readOperator(e))
@@ -190,6 +246,19 @@
 	return c
 }
 
+// maxTolerate bounds the losses that a group is laid out for: seven voters are
+// the most that one leader serves without cost to every change.
+const maxTolerate = 3
+
+func readGroup(n jsonc.Node) *Group {
+	g := &Group{}
+	n.Object(map[string]func(jsonc.Node){
+		"tolerate": func(n jsonc.Node) { g.Tolerate = int(n.Uint(0, maxTolerate)) },
+		"found":    func(n jsonc.Node) { g.Found = n.Bool() },
+	}, "tolerate")
+	return g
+}
+
 func readOperator(n jsonc.Node) Operator {
 	var o Operator
 	n.Object(map[string]func(jsonc.Node){
@@ -243,11 +312,16 @@
 	return s
 }
 
-func addresses(n jsonc.Node) []string {
+func addressList(n jsonc.Node) []string {
 	var list []string
 	for _, e := range n.Elements() {
 		list = append(list, address(e))
 	}
+	return list
+}
+
+func addresses(n jsonc.Node) []string {
+	list := addressList(n)
 	if len(list) == 0 {
 		n.Fail("no control replica is named", "list the address of each")
 	}
