Late announcements are left out; a disk that refuses writes makes a replica stand aside; 503 for what did not run; pipelined requests side by side

Cause: a heartbeat that was held up ended a drain (DRAIN); a full disk ended the process; a request that could not end in time was told 504, which promises nothing; net/http's server reads a pipelined request only after the last answer, so night-lookup waited for the sum of its requests. Open: recovery after a loss of power of everything takes some 4 s; cross-zone bytes; worst windows.

--- a/cmd/cactuspath/run.go
+++ b/cmd/cactuspath/run.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"os"
 	"os/signal"
 	"syscall"
 
@@ -19,7 +20,8 @@
 		Use:   "run --settings FILE",
 		Short: "Run a node, a control replica, or both, as the settings say",
 		Long: "Run a node, a control replica, or both, as the settings say.\n\n" +
-			"SIGTERM and SIGINT are a planned stop: new work is refused as not run, work in flight ends, then the process exits 0.",
+			"SIGTERM and SIGINT are a planned stop: new work is refused as not run, work in flight ends, then the process exits 0.\n" +
+			"SIGHUP has the settings file read again; a change of the file is noticed without it, too.",
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			s, err := settings.Load(file)
@@ -34,6 +36,9 @@
 			if err != nil {
 				return err
 			}
+			hangups := make(chan os.Signal, 1)
+			signal.Notify(hangups, syscall.SIGHUP)
+			go p.WatchSettings(ctx, file, hangups)
 			return p.Run(ctx)
 		},
 	}
--- a/core/consensus/election.go
+++ b/core/consensus/election.go
@@ -124,6 +124,12 @@
 	r.broadcastAppend()
 }
 
+// StepDown gives up leading or standing for election, for a replica that cannot
+// save what it would promise.
+func (r *Raft) StepDown() {
+	r.becomeFollower(r.term, 0)
+}
+
 // TransferLeader asks the most advanced voter to take over, for a planned stop.
 func (r *Raft) TransferLeader() bool {
 	if r.role != Leader {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"cactuspath/core/rollout"
 	"cactuspath/internal/controlclient"
 	"cactuspath/internal/endpoint"
+	"cactuspath/internal/front"
 	"cactuspath/internal/hop"
 	"cactuspath/internal/proxy"
 	"cactuspath/internal/transport"
@@ -64,12 +65,14 @@
 	peers    *peerClients
 	reports  *reports
 	watcher  *watcher
+	front    *front.Server
 	callers  *inFlight
 
 	mu       sync.Mutex
 	records  *rollout.Records
 	view     *directory.View
 	server   *server
+	retired  retired
 	sequence uint64
 	stopping bool
 	departed bool
@@ -98,6 +101,7 @@
 		Host: options.Host, Security: options.Security, Local: n, Need: n.need, Heard: n.heard, Revision: n.Revision, Revoke: n.revoke, Counters: n.calls,
 		Dialect: options.Dialect, CallerService: n.service,
 	})
+	n.front = front.New(n.callers.count(n.proxy))
 	return n
 }
 
@@ -128,37 +132,40 @@
 // AdminAddress returns where the backend server announces itself.
 func (n *Node) AdminAddress() string { return n.options.Admin.Addr().String() }
 
-func (n *Node) serve() []*http.Server {
-	caller := &http.Server{Handler: n.callers.count(n.proxy), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout}
-	caller.Protocols = new(http.Protocols)
-	caller.Protocols.SetHTTP1(true)
-	caller.Protocols.SetUnencryptedHTTP2(true)
+// listening is a server with its listener.
+type listening interface {
+	Serve(net.Listener) error
+	Shutdown(context.Context) error
+	Close() error
+}
+
+func (n *Node) serve() []listening {
 	peer := &http.Server{Handler: n.peerHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	admin := &http.Server{Handler: n.adminHandler(), ReadHeaderTimeout: headerTimeout}
-	start := func(s *http.Server, l net.Listener) {
+	start := func(s listening, l net.Listener) {
 		go func() {
 			if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 				klog.ErrorS(err, "Listener failed", "address", l.Addr())
 			}
 		}()
 	}
-	start(caller, n.options.Callers)
+	start(n.front, n.options.Callers)
 	start(peer, n.options.Security.Wrap(n.options.Peer))
 	start(admin, n.options.Admin)
-	return []*http.Server{caller, peer, admin}
+	return []listening{n.front, peer, admin}
 }
 
 const (
-	headerTimeout  = 10 * time.Second
-	idleTimeout    = 2 * time.Minute
-	maxHeaderBytes = 64 << 10
-	drainPoll      = 20 * time.Millisecond
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+	drainPoll     = 20 * time.Millisecond
 )
 
 // stop carries out a planned stop. The error names what was cut because the
 // stop timeout passed.
-func (n *Node) stop(servers []*http.Server) error {
-	klog.InfoS("Planned stop began", "host", n.options.Host)
+func (n *Node) stop(servers []listening) error {
+	klog.InfoS("Planned stop began", "host", n.options.Host, "callersInFlight", n.callers.now(), "gateInFlight", n.InFlight())
+	n.front.Drain()
 	n.mu.Lock()
 	n.stopping = true
 	n.mu.Unlock()
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -11,6 +12,7 @@
 	"cactuspath/core/gate"
 	"cactuspath/core/measure"
 	"cactuspath/internal/endpoint"
+	"cactuspath/internal/front"
 
 	apiv1 "cactuspath/api/cactuspath/v1"
 )
@@ -48,6 +50,7 @@
 	slots    uint32
 	draining bool
 	instance string
+	sequence uint64
 	expires  time.Time
 	endpoint *endpoint.Endpoint
 }
@@ -85,6 +88,11 @@
 // announce takes in an announcement or its renewal.
 func (n *Node) announce(a Announcement) error {
 	n.mu.Lock()
+	if why := n.outdated(a); why != "" {
+		n.mu.Unlock()
+		klog.InfoS("Announcement left out", "host", n.options.Host, "instance", a.Instance, "sequence", a.Sequence, "why", why)
+		return nil
+	}
 	if n.server != nil && n.server.service != a.Service {
 		n.mu.Unlock()
 		return errOtherService
@@ -97,7 +105,10 @@
 	}
 	moved := s.address != a.Address || s.instance != a.Instance
 	changed := fresh || moved || s.slots != a.Slots || s.draining != a.Draining
-	s.address, s.slots, s.draining, s.instance = a.Address, a.Slots, a.Draining, a.Instance
+	if s.instance != "" && s.instance != a.Instance {
+		n.retired.add(s.instance)
+	}
+	s.address, s.slots, s.draining, s.instance, s.sequence = a.Address, a.Slots, a.Draining, a.Instance, a.Sequence
 	s.expires = time.Now().Add(serverLease)
 	if changed {
 		n.sequence++
@@ -118,6 +129,37 @@
 	return nil
 }
 
+// outdated tells why an announcement is older than what is known, or "". One
+// that was held up on its way could end a drain, after which requests would
+// reach a backend server that is leaving, or bring back one that has ended.
+func (n *Node) outdated(a Announcement) string {
+	switch {
+	case a.Instance == "":
+		return ""
+	case n.retired.has(a.Instance):
+		return "this instance has ended"
+	case n.server != nil && n.server.instance == a.Instance && a.Sequence < n.server.sequence:
+		return "a later one was taken in already"
+	}
+	return ""
+}
+
+// retiredKept is how many ended instances a node remembers: far more than one
+// host sees within the time that an announcement can be held up.
+const retiredKept = 64
+
+// retired are the newest instances that ended.
+type retired struct{ names []string }
+
+func (r *retired) has(instance string) bool { return slices.Contains(r.names, instance) }
+
+func (r *retired) add(instance string) {
+	r.names = append(r.names, instance)
+	if len(r.names) > retiredKept {
+		r.names = r.names[1:]
+	}
+}
+
 func (n *Node) newEndpoint() *endpoint.Endpoint {
 	return endpoint.New(endpoint.Options{
 		Host: n.options.Host, Incarnation: n.incarnation.Load, Send: n.reports.send, Revision: n.Revision, Heard: n.heard, Counters: n.gates, Dialect: n.options.Dialect,
@@ -133,6 +175,9 @@
 		return
 	}
 	n.server = nil
+	if s.instance != "" {
+		n.retired.add(s.instance)
+	}
 	n.sequence++
 	n.mu.Unlock()
 	klog.InfoS("Backend server withdrawn", "host", n.options.Host, "service", s.service, "why", why)
@@ -197,7 +242,7 @@
 // apply carries the newest records and entries to the proxy and the gate.
 func (n *Node) apply() {
 	n.mu.Lock()
-	records, routes := n.records.Services(), n.records.Routes()
+	records, routes, limits := n.records.Services(), n.records.Routes(), n.records.Limits()
 	byService := n.view.ByService()
 	s := n.server
 	n.mu.Unlock()
@@ -205,6 +250,7 @@
 		// Without a configuration every request would be told that it has no route,
 		// which its caller takes for final.
 		n.proxy.Configure(records, routes)
+		n.front.SetLimits(frontLimits(limits))
 	}
 	n.proxy.Update(n.candidates(byService))
 	if s != nil {
@@ -213,6 +259,11 @@
 	n.applyDraining()
 }
 
+func frontLimits(l *apiv1.CallerLimits) front.Limits {
+	return front.Limits{MaxHeaderBytes: int(l.MaxHeaderBytes), MaxBodyBytes: int64(l.MaxBodyBytes),
+		HeaderTimeout: time.Duration(l.HeaderTimeoutMs) * time.Millisecond, IdleTimeout: time.Duration(l.IdleTimeoutMs) * time.Millisecond}
+}
+
 func (n *Node) candidates(byService map[string][]*apiv1.Entry) map[string][]balancer.Candidate {
 	out := make(map[string][]balancer.Candidate, len(byService))
 	for service, entries := range byService {
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -73,9 +73,7 @@
 
 func (p *Process) openControl() error {
 	c := p.Settings.Control
-	if err := p.claimFolder(); err != nil {
-		return err
-	}
+	p.claimFolderWhenDiskWorks()
 	options := replica.Options{Name: c.Name, Address: c.Address, DataFolder: c.DataFolder, Security: p.security, Operators: operators(c)}
 	if c.Group != nil {
 		options.Group = &replica.Group{Tolerate: c.Group.Tolerate, Control: p.client}
@@ -91,6 +89,24 @@
 	return err
 }
 
+// folderRetry is how often a data folder that refuses writes is tried again.
+const folderRetry = 500 * time.Millisecond
+
+// claimFolderWhenDiskWorks waits for a disk that is full or broken: ending the
+// process would only have it started again in front of the same disk.
+func (p *Process) claimFolderWhenDiskWorks() {
+	for logged := false; ; logged = true {
+		err := p.claimFolder()
+		if err == nil {
+			return
+		}
+		if !logged {
+			klog.ErrorS(err, "Data folder cannot be written; waiting for the disk", "folder", p.Settings.Control.DataFolder)
+		}
+		time.Sleep(folderRetry)
+	}
+}
+
 // claimFolder gives an empty data folder its identity. It starts as a new member
 // that waits to be admitted: it has no vote, and never that of the replica it
 // replaces. Only at the first start of the whole system do the addresses that
--- /dev/null
+++ b/internal/process/reload.go
@@ -0,0 +1,60 @@
+package process
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"slices"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"cactuspath/internal/settings"
+)
+
+// reloadInterval is how often the settings file is looked at. A change without a
+// signal then counts within about a second, at the cost of one read a second.
+const reloadInterval = time.Second
+
+// WatchSettings takes in changes of the settings file until ctx ends: at once
+// when signalled says so, otherwise when the file differs from what was read.
+func (p *Process) WatchSettings(ctx context.Context, file string, signalled <-chan os.Signal) {
+	ticker := time.NewTicker(reloadInterval)
+	defer ticker.Stop()
+	held, _ := os.ReadFile(file)
+	for {
+		why := "the file changed"
+		select {
+		case <-ctx.Done():
+			return
+		case <-signalled:
+			why = "SIGHUP"
+		case <-ticker.C:
+		}
+		text, err := os.ReadFile(file)
+		if err != nil {
+			klog.ErrorS(err, "Settings not reloaded; the ones in use stay", "file", file)
+			continue
+		}
+		if bytes.Equal(text, held) {
+			continue
+		}
+		held = text
+		p.reload(file, text, why)
+	}
+}
+
+// reload applies what may change while the process runs. A file with faults
+// changes nothing: the settings in use stay.
+func (p *Process) reload(file string, text []byte, why string) {
+	s, problems := settings.Parse(text)
+	if len(problems) > 0 {
+		klog.ErrorS(&settings.InvalidError{File: file, Problems: problems}, "Settings not reloaded; the ones in use stay", "file", file, "why", why)
+		return
+	}
+	changed := !slices.Equal(s.ControlReplicas, p.client.Addresses())
+	if changed {
+		p.client.SetAddresses(s.ControlReplicas)
+	}
+	klog.InfoS("Settings reloaded", "file", file, "why", why, "controlReplicas", s.ControlReplicas, "changed", changed)
+}
--- a/internal/proxy/fault.go
+++ b/internal/proxy/fault.go
@@ -33,7 +33,8 @@
 	fault.NotReady:       http.StatusServiceUnavailable,
 	fault.OutcomeUnknown: http.StatusBadGateway,
 	fault.NoSuchService:  http.StatusNotFound,
-	fault.DeadlinePassed: http.StatusGatewayTimeout,
+	fault.DeadlinePassed: http.StatusServiceUnavailable,
+	fault.TimedOut:       http.StatusGatewayTimeout,
 	fault.Malformed:      http.StatusBadRequest,
 	fault.TooLarge:       http.StatusRequestEntityTooLarge,
 }
--- a/internal/replica/counters.go
+++ b/internal/replica/counters.go
@@ -9,7 +9,7 @@
 // counters are this replica's, published by the process under /debug/vars.
 type counters struct {
 	messagesSent, messagesDropped, messagesFailed expvar.Int
-	syncs, compactions                            expvar.Int
+	syncs, compactions, diskFailures              expvar.Int
 	changes                                       expvar.Map
 	relaySyncs, findRelays, watches               expvar.Int
 	traffic                                       transport.Traffic
@@ -26,6 +26,7 @@
 		"control_messages_failed":  &r.counters.messagesFailed,
 		"control_syncs":            &r.counters.syncs,
 		"control_compactions":      &r.counters.compactions,
+		"control_disk_failures":    &r.counters.diskFailures,
 		"control_changes":          &r.counters.changes,
 		"control_relay_syncs":      &r.counters.relaySyncs,
 		"control_find_relays":      &r.counters.findRelays,
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -30,6 +30,8 @@
 	heartbeatTicks = 3
 	// compactBytes bounds the log file, and with it the time to restart.
 	compactBytes = 8 << 20
+	// compactRetry spaces tries to compact a log on a disk that refuses them.
+	compactRetry = 5 * time.Second
 	inboxSize    = 256
 	maxBatch     = 256
 )
@@ -66,6 +68,8 @@
 	reads    map[uint64]chan<- consensus.Read
 	nextRead uint64
 	hard     *apiv1.HardState
+	// compactAfter puts the next try off after one that failed.
+	compactAfter time.Time
 
 	mu      sync.RWMutex
 	state   *estate.State
@@ -118,7 +122,8 @@
 	return r, nil
 }
 
-// Run drives the replica until ctx ends or its disk fails.
+// Run drives the replica until ctx ends. A disk that refuses writes makes it
+// stand aside until the disk takes them again.
 func (r *Replica) Run(ctx context.Context) error {
 	defer close(r.done)
 	defer r.peers.close()
@@ -140,12 +145,48 @@
 			call()
 		}
 		r.drainInputs()
-		if err := r.work(); err != nil {
-			return err
+		if err := r.work(); err != nil && !r.standAside(ctx, err) {
+			return nil
 		}
 	}
 }
 
+// diskRetry is how often a disk that refused a write is tried again.
+const diskRetry = 250 * time.Millisecond
+
+// standAside waits until the disk takes writes again; false means that ctx ended.
+// Meanwhile the replica leads nobody and promises nothing: what it could not
+// save is not sent, and proposals and reads are sent elsewhere. Going on without
+// the disk would acknowledge what a crash takes back; ending the process would
+// only have it started again in front of the same disk.
+func (r *Replica) standAside(ctx context.Context, cause error) bool {
+	klog.ErrorS(cause, "Disk lost: standing aside", "replica", r.options.Name, "folder", r.options.DataFolder)
+	r.counters.diskFailures.Add(1)
+	since := time.Now()
+	r.raft.StepDown()
+	r.publish()
+	retry := time.NewTicker(diskRetry)
+	defer retry.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-r.inbox:
+			// Others send again what they are not answered.
+		case call := <-r.calls:
+			call()
+		case <-retry.C:
+			if r.disk.Repair() == nil && r.work() == nil {
+				klog.InfoS("Disk regained", "replica", r.options.Name, "after", time.Since(since))
+				return true
+			}
+			r.raft.StepDown()
+		}
+		rd, _ := r.raft.Ready()
+		r.answerReads(rd.Reads)
+	}
+}
+
 // drainInputs takes in what waits already, so that one sync serves many.
 func (r *Replica) drainInputs() {
 	for range maxBatch {
@@ -260,7 +301,7 @@
 }
 
 func (r *Replica) maybeCompact() error {
-	if r.disk.Size() < compactBytes {
+	if r.disk.Size() < compactBytes || time.Now().Before(r.compactAfter) {
 		return nil
 	}
 	r.mu.RLock()
@@ -275,7 +316,12 @@
 		return nil
 	}
 	r.counters.compactions.Add(1)
-	return r.disk.Compact(s, r.raft.EntriesAfter(s.Index), r.hard)
+	if err := r.disk.Compact(s, r.raft.EntriesAfter(s.Index), r.hard); err != nil {
+		// The log as it stands goes on being right; it is only longer than need be.
+		klog.ErrorS(err, "Log not compacted; tried again later", "replica", r.options.Name)
+		r.compactAfter = time.Now().Add(compactRetry)
+	}
+	return nil
 }
 
 // publish makes the core's status readable outside the loop and logs changes
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -85,6 +85,8 @@
 	file   *os.File
 	buffer []byte
 	size   int64
+	// good is the length up to which the file holds whole records.
+	good int64
 	// TornBytes is how much of a torn tail was removed when it was opened.
 	TornBytes int64
 }
@@ -210,7 +212,7 @@
 	if _, err := f.Seek(size, 0); err != nil {
 		return errors.Wrap(err, "position the log")
 	}
-	l.file, l.size = f, size
+	l.file, l.size, l.good = f, size, size
 	return nil
 }
 
@@ -294,13 +296,30 @@
 		l.size += int64(n)
 		l.buffer = l.buffer[:0]
 		if err != nil {
-			return errors.Wrap(err, "write the log; free disk space or replace the disk, then restart the replica")
+			return errors.Wrap(err, "write the log; free disk space or replace the disk")
 		}
 	}
-	if !sync {
-		return nil
+	if sync {
+		if err := l.file.Sync(); err != nil {
+			return errors.Wrap(err, "sync the log; replace the disk")
+		}
+	}
+	l.good = l.size
+	return nil
+}
+
+// Repair takes back what a failed Flush left behind, so that the same records
+// can be written again. It fails while the disk does.
+func (l *Log) Repair() error {
+	l.buffer = l.buffer[:0]
+	if err := l.file.Truncate(l.good); err != nil {
+		return errors.Wrap(err, "cut the log back after a failed write")
+	}
+	if _, err := l.file.Seek(l.good, 0); err != nil {
+		return errors.Wrap(err, "position the log")
 	}
-	return errors.Wrap(l.file.Sync(), "sync the log; replace the disk, then restart the replica")
+	l.size = l.good
+	return nil
 }
 
 // Size is the log file's length in bytes.
