Gates follow how slow their host is; near endpoints first

Cause: a server on a shared host turns seven times slower for half a second; the gate's estimate noticed after some completions, and answers and uploads crossed data centres at random. Change: core/gate follows the slowdown that the backend server tells (with answers, or asked ten times a second on the same host) on a work clock; siblings are told at once; balancer/nearby picks in the own data centre while it has room; leaving it costs a gate's move 15 ms, or 150 for a large body.

--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -22,6 +22,8 @@
 	Slots       int
 	// Distance is the one-way delay to it.
 	Distance time.Duration
+	// Near: it is in the caller's own data centre.
+	Near     bool
 	Draining bool
 	// Outstanding counts this node's requests there without an answer.
 	Outstanding int
@@ -77,7 +79,7 @@
 			fresh := c
 			held = &fresh
 		}
-		held.PeerAddress, held.Slots, held.Draining = c.PeerAddress, c.Slots, c.Draining
+		held.PeerAddress, held.Slots, held.Draining, held.Near = c.PeerAddress, c.Slots, c.Draining, c.Near
 		if held.Distance == 0 {
 			held.Distance = c.Distance
 		}
--- /dev/null
+++ b/core/balancer/nearby/nearby.go
@@ -0,0 +1,41 @@
+// Package nearby narrows another policy's choice to the candidates of the
+// caller's own data centre, as long as they have room. Bytes between data
+// centres cost money and delay, and the gate that is picked still moves a
+// request away when a sibling elsewhere would finish it far sooner.
+package nearby
+
+import (
+	"time"
+
+	"cactuspath/core/balancer"
+)
+
+// roomShare is up to which share of its slots a near candidate may be taken by
+// this caller alone before others are looked at.
+const roomShare = 0.5
+
+type policy struct {
+	inner balancer.Policy
+	near  []*balancer.Candidate
+}
+
+// New returns the policy around another one.
+func New(inner balancer.Policy) balancer.Policy { return &policy{inner: inner} }
+
+// Name names the policy.
+func (p *policy) Name() string { return "nearby-" + p.inner.Name() }
+
+// Pick lets the inner policy choose among the near candidates that have room,
+// or among all when none has.
+func (p *policy) Pick(now time.Duration, candidates []*balancer.Candidate) *balancer.Candidate {
+	p.near = p.near[:0]
+	for _, c := range candidates {
+		if c.Near && float64(c.Outstanding) < roomShare*float64(max(1, c.Slots)) {
+			p.near = append(p.near, c)
+		}
+	}
+	if len(p.near) == 0 {
+		return p.inner.Pick(now, candidates)
+	}
+	return p.inner.Pick(now, p.near)
+}
--- a/core/consensus/raft.go
+++ b/core/consensus/raft.go
@@ -147,6 +147,10 @@
 	r.saved = apiv1.HardState{Term: r.term, Vote: r.vote, Commit: r.log.committed}
 	r.loadMembership()
 	r.becomeFollower(r.term, 0)
+	// After a restart of all replicas nobody leads, and a full timeout would be
+	// waited for nothing. Where a leader lives, the pre-vote fails and disturbs
+	// nobody.
+	r.timeout = 1 + r.random.IntN(r.electionTicks)
 	return r
 }
 
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -25,7 +25,9 @@
 	Request
 	arrived time.Duration
 	started time.Duration
-	state   itemState
+	// workedAt is what the server's work clock showed at the start.
+	workedAt float64
+	state    itemState
 
 	queue      *callerQueue
 	prev, next *item
@@ -35,6 +37,7 @@
 type Gate struct {
 	config   Config
 	estimate estimator
+	slow     slowdown
 	queue    fairQueue
 	memory   memory
 	items    map[Handle]*item
@@ -54,7 +57,7 @@
 
 // New returns a gate named host among its siblings.
 func New(host string, config Config, now time.Duration) *Gate {
-	g := &Gate{estimate: newEstimator(), queue: newFairQueue(), memory: newMemory(), items: map[Handle]*item{}, byID: map[AttemptID]*item{}}
+	g := &Gate{estimate: newEstimator(), slow: newSlowdown(now), queue: newFairQueue(), memory: newMemory(), items: map[Handle]*item{}, byID: map[AttemptID]*item{}}
 	g.estimate.last = now
 	g.siblings = newSiblings(host)
 	g.Configure(now, config)
@@ -74,6 +77,7 @@
 func (g *Gate) begin(now time.Duration) {
 	g.events = nil
 	g.estimate.advance(now)
+	g.slow.advance(now)
 }
 
 func (g *Gate) take() []Event {
@@ -155,12 +159,27 @@
 		return 0
 	}
 	turns := float64(g.queue.size+1) / float64(max(1, g.slots(now)))
-	return time.Duration(turns * float64(g.estimate.mean(now)))
+	return time.Duration(turns * float64(g.service(now)))
 }
 
 // finishIn estimates how long a request that arrives now would take in all.
 func (g *Gate) finishIn(now time.Duration) time.Duration {
-	return g.wait(now) + g.estimate.mean(now)
+	return g.wait(now) + g.crowded(now, g.service(now))
+}
+
+// crowded adds what a server near the end of its slots takes longer.
+func (g *Gate) crowded(now time.Duration, service time.Duration) time.Duration {
+	if !g.slow.fresh(now) {
+		return service
+	}
+	return crowded(service, g.running+g.queue.size+1, g.slots(now))
+}
+
+func crowded(service time.Duration, taken, slots int) time.Duration {
+	if slots > 0 && float64(taken) > crowdedShare*float64(slots) {
+		return time.Duration(crowdedFactor * float64(service))
+	}
+	return service
 }
 
 // room refuses a request that would not fit or not finish in time. The refusal
@@ -225,7 +244,7 @@
 }
 
 func (g *Gate) run(now time.Duration, it *item) {
-	it.state, it.started = stateRunning, now
+	it.state, it.started, it.workedAt = stateRunning, now, g.slow.worked
 	g.running++
 	g.estimate.start(now)
 	g.emit(Event{Kind: Started, Handle: it.Handle})
@@ -255,6 +274,7 @@
 	delete(g.byID, it.ID)
 	if outcome == Completed {
 		g.estimate.finish(now, now-it.started)
+		g.slow.finish(it.workedAt)
 	} else {
 		g.estimate.abandon(now)
 	}
@@ -350,8 +370,8 @@
 	g.estimate.advance(now)
 	return Load{
 		Running: g.running, Waiting: g.queue.size, Slots: g.slots(now),
-		Service: g.estimate.mean(now), Draining: g.draining || g.down,
+		Service: g.service(now), Draining: g.draining || g.down,
 		Full:      g.queue.size >= g.config.Queue*fullPercent/100 && g.free(now) <= 0,
-		FailRatio: g.outlier.ratio, Failing: g.failing(now),
+		FailRatio: g.outlier.ratio, Failing: g.failing(now), Told: g.slow.fresh(now),
 	}
 }
--- a/core/gate/siblings.go
+++ b/core/gate/siblings.go
@@ -42,6 +42,11 @@
 	// change later under the same budget, and need not know it: a request can
 	// move twice.
 	fanout = 5
+	// awayCost and bulkyCost are what it takes to leave the caller's data centre:
+	// an answer of 5 KB is worth a fifteenth of its request, an upload of 60 KB a
+	// third, by the users' prices.
+	awayCost  = 15 * time.Millisecond
+	bulkyCost = 150 * time.Millisecond
 	// scanInterval is how often waiting requests are looked at again.
 	scanInterval = 2 * time.Millisecond
 	// defaultDistance is assumed for a sibling not measured yet.
@@ -62,6 +67,8 @@
 	// the gate's own verdict that its siblings do markedly better.
 	FailRatio float64
 	Failing   bool
+	// Told: the service time rests on what the backend server says of its host.
+	Told bool
 }
 
 // finishIn estimates how long a request would take that arrives when extra
@@ -69,6 +76,9 @@
 func (l Load) finishIn(extra int) time.Duration {
 	ahead := l.Running + l.Waiting + extra
 	if ahead < l.Slots || l.Slots == 0 {
+		if l.Told {
+			return crowded(l.Service, ahead+1, l.Slots)
+		}
 		return l.Service
 	}
 	turns := float64(ahead-l.Slots+1) / float64(l.Slots)
@@ -96,6 +106,8 @@
 	Host string
 	// Distance is the one-way delay to it.
 	Distance time.Duration
+	// DataCenter is where it is.
+	DataCenter string
 }
 
 type sibling struct {
@@ -227,13 +239,25 @@
 // open tells whether a sibling may send requests here.
 func (l Load) open() bool { return !l.Draining && !l.Full && !l.Failing }
 
+// cost stands for the bytes that a request and its answer take between data
+// centres, as a time: what a caller gains by less than that is not worth them.
+func (s *siblings) cost(sib *sibling, it *item) time.Duration {
+	if it == nil || it.From == "" || sib.DataCenter == "" || sib.DataCenter == it.From {
+		return 0
+	}
+	if it.Bulky {
+		return bulkyCost
+	}
+	return awayCost
+}
+
 // soonest is the sibling expected to finish a request first, travel included.
-func (s *siblings) soonest(now time.Duration) (best *sibling, finish time.Duration) {
+func (s *siblings) soonest(now time.Duration, it *item) (best *sibling, finish time.Duration) {
 	for _, sib := range s.list {
 		if !sib.fresh(now) || !sib.report.Load.open() {
 			continue
 		}
-		f := sib.report.Load.finishIn(herdFactor*len(sib.sent)) + 2*sib.Distance
+		f := sib.report.Load.finishIn(herdFactor*len(sib.sent)) + 2*sib.Distance + s.cost(sib, it)
 		if best == nil || f < finish {
 			best, finish = sib, f
 		}
@@ -248,7 +272,7 @@
 	if !g.config.Siblings || !it.Movable {
 		return false
 	}
-	sib, there := g.siblings.soonest(now)
+	sib, there := g.siblings.soonest(now, it)
 	if sib == nil {
 		return false
 	}
@@ -313,6 +337,6 @@
 	for _, sib := range g.siblings.list {
 		known = known || sib.fresh(now)
 	}
-	sib, there := g.siblings.soonest(now)
+	sib, there := g.siblings.soonest(now, nil)
 	return known && (sib == nil || float64(there)*gainWaiting > float64(g.finishIn(now)))
 }
--- a/core/gate/types.go
+++ b/core/gate/types.go
@@ -73,6 +73,10 @@
 	// Movable is false for a request that moved as often as is allowed: without
 	// a limit two slow gates could pass a request back and forth.
 	Movable bool
+	// From is the data centre where the request began; Bulky marks one with a
+	// large body.
+	From  string
+	Bulky bool
 }
 
 // Config is what the estate says of the service.
--- a/internal/endpoint/counters.go
+++ b/internal/endpoint/counters.go
@@ -8,8 +8,8 @@
 
 // Counters count what gates decided, over all backend servers of a node.
 type Counters struct {
-	Started, Moved expvar.Int
-	Refused        expvar.Map
+	Started, Moved, Probes, LoadMalformed expvar.Int
+	Refused                               expvar.Map
 }
 
 func (c *Counters) count(e gate.Event) {
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -56,8 +56,13 @@
 	armed   time.Duration
 	closed  bool
 
+	stopWatch context.CancelFunc
+
 	backend  atomic.Pointer[hop.Pool]
 	instance atomic.Pointer[string]
+	health   atomic.Pointer[string]
+	// observed is when the backend server last told its load.
+	observed atomic.Int64
 	failures atomic.Int32
 	down     atomic.Bool
 }
@@ -69,6 +74,9 @@
 	}
 	e := &Endpoint{options: options, start: time.Now(), waiting: map[gate.Handle]chan gate.Event{}}
 	e.gate = gate.New(options.Host, config, 0)
+	var ctx context.Context
+	ctx, e.stopWatch = context.WithCancel(context.Background())
+	go e.watchLoad(ctx)
 	return e
 }
 
@@ -120,8 +128,9 @@
 	})
 }
 
-// Close stops the timer and drops idle connections.
+// Close stops the timer and the watch and drops idle connections.
 func (e *Endpoint) Close() {
+	e.stopWatch()
 	e.mu.Lock()
 	e.closed = true
 	if e.timer != nil {
@@ -234,7 +243,7 @@
 		e.next++
 		handle = e.next
 		e.waiting[handle] = ch
-		return e.gate.Arrive(now, gate.Request{Handle: handle, ID: req.ID, Caller: req.Caller, Deadline: now + req.Timeout, Movable: req.Movable})
+		return e.gate.Arrive(now, gate.Request{Handle: handle, ID: req.ID, Caller: req.Caller, Deadline: now + req.Timeout, Movable: req.Movable, From: req.From, Bulky: req.Bulky})
 	})
 	select {
 	case event := <-ch:
@@ -275,6 +284,7 @@
 		return nil, e.failed(ctx, handle, err, reply)
 	}
 	e.failures.Store(0)
+	e.observe(resp.Header)
 	if e.options.Dialect.SaysNotRun(resp) {
 		return nil, e.rejected(handle, resp, reply)
 	}
@@ -294,6 +304,25 @@
 	return resp, reply
 }
 
+// observe takes in the load that came with an answer.
+func (e *Endpoint) observe(h http.Header) {
+	dialect := e.options.Dialect
+	if dialect.Load == "" || dialect.ParseLoad == nil {
+		return
+	}
+	value := h.Get(dialect.Load)
+	if value == "" {
+		return
+	}
+	load, ok := dialect.ParseLoad(value)
+	if !ok {
+		e.options.Counters.LoadMalformed.Add(1)
+		return
+	}
+	e.observed.Store(int64(e.now()))
+	e.with(func(now time.Duration) []gate.Event { return e.gate.Observe(now, load.Slowdown) })
+}
+
 // toBackend is the request as the backend server gets it: with what is left of
 // its time now, after it waited, and for the instance that this gate stands for.
 func (e *Endpoint) toBackend(out *hop.Outgoing, left time.Duration) *hop.Outgoing {
--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -39,6 +39,9 @@
 	return &Pool{address: address, security: security}
 }
 
+// Address is where the pool connects to.
+func (p *Pool) Address() string { return p.address }
+
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
--- a/internal/hop/header.go
+++ b/internal/hop/header.go
@@ -25,8 +25,12 @@
 	// may set it to name a deadline.
 	TimeoutHeader = "Cactus-Timeout-Ms"
 
-	version   = "1"
+	version   = "2"
 	separator = ";"
+
+	requestFields = 8
+	flagMovable   = 1
+	flagBulky     = 2
 )
 
 // Request is what the picking node tells the node of the picked endpoint.
@@ -41,25 +45,32 @@
 	Movable bool
 	// Revision is the newest configuration that the sender knows of.
 	Revision uint64
+	// From is the data centre where the request began, Bulky marks a large body.
+	From  string
+	Bulky bool
 	// Caller identifies who sends, for fair shares between callers.
 	Caller string
 }
 
 // Encode renders the header's value.
 func (r Request) Encode() string {
-	movable := "0"
+	flags := uint64(0)
 	if r.Movable {
-		movable = "1"
+		flags |= flagMovable
+	}
+	if r.Bulky {
+		flags |= flagBulky
 	}
 	b := make([]byte, 0, 128)
 	b = append(b, version+separator...)
 	b = appendID(b, r.ID)
 	b = appendField(b, r.Incarnation)
 	b = appendField(b, uint64(max(0, r.Timeout.Microseconds())))
-	b = append(b, separator...)
-	b = append(b, movable...)
+	b = appendField(b, flags)
 	b = appendField(b, r.Revision)
 	b = append(b, separator...)
+	b = append(b, r.From...)
+	b = append(b, separator...)
 	b = append(b, r.Caller...)
 	return string(b)
 }
@@ -90,13 +101,15 @@
 
 // ParseRequest reads the header's value.
 func ParseRequest(value string) (Request, error) {
-	f, err := fields(value, 7)
+	f, err := fields(value, requestFields)
 	if err != nil {
 		return Request{}, err
 	}
 	p := parser{}
 	r := Request{ID: p.id(f[1]), Incarnation: p.uint(f[2]), Timeout: time.Duration(p.uint(f[3])) * time.Microsecond,
-		Movable: f[4] == "1", Revision: p.uint(f[5]), Caller: f[6]}
+		Revision: p.uint(f[5]), From: f[6], Caller: f[7]}
+	flags := p.uint(f[4])
+	r.Movable, r.Bulky = flags&flagMovable != 0, flags&flagBulky != 0
 	return r, p.err
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -98,7 +98,7 @@
 	n.member = newMember(n)
 	n.watcher = newWatcher(n)
 	n.proxy = proxy.New(proxy.Options{
-		Host: options.Host, Security: options.Security, Local: n, Need: n.need, Heard: n.heard, Revision: n.Revision, Revoke: n.revoke, Counters: n.calls,
+		Host: options.Host, DataCenter: options.DataCenter, Security: options.Security, Local: n, Need: n.need, Heard: n.heard, Revision: n.Revision, Revoke: n.revoke, Counters: n.calls,
 		Dialect: options.Dialect, CallerService: n.service,
 	})
 	n.front = front.New(n.callers.count(n.proxy))
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -270,7 +270,7 @@
 		list := make([]balancer.Candidate, 0, len(entries))
 		for _, e := range entries {
 			list = append(list, balancer.Candidate{Host: e.Host, PeerAddress: e.PeerAddress, Incarnation: e.Incarnation, Slots: int(e.Slots),
-				Distance: n.distance(e), Draining: e.State == apiv1.EndpointState_ENDPOINT_STATE_DRAINING})
+				Distance: n.distance(e), Near: e.DataCenter == n.options.DataCenter, Draining: e.State == apiv1.EndpointState_ENDPOINT_STATE_DRAINING})
 		}
 		out[service] = list
 	}
@@ -316,6 +316,7 @@
 		Slots: int(slots), Queue: int(spec.Queue), SlowStart: time.Duration(spec.SlowStartMs) * time.Millisecond, Siblings: true,
 		ReportsPerSecond: measure.GateShare(spec.Measure.GetReportsPerSecond(), gates), BytesPerSecond: measure.GateShare(spec.Measure.GetBytesPerSecond(), gates),
 	})
+	s.endpoint.SetHealthPath(spec.HealthPath)
 	s.endpoint.SetSiblings(n.siblings(entries))
 	n.reports.setAddresses(entries)
 }
@@ -325,7 +326,7 @@
 	list := make([]gate.Sibling, 0, len(entries))
 	for _, e := range entries {
 		if e.Host != n.options.Host {
-			list = append(list, gate.Sibling{Host: e.Host, Distance: n.distance(e)})
+			list = append(list, gate.Sibling{Host: e.Host, Distance: n.distance(e), DataCenter: e.DataCenter})
 		}
 	}
 	return list
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -26,6 +26,9 @@
 	// lateRevokeTimeout bounds it once the deadline has passed, since the caller
 	// is owed an answer at once.
 	lateRevokeTimeout = 50 * time.Millisecond
+	// bulkyBody is from which size on a body makes a request bulky, in bytes: its
+	// way costs more than that of the answer.
+	bulkyBody = 16 << 10
 	// defaultRetryAfter is told when no gate gave a better estimate.
 	defaultRetryAfter = 100 * time.Millisecond
 )
@@ -124,7 +127,8 @@
 		c.last = hop.Reply{Verdict: hop.Refused, Reason: gate.TooLate}
 		return nil, retry.NotRunAnywhere
 	}
-	req := hop.Request{ID: a.id, Incarnation: a.incarnation, Timeout: timeout, Movable: c.movable(), Revision: c.h.options.Revision(), Caller: c.caller}
+	req := hop.Request{ID: a.id, Incarnation: a.incarnation, Timeout: timeout, Movable: c.movable(), Revision: c.h.options.Revision(), Caller: c.caller,
+		From: c.h.options.DataCenter, Bulky: c.out.Stream != nil || len(c.out.Buffered) >= bulkyBody}
 	out := c.outgoing()
 	if to.Host == c.h.options.Host {
 		if local := c.h.options.Local.Endpoint(c.s.name); local != nil {
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -29,6 +29,7 @@
 // Options set up a Handler.
 type Options struct {
 	Host        string
+	DataCenter  string
 	Incarnation uint64
 	Security    *transport.Security
 	Local       Local
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -9,6 +9,7 @@
 	apiv1 "cactuspath/api/cactuspath/v1"
 	"cactuspath/core/balancer"
 	"cactuspath/core/balancer/leastoutstanding"
+	"cactuspath/core/balancer/nearby"
 	"cactuspath/core/retry"
 )
 
@@ -24,7 +25,7 @@
 
 func newService(name string) *service {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return &service{name: name, spec: &apiv1.ServiceSpec{}, pool: balancer.NewPool(leastoutstanding.New(random)), budget: retry.NewBudget(0)}
+	return &service{name: name, spec: &apiv1.ServiceSpec{}, pool: balancer.NewPool(nearby.New(leastoutstanding.New(random))), budget: retry.NewBudget(0)}
 }
 
 func (s *service) configure(spec *apiv1.ServiceSpec) {
