--- a/cmd/cactuspath/dev.go
+++ b/cmd/cactuspath/dev.go
@@ -58,7 +58,7 @@
 // quiet keeps the logs of a dozen parts out of the way.
 func quiet(verbose bool) {
 	if verbose {
-		setLogLevel(0)
+		klogTo(os.Stderr, 0)
 		return
 	}
 	silenceLogs()
--- a/cmd/cactuspath/main.go
+++ b/cmd/cactuspath/main.go
@@ -3,13 +3,10 @@
 package main
 
 import (
-	"flag"
 	"fmt"
 	"os"
-	"strconv"
 
 	"github.com/spf13/cobra"
-	"k8s.io/klog/v2"
 
 	"cactuspath/internal/version"
 )
@@ -28,11 +25,3 @@
 		os.Exit(1)
 	}
 }
-
-// setLogLevel sets klog's verbosity; logs go to standard error.
-func setLogLevel(level int) {
-	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
-	klog.InitFlags(flags)
-	_ = flags.Set("v", strconv.Itoa(level))
-	_ = flags.Set("logtostderr", "true")
-}
--- a/cmd/cactuspath/run.go
+++ b/cmd/cactuspath/run.go
@@ -6,7 +6,6 @@
 	"syscall"
 
 	"github.com/spf13/cobra"
-	"k8s.io/klog/v2"
 
 	"cactuspath/internal/adapter"
 	"cactuspath/internal/process"
@@ -28,8 +27,7 @@
 			if err != nil {
 				return err
 			}
-			setLogLevel(s.LogLevel)
-			defer klog.Flush()
+			defer startLogs(s.LogLevel)()
 			ctx, cancel := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
 			defer cancel()
 			p, err := process.Open(s, adapters())
--- a/core/gate/types.go
+++ b/core/gate/types.go
@@ -32,7 +32,7 @@
 
 // String names the reason.
 func (r Reason) String() string {
-	return [...]string{"", "queue-full", "too-late", "draining", "down", "fenced", "revoked", "duplicate", "canceled"}[r]
+	return [...]string{"none", "queue-full", "too-late", "draining", "down", "fenced", "revoked", "duplicate", "canceled"}[r]
 }
 
 // EventKind tells what happened to a request.
--- a/internal/endpoint/counters.go
+++ b/internal/endpoint/counters.go
@@ -4,14 +4,22 @@
 	"expvar"
 
 	"cactuspath/core/gate"
+	"cactuspath/internal/latency"
 )
 
 // Counters count what gates decided, over all backend servers of a node.
 type Counters struct {
+	// Waited is the time from a request's arrival to its start, Ran that from its
+	// start to the end of its answer.
+	Waited, Ran *latency.Histogram
+
 	Started, Moved, Probes, LoadMalformed expvar.Int
 	Refused                               expvar.Map
 }
 
+// NewCounters returns counters at zero.
+func NewCounters() *Counters { return &Counters{Waited: latency.New(), Ran: latency.New()} }
+
 func (c *Counters) count(e gate.Event) {
 	switch e.Kind {
 	case gate.Started:
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -17,6 +17,7 @@
 
 	"cactuspath/core/gate"
 	"cactuspath/internal/hop"
+	"cactuspath/internal/logs"
 )
 
 const (
@@ -222,7 +223,9 @@
 		reply.Verdict = hop.Restarted
 		return nil, reply
 	}
+	arrived := time.Now()
 	handle, event := e.admit(ctx, req)
+	e.logAdmission(req, out, event, time.Since(arrived))
 	switch event.Kind {
 	case gate.Started:
 		return e.forward(ctx, handle, out, reply)
@@ -235,6 +238,23 @@
 	return nil, reply
 }
 
+// logAdmission tells what the gate decided and what it knew.
+func (e *Endpoint) logAdmission(req hop.Request, out *hop.Outgoing, event gate.Event, waited time.Duration) {
+	load := e.Load()
+	outcome, failure := "started", false
+	switch event.Kind {
+	case gate.Moved:
+		outcome = "moved"
+	case gate.Refused:
+		outcome, failure = "refused", true
+	default:
+		e.options.Counters.Waited.Observe(waited)
+	}
+	logs.Decision(failure, "Gate decided", "request", out.ID, "attempt", hop.FormatID(req.ID), "host", e.options.Host, "outcome", outcome, "reason", event.Reason.String(),
+		"to", event.To, "waited", waited, "left", time.Until(out.Deadline), "running", load.Running, "waiting", load.Waiting, "slots", load.Slots,
+		"service", load.Service, "loadAge", e.now()-time.Duration(e.observed.Load()), "retryAfter", event.RetryAfter, "everywhere", event.Everywhere, "revision", e.options.Revision())
+}
+
 // admit waits until the gate starts, moves or refuses the request.
 func (e *Endpoint) admit(ctx context.Context, req hop.Request) (gate.Handle, gate.Event) {
 	ch := make(chan gate.Event, 1)
@@ -279,9 +299,13 @@
 		reply.Verdict, reply.Reason = hop.Refused, gate.TooLate
 		return nil, reply
 	}
+	started := time.Now()
 	resp, err := pool.Do(ctx, e.toBackend(out, left))
 	if err != nil {
-		return nil, e.failed(ctx, handle, err, reply)
+		reply = e.failed(ctx, handle, err, reply)
+		logs.Decision(true, "Backend server did not answer", "request", out.ID, "attempt", hop.FormatID(reply.ID), "host", e.options.Host, "verdict", reply.Verdict.String(),
+			"after", time.Since(started), "callerGone", ctx.Err() != nil, "err", err)
+		return nil, reply
 	}
 	e.failures.Store(0)
 	e.observe(resp.Header)
@@ -300,6 +324,11 @@
 			outcome = gate.Failed
 		}
 		e.finish(handle, outcome)
+		e.options.Counters.Ran.Observe(time.Since(started))
+		if outcome != gate.Completed {
+			logs.Decision(true, "Backend server failed", "request", out.ID, "attempt", hop.FormatID(reply.ID), "host", e.options.Host, "status", resp.StatusCode,
+				"after", time.Since(started), "cut", cut, "callerGone", ctx.Err() != nil)
+		}
 	}}
 	return resp, reply
 }
@@ -342,6 +371,8 @@
 	_ = resp.Body.Close()
 	e.finish(handle, gate.NeverReached)
 	reply.Verdict = hop.Rejected
+	logs.Decision(true, "Backend server rejected", "attempt", hop.FormatID(reply.ID), "host", e.options.Host, "status", resp.StatusCode,
+		"otherInstance", e.options.Dialect.OtherInstance(resp))
 	return reply
 }
 
--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -2,6 +2,8 @@
 
 import (
 	"expvar"
+
+	"cactuspath/internal/logs"
 )
 
 type counters struct {
@@ -21,7 +23,7 @@
 		"calls_canceled":                &n.calls.Canceled,
 		"calls_cut_short":               &n.calls.CutShort,
 		"calls_faults":                  &n.calls.Faults,
-		"calls_latency_microseconds":    expvar.Func(n.calls.Latency),
+		"calls_latency_microseconds":    expvar.Func(n.calls.Took.Summary),
 		"calls_in_flight":               expvar.Func(func() any { return n.callers.now() }),
 		"attempts_lost":                 &n.calls.Lost,
 		"attempts_moved":                &n.calls.Moves,
@@ -30,6 +32,11 @@
 		"gate_started":                  &n.gates.Started,
 		"gate_moved":                    &n.gates.Moved,
 		"gate_refused":                  &n.gates.Refused,
+		"gate_wait_microseconds":        expvar.Func(n.gates.Waited.Summary),
+		"gate_run_microseconds":         expvar.Func(n.gates.Ran.Summary),
+		"gate_load_probes":              &n.gates.Probes,
+		"gate_load_malformed":           &n.gates.LoadMalformed,
+		"log_lines_skipped":             expvar.Func(func() any { return logs.Skipped() }),
 		"measure_reports_sent":          &n.counters.reportsSent,
 		"measure_reports_received":      &n.counters.reportsReceived,
 		"measure_reports_malformed":     &n.counters.reportsMalformed,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -88,7 +88,7 @@
 // New returns a node that is ready to run.
 func New(options Options) *Node {
 	n := &Node{
-		options: options, start: time.Now(), calls: proxy.NewCounters(), gates: &endpoint.Counters{},
+		options: options, start: time.Now(), calls: proxy.NewCounters(), gates: endpoint.NewCounters(),
 		records: rollout.NewRecords(), view: directory.NewView(), needed: map[string]bool{}, changed: make(chan struct{}), callers: &inFlight{},
 	}
 	n.incarnation.Store(uint64(time.Now().UnixMilli()))
--- a/internal/proxy/bench_test.go
+++ b/internal/proxy/bench_test.go
@@ -23,7 +23,7 @@
 func BenchmarkCall(b *testing.B) {
 	backend := serveOn(b, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok")) }))
 	e := endpoint.New(endpoint.Options{Host: "a", Incarnation: func() uint64 { return 1 }, Revision: func() uint64 { return 1 }, Heard: func(uint64) {},
-		Send: func(string, gate.Report) {}, Counters: &endpoint.Counters{}}, gate.Config{Slots: 100, Queue: 100})
+		Send: func(string, gate.Report) {}, Counters: endpoint.NewCounters()}, gate.Config{Slots: 100, Queue: 100})
 	e.SetBackend(backend)
 	peer := serveOn(b, http.HandlerFunc(e.ServeHop))
 	h := New(Options{Host: "front", Local: noLocal{}, Counters: NewCounters(), Heard: func(uint64) {}, Revision: func() uint64 { return 1 },
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -15,6 +15,7 @@
 	"cactuspath/core/gate"
 	"cactuspath/core/retry"
 	"cactuspath/internal/hop"
+	"cactuspath/internal/logs"
 )
 
 const (
@@ -46,8 +47,10 @@
 	// tried are the endpoints that refused the request or lost it.
 	tried    []string
 	triedBuf [4]string
+	arrived  time.Time
 	deadline time.Time
 	caller   string
+	route    *Route
 
 	last       hop.Reply
 	reached    bool
@@ -63,6 +66,14 @@
 	sent        time.Time
 }
 
+// requestID names the request in the log: as its caller does, or by our own id.
+func (c *call) requestID() string {
+	if c.out.ID != "" {
+		return c.out.ID
+	}
+	return hop.FormatID(gate.AttemptID{Request: c.id})
+}
+
 func (c *call) run() {
 	c.tried = c.triedBuf[:0]
 	to := c.s.pick(c.h.now(), c.tried)
@@ -127,6 +138,8 @@
 		c.last = hop.Reply{Verdict: hop.Refused, Reason: gate.TooLate}
 		return nil, retry.NotRunAnywhere
 	}
+	logs.Decision(false, "Attempt", "request", c.requestID(), "attempt", hop.FormatID(a.id), "service", c.s.name, "to", to.Host, "near", to.Near,
+		"outstanding", to.Outstanding, "left", timeout, "movable", c.movable(), "tried", c.tried, "revision", c.h.options.Revision())
 	req := hop.Request{ID: a.id, Incarnation: a.incarnation, Timeout: timeout, Movable: c.movable(), Revision: c.h.options.Revision(), Caller: c.caller,
 		From: c.h.options.DataCenter, Bulky: c.out.Stream != nil || len(c.out.Buffered) >= bulkyBody}
 	out := c.outgoing()
@@ -243,8 +256,11 @@
 	}
 	ctx, cancel := context.WithTimeout(c.r.Context(), timeout)
 	defer cancel()
+	revoked := time.Now()
 	answer := c.h.options.Revoke(ctx, a.to.PeerAddress, a.incarnation, a.id, time.Since(a.sent))
 	c.h.options.Counters.Revokes.Add(answer.String(), 1)
+	logs.Decision(true, "Attempt lost", "request", c.requestID(), "attempt", hop.FormatID(a.id), "to", a.to.Host, "after", revoked.Sub(a.sent), "err", err,
+		"revoke", answer.String(), "revokeTook", time.Since(revoked))
 	if answer == gate.RevokeNeverStarted {
 		return retry.NotRun
 	}
@@ -282,7 +298,10 @@
 
 func (c *call) deliver(resp *http.Response) {
 	c.h.options.Counters.Answered.Add(1)
+	status := resp.StatusCode
 	err := hop.Relay(c.w, resp)
+	logs.Decision(status >= http.StatusInternalServerError || err != nil, "Answered", "request", c.requestID(), "service", c.s.name, "route", c.routeName(),
+		"status", status, "attempts", c.attempts, "took", time.Since(c.arrived), "left", time.Until(c.deadline), "err", err)
 	var cut *hop.CutShortError
 	if errors.As(err, &cut) {
 		c.h.options.Counters.CutShort.Add(1)
@@ -318,9 +337,18 @@
 		f.Fault = fault.NotRun
 		f.Message = "no endpoint of service " + c.s.name + " took the request and it was not run; come back after the time given"
 	}
+	logs.Decision(true, "Given up", "request", c.requestID(), "service", c.s.name, "route", c.routeName(), "fault", f.Fault, "reason", f.Reason, "attempts", c.attempts,
+		"tried", c.tried, "took", time.Since(c.arrived), "left", time.Until(c.deadline), "retryAfter", retryAfter, "endpoints", c.s.endpoints(), "revision", c.h.options.Revision())
 	c.h.fail(c.w, c.r, f, retryAfter)
 }
 
+func (c *call) routeName() string {
+	if c.route == nil {
+		return ""
+	}
+	return c.route.Name
+}
+
 // reason is what the last endpoint that was asked said.
 func (c *call) reason() string {
 	if !c.reached {
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -189,7 +189,7 @@
 		cancel()
 	}
 	h.serve(w, r, s, target.Route, arrived)
-	h.options.Counters.observe(time.Since(arrived))
+	h.options.Counters.Took.Observe(time.Since(arrived))
 }
 
 func (h *Handler) unknownService(w http.ResponseWriter, r *http.Request) {
@@ -227,7 +227,7 @@
 	if out.Stream != nil {
 		_ = http.NewResponseController(w).EnableFullDuplex()
 	}
-	c := &call{h: h, w: w, r: r, s: s, rules: rules, out: out, deadline: arrived.Add(timeout), caller: h.callerOf(r)}
+	c := &call{h: h, w: w, r: r, s: s, rules: rules, out: out, arrived: arrived, deadline: arrived.Add(timeout), caller: h.callerOf(r), route: route}
 	c.id = [2]uint64{h.seed, h.request.Add(1)}
 	c.run()
 }
