The gate ranks what waits, and learns whether its server slows down in a crowd

Change: waiting requests are ranked by whether they still make their aim, then priority, then aim (calls have the shortest); a class's demand is known apart; the gate compares the shorter demands in a crowd with those outside and leaves the last slots empty where that does more.

--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -27,6 +27,10 @@
 	started time.Duration
 	// workedAt is what the server's work clock showed at the start.
 	workedAt float64
+	// crowding is how full the server has been since the start.
+	crowding crowding
+	rank     rank
+	home     *rankQueue
 	state    itemState
 
 	queue      *callerQueue
@@ -38,7 +42,7 @@
 	config   Config
 	estimate estimator
 	slow     slowdown
-	queue    fairQueue
+	queue    rankedQueue
 	memory   memory
 	items    map[Handle]*item
 	byID     map[AttemptID]*item
@@ -57,7 +61,7 @@
 
 // New returns a gate named host among its siblings.
 func New(host string, config Config, now time.Duration) *Gate {
-	g := &Gate{estimate: newEstimator(), slow: newSlowdown(now), queue: newFairQueue(), memory: newMemory(), items: map[Handle]*item{}, byID: map[AttemptID]*item{}}
+	g := &Gate{estimate: newEstimator(), slow: newSlowdown(now), memory: newMemory(), items: map[Handle]*item{}, byID: map[AttemptID]*item{}}
 	g.estimate.last = now
 	g.siblings = newSiblings(host)
 	g.Configure(now, config)
@@ -92,7 +96,7 @@
 // and gains the rest over the slow-start time, since its first requests are
 // slow and would pile up.
 func (g *Gate) slots(now time.Duration) int {
-	all := g.config.Slots
+	all := g.slow.crowd.useful(g.config.Slots)
 	if !g.cold {
 		return all
 	}
@@ -108,7 +112,7 @@
 // Arrive takes in a request.
 func (g *Gate) Arrive(now time.Duration, r Request) []Event {
 	g.begin(now)
-	it := &item{Request: r, arrived: now}
+	it := &item{Request: r, arrived: now, rank: rank{priority: r.Priority, aim: r.Aim}}
 	if reason := g.unfit(now, r); reason != 0 {
 		g.emit(Event{Kind: Refused, Handle: r.Handle, Reason: reason, RetryAfter: g.retryAfter(now)})
 		return g.take()
@@ -153,33 +157,22 @@
 // free counts the slots that nothing runs in.
 func (g *Gate) free(now time.Duration) int { return g.slots(now) - g.running }
 
-// wait estimates how long a request that joins the queue now would wait.
-func (g *Gate) wait(now time.Duration) time.Duration {
-	if g.free(now) > 0 && g.queue.size == 0 {
+// wait estimates how long a request that joins the queue now, behind all that
+// wait, would wait.
+func (g *Gate) wait(now time.Duration) time.Duration { return g.waitBehind(now, g.queue.size) }
+
+// waitBehind estimates the wait behind a number of waiting requests.
+func (g *Gate) waitBehind(now time.Duration, ahead int) time.Duration {
+	if g.free(now) > 0 && ahead == 0 {
 		return 0
 	}
-	turns := float64(g.queue.size+1) / float64(max(1, g.slots(now)))
+	turns := float64(ahead+1) / float64(max(1, g.slots(now)))
 	return time.Duration(turns * float64(g.service(now)))
 }
 
 // finishIn estimates how long a request that arrives now would take in all.
-func (g *Gate) finishIn(now time.Duration) time.Duration {
-	return g.wait(now) + g.crowded(now, g.service(now))
-}
-
-// crowded adds what a server near the end of its slots takes longer.
-func (g *Gate) crowded(now time.Duration, service time.Duration) time.Duration {
-	if !g.slow.fresh(now) {
-		return service
-	}
-	return crowded(service, g.running+g.queue.size+1, g.slots(now))
-}
-
-func crowded(service time.Duration, taken, slots int) time.Duration {
-	if slots > 0 && float64(taken) > crowdedShare*float64(slots) {
-		return time.Duration(crowdedFactor * float64(service))
-	}
-	return service
+func (g *Gate) finishIn(now time.Duration, it *item) time.Duration {
+	return g.waitBehind(now, g.queue.ahead(it.rank)) + g.serviceOf(now, it.Class, g.running+1)
 }
 
 // room refuses a request that would not fit or not finish in time. The refusal
@@ -189,16 +182,29 @@
 	if g.free(now) > 0 && g.queue.size == 0 {
 		return true
 	}
-	if now+g.finishIn(now) > it.Deadline {
+	finish := now + g.finishIn(now, it)
+	if it.AimAt > 0 && finish > it.AimAt {
+		it.rank.late = true
+		finish = now + g.finishIn(now, it)
+	}
+	if finish > it.Deadline {
 		g.refuse(now, it, TooLate)
 		return false
 	}
+	if it.rank.late && g.queue.late >= lateRoom(g.slots(now)) {
+		g.refuse(now, it, QueueFull)
+		return false
+	}
 	if g.queue.size < g.config.Queue {
 		return true
 	}
 	return g.pushOut(now, it)
 }
 
+// lateRoom is how many requests may wait that miss their aim. They only use
+// slots that nobody else wants; more of them would be refused after a long wait.
+func lateRoom(slots int) int { return max(1, slots/2) }
+
 func (g *Gate) refuse(now time.Duration, it *item, reason Reason) {
 	g.emit(Event{Kind: Refused, Handle: it.Handle, Reason: reason, RetryAfter: g.retryAfter(now), Everywhere: g.fullEverywhere(now)})
 }
@@ -212,11 +218,16 @@
 // push each other out, and refusals come late.
 const unfairFactor = 4
 
-// pushOut makes room in a full queue at the cost of the caller that holds most
-// of it, if that is not the arriving one.
+// pushOut makes room in a full queue at the cost of a lower rank, or of the
+// caller that holds most of the lowest one, if that is not the arriving one.
 func (g *Gate) pushOut(now time.Duration, it *item) bool {
-	longest := g.queue.longest()
-	if longest == nil || longest.length < unfairFactor*(g.queue.of(it.Caller)+1) {
+	last := g.queue.last()
+	if last == nil {
+		g.refuse(now, it, QueueFull)
+		return false
+	}
+	longest := last.longest()
+	if !it.rank.before(last.rank) && longest.length < unfairFactor*(last.of(it.Caller)+1) {
 		g.refuse(now, it, QueueFull)
 		return false
 	}
@@ -246,22 +257,51 @@
 func (g *Gate) run(now time.Duration, it *item) {
 	it.state, it.started, it.workedAt = stateRunning, now, g.slow.worked
 	g.running++
+	it.crowding = roomy
+	if isCrowd(g.running, g.config.Slots) {
+		it.crowding = full
+		g.noteCrowd()
+	}
 	g.estimate.start(now)
 	g.emit(Event{Kind: Started, Handle: it.Handle})
 }
 
+// noteCrowd marks the requests that began before the server filled up.
+func (g *Gate) noteCrowd() {
+	for _, other := range g.items {
+		if other.state == stateRunning && other.crowding == roomy {
+			other.crowding = mixed
+		}
+	}
+}
+
 // fill starts waiting requests while slots are free.
 func (g *Gate) fill(now time.Duration) {
 	for g.free(now) > 0 && g.queue.size > 0 {
 		it := g.queue.pop()
-		if now >= it.Deadline {
+		switch {
+		case g.hopeless(now, it):
 			g.drop(it, TooLate, g.retryAfter(now))
-			continue
+		case g.missesAim(now, it) && g.queue.size > 0:
+			// Those behind it that can still be in time go first.
+			it.rank.late = true
+			g.queue.push(it)
+		default:
+			g.run(now, it)
 		}
-		g.run(now, it)
 	}
 }
 
+// hopeless tells whether a waiting request cannot end before its deadline, even
+// if it started now and the server were at its best.
+func (g *Gate) hopeless(now time.Duration, it *item) bool {
+	return now+g.shortest(now, it.Class) >= it.Deadline
+}
+
+func (g *Gate) missesAim(now time.Duration, it *item) bool {
+	return !it.rank.late && it.AimAt > 0 && now+g.shortest(now, it.Class) > it.AimAt
+}
+
 // Finish takes in the end of a running request.
 func (g *Gate) Finish(now time.Duration, h Handle, outcome Outcome) []Event {
 	g.begin(now)
@@ -270,11 +310,14 @@
 		return g.take()
 	}
 	g.running--
+	if !isCrowd(g.running, g.config.Slots) {
+		g.endCrowd()
+	}
 	delete(g.items, h)
 	delete(g.byID, it.ID)
 	if outcome == Completed {
 		g.estimate.finish(now, now-it.started)
-		g.slow.finish(it.workedAt)
+		g.slow.finish(it, it.crowding)
 	} else {
 		g.estimate.abandon(now)
 	}
@@ -289,6 +332,15 @@
 	return g.take()
 }
 
+// endCrowd marks the requests that go on after the crowd has thinned out.
+func (g *Gate) endCrowd() {
+	for _, other := range g.items {
+		if other.state == stateRunning && other.crowding == full {
+			other.crowding = mixed
+		}
+	}
+}
+
 // Cancel takes out a request that has not started; one that runs is left to
 // the driver, which ends it by Finish.
 func (g *Gate) Cancel(now time.Duration, h Handle) []Event {
@@ -372,6 +424,6 @@
 		Running: g.running, Waiting: g.queue.size, Slots: g.slots(now),
 		Service: g.service(now), Draining: g.draining || g.down,
 		Full:      g.queue.size >= g.config.Queue*fullPercent/100 && g.free(now) <= 0,
-		FailRatio: g.outlier.ratio, Failing: g.failing(now), Told: g.slow.fresh(now),
+		FailRatio: g.outlier.ratio, Failing: g.failing(now),
 	}
 }
--- a/core/gate/siblings.go
+++ b/core/gate/siblings.go
@@ -49,6 +49,7 @@
 	bulkyCost = 150 * time.Millisecond
 	// scanInterval is how often waiting requests are looked at again.
 	scanInterval = 2 * time.Millisecond
+	scanParts    = 16
 	// defaultDistance is assumed for a sibling not measured yet.
 	defaultDistance = time.Millisecond
 	// ReportBytes is what one report costs of the measuring budget, in bytes: the
@@ -67,8 +68,6 @@
 	// the gate's own verdict that its siblings do markedly better.
 	FailRatio float64
 	Failing   bool
-	// Told: the service time rests on what the backend server says of its host.
-	Told bool
 }
 
 // finishIn estimates how long a request would take that arrives when extra
@@ -76,9 +75,6 @@
 func (l Load) finishIn(extra int) time.Duration {
 	ahead := l.Running + l.Waiting + extra
 	if ahead < l.Slots || l.Slots == 0 {
-		if l.Told {
-			return crowded(l.Service, ahead+1, l.Slots)
-		}
 		return l.Service
 	}
 	turns := float64(ahead-l.Slots+1) / float64(l.Slots)
@@ -277,7 +273,7 @@
 		return false
 	}
 	forced := g.draining || g.down || g.failing(now) && !g.outlier.trial(now)
-	if !forced && float64(there)*gain > float64(g.finishIn(now)) {
+	if !forced && float64(there)*gain > float64(g.finishIn(now, it)) {
 		return false
 	}
 	sib.sent = append(sib.sent, now)
@@ -291,7 +287,7 @@
 func (g *Gate) rescan(now time.Duration) {
 	g.lastScan = now
 	for _, it := range g.oldestFirst() {
-		if now >= it.Deadline {
+		if now >= it.Deadline || g.hopeless(now, it) {
 			g.drop(it, TooLate, g.retryAfter(now))
 			continue
 		}
@@ -321,15 +317,21 @@
 // NextTimer tells when Tick is due; ok is false when nothing waits for it.
 func (g *Gate) NextTimer() (at time.Duration, ok bool) {
 	if !g.config.Siblings || len(g.siblings.list) == 0 {
-		return g.lastScan + scanInterval, g.queue.size > 0
+		return g.lastScan + g.scanEvery(), g.queue.size > 0
 	}
 	refresh := g.siblings.reportedAt + max(refreshAfter, g.reportSpacing())
 	if g.queue.size > 0 {
-		return min(refresh, g.lastScan+scanInterval), true
+		return min(refresh, g.lastScan+g.scanEvery()), true
 	}
 	return refresh, true
 }
 
+// scanEvery spaces the looks at waiting requests: a small part of what one takes,
+// since a service of long requests gains nothing from more.
+func (g *Gate) scanEvery() time.Duration {
+	return max(scanInterval, time.Duration(g.slow.demand.value)/scanParts)
+}
+
 // fullEverywhere tells whether the siblings that this gate knows of are as busy
 // as it is, so that trying one of them would only add to the load.
 func (g *Gate) fullEverywhere(now time.Duration) bool {
@@ -338,5 +340,5 @@
 		known = known || sib.fresh(now)
 	}
 	sib, there := g.siblings.soonest(now, nil)
-	return known && (sib == nil || float64(there)*gainWaiting > float64(g.finishIn(now)))
+	return known && (sib == nil || float64(there)*gainWaiting > float64(g.wait(now)+g.service(now)))
 }
--- a/core/gate/slowdown.go
+++ b/core/gate/slowdown.go
@@ -21,10 +21,10 @@
 	demandGain = 1.0 / 30
 	// typicalGain moves the typical rate of progress, per second.
 	typicalGain = 0.05
-	// crowdedShare of the slots taken is where some servers slow down, by
-	// crowdedFactor (both as the users' deployments show them).
-	crowdedShare  = 0.8
-	crowdedFactor = 1.5
+	// slowestRate bounds the typical rate of progress from below.
+	slowestRate = 1.0 / 16
+	// maxClasses bounds the classes of requests whose demand is kept apart.
+	maxClasses = 64
 )
 
 // slowdown follows the figure that the server tells. It keeps a clock that runs
@@ -36,13 +36,25 @@
 	known   bool
 	last    time.Duration
 	worked  float64 // nanoseconds of work at the usual speed
-	demand  float64 // nanoseconds, mean
+	demand  mean
+	classes map[string]*mean
 	typical float64 // mean rate of progress, 0 to 1
-	seen    int
+	crowd   crowd
+}
+
+// mean is a moving mean of demands in nanoseconds at the usual speed.
+type mean struct {
+	value float64
+	seen  int
+}
+
+func (m *mean) add(v float64) {
+	m.seen++
+	m.value += (v - m.value) * max(demandGain, 1/float64(m.seen))
 }
 
 func newSlowdown(now time.Duration) slowdown {
-	return slowdown{factor: 1, last: now, demand: float64(firstEstimate), typical: 1}
+	return slowdown{factor: 1, last: now, demand: mean{value: float64(firstEstimate)}, classes: map[string]*mean{}, typical: 1}
 }
 
 func (s *slowdown) advance(now time.Duration) {
@@ -68,21 +80,50 @@
 func (s *slowdown) fresh(now time.Duration) bool { return s.known && now-s.told <= slowdownLife }
 
 // finish takes in a completed request that started when the work clock showed
-// startedAt.
-func (s *slowdown) finish(startedAt float64) {
-	s.seen++
-	gain := max(demandGain, 1/float64(s.seen))
-	s.demand += (max(0, s.worked-startedAt) - s.demand) * gain
+// it.workedAt; crowded tells how full the server was while it ran.
+func (s *slowdown) finish(it *item, crowding crowding) {
+	demand := max(0, s.worked-it.workedAt)
+	usual := s.class(it.Class)
+	if s.known && usual != nil && usual.seen > 0 {
+		// Without the server's figure a slow host would pass for a crowd.
+		s.crowd.add(demand/max(usual.value, 1), crowding)
+	}
+	if crowding == full {
+		// A crowded server's time says nothing of the request.
+		demand /= s.crowd.factor()
+	}
+	s.demand.add(demand)
+	if usual != nil {
+		usual.add(demand)
+	}
+}
+
+// class is the mean of one class of requests; nil if too many are kept already.
+func (s *slowdown) class(name string) *mean {
+	m := s.classes[name]
+	if m == nil && len(s.classes) < maxClasses {
+		m = &mean{}
+		s.classes[name] = m
+	}
+	return m
 }
 
-// expected is the time that a request of the mean demand takes from now on.
-func (s *slowdown) expected() time.Duration {
-	atOnce := s.demand * s.factor
+// demandOf is the demand of a class, or that of all where it is not known.
+func (s *slowdown) demandOf(class string) float64 {
+	if m := s.classes[class]; m != nil && m.seen > 0 {
+		return m.value
+	}
+	return s.demand.value
+}
+
+// expected is the time that work of the demand takes from now on.
+func (s *slowdown) expected(demand float64) time.Duration {
+	atOnce := demand * s.factor
 	if atOnce <= float64(spell) {
 		return time.Duration(atOnce)
 	}
-	left := s.demand - float64(spell)/s.factor
-	return spell + time.Duration(left/max(s.typical, 1.0/16))
+	left := demand - float64(spell)/s.factor
+	return spell + time.Duration(left/max(s.typical, slowestRate))
 }
 
 // Observe takes in what the backend server says of its load.
@@ -93,10 +134,30 @@
 	return g.take()
 }
 
+// told tells whether the server's own figure is what the gate goes by.
+func (g *Gate) told(now time.Duration) bool { return g.slow.fresh(now) && g.slow.demand.seen > 0 }
+
 // service is the time that one request is expected to take.
 func (g *Gate) service(now time.Duration) time.Duration {
-	if g.slow.fresh(now) && g.slow.seen > 0 {
-		return g.slow.expected()
+	if g.told(now) {
+		return g.slow.expected(g.slow.demand.value)
 	}
 	return g.estimate.mean(now)
 }
+
+// serviceOf is the time that one request of a class is expected to take when the
+// given number run.
+func (g *Gate) serviceOf(now time.Duration, class string, running int) time.Duration {
+	if !g.told(now) {
+		return g.estimate.mean(now)
+	}
+	return time.Duration(g.slow.crowd.at(running, g.config.Slots) * float64(g.slow.expected(g.slow.demandOf(class))))
+}
+
+// shortest is the least time that a request of a class can take.
+func (g *Gate) shortest(now time.Duration, class string) time.Duration {
+	if !g.told(now) {
+		return 0
+	}
+	return time.Duration(g.slow.demandOf(class))
+}
--- a/core/gate/types.go
+++ b/core/gate/types.go
@@ -77,6 +77,13 @@
 	// large body.
 	From  string
 	Bulky bool
+	// Class groups requests of like demand, such as those of one route.
+	Class string
+	// Priority ranks requests that wait; 0 is served first.
+	Priority int
+	// Aim is the time within which an answer is worth most, from the start of the
+	// caller's first attempt on, and AimAt when it ends. Both are 0 without an aim.
+	Aim, AimAt time.Duration
 }
 
 // Config is what the estate says of the service.
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -263,7 +263,7 @@
 		e.next++
 		handle = e.next
 		e.waiting[handle] = ch
-		return e.gate.Arrive(now, gate.Request{Handle: handle, ID: req.ID, Caller: req.Caller, Deadline: now + req.Timeout, Movable: req.Movable, From: req.From, Bulky: req.Bulky})
+		return e.gate.Arrive(now, gateRequest(now, handle, req))
 	})
 	select {
 	case event := <-ch:
@@ -281,6 +281,15 @@
 	}
 }
 
+func gateRequest(now time.Duration, handle gate.Handle, req hop.Request) gate.Request {
+	r := gate.Request{Handle: handle, ID: req.ID, Caller: req.Caller, Deadline: now + req.Timeout, Movable: req.Movable, From: req.From, Bulky: req.Bulky,
+		Class: req.Class, Priority: req.Priority}
+	if req.Aim > 0 {
+		r.Aim, r.AimAt = req.Aim, max(1, now+req.AimLeft)
+	}
+	return r
+}
+
 func (e *Endpoint) finish(handle gate.Handle, outcome gate.Outcome) {
 	e.with(func(now time.Duration) []gate.Event { return e.gate.Finish(now, handle, outcome) })
 }
--- a/internal/hop/header.go
+++ b/internal/hop/header.go
@@ -6,6 +6,7 @@
 package hop
 
 import (
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -28,7 +29,7 @@
 	version   = "2"
 	separator = ";"
 
-	requestFields = 8
+	requestFields = 12
 	flagMovable   = 1
 	flagBulky     = 2
 )
@@ -48,6 +49,13 @@
 	// From is the data centre where the request began, Bulky marks a large body.
 	From  string
 	Bulky bool
+	// Class is the route's name; its requests have like demands.
+	Class string
+	// Priority ranks the request; 0 is served first.
+	Priority int
+	// Aim is the time within which an answer is worth most, and AimLeft what is
+	// left of it, which may be less than nothing. Both are 0 without an aim.
+	Aim, AimLeft time.Duration
 	// Caller identifies who sends, for fair shares between callers.
 	Caller string
 }
@@ -68,6 +76,12 @@
 	b = appendField(b, uint64(max(0, r.Timeout.Microseconds())))
 	b = appendField(b, flags)
 	b = appendField(b, r.Revision)
+	b = appendField(b, uint64(max(0, r.Priority)))
+	b = appendField(b, uint64(max(0, r.Aim.Microseconds())))
+	b = append(b, separator...)
+	b = strconv.AppendInt(b, r.AimLeft.Microseconds(), 10)
+	b = append(b, separator...)
+	b = append(b, url.QueryEscape(r.Class)...)
 	b = append(b, separator...)
 	b = append(b, r.From...)
 	b = append(b, separator...)
@@ -107,7 +121,8 @@
 	}
 	p := parser{}
 	r := Request{ID: p.id(f[1]), Incarnation: p.uint(f[2]), Timeout: time.Duration(p.uint(f[3])) * time.Microsecond,
-		Revision: p.uint(f[5]), From: f[6], Caller: f[7]}
+		Revision: p.uint(f[5]), Priority: int(p.uint(f[6])), Aim: time.Duration(p.uint(f[7])) * time.Microsecond, AimLeft: p.micros(f[8]),
+		Class: p.text(f[9]), From: f[10], Caller: f[11]}
 	flags := p.uint(f[4])
 	r.Movable, r.Bulky = flags&flagMovable != 0, flags&flagBulky != 0
 	return r, p.err
@@ -121,6 +136,24 @@
 
 func (p *parser) uint(s string) uint64 { return p.base(s, 10) }
 
+// micros reads a time that may be negative.
+func (p *parser) micros(s string) time.Duration {
+	v, err := strconv.ParseInt(s, 10, 64)
+	if err != nil && p.err == nil {
+		p.err = errHeader
+	}
+	return time.Duration(v) * time.Microsecond
+}
+
+// text reads a name that may hold any character.
+func (p *parser) text(s string) string {
+	v, err := url.QueryUnescape(s)
+	if err != nil && p.err == nil {
+		p.err = errHeader
+	}
+	return v
+}
+
 func (p *parser) base(s string, base int) uint64 {
 	v, err := strconv.ParseUint(s, base, 64)
 	if err != nil && p.err == nil {
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -47,7 +47,7 @@
 	back, err := ParseReply(reply.Encode())
 	assert.NilError(t, err)
 	assert.Equal(t, back, reply)
-	for _, bad := range []string{"", "1", "1;1-1-1;0;0;0;0;dc;x", "2;1-1;0;0;0;0;dc;x", "2;x-1-1;0;0;0;0;dc;x", "2;1-1-1;-5;0;0;0;dc;x"} {
+	for _, bad := range []string{"", "1", "1;1-1-1;0;0;0;0;dc;x", "2;1-1;0;0;0;0;0;0;0;r;dc;x", "2;x-1-1;0;0;0;0;0;0;0;r;dc;x", "2;1-1-1;-5;0;0;0;0;0;0;r;dc;x", "2;1-1-1;0;0;0;0;0;0;x;r;dc;x", "2;1-1-1;0;0;0;0;0;0;0;%;dc;x"} {
 		_, err := ParseRequest(bad)
 		assert.Assert(t, err != nil, bad)
 	}
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -53,7 +53,7 @@
 	l := report.Load
 	data, err := proto.Marshal(&apiv1.GateReport{Host: report.Host, Incarnation: report.Incarnation, Sequence: report.Sequence,
 		Running: uint32(l.Running), Waiting: uint32(l.Waiting), Slots: uint32(l.Slots), ServiceUs: uint64(l.Service.Microseconds()),
-		Draining: l.Draining, Full: l.Full, FailPerMille: uint32(l.FailRatio * perMille), Failing: l.Failing, Told: l.Told})
+		Draining: l.Draining, Full: l.Full, FailPerMille: uint32(l.FailRatio * perMille), Failing: l.Failing})
 	if err != nil {
 		return
 	}
@@ -85,5 +85,5 @@
 func reportOf(m *apiv1.GateReport) gate.Report {
 	return gate.Report{Host: m.Host, Incarnation: m.Incarnation, Sequence: m.Sequence, Load: gate.Load{
 		Running: int(m.Running), Waiting: int(m.Waiting), Slots: int(m.Slots), Service: time.Duration(m.ServiceUs) * time.Microsecond,
-		Draining: m.Draining, Full: m.Full, FailRatio: float64(m.FailPerMille) / perMille, Failing: m.Failing, Told: m.Told}}
+		Draining: m.Draining, Full: m.Full, FailRatio: float64(m.FailPerMille) / perMille, Failing: m.Failing}}
 }
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -142,6 +142,7 @@
 		"outstanding", to.Outstanding, "left", timeout, "movable", c.movable(), "tried", c.tried, "revision", c.h.options.Revision())
 	req := hop.Request{ID: a.id, Incarnation: a.incarnation, Timeout: timeout, Movable: c.movable(), Revision: c.h.options.Revision(), Caller: c.caller,
 		From: c.h.options.DataCenter, Bulky: c.out.Stream != nil || len(c.out.Buffered) >= bulkyBody}
+	c.rankRequest(&req, a.sent)
 	out := c.outgoing()
 	if to.Host == c.h.options.Host {
 		if local := c.h.options.Local.Endpoint(c.s.name); local != nil {
@@ -153,6 +154,22 @@
 	return c.remote(a, req, out)
 }
 
+// rankRequest tells the gate what the route says. The aim counts from the
+// caller's first attempt: a caller that allows less time than the route has used
+// up the rest by an attempt before.
+func (c *call) rankRequest(req *hop.Request, now time.Time) {
+	if c.route == nil {
+		return
+	}
+	spec := c.route.Spec
+	req.Class, req.Priority = c.route.Name, int(spec.Priority)
+	if spec.AimMs == 0 {
+		return
+	}
+	req.Aim = time.Duration(spec.AimMs) * time.Millisecond
+	req.AimLeft = c.deadline.Add(req.Aim - c.route.timeout()).Sub(now)
+}
+
 // movable tells whether a gate may move the request. One that an endpoint refused
 // or lost stays where it is sent next: the gate there does not know where it has
 // been, and could send it to the same dead server again.
