Second attempts for idempotent requests whose server turned slow; a retry budget that nodes share

Cause: one request in nine has the slow time of its host begin under it, and waited it out. Change: the gate tells the caller's node (interim answer) of a sibling that would end the request sooner; that node races a second attempt, out of the budget; ratio and slack of the platform's budget are split among the nodes known, with a fifth kept back.

--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -29,9 +29,11 @@
 	workedAt float64
 	// crowding is how full the server has been since the start.
 	crowding crowding
-	rank     rank
-	home     *rankQueue
-	state    itemState
+	// hinted: its caller was told of a sibling that would be sooner.
+	hinted bool
+	rank   rank
+	home   *rankQueue
+	state  itemState
 
 	queue      *callerQueue
 	prev, next *item
@@ -283,15 +285,26 @@
 		case g.hopeless(now, it):
 			g.drop(it, TooLate, g.retryAfter(now))
 		case g.missesAim(now, it) && g.queue.size > 0:
-			// Those behind it that can still be in time go first.
-			it.rank.late = true
-			g.queue.push(it)
+			g.demote(now, it)
 		default:
 			g.run(now, it)
 		}
 	}
 }
 
+// demote puts a request that misses its aim behind those that can still be in
+// time. One for which there is no room there is refused now: it would wait for
+// slots that others get, and be refused later.
+func (g *Gate) demote(now time.Duration, it *item) {
+	g.queue.remove(it)
+	it.rank.late = true
+	if g.queue.late >= lateRoom(g.slots(now)) {
+		g.drop(it, QueueFull, g.retryAfter(now))
+		return
+	}
+	g.queue.push(it)
+}
+
 // hopeless tells whether a waiting request cannot end before its deadline, even
 // if it started now and the server were at its best.
 func (g *Gate) hopeless(now time.Duration, it *item) bool {
--- a/core/gate/siblings.go
+++ b/core/gate/siblings.go
@@ -292,8 +292,22 @@
 			continue
 		}
 		if !g.rebind(now, it, gainWaiting) {
-			return
+			break
+		}
+	}
+	g.demoteLate(now)
+}
+
+// demoteLate looks for waiting requests that no longer make their aim.
+func (g *Gate) demoteLate(now time.Duration) {
+	var late []*item
+	g.queue.each(func(it *item) {
+		if g.missesAim(now, it) {
+			late = append(late, it)
 		}
+	})
+	for _, it := range late {
+		g.demote(now, it)
 	}
 }
 
--- a/core/gate/slowdown.go
+++ b/core/gate/slowdown.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sort"
 	"time"
 )
 
@@ -130,10 +131,57 @@
 func (g *Gate) Observe(now time.Duration, factor float64) []Event {
 	g.begin(now)
 	g.slow.tell(now, factor)
+	g.hintStuck(now)
 	g.announce(now)
 	return g.take()
 }
 
+const (
+	// hintGain is how many times sooner a sibling must be expected to end a request
+	// anew than it ends here. A second attempt costs work and budget, so that it
+	// has to gain more than a move.
+	hintGain = 1.6
+	// hintSlowdown is from which slowdown on running requests are looked at.
+	hintSlowdown = 2.5
+	// restShare is the part of a usual demand that is taken to be left of a request
+	// which has had more than that already.
+	restShare = 0.25
+)
+
+// hintStuck looks for requests that run on a server which turned slow under them.
+// Only the gate knows that at once; the request's caller decides what follows.
+func (g *Gate) hintStuck(now time.Duration) {
+	if !g.config.Siblings || !g.told(now) || g.slow.factor < hintSlowdown {
+		return
+	}
+	for _, it := range g.runningByHandle() {
+		if !it.Repeatable || it.hinted {
+			continue
+		}
+		usual := g.slow.demandOf(it.Class)
+		left := max(restShare*usual, usual-(g.slow.worked-it.workedAt))
+		here := g.slow.expected(left)
+		sib, there := g.siblings.soonest(now, it)
+		if sib == nil || float64(there)*hintGain > float64(here) || now+there > it.Deadline {
+			continue
+		}
+		it.hinted = true
+		sib.sent = append(sib.sent, now)
+		g.emit(Event{Kind: Hint, Handle: it.Handle, To: sib.Host})
+	}
+}
+
+func (g *Gate) runningByHandle() []*item {
+	var list []*item
+	for _, it := range g.items {
+		if it.state == stateRunning {
+			list = append(list, it)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Handle < list[j].Handle })
+	return list
+}
+
 // told tells whether the server's own figure is what the gate goes by.
 func (g *Gate) told(now time.Duration) bool { return g.slow.fresh(now) && g.slow.demand.seen > 0 }
 
--- a/core/gate/types.go
+++ b/core/gate/types.go
@@ -48,6 +48,9 @@
 	Moved
 	// Send: send Report to the sibling To.
 	Send
+	// Hint: the request runs, and the sibling To would run it anew sooner than it
+	// ends here.
+	Hint
 )
 
 // Event is one outcome for the driver to carry out.
@@ -77,6 +80,8 @@
 	// large body.
 	From  string
 	Bulky bool
+	// Repeatable: it may run twice, so that a hint is of use.
+	Repeatable bool
 	// Class groups requests of like demand, such as those of one route.
 	Class string
 	// Priority ranks requests that wait; 0 is served first.
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -5,6 +5,8 @@
 // Types here are pure and not safe for concurrent use.
 package retry
 
+import "time"
+
 // Ended tells how an attempt ended.
 type Ended int
 
@@ -100,6 +102,16 @@
 	return TryOther
 }
 
+// Hedge tells whether a second attempt may run beside the first, for an
+// idempotent request whose server turned slow under it.
+func (r *Request) Hedge(budget *Budget) bool {
+	if !r.Idempotent || r.attempts+1 >= r.MaxAttempts || !budget.Take() {
+		return false
+	}
+	r.attempts++
+	return true
+}
+
 // GiveUp tells how a request ends that is not tried again. It is truthful about
 // earlier attempts: one that may have run makes the whole request's outcome
 // unknown, however the last attempt ended.
@@ -118,24 +130,53 @@
 type Budget struct {
 	perMille int
 	balance  int
+	// most bounds the balance.
+	most int
 	// Refused counts retries that the budget did not allow.
 	Refused uint64
 }
 
-// reserve is how many retries may be saved up.
+// reserve is how many retries may be saved up, unless SetShare says otherwise.
 const reserve = 10
 
 // NewBudget returns a budget of retries per thousand calls.
 func NewBudget(perMille int) *Budget {
-	return &Budget{perMille: perMille, balance: reserve * budgetScale}
+	return &Budget{perMille: perMille, balance: reserve * budgetScale, most: reserve * budgetScale}
 }
 
 // Set changes the ratio.
 func (b *Budget) Set(perMille int) { b.perMille = perMille }
 
+const (
+	// shareMargin keeps a part of a budget that is shared by all nodes unspent, for
+	// nodes that others have not heard of yet and attempts that are counted late.
+	shareMargin = 0.8
+	// restFor is how long what was saved up takes to come back after it was spent,
+	// in windows: spent again within the window it would count twice.
+	restFor = 1.0
+)
+
+// SetShare sets the budget to this node's part of one that nodes share: ratio
+// times its own calls, and slack divided by the nodes. Slack comes back evenly
+// over the window, so that no window has it twice.
+func (b *Budget) SetShare(ratio, slack float64, nodes int) {
+	b.perMille = int(shareMargin * ratio * budgetScale)
+	b.most = max(budgetScale/2, int(shareMargin*slack*budgetScale)/max(1, nodes))
+	b.balance = min(b.balance, b.most)
+}
+
+// Refill gives back what the elapsed part of a window earns without calls.
+func (b *Budget) Refill(elapsed, window time.Duration) {
+	if window <= 0 {
+		return
+	}
+	earned := float64(b.most) / (1 + restFor) * float64(elapsed) / float64(window)
+	b.balance = min(b.most, b.balance+int(earned))
+}
+
 // Call counts a call that arrived.
 func (b *Budget) Call() {
-	b.balance = min(b.balance+b.perMille, reserve*budgetScale)
+	b.balance = min(b.balance+b.perMille, b.most)
 }
 
 // Take spends one retry if the budget has it. A ratio of 0 allows none.
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -52,10 +52,12 @@
 	mu      sync.Mutex
 	gate    *gate.Gate
 	waiting map[gate.Handle]chan gate.Event
-	next    gate.Handle
-	timer   *time.Timer
-	armed   time.Duration
-	closed  bool
+	// hints are told of a sibling that would end a running request sooner.
+	hints  map[gate.Handle]func(to string)
+	next   gate.Handle
+	timer  *time.Timer
+	armed  time.Duration
+	closed bool
 
 	stopWatch context.CancelFunc
 
@@ -73,7 +75,7 @@
 	if options.Dialect == nil {
 		options.Dialect = &hop.Dialect{}
 	}
-	e := &Endpoint{options: options, start: time.Now(), waiting: map[gate.Handle]chan gate.Event{}}
+	e := &Endpoint{options: options, start: time.Now(), waiting: map[gate.Handle]chan gate.Event{}, hints: map[gate.Handle]func(string){}}
 	e.gate = gate.New(options.Host, config, 0)
 	var ctx context.Context
 	ctx, e.stopWatch = context.WithCancel(context.Background())
@@ -88,10 +90,18 @@
 	e.mu.Lock()
 	events := step(e.now())
 	var posts []gate.Event
+	var hinted []func()
 	for _, event := range events {
-		if event.Kind == gate.Send {
+		switch event.Kind {
+		case gate.Send:
 			posts = append(posts, event)
 			continue
+		case gate.Hint:
+			if hint := e.hints[event.Handle]; hint != nil {
+				to := event.To
+				hinted = append(hinted, func() { hint(to) })
+			}
+			continue
 		}
 		e.options.Counters.count(event)
 		if ch := e.waiting[event.Handle]; ch != nil {
@@ -101,6 +111,9 @@
 	}
 	e.arm()
 	e.mu.Unlock()
+	for _, hint := range hinted {
+		hint()
+	}
 	for _, p := range posts {
 		p.Report.Incarnation = e.options.Incarnation()
 		e.options.Send(p.To, p.Report)
@@ -216,7 +229,10 @@
 
 // Attempt admits a request and, if it may run, forwards it. The response is
 // nil unless the reply's verdict is Ran; its body must be read or closed.
-func (e *Endpoint) Attempt(ctx context.Context, req hop.Request, out *hop.Outgoing) (*http.Response, hop.Reply) {
+//
+// OnHint may be nil. It is called from other goroutines, while the request runs,
+// with the host of a sibling that would end it sooner.
+func (e *Endpoint) Attempt(ctx context.Context, req hop.Request, out *hop.Outgoing, onHint func(to string)) (*http.Response, hop.Reply) {
 	e.options.Heard(req.Revision)
 	reply := hop.Reply{ID: req.ID, Incarnation: e.options.Incarnation(), Revision: e.options.Revision()}
 	if req.Incarnation != reply.Incarnation {
@@ -224,8 +240,11 @@
 		return nil, reply
 	}
 	arrived := time.Now()
-	handle, event := e.admit(ctx, req)
+	handle, event := e.admit(ctx, req, onHint)
 	e.logAdmission(req, out, event, time.Since(arrived))
+	if event.Kind != gate.Started {
+		e.forgetHint(handle)
+	}
 	switch event.Kind {
 	case gate.Started:
 		return e.forward(ctx, handle, out, reply)
@@ -255,14 +274,23 @@
 		"service", load.Service, "loadAge", e.now()-time.Duration(e.observed.Load()), "retryAfter", event.RetryAfter, "everywhere", event.Everywhere, "revision", e.options.Revision())
 }
 
+func (e *Endpoint) forgetHint(handle gate.Handle) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.hints, handle)
+}
+
 // admit waits until the gate starts, moves or refuses the request.
-func (e *Endpoint) admit(ctx context.Context, req hop.Request) (gate.Handle, gate.Event) {
+func (e *Endpoint) admit(ctx context.Context, req hop.Request, onHint func(string)) (gate.Handle, gate.Event) {
 	ch := make(chan gate.Event, 1)
 	var handle gate.Handle
 	e.with(func(now time.Duration) []gate.Event {
 		e.next++
 		handle = e.next
 		e.waiting[handle] = ch
+		if onHint != nil && req.Repeatable {
+			e.hints[handle] = onHint
+		}
 		return e.gate.Arrive(now, gateRequest(now, handle, req))
 	})
 	select {
@@ -283,7 +311,7 @@
 
 func gateRequest(now time.Duration, handle gate.Handle, req hop.Request) gate.Request {
 	r := gate.Request{Handle: handle, ID: req.ID, Caller: req.Caller, Deadline: now + req.Timeout, Movable: req.Movable, From: req.From, Bulky: req.Bulky,
-		Class: req.Class, Priority: req.Priority}
+		Class: req.Class, Priority: req.Priority, Repeatable: req.Repeatable}
 	if req.Aim > 0 {
 		r.Aim, r.AimAt = req.Aim, max(1, now+req.AimLeft)
 	}
@@ -291,7 +319,10 @@
 }
 
 func (e *Endpoint) finish(handle gate.Handle, outcome gate.Outcome) {
-	e.with(func(now time.Duration) []gate.Event { return e.gate.Finish(now, handle, outcome) })
+	e.with(func(now time.Duration) []gate.Event {
+		delete(e.hints, handle)
+		return e.gate.Finish(now, handle, outcome)
+	})
 }
 
 // forward sends a started request to the backend server.
--- a/internal/endpoint/serve.go
+++ b/internal/endpoint/serve.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -29,7 +30,9 @@
 	if out.Stream != nil {
 		_ = http.NewResponseController(w).EnableFullDuplex()
 	}
-	resp, reply := e.Attempt(r.Context(), req, out)
+	interim := &interimAnswers{w: w}
+	resp, reply := e.Attempt(r.Context(), req, out, interim.hint)
+	interim.end()
 	if resp == nil {
 		refuse(w, reply)
 		return
@@ -40,6 +43,31 @@
 	}
 }
 
+// interimAnswers sends hints ahead of the answer. Hints come from other
+// goroutines; once the answer begins there must be none, since the two would mix.
+type interimAnswers struct {
+	mu    sync.Mutex
+	w     http.ResponseWriter
+	ended bool
+}
+
+func (a *interimAnswers) hint(to string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.ended {
+		return
+	}
+	a.w.Header().Set(hop.HintHeader, to)
+	a.w.WriteHeader(http.StatusProcessing)
+	a.w.Header().Del(hop.HintHeader)
+}
+
+func (a *interimAnswers) end() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ended = true
+}
+
 func refuse(w http.ResponseWriter, reply hop.Reply) {
 	w.Header().Set(hop.Header, reply.Encode())
 	w.Header().Set("Content-Length", "0")
--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -29,6 +29,8 @@
 	// IDField and ID: an answer that carries another id in this field belongs to
 	// an earlier request and is dropped. Empty means not checked.
 	IDField, ID string
+	// OnInterim, if not nil, is called with the header of each interim answer.
+	OnInterim func(http.Header)
 	// Deadline bounds the exchange up to the end of the answer's head.
 	Deadline time.Time
 }
@@ -123,6 +125,9 @@
 			continue
 		}
 		if resp.StatusCode < http.StatusOK {
+			if out.OnInterim != nil {
+				out.OnInterim(resp.Header)
+			}
 			continue
 		}
 		if out.foreign(resp) {
--- a/internal/hop/header.go
+++ b/internal/hop/header.go
@@ -25,6 +25,9 @@
 	// TimeoutHeader tells the next layer how many milliseconds are left. A caller
 	// may set it to name a deadline.
 	TimeoutHeader = "Cactus-Timeout-Ms"
+	// HintHeader stands in an interim answer (102) and names the host that would end
+	// the request sooner.
+	HintHeader = "Cactus-Hint"
 
 	version   = "2"
 	separator = ";"
@@ -32,6 +35,8 @@
 	requestFields = 12
 	flagMovable   = 1
 	flagBulky     = 2
+
+	flagRepeatable = 4
 )
 
 // Request is what the picking node tells the node of the picked endpoint.
@@ -44,6 +49,9 @@
 	// two clocks need to agree.
 	Timeout time.Duration
 	Movable bool
+	// Repeatable: it may run twice; the gate then tells of a sibling that would end
+	// it sooner than this one, by OnHint or an interim answer.
+	Repeatable bool
 	// Revision is the newest configuration that the sender knows of.
 	Revision uint64
 	// From is the data centre where the request began, Bulky marks a large body.
@@ -69,6 +77,9 @@
 	if r.Bulky {
 		flags |= flagBulky
 	}
+	if r.Repeatable {
+		flags |= flagRepeatable
+	}
 	b := make([]byte, 0, 128)
 	b = append(b, version+separator...)
 	b = appendID(b, r.ID)
@@ -124,7 +135,7 @@
 		Revision: p.uint(f[5]), Priority: int(p.uint(f[6])), Aim: time.Duration(p.uint(f[7])) * time.Microsecond, AimLeft: p.micros(f[8]),
 		Class: p.text(f[9]), From: f[10], Caller: f[11]}
 	flags := p.uint(f[4])
-	r.Movable, r.Bulky = flags&flagMovable != 0, flags&flagBulky != 0
+	r.Movable, r.Bulky, r.Repeatable = flags&flagMovable != 0, flags&flagBulky != 0, flags&flagRepeatable != 0
 	return r, p.err
 }
 
--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -28,6 +28,7 @@
 		"attempts_lost":                 &n.calls.Lost,
 		"attempts_moved":                &n.calls.Moves,
 		"attempts_retried":              &n.calls.Retries,
+		"attempts_hedged":               &n.calls.Hedges,
 		"attempts_revokes":              &n.calls.Revokes,
 		"gate_started":                  &n.gates.Started,
 		"gate_moved":                    &n.gates.Moved,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -46,6 +46,8 @@
 	// WatchControl has the node watch control replicas, so that changes are in
 	// force within milliseconds; without it they come with the heartbeats.
 	WatchControl bool
+	// Retry bounds the second attempts of all nodes; zero for the estate's terms.
+	Retry proxy.Shared
 }
 
 // Node is one node. Safe for concurrent use.
@@ -99,7 +101,7 @@
 	n.watcher = newWatcher(n)
 	n.proxy = proxy.New(proxy.Options{
 		Host: options.Host, DataCenter: options.DataCenter, Security: options.Security, Local: n, Need: n.need, Heard: n.heard, Revision: n.Revision, Revoke: n.revoke, Counters: n.calls,
-		Dialect: options.Dialect, CallerService: n.service,
+		Dialect: options.Dialect, CallerService: n.service, Shared: options.Retry,
 	})
 	n.front = front.New(n.callers.count(n.proxy))
 	return n
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -22,6 +22,7 @@
 	"cactuspath/internal/adapter"
 	"cactuspath/internal/controlclient"
 	"cactuspath/internal/node"
+	"cactuspath/internal/proxy"
 	"cactuspath/internal/replica"
 	"cactuspath/internal/settings"
 	"cactuspath/internal/transport"
@@ -175,6 +176,7 @@
 		Host: s.Host, DataCenter: s.DataCenter, Region: s.Region, Callers: callers, Peer: peer, Admin: admin, Reports: socket, PeerAddress: peerAddress,
 		Security: p.security, Control: p.client, StopTimeout: s.StopTimeout,
 		Dialect: p.dialect(), Service: n.Service, WatchControl: n.WatchControl,
+		Retry: proxy.Shared{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window},
 	})
 	return nil
 }
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -51,6 +51,8 @@
 	deadline time.Time
 	caller   string
 	route    *Route
+	// hedged: a second attempt was made beside a stuck one.
+	hedged bool
 
 	last       hop.Reply
 	reached    bool
@@ -64,6 +66,8 @@
 	id          gate.AttemptID
 	incarnation uint64
 	sent        time.Time
+	ctx         context.Context
+	onHint      func(to string)
 }
 
 // requestID names the request in the log: as its caller does, or by our own id.
@@ -74,6 +78,17 @@
 	return hop.FormatID(gate.AttemptID{Request: c.id})
 }
 
+// result is how one attempt ended. The response is nil unless the backend server
+// answered.
+type result struct {
+	to    *balancer.Candidate
+	resp  *http.Response
+	ended retry.Ended
+	// reply is what the endpoint's node said, if it said anything (reached).
+	reply   hop.Reply
+	reached bool
+}
+
 func (c *call) run() {
 	c.tried = c.triedBuf[:0]
 	to := c.s.pick(c.h.now(), c.tried)
@@ -82,28 +97,30 @@
 			c.giveUp(c.rules.GiveUp())
 			return
 		}
-		resp, ended := c.try(to)
-		if resp != nil {
-			c.deliver(resp)
+		r := c.follow(to)
+		to = r.to
+		if r.resp != nil {
+			c.deliver(r.resp)
 			return
 		}
 		if c.r.Context().Err() != nil {
 			// The caller went away; nobody is left to answer.
 			c.h.options.Counters.Canceled.Add(1)
+			logs.Decision(false, "Caller gone", "request", c.requestID(), "service", c.s.name, "attempts", c.attempts, "took", time.Since(c.arrived))
 			return
 		}
-		if ended != retry.Moved && ended != retry.Restarted {
+		if r.ended != retry.Moved && r.ended != retry.Restarted {
 			// An endpoint that passed the request on has not refused it.
 			c.tried = append(c.tried, to.Host)
 		}
-		action := c.s.next(&c.rules, ended, c.tried)
+		action := c.s.next(&c.rules, r.ended, c.tried)
 		if c.bodyUsed.Load() && (action == retry.TryOther || action == retry.TryNamed) {
 			// A streamed body that was partly read cannot be sent again.
 			action = c.rules.GiveUp()
 		}
 		switch action {
 		case retry.TryNamed:
-			to = c.named(ended, to)
+			to = c.named(r.ended, to)
 		case retry.TryOther:
 			c.h.options.Counters.Retries.Add(1)
 			to = c.s.pick(c.h.now(), c.tried)
@@ -114,6 +131,39 @@
 	}
 }
 
+// follow makes one attempt, or two side by side where a hint says that the first
+// one is stuck; it returns the one that counts.
+func (c *call) follow(to *balancer.Candidate) result {
+	if !c.hedgeable() {
+		r := c.try(c.r.Context(), to, c.next(), nil)
+		c.note(r)
+		return r
+	}
+	return c.race(to)
+}
+
+// hedgeable tells whether a second attempt may run beside the first.
+func (c *call) hedgeable() bool {
+	return c.rules.Idempotent && c.out.Stream == nil && c.rules.MaxAttempts > 1
+}
+
+// next numbers an attempt.
+func (c *call) next() uint32 {
+	c.attempts++
+	return c.attempts
+}
+
+// note keeps what the last attempt said for the caller's answer.
+func (c *call) note(r result) {
+	if !r.reached {
+		return
+	}
+	c.last, c.reached = r.reply, true
+	if r.reply.RetryAfter > 0 {
+		c.retryAfter = r.reply.RetryAfter
+	}
+}
+
 // named is the endpoint that the last reply asks to try; if it is not known
 // here, any other.
 func (c *call) named(ended retry.Ended, last *balancer.Candidate) *balancer.Candidate {
@@ -128,26 +178,24 @@
 	return c.s.pick(c.h.now(), c.tried)
 }
 
-// try makes one attempt. The response is nil unless the backend server answered.
-func (c *call) try(to *balancer.Candidate) (*http.Response, retry.Ended) {
-	c.attempts++
-	a := attempt{to: to, id: gate.AttemptID{Request: c.id, Attempt: c.attempts}, incarnation: to.Incarnation, sent: time.Now()}
+// try makes one attempt, which ends early when ctx does. OnHint may be nil.
+func (c *call) try(ctx context.Context, to *balancer.Candidate, number uint32, onHint func(to string)) result {
+	a := attempt{ctx: ctx, to: to, id: gate.AttemptID{Request: c.id, Attempt: number}, incarnation: to.Incarnation, sent: time.Now(), onHint: onHint}
 	timeout := c.deadline.Sub(a.sent)
 	if timeout <= 0 {
 		c.s.done(c.h.now(), to, true)
-		c.last = hop.Reply{Verdict: hop.Refused, Reason: gate.TooLate}
-		return nil, retry.NotRunAnywhere
+		return result{to: to, ended: retry.NotRunAnywhere, reply: hop.Reply{Verdict: hop.Refused, Reason: gate.TooLate}, reached: true}
 	}
 	logs.Decision(false, "Attempt", "request", c.requestID(), "attempt", hop.FormatID(a.id), "service", c.s.name, "to", to.Host, "near", to.Near,
 		"outstanding", to.Outstanding, "left", timeout, "movable", c.movable(), "tried", c.tried, "revision", c.h.options.Revision())
 	req := hop.Request{ID: a.id, Incarnation: a.incarnation, Timeout: timeout, Movable: c.movable(), Revision: c.h.options.Revision(), Caller: c.caller,
-		From: c.h.options.DataCenter, Bulky: c.out.Stream != nil || len(c.out.Buffered) >= bulkyBody}
+		From: c.h.options.DataCenter, Repeatable: onHint != nil, Bulky: c.out.Stream != nil || len(c.out.Buffered) >= bulkyBody}
 	c.rankRequest(&req, a.sent)
 	out := c.outgoing()
 	if to.Host == c.h.options.Host {
 		if local := c.h.options.Local.Endpoint(c.s.name); local != nil {
 			out.Deadline = c.deadline
-			resp, reply := local.Attempt(c.r.Context(), req, out)
+			resp, reply := local.Attempt(ctx, req, out, onHint)
 			return c.settle(a, resp, reply)
 		}
 	}
@@ -196,13 +244,20 @@
 	return n.Reader.Read(p)
 }
 
-func (c *call) remote(a attempt, req hop.Request, out *hop.Outgoing) (*http.Response, retry.Ended) {
+func (c *call) remote(a attempt, req hop.Request, out *hop.Outgoing) result {
 	// The time left is in the hop's own header; the empty field keeps the caller's
 	// from being sent beside it.
 	out.Extra = []hop.Field{{Name: hop.Header, Value: req.Encode()}, {Name: hop.ServiceHeader, Value: c.s.name}, {Name: c.h.options.Dialect.TimeoutField()}}
-	resp, err := c.h.peer(a.to.PeerAddress).Do(c.r.Context(), out)
+	if a.onHint != nil {
+		out.OnInterim = func(h http.Header) {
+			if to := h.Get(hop.HintHeader); to != "" {
+				a.onHint(to)
+			}
+		}
+	}
+	resp, err := c.h.peer(a.to.PeerAddress).Do(a.ctx, out)
 	if err != nil {
-		return nil, c.unanswered(a, err)
+		return result{to: a.to, ended: c.unanswered(a, err)}
 	}
 	reply, err := hop.ParseReply(resp.Header.Get(hop.Header))
 	if err == nil && reply.ID != a.id {
@@ -212,7 +267,7 @@
 		// Not the answer to this attempt: it must not reach the caller.
 		_ = resp.Body.Close()
 		klog.ErrorS(err, "Dropped an answer that is not this request's", "host", a.to.Host)
-		return nil, c.unanswered(a, err)
+		return result{to: a.to, ended: c.unanswered(a, err)}
 	}
 	if reply.Verdict != hop.Ran {
 		_, _ = io.Copy(io.Discard, resp.Body)
@@ -222,38 +277,42 @@
 }
 
 // settle takes in an attempt's reply.
-func (c *call) settle(a attempt, resp *http.Response, reply hop.Reply) (*http.Response, retry.Ended) {
-	c.last, c.reached = reply, true
+func (c *call) settle(a attempt, resp *http.Response, reply hop.Reply) result {
 	c.h.options.Heard(reply.Revision)
-	if reply.RetryAfter > 0 {
-		c.retryAfter = reply.RetryAfter
-	}
+	r := result{to: a.to, resp: resp, reply: reply, reached: true}
 	if resp != nil {
 		resp.Body = &countedBody{ReadCloser: resp.Body, done: func() { c.s.done(c.h.now(), a.to, true) }}
-		return resp, retry.Answered
+		r.ended = retry.Answered
+		return r
 	}
 	// A gate whose backend server is down answers, and is to be left alone as one
 	// that does not: trying it each time would use up the retry budget.
 	c.s.done(c.h.now(), a.to, reply.Verdict != hop.Unreached && reply.Reason != gate.Down)
+	r.ended = c.endOf(a, reply)
+	return r
+}
+
+// endOf tells what a reply without an answer means.
+func (c *call) endOf(a attempt, reply hop.Reply) retry.Ended {
 	switch reply.Verdict {
 	case hop.Moved:
-		return nil, retry.Moved
+		return retry.Moved
 	case hop.Restarted:
 		c.s.setIncarnation(a.to, reply.Incarnation)
-		return nil, retry.Restarted
+		return retry.Restarted
 	case hop.Broke:
-		return nil, retry.Lost
+		return retry.Lost
 	case hop.Rejected:
-		return nil, retry.NotRun
+		return retry.NotRun
 	}
 	if reply.Reason == gate.Draining {
 		c.s.setDraining(a.to)
-		return nil, retry.Leaving
+		return retry.Leaving
 	}
 	if reply.Everywhere {
-		return nil, retry.NotRunAnywhere
+		return retry.NotRunAnywhere
 	}
-	return nil, retry.NotRun
+	return retry.NotRun
 }
 
 // unanswered finds out what became of an attempt whose answer did not come.
@@ -263,15 +322,15 @@
 	if errors.As(err, &dial) {
 		return retry.NotRun
 	}
-	c.h.options.Counters.Lost.Add(1)
-	if c.r.Context().Err() != nil {
+	if a.ctx.Err() != nil {
 		return retry.Lost
 	}
+	c.h.options.Counters.Lost.Add(1)
 	timeout := revokeTimeout
 	if time.Now().After(c.deadline) {
 		timeout = lateRevokeTimeout
 	}
-	ctx, cancel := context.WithTimeout(c.r.Context(), timeout)
+	ctx, cancel := context.WithTimeout(a.ctx, timeout)
 	defer cancel()
 	revoked := time.Now()
 	answer := c.h.options.Revoke(ctx, a.to.PeerAddress, a.incarnation, a.id, time.Since(a.sent))
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -40,6 +40,8 @@
 	Dialect *hop.Dialect
 	// CallerService is the service beside this node, which its callers speak for.
 	CallerService func() string
+	// Shared bounds second attempts, if the estate's terms do not.
+	Shared Shared
 	// Heard passes on a revision that another node mentioned.
 	Heard func(revision uint64)
 	// Revision is the newest configuration this node holds.
@@ -61,6 +63,9 @@
 	mu       sync.RWMutex
 	services map[string]*service
 	peers    map[string]*hop.Pool
+	// mostNodes is the largest number of nodes seen: the nodes that are out of sight
+	// may still spend their share. Only Update uses it.
+	mostNodes int
 }
 
 // New returns a handler that knows no service yet.
@@ -103,11 +108,18 @@
 		s.update(nil)
 	}
 	used := map[string]bool{}
+	nodes := 0
+	for _, list := range endpoints {
+		nodes += len(list)
+	}
+	h.mostNodes = max(h.mostNodes, nodes)
 	for name, list := range endpoints {
 		for _, c := range list {
 			used[c.PeerAddress] = true
 		}
-		h.service(name).update(list)
+		s := h.service(name)
+		s.share(h.options.Shared, h.mostNodes)
+		s.update(list)
 	}
 	h.dropPeers(used)
 }
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -21,6 +21,17 @@
 	spec   *apiv1.ServiceSpec
 	pool   *balancer.Pool
 	budget *retry.Budget
+	// shared bounds the second attempts of all nodes; zero where the estate's terms
+	// hold. refilled is when the budget last got back what time earns.
+	shared   Shared
+	nodes    int
+	refilled time.Time
+}
+
+// Shared is a budget of second attempts that all nodes have together.
+type Shared struct {
+	Ratio, Slack float64
+	Window       time.Duration
 }
 
 func newService(name string) *service {
@@ -32,7 +43,57 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.spec = spec
-	s.budget.Set(int(spec.GetRetryPerMille()))
+	if s.shared.Window == 0 {
+		s.budget.Set(int(spec.GetRetryPerMille()))
+	}
+}
+
+// share sets the node's part of the shared budget.
+func (s *service) share(shared Shared, nodes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if shared.Window == 0 || s.shared == shared && s.nodes == nodes {
+		return
+	}
+	s.shared, s.nodes = shared, nodes
+	s.budget.SetShare(shared.Ratio, shared.Slack, nodes)
+}
+
+// refill gives the budget what time earned since it was last looked at; the
+// caller holds the lock.
+func (s *service) refill() {
+	if s.shared.Window == 0 {
+		return
+	}
+	now := time.Now()
+	if s.refilled.IsZero() {
+		s.refilled = now
+	}
+	if elapsed := now.Sub(s.refilled); elapsed >= refillEvery {
+		s.budget.Refill(elapsed, s.shared.Window)
+		s.refilled = now
+	}
+}
+
+// refillEvery keeps what is earned from being rounded away.
+const refillEvery = 100 * time.Millisecond
+
+// hedge takes a second attempt beside the first out of the budget and returns
+// its endpoint, counted as picked; nil if the host is not known or the budget is
+// spent.
+func (s *service) hedge(rules *retry.Request, host string) *balancer.Candidate {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	to := s.pool.Get(host)
+	if to == nil || to.Draining {
+		return nil
+	}
+	s.refill()
+	if !rules.Hedge(s.budget) {
+		return nil
+	}
+	s.pool.Start(to)
+	return to
 }
 
 func (s *service) update(candidates []balancer.Candidate) {
@@ -45,6 +106,7 @@
 func (s *service) begin(method string) (spec *apiv1.ServiceSpec, rules retry.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.refill()
 	s.budget.Call()
 	rules = retry.Request{Idempotent: slices.Contains(s.spec.IdempotentMethods, method), MaxAttempts: int(max(1, s.spec.MaxAttempts))}
 	return s.spec, rules
@@ -76,6 +138,7 @@
 func (s *service) next(rules *retry.Request, ended retry.Ended, tried []string) retry.Action {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.refill()
 	return rules.Next(ended, s.budget, s.pool.Others(tried))
 }
 
