News between relays and nodes travel at once; slots kept for short requests; aims as first guess of the work

Cause: after a loss of all processes the configuration was back in 0.1 s, and the endpoints only after 2 s: relays heard of each other by the second. Change: relays and nodes hold their answers while there is no news (as many messages as before) and settle in tenths of a second; a service's short requests have one slot in nine, and those left empty in a crowd; before a class completed, a third of its aim stands for its work; hints only to siblings with room.

--- a/core/directory/exchange.go
+++ b/core/directory/exchange.go
@@ -81,7 +81,11 @@
 // plan pulls from some siblings, and from one relay of each other data centre
 // that this relay answers for.
 func (r *Relay) plan(now time.Duration, work *Work) {
-	if now-r.lastPlan < pullInterval {
+	interval := pullInterval
+	if !r.Ready(now) {
+		interval = SettleInterval
+	}
+	if now-r.lastPlan < interval {
 		return
 	}
 	r.lastPlan = now
@@ -131,6 +135,16 @@
 	return order[int(now/HeartbeatInterval)%len(order)]
 }
 
+// PullAgain is the next pull from a relay that had news; ok is false if it is no
+// peer any more.
+func (r *Relay) PullAgain(host string) (p Pull, ok bool) {
+	held := r.peers[host]
+	if held == nil {
+		return Pull{}, false
+	}
+	return r.pull(held), true
+}
+
 func (r *Relay) pull(p *peer) Pull {
 	req := &apiv1.ExchangeRequest{FromHost: r.self.Host, FromDataCenter: r.self.DataCenter, Cursor: p.cursor}
 	if p.cursor == nil || r.otherEpoch(p) {
--- a/core/directory/relay.go
+++ b/core/directory/relay.go
@@ -30,6 +30,11 @@
 	relaySilence = 15 * HeartbeatInterval
 	// readyAfter is how long a relay that knows nothing waits for the others.
 	readyAfter = 5 * HeartbeatInterval
+	// SettleInterval is the time between ticks, and pulls, until the relay is ready.
+	SettleInterval = HeartbeatInterval / 10
+	// settleTime is how long a relay waits at least before it takes those that it
+	// heard of for all there are: others start at the same moment.
+	settleTime = 3 * SettleInterval
 	// siblingsAtOnce is how many siblings a relay pulls from at a time, each in
 	// turn. News spread from relay to relay in a few rounds; pulling from all
 	// every time would cost more than the nodes' heartbeats.
@@ -123,7 +128,7 @@
 // not answer nodes with its entries: it would tell them that services have no
 // endpoints which it merely has not heard of yet.
 func (r *Relay) Ready(now time.Duration) bool {
-	r.ready = r.ready || now-r.started >= readyAfter || r.heardAll(now)
+	r.ready = r.ready || now-r.started >= readyAfter || now-r.started >= settleTime && r.heardAll(now)
 	return r.ready
 }
 
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -59,6 +59,8 @@
 	siblings siblings
 	events   []Event
 	lastScan time.Duration
+	// lastShort is when a short request last came.
+	lastShort time.Duration
 }
 
 // New returns a gate named host among its siblings.
@@ -159,6 +161,41 @@
 // free counts the slots that nothing runs in.
 func (g *Gate) free(now time.Duration) int { return g.slots(now) - g.running }
 
+const (
+	// shortShare is up to which part of the usual work a request is short. Calls that
+	// backend servers make for a request of theirs are: while one waits, its parent
+	// holds a slot, and when it is refused, what the parent has cost is lost.
+	shortShare = 0.5
+	// keptShare is the part of the slots that only short requests get, one in nine.
+	keptShare = 9
+)
+
+// short tells whether a request takes much less work than the usual one.
+func (g *Gate) short(now time.Duration, r Request) bool {
+	return g.told(now) && r.Aim > 0 && g.slow.demandOf(r) < shortShare*g.slow.demand.value
+}
+
+// room is how many more requests may run, if the next one is r. Short ones may
+// take the slots that are left empty on a server which slows down in a crowd.
+func (g *Gate) roomFor(now time.Duration, r Request) int {
+	switch {
+	case g.cold:
+	case g.short(now, r):
+		return g.config.Slots - g.running
+	case g.mixed(now) && g.slots(now) == g.config.Slots:
+		return g.config.Slots - g.config.Slots/keptShare - g.running
+	}
+	return g.free(now)
+}
+
+// mixed tells whether short requests came lately beside the usual ones.
+func (g *Gate) mixed(now time.Duration) bool {
+	return g.lastShort > 0 && now-g.lastShort < shortMemory
+}
+
+// shortMemory is for how long slots are kept after a short request.
+const shortMemory = 2 * time.Second
+
 // wait estimates how long a request that joins the queue now, behind all that
 // wait, would wait.
 func (g *Gate) wait(now time.Duration) time.Duration { return g.waitBehind(now, g.queue.size) }
@@ -174,14 +211,14 @@
 
 // finishIn estimates how long a request that arrives now would take in all.
 func (g *Gate) finishIn(now time.Duration, it *item) time.Duration {
-	return g.waitBehind(now, g.queue.ahead(it.rank)) + g.serviceOf(now, it.Class, g.running+1)
+	return g.waitBehind(now, g.queue.ahead(it.rank)) + g.serviceOf(now, it.Request, g.running+1)
 }
 
 // room refuses a request that would not fit or not finish in time. The refusal
 // is made at once: one that came only at the deadline would cost the caller
 // the time to try elsewhere.
 func (g *Gate) room(now time.Duration, it *item) bool {
-	if g.free(now) > 0 && g.queue.size == 0 {
+	if g.starts(now, it) {
 		return true
 	}
 	finish := now + g.finishIn(now, it)
@@ -239,7 +276,10 @@
 
 // admit starts a request, moves it, queues it, or refuses it.
 func (g *Gate) admit(now time.Duration, it *item) {
-	starts := g.free(now) > 0 && g.queue.size == 0
+	if g.short(now, it.Request) {
+		g.lastShort = max(1, now)
+	}
+	starts := g.starts(now, it)
 	gain := gainWaiting
 	if starts {
 		gain = gainFree
@@ -256,6 +296,11 @@
 	g.queue.push(it)
 }
 
+// starts tells whether an arriving request may run at once.
+func (g *Gate) starts(now time.Duration, it *item) bool {
+	return g.roomFor(now, it.Request) > 0 && g.queue.ahead(it.rank) == 0
+}
+
 func (g *Gate) run(now time.Duration, it *item) {
 	it.state, it.started, it.workedAt = stateRunning, now, g.slow.worked
 	g.running++
@@ -279,7 +324,7 @@
 
 // fill starts waiting requests while slots are free.
 func (g *Gate) fill(now time.Duration) {
-	for g.free(now) > 0 && g.queue.size > 0 {
+	for g.queue.size > 0 && g.roomFor(now, g.queue.first().Request) > 0 {
 		it := g.queue.pop()
 		switch {
 		case g.hopeless(now, it):
@@ -308,11 +353,11 @@
 // hopeless tells whether a waiting request cannot end before its deadline, even
 // if it started now and the server were at its best.
 func (g *Gate) hopeless(now time.Duration, it *item) bool {
-	return now+g.shortest(now, it.Class) >= it.Deadline
+	return now+g.shortest(now, it.Request) >= it.Deadline
 }
 
 func (g *Gate) missesAim(now time.Duration, it *item) bool {
-	return !it.rank.late && it.AimAt > 0 && now+g.shortest(now, it.Class) > it.AimAt
+	return !it.rank.late && it.AimAt > 0 && now+g.shortest(now, it.Request) > it.AimAt
 }
 
 // Finish takes in the end of a running request.
--- a/core/gate/rank.go
+++ b/core/gate/rank.go
@@ -87,6 +87,9 @@
 	}
 }
 
+// first is the request that pop takes next; the queue must not be empty.
+func (q *rankedQueue) first() *item { return q.ranks[0].turn.head }
+
 // pop takes the next request out.
 func (q *rankedQueue) pop() *item {
 	first := q.ranks[0]
--- a/core/gate/slowdown.go
+++ b/core/gate/slowdown.go
@@ -26,6 +26,9 @@
 	slowestRate = 1.0 / 16
 	// maxClasses bounds the classes of requests whose demand is kept apart.
 	maxClasses = 64
+	// aimOverWork is how many times the usual work an aim allows, where no request of
+	// the class has completed yet: 2.6 to 4 in the users' deployments.
+	aimOverWork = 3
 )
 
 // slowdown follows the figure that the server tells. It keeps a clock that runs
@@ -109,11 +112,15 @@
 	return m
 }
 
-// demandOf is the demand of a class, or that of all where it is not known.
-func (s *slowdown) demandOf(class string) float64 {
-	if m := s.classes[class]; m != nil && m.seen > 0 {
+// demandOf is the demand of a request's class. Before one of it completed, its
+// aim tells: operators set aims to a few times of the usual work.
+func (s *slowdown) demandOf(r Request) float64 {
+	if m := s.classes[r.Class]; m != nil && m.seen > 0 {
 		return m.value
 	}
+	if r.Aim > 0 {
+		return float64(r.Aim) / aimOverWork
+	}
 	return s.demand.value
 }
 
@@ -158,11 +165,11 @@
 		if !it.Repeatable || it.hinted {
 			continue
 		}
-		usual := g.slow.demandOf(it.Class)
+		usual := g.slow.demandOf(it.Request)
 		left := max(restShare*usual, usual-(g.slow.worked-it.workedAt))
 		here := g.slow.expected(left)
 		sib, there := g.siblings.soonest(now, it)
-		if sib == nil || float64(there)*hintGain > float64(here) || now+there > it.Deadline {
+		if sib == nil || !sib.roomy() || float64(there)*hintGain > float64(here) || now+there > it.Deadline {
 			continue
 		}
 		it.hinted = true
@@ -171,6 +178,16 @@
 	}
 }
 
+// hintRoom is up to which share of its slots a sibling may be taken to get second
+// attempts: on a busy service they would push first ones aside.
+const hintRoom = 0.7
+
+// roomy tells whether a sibling has slots to spare.
+func (s *sibling) roomy() bool {
+	l := s.report.Load
+	return float64(l.Running+l.Waiting+len(s.sent)) < hintRoom*float64(l.Slots)
+}
+
 func (g *Gate) runningByHandle() []*item {
 	var list []*item
 	for _, it := range g.items {
@@ -183,7 +200,7 @@
 }
 
 // told tells whether the server's own figure is what the gate goes by.
-func (g *Gate) told(now time.Duration) bool { return g.slow.fresh(now) && g.slow.demand.seen > 0 }
+func (g *Gate) told(now time.Duration) bool { return g.slow.fresh(now) }
 
 // service is the time that one request is expected to take.
 func (g *Gate) service(now time.Duration) time.Duration {
@@ -193,19 +210,19 @@
 	return g.estimate.mean(now)
 }
 
-// serviceOf is the time that one request of a class is expected to take when the
-// given number run.
-func (g *Gate) serviceOf(now time.Duration, class string, running int) time.Duration {
+// serviceOf is the time that a request is expected to take when the given number
+// run.
+func (g *Gate) serviceOf(now time.Duration, r Request, running int) time.Duration {
 	if !g.told(now) {
 		return g.estimate.mean(now)
 	}
-	return time.Duration(g.slow.crowd.at(running, g.config.Slots) * float64(g.slow.expected(g.slow.demandOf(class))))
+	return time.Duration(g.slow.crowd.at(running, g.config.Slots) * float64(g.slow.expected(g.slow.demandOf(r))))
 }
 
-// shortest is the least time that a request of a class can take.
-func (g *Gate) shortest(now time.Duration, class string) time.Duration {
+// shortest is the least time that a request can take.
+func (g *Gate) shortest(now time.Duration, r Request) time.Duration {
 	if !g.told(now) {
 		return 0
 	}
-	return time.Duration(g.slow.demandOf(class))
+	return time.Duration(g.slow.demandOf(r))
 }
--- a/internal/node/member.go
+++ b/internal/node/member.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sort"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -17,7 +18,13 @@
 const (
 	// heartbeatJitter spreads the heartbeats of nodes that started together.
 	heartbeatJitter = 0.2
-	syncTimeout     = time.Second
+	// syncHold is how long the relay may hold its answer: a heartbeat a second, as
+	// before, whose answer comes when there is news.
+	syncHold = directory.HeartbeatInterval
+	// syncTimeout is for the answer after the hold.
+	syncTimeout = time.Second
+	// syncSpacing keeps news that come one by one from being fetched one by one.
+	syncSpacing = 20 * time.Millisecond
 	// avoidRelayFor is how long a relay that did not answer is left alone.
 	avoidRelayFor = 5 * time.Second
 	// firstSearch and longestSearch bound the pause between searches for a relay,
@@ -34,6 +41,8 @@
 type member struct {
 	n     *Node
 	kicks chan struct{}
+	// kicked: the sync under way was broken off by a kick.
+	kicked atomic.Bool
 	// rounds asks for a round and is told when it is over.
 	rounds  chan chan<- struct{}
 	relays  []*apiv1.RelayInfo
@@ -83,10 +92,13 @@
 		again, err := m.sync(ctx, r)
 		if err == nil {
 			m.pause = firstSearch
-			if again {
+			if again || m.kicked.Swap(false) {
 				return 0
 			}
-			return jitter(directory.HeartbeatInterval)
+			return syncSpacing
+		}
+		if m.kicked.Swap(false) {
+			return 0
 		}
 		m.avoid[r.Host] = time.Now().Add(avoidRelayFor)
 		m.n.counters.relayFailures.Add(1)
@@ -151,9 +163,29 @@
 	return wait
 }
 
+// breakOff ends a held sync when a kick comes: what this node has to say must not
+// wait for the relay's news. The function it returns ends the watch.
+func (m *member) breakOff(cancel context.CancelFunc) (stop func()) {
+	over, watching := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(watching)
+		select {
+		case <-m.kicks:
+			m.kicked.Store(true)
+			cancel()
+		case <-over:
+		}
+	}()
+	return func() {
+		close(over)
+		<-watching
+	}
+}
+
 // syncNow carries out a round and waits for its end.
 func (m *member) syncNow(ctx context.Context) {
 	over := make(chan struct{})
+	m.kick()
 	select {
 	case m.rounds <- over:
 	case <-ctx.Done():
@@ -179,9 +211,12 @@
 		m.announced = claim{}
 	}
 	req := m.request(r)
-	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	ctx, cancel := context.WithTimeout(ctx, syncHold+syncTimeout)
 	defer cancel()
+	req.HoldMs = uint32(jitter(syncHold).Milliseconds())
+	stop := m.breakOff(cancel)
 	answer, err := n.peers.at(r.PeerAddress).Sync(ctx, connect.NewRequest(req))
+	stop()
 	if err != nil {
 		return false, err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -231,7 +231,7 @@
 // heard takes note of a revision that another node mentioned: one that missed
 // a change pulls it at once.
 func (n *Node) heard(revision uint64) {
-	if revision > n.Revision() {
+	if revision > n.Revision() && !n.options.WatchControl {
 		n.member.kick()
 	}
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -72,16 +72,16 @@
 type nodeService struct{ n *Node }
 
 // Sync serves a node's heartbeat if this node is a relay.
-func (s nodeService) Sync(_ context.Context, req *connect.Request[apiv1.NodeSyncRequest]) (*connect.Response[apiv1.NodeSyncResponse], error) {
+func (s nodeService) Sync(ctx context.Context, req *connect.Request[apiv1.NodeSyncRequest]) (*connect.Response[apiv1.NodeSyncResponse], error) {
 	if req.Msg.Report == nil {
 		return nil, fault.New(fault.Invalid, errNotRelay)
 	}
-	return connect.NewResponse(s.n.relay.sync(req.Msg)), nil
+	return connect.NewResponse(s.n.relay.sync(ctx, req.Msg)), nil
 }
 
 // Exchange serves another relay.
-func (s nodeService) Exchange(_ context.Context, req *connect.Request[apiv1.ExchangeRequest]) (*connect.Response[apiv1.ExchangeResponse], error) {
-	resp, err := s.n.relay.exchange(req.Msg)
+func (s nodeService) Exchange(ctx context.Context, req *connect.Request[apiv1.ExchangeRequest]) (*connect.Response[apiv1.ExchangeResponse], error) {
+	resp, err := s.n.relay.exchange(ctx, req.Msg)
 	if err != nil {
 		return nil, fault.New(fault.Unavailable, err)
 	}
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -17,8 +17,14 @@
 )
 
 const (
-	relayTick    = directory.HeartbeatInterval / 2
-	pullTimeout  = time.Second
+	relayTick = directory.HeartbeatInterval / 2
+	// settleTick is the tick while the relay does not know enough to answer yet:
+	// after a restart of everything all requests wait for that.
+	settleTick = directory.SettleInterval
+	// pullHold is how long another relay may hold its answer while it has no news,
+	// so that news travel at once and the number of messages stays.
+	pullHold     = 900 * time.Millisecond
+	pullTimeout  = 2 * time.Second
 	probeTimeout = time.Second
 	// maxNamed bounds the nodes that a relay names in its report.
 	maxNamed = 64
@@ -38,11 +44,17 @@
 	confirmed time.Time
 	// more is how many nodes are to become relays.
 	more uint32
-	busy map[string]bool
+	// settled: the relay was ready at the last tick.
+	settled bool
+	busy    map[string]bool
+	// news is closed and replaced when there is something to tell.
+	news chan struct{}
+	// begun wakes the ticks when this node becomes a relay.
+	begun chan struct{}
 }
 
 func newRelay(n *Node) *relay {
-	return &relay{n: n, records: rollout.NewRecords(), busy: map[string]bool{}}
+	return &relay{n: n, records: rollout.NewRecords(), busy: map[string]bool{}, news: make(chan struct{}), begun: make(chan struct{}, 1)}
 }
 
 // info names this node as a relay.
@@ -61,6 +73,10 @@
 		return
 	}
 	r.state = directory.NewRelay(r.info(), uint64(time.Now().UnixNano()), r.now())
+	select {
+	case r.begun <- struct{}{}:
+	default:
+	}
 	klog.InfoS("Became a relay", "host", r.n.options.Host, "dataCenter", r.n.options.DataCenter)
 }
 
@@ -71,22 +87,19 @@
 
 // run ticks while this node is a relay.
 func (r *relay) run(ctx context.Context) {
-	ticker := time.NewTicker(relayTick)
-	defer ticker.Stop()
 	syncDue := true
 	for {
+		wait, settled := r.pace()
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-r.begun:
+		case <-time.After(wait):
 		}
-		r.mu.Lock()
-		active := r.state != nil
-		r.mu.Unlock()
-		if !active {
+		if !r.active() {
 			continue
 		}
-		if syncDue {
+		if syncDue || !settled {
 			r.syncControl(ctx)
 		}
 		syncDue = !syncDue
@@ -94,6 +107,22 @@
 	}
 }
 
+// pace is the time to the next tick, short while the relay settles.
+func (r *relay) pace() (wait time.Duration, settled bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state != nil && !r.state.Ready(r.now()) {
+		return settleTick, false
+	}
+	return relayTick, true
+}
+
+// tell wakes those whose answers are held; the caller holds the lock.
+func (r *relay) tell() {
+	close(r.news)
+	r.news = make(chan struct{})
+}
+
 // syncControl reports to the leader and takes in what changed.
 func (r *relay) syncControl(ctx context.Context) {
 	if !r.claim("control") {
@@ -174,8 +203,10 @@
 		r.state.SetRelays(r.all, r.now())
 	}
 	r.more += resp.MoreRelays
-	r.records.Apply(resp.Delta)
 	r.confirmed = time.Now()
+	if r.records.Apply(resp.Delta) || !resp.RelaysUnchanged || r.more > 0 {
+		r.tell()
+	}
 }
 
 // tick carries out what the directory asks.
@@ -185,7 +216,12 @@
 		r.mu.Unlock()
 		return
 	}
+	before, ready := r.state.Table().Version(), r.settled
 	work := r.state.Tick(r.now())
+	r.settled = r.state.Ready(r.now())
+	if r.state.Table().Version() != before || r.settled != ready {
+		r.tell()
+	}
 	r.mu.Unlock()
 	for _, p := range work.Probes {
 		go r.probe(ctx, p)
@@ -213,32 +249,91 @@
 	}
 }
 
+// pull asks another relay for its news, and again as long as it has some.
 func (r *relay) pull(ctx context.Context, p directory.Pull) {
 	defer r.release(p.Relay.Host)
+	for news := true; news && ctx.Err() == nil; {
+		news = r.pullOnce(ctx, &p)
+	}
+}
+
+func (r *relay) pullOnce(ctx context.Context, p *directory.Pull) (news bool) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
+	p.Request.HoldMs = uint32(pullHold.Milliseconds())
 	resp, err := r.n.peers.at(p.Relay.PeerAddress).Exchange(ctx, connect.NewRequest(p.Request))
 	r.n.counters.exchanges.Add(1)
 	if err != nil {
 		r.n.counters.exchangeFailures.Add(1)
-		return
+		return false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.state != nil {
-		r.state.Pulled(r.now(), p.Relay.Host, resp.Msg)
+	if r.state == nil {
+		return false
 	}
+	before := r.state.Table().Version()
+	r.state.Pulled(r.now(), p.Relay.Host, resp.Msg)
+	if r.state.Table().Version() != before {
+		r.tell()
+	}
+	next, ok := r.state.PullAgain(p.Relay.Host)
+	p.Request = next.Request
+	return ok && len(resp.Msg.Entries) > 0
 }
 
-// sync serves a node's heartbeat.
-func (r *relay) sync(req *apiv1.NodeSyncRequest) *apiv1.NodeSyncResponse {
+// sync serves a node's heartbeat. The answer is held while there is no news for
+// the node, so that it hears of a change as it happens.
+func (r *relay) sync(ctx context.Context, req *apiv1.NodeSyncRequest) *apiv1.NodeSyncResponse {
+	until := time.Now().Add(min(longestSyncHold, time.Duration(req.HoldMs)*time.Millisecond))
+	for {
+		resp, news := r.answer(req)
+		if worthTelling(req, resp) || !wait(ctx, news, until) {
+			return resp
+		}
+	}
+}
+
+// longestSyncHold bounds what a node may ask for.
+const longestSyncHold = 5 * time.Second
+
+// wait waits for news; false means that the hold is over.
+func wait(ctx context.Context, news <-chan struct{}, until time.Time) bool {
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case <-news:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// worthTelling tells whether an answer holds news for the node.
+func worthTelling(req *apiv1.NodeSyncRequest, resp *apiv1.NodeSyncResponse) bool {
+	refute := resp.Believed == apiv1.EndpointState_ENDPOINT_STATE_FAILED || resp.BelievedIncarnation > req.Report.Incarnation ||
+		resp.BelievedIncarnation == req.Report.Incarnation && resp.BelievedSequence > req.Report.Sequence
+	return resp.NotRelay || resp.NeedEntry || resp.BecomeRelay || refute || !resp.RelaysUnchanged || len(resp.Entries) > 0 || resp.Cursor != nil && resp.Complete ||
+		resp.Revision > req.Revision || len(req.Added) > 0
+}
+
+func (r *relay) answer(req *apiv1.NodeSyncRequest) (resp *apiv1.NodeSyncResponse, news <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.state == nil {
-		return &apiv1.NodeSyncResponse{NotRelay: true}
+		return &apiv1.NodeSyncResponse{NotRelay: true}, r.news
 	}
+	return r.answerLocked(req), r.news
+}
+
+func (r *relay) answerLocked(req *apiv1.NodeSyncRequest) *apiv1.NodeSyncResponse {
 	now := r.now()
+	before := r.state.Table().Version()
 	held, needEntry := r.state.Heartbeat(now, req.Report, req.Entry)
+	if r.state.Table().Version() != before {
+		r.tell()
+	}
 	resp := &apiv1.NodeSyncResponse{NeedEntry: needEntry, Believed: held.GetState(), BelievedIncarnation: held.GetIncarnation(), BelievedSequence: held.GetSequence(),
 		Revision: r.records.Revision(), ConfirmedAgeMs: uint64(time.Since(r.confirmed).Milliseconds())}
 	if r.state.Ready(now) {
@@ -272,12 +367,20 @@
 	return true
 }
 
-// exchange serves another relay.
-func (r *relay) exchange(req *apiv1.ExchangeRequest) (*apiv1.ExchangeResponse, error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.state == nil {
-		return nil, errNotRelay
+// exchange serves another relay, and holds the answer while there is no news.
+func (r *relay) exchange(ctx context.Context, req *apiv1.ExchangeRequest) (*apiv1.ExchangeResponse, error) {
+	until := time.Now().Add(min(longestSyncHold, time.Duration(req.HoldMs)*time.Millisecond))
+	for {
+		r.mu.Lock()
+		if r.state == nil {
+			r.mu.Unlock()
+			return nil, errNotRelay
+		}
+		resp, news := r.state.Exchange(r.now(), req), r.news
+		r.mu.Unlock()
+		caughtUp := len(resp.Entries) == 0 && resp.Cursor.GetEpoch() == req.Cursor.GetEpoch()
+		if !caughtUp || !wait(ctx, news, until) {
+			return resp, nil
+		}
 	}
-	return r.state.Exchange(r.now(), req), nil
 }
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -181,7 +181,6 @@
 	n.mu.Unlock()
 	if changed {
 		n.apply()
-		n.member.kick()
 	}
 }
 
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -32,6 +32,9 @@
 	bulkyBody = 16 << 10
 	// defaultRetryAfter is told when no gate gave a better estimate.
 	defaultRetryAfter = 100 * time.Millisecond
+	// noEndpointRetryAfter is told where no endpoint is known: about what a node
+	// takes to learn of all endpoints after a restart.
+	noEndpointRetryAfter = 400 * time.Millisecond
 )
 
 // call is one request on its way to its final answer.
@@ -401,7 +404,7 @@
 		f.Fault = fault.OutcomeUnknown
 		f.Message = "the request was sent and its answer was lost: it may have run; find out at the service before you repeat it, unless it is idempotent"
 	case c.attempts == 0:
-		f.Fault, retryAfter = fault.NoEndpoint, time.Second
+		f.Fault, retryAfter = fault.NoEndpoint, noEndpointRetryAfter
 		f.Message = "no endpoint of service " + c.s.name + " is known here; check that its backend servers announce themselves (`cactusctl status`)"
 	case c.last.Verdict == hop.Refused && c.last.Reason == gate.TooLate:
 		f.Fault = fault.DeadlinePassed
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -182,6 +182,16 @@
 // needTimeout bounds the wait for a service that this node did not know.
 const needTimeout = 3 * time.Second
 
+// needTime bounds the wait for the endpoints of a service. A quarter of the aim
+// leaves time for the request itself; a caller that would wait for longer does
+// better to come back.
+func needTime(route *Route) time.Duration {
+	if route == nil || route.Spec.AimMs == 0 {
+		return needTimeout
+	}
+	return min(needTimeout, time.Duration(route.Spec.AimMs)*time.Millisecond/4)
+}
+
 // ServeHTTP serves one caller's request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
@@ -196,7 +206,7 @@
 	}
 	s := h.service(name)
 	if s.endpoints() == 0 {
-		ctx, cancel := context.WithTimeout(r.Context(), needTimeout)
+		ctx, cancel := context.WithTimeout(r.Context(), needTime(target.Route))
 		_ = h.options.Need(ctx, name)
 		cancel()
 	}
