--- a/core/gate/siblings.go
+++ b/core/gate/siblings.go
@@ -343,6 +343,9 @@
 // scanEvery spaces the looks at waiting requests: a small part of what one takes,
 // since a service of long requests gains nothing from more.
 func (g *Gate) scanEvery() time.Duration {
+	if !g.slow.known {
+		return scanInterval
+	}
 	return max(scanInterval, time.Duration(g.slow.demand.value)/scanParts)
 }
 
