Nodes know each other from the control replicas until a relay answers; a restarted node looks for its backend server; short dial timeouts

Cause: relays need a leader to be chosen, so that after a loss of power of everything endpoints were known 2 s after the configuration; first packets to hosts that were not up yet were sent again after a second; a cold server was filled slowly although it tells how slow it is.

--- a/api/cactuspath/v1/apiv1connect/directory.connect.go
+++ b/api/cactuspath/v1/apiv1connect/directory.connect.go
@@ -46,6 +46,8 @@
 	NodeServiceProbeProcedure = "/cactuspath.v1.NodeService/Probe"
 	// NodeServiceRevokeProcedure is the fully-qualified name of the NodeService's Revoke RPC.
 	NodeServiceRevokeProcedure = "/cactuspath.v1.NodeService/Revoke"
+	// ControlServiceAnnounceProcedure is the fully-qualified name of the ControlService's Announce RPC.
+	ControlServiceAnnounceProcedure = "/cactuspath.v1.ControlService/Announce"
 	// ControlServiceWatchProcedure is the fully-qualified name of the ControlService's Watch RPC.
 	ControlServiceWatchProcedure = "/cactuspath.v1.ControlService/Watch"
 	// ControlServiceFindRelaysProcedure is the fully-qualified name of the ControlService's FindRelays
@@ -206,6 +208,8 @@
 
 // ControlServiceClient is a client for the cactuspath.v1.ControlService service.
 type ControlServiceClient interface {
+	// Announce tells a replica of a node that started or changed.
+	Announce(context.Context, *connect.Request[v1.AnnounceRequest]) (*connect.Response[v1.AnnounceResponse], error)
 	Watch(context.Context, *connect.Request[v1.WatchRequest]) (*connect.Response[v1.WatchResponse], error)
 	FindRelays(context.Context, *connect.Request[v1.FindRelaysRequest]) (*connect.Response[v1.FindRelaysResponse], error)
 	RelaySync(context.Context, *connect.Request[v1.RelaySyncRequest]) (*connect.Response[v1.RelaySyncResponse], error)
@@ -222,6 +226,12 @@
 	baseURL = strings.TrimRight(baseURL, "/")
 	controlServiceMethods := v1.File_cactuspath_v1_directory_proto.Services().ByName("ControlService").Methods()
 	return &controlServiceClient{
+		announce: connect.NewClient[v1.AnnounceRequest, v1.AnnounceResponse](
+			httpClient,
+			baseURL+ControlServiceAnnounceProcedure,
+			connect.WithSchema(controlServiceMethods.ByName("Announce")),
+			connect.WithClientOptions(opts...),
+		),
 		watch: connect.NewClient[v1.WatchRequest, v1.WatchResponse](
 			httpClient,
 			baseURL+ControlServiceWatchProcedure,
@@ -245,11 +255,17 @@
 
 // controlServiceClient implements ControlServiceClient.
 type controlServiceClient struct {
+	announce   *connect.Client[v1.AnnounceRequest, v1.AnnounceResponse]
 	watch      *connect.Client[v1.WatchRequest, v1.WatchResponse]
 	findRelays *connect.Client[v1.FindRelaysRequest, v1.FindRelaysResponse]
 	relaySync  *connect.Client[v1.RelaySyncRequest, v1.RelaySyncResponse]
 }
 
+// Announce calls cactuspath.v1.ControlService.Announce.
+func (c *controlServiceClient) Announce(ctx context.Context, req *connect.Request[v1.AnnounceRequest]) (*connect.Response[v1.AnnounceResponse], error) {
+	return c.announce.CallUnary(ctx, req)
+}
+
 // Watch calls cactuspath.v1.ControlService.Watch.
 func (c *controlServiceClient) Watch(ctx context.Context, req *connect.Request[v1.WatchRequest]) (*connect.Response[v1.WatchResponse], error) {
 	return c.watch.CallUnary(ctx, req)
@@ -267,6 +283,8 @@
 
 // ControlServiceHandler is an implementation of the cactuspath.v1.ControlService service.
 type ControlServiceHandler interface {
+	// Announce tells a replica of a node that started or changed.
+	Announce(context.Context, *connect.Request[v1.AnnounceRequest]) (*connect.Response[v1.AnnounceResponse], error)
 	Watch(context.Context, *connect.Request[v1.WatchRequest]) (*connect.Response[v1.WatchResponse], error)
 	FindRelays(context.Context, *connect.Request[v1.FindRelaysRequest]) (*connect.Response[v1.FindRelaysResponse], error)
 	RelaySync(context.Context, *connect.Request[v1.RelaySyncRequest]) (*connect.Response[v1.RelaySyncResponse], error)
@@ -279,6 +297,12 @@
 // and JSON codecs. They also support gzip compression.
 func NewControlServiceHandler(svc ControlServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
 	controlServiceMethods := v1.File_cactuspath_v1_directory_proto.Services().ByName("ControlService").Methods()
+	controlServiceAnnounceHandler := connect.NewUnaryHandler(
+		ControlServiceAnnounceProcedure,
+		svc.Announce,
+		connect.WithSchema(controlServiceMethods.ByName("Announce")),
+		connect.WithHandlerOptions(opts...),
+	)
 	controlServiceWatchHandler := connect.NewUnaryHandler(
 		ControlServiceWatchProcedure,
 		svc.Watch,
@@ -299,6 +323,8 @@
 	)
 	return "/cactuspath.v1.ControlService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
+		case ControlServiceAnnounceProcedure:
+			controlServiceAnnounceHandler.ServeHTTP(w, r)
 		case ControlServiceWatchProcedure:
 			controlServiceWatchHandler.ServeHTTP(w, r)
 		case ControlServiceFindRelaysProcedure:
@@ -314,6 +340,10 @@
 // UnimplementedControlServiceHandler returns CodeUnimplemented from all methods.
 type UnimplementedControlServiceHandler struct{}
 
+func (UnimplementedControlServiceHandler) Announce(context.Context, *connect.Request[v1.AnnounceRequest]) (*connect.Response[v1.AnnounceResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cactuspath.v1.ControlService.Announce is not implemented"))
+}
+
 func (UnimplementedControlServiceHandler) Watch(context.Context, *connect.Request[v1.WatchRequest]) (*connect.Response[v1.WatchResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cactuspath.v1.ControlService.Watch is not implemented"))
 }
--- a/core/consensus/election.go
+++ b/core/consensus/election.go
@@ -56,8 +56,17 @@
 func (r *Raft) resetTimeout() {
 	r.electionElapsed = 0
 	r.timeout = r.electionTicks + r.random.IntN(r.electionTicks)
+	if r.leader == 0 && r.role != Leader {
+		// No leader is waited for: the vote was split, or all restarted. The draw
+		// alone keeps the next candidates apart.
+		r.timeout = leaderlessTicks + r.random.IntN(r.electionTicks)
+	}
 }
 
+// leaderlessTicks is the shortest election timeout where no leader is known:
+// longer than a round of votes takes.
+const leaderlessTicks = 3
+
 func (r *Raft) becomeFollower(term, leader uint64) {
 	if term > r.term {
 		r.term, r.vote = term, 0
--- a/core/directory/view.go
+++ b/core/directory/view.go
@@ -74,6 +74,25 @@
 	return changed
 }
 
+// Following tells whether a relay answers for this view.
+func (v *View) Following() bool { return v.cursor != nil }
+
+// Provisional takes in claims that no relay vouches for, while none answers. It
+// reports whether anything changed. The first relay's answer replaces them.
+func (v *View) Provisional(entries []*apiv1.Entry) bool {
+	if v.cursor != nil {
+		return false
+	}
+	changed := false
+	for _, e := range entries {
+		if Newer(e, v.entries[e.Host]) {
+			v.entries[e.Host] = e
+			changed = true
+		}
+	}
+	return changed
+}
+
 // Reset drops the cursor, so that the next answer is complete.
 func (v *View) Reset() { v.cursor = nil }
 
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -101,7 +101,9 @@
 // slow and would pile up.
 func (g *Gate) slots(now time.Duration) int {
 	all := g.slow.crowd.useful(g.config.Slots)
-	if !g.cold {
+	if !g.cold || g.told(now) {
+		// A server that tells how slow it is needs no guess: filling it slowly would
+		// refuse what it can do.
 		return all
 	}
 	age := now - g.coldSince
@@ -179,7 +181,7 @@
 // take the slots that are left empty on a server which slows down in a crowd.
 func (g *Gate) roomFor(now time.Duration, r Request) int {
 	switch {
-	case g.cold:
+	case g.cold && !g.told(now):
 	case g.short(now, r):
 		return g.config.Slots - g.running
 	case g.mixed(now) && g.slots(now) == g.config.Slots:
--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -14,7 +14,9 @@
 )
 
 const (
-	dialTimeout = time.Second
+	// dialTimeout is ten round trips between far regions, and well below the second
+	// after which TCP sends a lost first packet again: another endpoint is sooner.
+	dialTimeout = 300 * time.Millisecond
 	bufferSize  = 4 << 10
 	// idleTimeout is how long an unused connection is kept: shorter than the
 	// servers keep theirs, so that it is rarely closed under a request.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -43,6 +43,9 @@
 	// Service is the service beside this node, if the settings say so; otherwise
 	// it is what the backend server announces.
 	Service string
+	// Backend is the address of the backend server, if the settings say so. The node
+	// then looks for it itself at the start and does not wait to be told.
+	Backend string
 	// WatchControl has the node watch control replicas, so that changes are in
 	// force within milliseconds; without it they come with the heartbeats.
 	WatchControl bool
@@ -114,7 +117,7 @@
 	defer cancel()
 	servers := n.serve()
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){n.member.run, n.relay.run, n.reports.run, n.watchServer, n.watcher.run} {
+	for _, loop := range []func(context.Context){n.member.run, n.relay.run, n.reports.run, n.watchServer, n.watcher.run, n.watcher.announce, n.findServer} {
 		loops.Go(func() { loop(background) })
 	}
 	klog.InfoS("Node started", "host", n.options.Host, "callers", n.options.Callers.Addr(), "peer", n.options.PeerAddress, "admin", n.options.Admin.Addr())
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -26,6 +26,12 @@
 	// watchPause and longestWatchPause space the tries while no replica answers.
 	watchPause        = 100 * time.Millisecond
 	longestWatchPause = 2 * time.Second
+	// aloneHold is the hold of a node that no relay answers: it waits for the others.
+	aloneHold = 50 * time.Millisecond
+	// announceCheck is how often a node looks whether it has something to announce,
+	// announceEvery how often it repeats itself.
+	announceCheck = 50 * time.Millisecond
+	announceEvery = 30 * time.Second
 	// fullPause is how long a node leaves the replicas alone that serve as many
 	// watchers as they may; its relay tells it meanwhile.
 	fullPause = time.Minute
@@ -112,6 +118,7 @@
 		}
 		w.n.counters.watches.Add(1)
 		w.learn(resp.Replicas)
+		w.n.takeProvisional(resp.Entries)
 		w.n.takeDelta(resp.Delta, !resp.Detached, "watch of "+address)
 		if resp.Detached {
 			w.note(address, false, nil)
@@ -132,14 +139,73 @@
 func (w *watcher) once(ctx context.Context, address string) (*apiv1.WatchResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchHold+watchSlack)
 	defer cancel()
-	resp, err := w.n.options.Control.At(address).Control.Watch(ctx, connect.NewRequest(&apiv1.WatchRequest{
-		Host: w.n.options.Host, Revision: w.n.Revision(), HoldMs: uint32(watchHold.Milliseconds())}))
+	resp, err := w.n.options.Control.At(address).Control.Watch(ctx, connect.NewRequest(w.request()))
 	if err != nil {
 		return nil, err
 	}
 	return resp.Msg, nil
 }
 
+func (w *watcher) request() *apiv1.WatchRequest {
+	n := w.n
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	hold := watchHold
+	alone := !n.view.Following()
+	if alone {
+		hold = aloneHold
+	}
+	return &apiv1.WatchRequest{Host: n.options.Host, Revision: n.Revision(), HoldMs: uint32(hold.Milliseconds()), Entry: n.entry(""), WantEntries: alone}
+}
+
+// announce tells every control replica of this node, at the start and when what
+// it says of itself changed, so that a node that starts at the same moment finds
+// it whichever replica it watches.
+func (w *watcher) announce(ctx context.Context) {
+	if !w.n.options.WatchControl {
+		return
+	}
+	ticker := time.NewTicker(announceCheck)
+	defer ticker.Stop()
+	var told claim
+	var at time.Time
+	for {
+		w.n.mu.Lock()
+		now := claim{w.n.incarnation.Load(), w.n.sequence, w.n.state()}
+		entry := w.n.entry("")
+		w.n.mu.Unlock()
+		if now != told || time.Since(at) > announceEvery {
+			told, at = now, time.Now()
+			w.announceTo(ctx, w.addresses(), entry)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// addresses are all that this node knows of, each once.
+func (w *watcher) addresses() []string {
+	w.mu.Lock()
+	all := slices.Concat(w.replicas, w.n.options.Control.Addresses())
+	w.mu.Unlock()
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+func (w *watcher) announceTo(ctx context.Context, addresses []string, entry *apiv1.Entry) {
+	for _, address := range addresses {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, watchSlack)
+			defer cancel()
+			// One that does not answer hears of this node by the next announcement.
+			_, _ = w.n.options.Control.At(address).Control.Announce(ctx, connect.NewRequest(&apiv1.AnnounceRequest{Entry: entry}))
+		}()
+	}
+}
+
 func (w *watcher) learn(replicas []string) {
 	if len(replicas) == 0 {
 		return
@@ -184,6 +250,23 @@
 	}
 }
 
+// takeProvisional takes in nodes that no relay vouches for, while none answers.
+func (n *Node) takeProvisional(entries []*apiv1.Entry) {
+	if len(entries) == 0 {
+		return
+	}
+	n.mu.Lock()
+	changed := n.view.Provisional(entries)
+	if changed {
+		n.signalChange()
+	}
+	n.mu.Unlock()
+	if changed {
+		klog.InfoS("Nodes known from a control replica, no relay answers yet", "host", n.options.Host, "entries", len(entries))
+		n.apply()
+	}
+}
+
 // noteRevision publishes the revision after an Apply; the caller holds the lock.
 func (n *Node) noteRevision(before uint64, confirmed bool, from string) {
 	now := n.records.Revision()
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -182,14 +182,14 @@
 // needTimeout bounds the wait for a service that this node did not know.
 const needTimeout = 3 * time.Second
 
-// needTime bounds the wait for the endpoints of a service. A quarter of the aim
-// leaves time for the request itself; a caller that would wait for longer does
-// better to come back.
+// needTime bounds the wait for the endpoints of a service. Half of the aim leaves
+// time for the request itself; a caller that would wait for longer does better
+// to come back.
 func needTime(route *Route) time.Duration {
 	if route == nil || route.Spec.AimMs == 0 {
 		return needTimeout
 	}
-	return min(needTimeout, time.Duration(route.Spec.AimMs)*time.Millisecond/4)
+	return min(needTimeout, time.Duration(route.Spec.AimMs)*time.Millisecond/2)
 }
 
 // ServeHTTP serves one caller's request.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -82,6 +82,7 @@
 	joiners   *joiners
 	joinState joinReporter
 	watchers  watchers
+	presence  *presence
 }
 
 type waiter struct {
@@ -104,7 +105,7 @@
 		inbox: make(chan []*apiv1.RaftMessage, inboxSize), calls: make(chan func(), inboxSize), done: make(chan struct{}),
 		waiters: map[uint64]waiter{}, reads: map[uint64]chan<- consensus.Read{},
 		state: estate.NewState(), appliedSignal: make(chan struct{}),
-		hard: restored.HardState, joiners: newJoiners(),
+		hard: restored.HardState, joiners: newJoiners(), presence: newPresence(),
 	}
 	r.peers = newPeers(options.Security, r.counters, identity.MemberID, options.Address)
 	if restored.Snapshot != nil {
--- a/internal/replica/watch.go
+++ b/internal/replica/watch.go
@@ -32,6 +32,7 @@
 func (c control) Watch(ctx context.Context, req *connect.Request[apiv1.WatchRequest]) (*connect.Response[apiv1.WatchResponse], error) {
 	r := c.r
 	resp := &apiv1.WatchResponse{}
+	r.presence.put(req.Msg.Entry)
 	if r.watchers.held.Add(1) > maxWatchers {
 		resp.Full = true
 	} else {
@@ -46,6 +47,9 @@
 		resp.Delta = r.state.Records().Delta(req.Msg.Revision)
 	}
 	r.mu.RUnlock()
+	if req.Msg.WantEntries {
+		resp.Entries = r.presence.entries()
+	}
 	return connect.NewResponse(resp), nil
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -59,6 +59,8 @@
 	PeerAddress string
 	// Service is the service beside this node, if it is known beforehand.
 	Service string
+	// Backend is the address of the backend server, if it is known beforehand.
+	Backend string
 	// WatchControl has changes come from the control replicas at once.
 	WatchControl bool
 }
@@ -202,6 +204,7 @@
 		"peer":        func(n jsonc.Node) { node.Peer = address(n) },
 		"peerAddress": func(n jsonc.Node) { node.PeerAddress = address(n) },
 		"service":     func(n jsonc.Node) { node.Service = label(n) },
+		"backend":     func(n jsonc.Node) { node.Backend = address(n) },
 		"watchControl": func(n jsonc.Node) {
 			node.WatchControl = n.Bool()
 		},
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -126,7 +126,9 @@
 }
 
 const (
-	dialTimeout     = time.Second
+	// dialTimeout is ten round trips between far regions, and well below the second
+	// after which TCP sends a lost first packet again: dialling anew is sooner.
+	dialTimeout     = 300 * time.Millisecond
 	idleConnTimeout = 90 * time.Second
 	idlePerHost     = 4
 )
