--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -32,8 +32,10 @@
 	// hinted: its caller was told of a sibling that would be sooner.
 	hinted bool
 	rank   rank
-	home   *rankQueue
-	state  itemState
+	// work is the usual work of its class when it arrived, in nanoseconds.
+	work  float64
+	home  *rankQueue
+	state itemState
 
 	queue      *callerQueue
 	prev, next *item
@@ -101,7 +103,7 @@
 // slow and would pile up.
 func (g *Gate) slots(now time.Duration) int {
 	all := g.slow.crowd.useful(g.config.Slots)
-	if !g.cold || g.told(now) {
+	if !g.cold || g.slow.known {
 		// A server that tells how slow it is needs no guess: filling it slowly would
 		// refuse what it can do.
 		return all
@@ -118,7 +120,8 @@
 // Arrive takes in a request.
 func (g *Gate) Arrive(now time.Duration, r Request) []Event {
 	g.begin(now)
-	it := &item{Request: r, arrived: now, rank: rank{priority: r.Priority, aim: r.Aim}}
+	it := &item{Request: r, arrived: now, rank: rank{priority: r.Priority, aim: r.Aim}, work: g.slow.demandOf(r)}
+	g.slow.expect(r)
 	if reason := g.unfit(now, r); reason != 0 {
 		g.emit(Event{Kind: Refused, Handle: r.Handle, Reason: reason, RetryAfter: g.retryAfter(now)})
 		return g.take()
@@ -174,14 +177,14 @@
 
 // short tells whether a request takes much less work than the usual one.
 func (g *Gate) short(now time.Duration, r Request) bool {
-	return g.told(now) && r.Aim > 0 && g.slow.demandOf(r) < shortShare*g.slow.demand.value
+	return g.told(now) && r.Aim > 0 && g.slow.demandOf(r) < shortShare*g.slow.usual()
 }
 
 // room is how many more requests may run, if the next one is r. Short ones may
 // take the slots that are left empty on a server which slows down in a crowd.
 func (g *Gate) roomFor(now time.Duration, r Request) int {
 	switch {
-	case g.cold && !g.told(now):
+	case g.cold && !g.slow.known:
 	case g.short(now, r):
 		return g.config.Slots - g.running
 	case g.mixed(now) && g.slots(now) == g.config.Slots:
@@ -200,20 +203,27 @@
 
 // wait estimates how long a request that joins the queue now, behind all that
 // wait, would wait.
-func (g *Gate) wait(now time.Duration) time.Duration { return g.waitBehind(now, g.queue.size) }
+func (g *Gate) wait(now time.Duration) time.Duration {
+	return g.waitBehind(now, g.queue.size, g.queue.work())
+}
 
-// waitBehind estimates the wait behind a number of waiting requests.
-func (g *Gate) waitBehind(now time.Duration, ahead int) time.Duration {
+// waitBehind estimates the wait behind a number of waiting requests and their
+// work: until the slots have done that, and one of them is free.
+func (g *Gate) waitBehind(now time.Duration, ahead int, work float64) time.Duration {
 	if g.free(now) > 0 && ahead == 0 {
 		return 0
 	}
-	turns := float64(ahead+1) / float64(max(1, g.slots(now)))
+	slots := float64(max(1, g.slots(now)))
+	if g.told(now) {
+		return g.slow.expected((work + g.slow.usual()) / slots)
+	}
+	turns := float64(ahead+1) / slots
 	return time.Duration(turns * float64(g.service(now)))
 }
 
 // finishIn estimates how long a request that arrives now would take in all.
 func (g *Gate) finishIn(now time.Duration, it *item) time.Duration {
-	return g.waitBehind(now, g.queue.ahead(it.rank)) + g.serviceOf(now, it.Request, g.running+1)
+	return g.waitBehind(now, g.queue.ahead(it.rank), g.queue.workAhead(it.rank)) + g.serviceOf(now, it.Request, g.running+1)
 }
 
 // room refuses a request that would not fit or not finish in time. The refusal
--- a/core/gate/rank.go
+++ b/core/gate/rank.go
@@ -38,6 +38,8 @@
 
 type rankQueue struct {
 	rank rank
+	// work is the sum of the usual work of what waits, in nanoseconds.
+	work float64
 	fairQueue
 }
 
@@ -65,6 +67,7 @@
 
 func (q *rankedQueue) count(it *item, by int) {
 	q.size += by
+	it.home.work += float64(by) * it.work
 	if it.rank.late {
 		q.late += by
 	}
@@ -119,6 +122,28 @@
 	return n
 }
 
+// workAhead is the usual work of the waiting requests that are served before a
+// newcomer of the rank, in nanoseconds.
+func (q *rankedQueue) workAhead(r rank) float64 {
+	work := 0.0
+	for _, held := range q.ranks {
+		if r.before(held.rank) {
+			break
+		}
+		work += held.work
+	}
+	return work
+}
+
+// work is the usual work of all that wait.
+func (q *rankedQueue) work() float64 {
+	work := 0.0
+	for _, held := range q.ranks {
+		work += held.work
+	}
+	return work
+}
+
 // each visits all waiting requests, rank by rank.
 func (q *rankedQueue) each(visit func(*item)) {
 	for _, r := range slices.Clone(q.ranks) {
--- a/core/gate/slowdown.go
+++ b/core/gate/slowdown.go
@@ -29,6 +29,9 @@
 	// aimOverWork is how many times the usual work an aim allows, where no request of
 	// the class has completed yet: 2.6 to 4 in the users' deployments.
 	aimOverWork = 3
+	// classSamples is how many completions a class needs before its mean replaces
+	// the guess from its aim: the first to complete are the shortest.
+	classSamples = 5
 )
 
 // slowdown follows the figure that the server tells. It keeps a clock that runs
@@ -43,6 +46,7 @@
 	demand  mean
 	classes map[string]*mean
 	typical float64 // mean rate of progress, 0 to 1
+	guess   float64 // of the mean demand, from aims
 	crowd   crowd
 }
 
@@ -112,10 +116,34 @@
 	return m
 }
 
+// guessSamples is how many completions the mean demand needs before it replaces
+// the guess from aims: the first to complete are the shortest.
+const guessSamples = 20
+
+// usual is the mean demand of all requests.
+func (s *slowdown) usual() float64 {
+	if s.demand.seen < guessSamples && s.guess > 0 {
+		return s.guess
+	}
+	return s.demand.value
+}
+
+// expect lets the aims of what arrives stand for the mean demand at first.
+func (s *slowdown) expect(r Request) {
+	if r.Aim == 0 || s.demand.seen >= guessSamples {
+		return
+	}
+	demand := s.demandOf(r)
+	if s.guess == 0 {
+		s.guess = demand
+	}
+	s.guess += (demand - s.guess) / guessSamples
+}
+
 // demandOf is the demand of a request's class. Before one of it completed, its
 // aim tells: operators set aims to a few times of the usual work.
 func (s *slowdown) demandOf(r Request) float64 {
-	if m := s.classes[r.Class]; m != nil && m.seen > 0 {
+	if m := s.classes[r.Class]; m != nil && (m.seen >= classSamples || m.seen > 0 && r.Aim == 0) {
 		return m.value
 	}
 	if r.Aim > 0 {
@@ -205,7 +233,7 @@
 // service is the time that one request is expected to take.
 func (g *Gate) service(now time.Duration) time.Duration {
 	if g.told(now) {
-		return g.slow.expected(g.slow.demand.value)
+		return g.slow.expected(g.slow.usual())
 	}
 	return g.estimate.mean(now)
 }
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -304,13 +304,18 @@
 	n.mu.Lock()
 	spec := n.records.Service(s.service).GetSpec()
 	n.mu.Unlock()
-	if spec == nil || spec.Slots == 0 {
-		return
-	}
-	slots := spec.Slots
+	slots := spec.GetSlots()
 	if s.slots > 0 {
 		slots = s.slots
 	}
+	if slots == 0 {
+		return
+	}
+	if spec == nil {
+		// Other nodes may have the configuration already and send requests here: the
+		// server's own word is enough to run them.
+		spec = &apiv1.ServiceSpec{Queue: slots}
+	}
 	gates := max(1, len(entries))
 	s.endpoint.Configure(gate.Config{
 		Slots: int(slots), Queue: int(spec.Queue), SlowStart: time.Duration(spec.SlowStartMs) * time.Millisecond, Siblings: true,
