--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -135,3 +135,32 @@
 	folder := folderWith(t)
 	assert.ErrorContains(t, WriteIdentity(folder, Identity{MemberID: 9}), "already holds a replica")
 }
+
+// The disk refuses a write half-way. What it left is cut off, the same entries
+// are written again once the disk takes them, and a restart finds each once.
+func TestRepairTakesBackAHalfWrittenRecord(t *testing.T) {
+	folder := t.TempDir()
+	assert.NilError(t, WriteIdentity(folder, Identity{MemberID: 1, Name: "a"}))
+	l, _, _, err := Open(folder)
+	assert.NilError(t, err)
+	entry := func(i uint64) *apiv1.LogEntry { return &apiv1.LogEntry{Term: 1, Index: i, Data: []byte("change")} }
+	assert.NilError(t, l.Append([]*apiv1.LogEntry{entry(1)}, nil))
+	assert.NilError(t, l.Flush(true))
+	whole := l.file
+	assert.NilError(t, l.Append([]*apiv1.LogEntry{entry(2)}, nil))
+	_, err = whole.Write(l.buffer[:len(l.buffer)/2])
+	assert.NilError(t, err)
+	l.file, err = os.Open(whole.Name())
+	assert.NilError(t, err)
+	assert.Assert(t, l.Flush(true) != nil, "a file that is open for reading only took a write")
+	l.file = whole
+	assert.NilError(t, l.Repair())
+	assert.NilError(t, l.Append([]*apiv1.LogEntry{entry(2)}, nil))
+	assert.NilError(t, l.Flush(true))
+	assert.NilError(t, l.Close())
+	l, _, restored, err := Open(folder)
+	assert.NilError(t, err)
+	defer l.Close()
+	assert.Equal(t, len(restored.Entries), 2)
+	assert.Equal(t, l.TornBytes, int64(0))
+}
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -14,6 +14,12 @@
 echo "== core is pure"
 ./scripts/pure.sh
 
+echo "== the platform's names stay in platform/"
+./scripts/boundary.sh
+
+echo "== the platform's build"
+bash -c "$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/system.toml)"
+
 echo "== go vet"
 go vet work
 
