--- a/internal/logs/writer.go
+++ b/internal/logs/writer.go
@@ -27,7 +27,6 @@
 
 	mu      sync.Mutex
 	waiting []byte
-	writing bool
 	closed  bool
 	wake    chan struct{}
 	done    chan struct{}
--- a/internal/process/group_test.go
+++ b/internal/process/group_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"os"
 	"path/filepath"
-	"sync"
 	"testing"
 	"time"
 
@@ -23,7 +22,6 @@
 	t         *testing.T
 	folder    string
 	addresses []string
-	mu        sync.Mutex
 	running   map[int]*run
 }
 
