A probe is passed on once

Change: a probe that was passed on is answered by whoever receives it. The test fails without it (20 calls and more).

--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -88,11 +88,15 @@
 	return connect.NewResponse(resp), nil
 }
 
-// Probe answers for this node, or probes another one on a relay's behalf.
+// Probe answers for this node, or probes another one on a relay's behalf. Only
+// one node passes a probe on: at an address that another host has taken over,
+// the probe of its former host would otherwise go round for ever, and take all
+// connections with it.
 func (s nodeService) Probe(ctx context.Context, req *connect.Request[apiv1.ProbeRequest]) (*connect.Response[apiv1.ProbeResponse], error) {
 	n := s.n
-	if req.Msg.Host != n.options.Host {
-		return n.peers.at(req.Msg.PeerAddress).Probe(ctx, connect.NewRequest(req.Msg))
+	if req.Msg.Host != n.options.Host && !req.Msg.Direct {
+		direct := &apiv1.ProbeRequest{Host: req.Msg.Host, PeerAddress: req.Msg.PeerAddress, Direct: true}
+		return n.peers.at(req.Msg.PeerAddress).Probe(ctx, connect.NewRequest(direct))
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- /dev/null
+++ b/internal/node/probe_test.go
@@ -0,0 +1,41 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"gotest.tools/v3/assert"
+
+	apiv1 "cactuspath/api/cactuspath/v1"
+	"cactuspath/api/cactuspath/v1/apiv1connect"
+)
+
+// A host is gone and another one has its address. A relay that does not know yet
+// has the gone host probed there, through a helper. The new host must say who it
+// is: one that passed the probe on, to the same address, would call itself
+// without end until its connections and memory are used up.
+func TestProbeOfAFormerHostOfThisAddressEnds(t *testing.T) {
+	n := alone(t, "")
+	var calls atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if calls.Add(1) > 20 {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		n.peerHandler().ServeHTTP(w, r)
+	}))
+	defer server.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	address := server.Listener.Addr().String()
+	client := apiv1connect.NewNodeServiceClient(http.DefaultClient, server.URL)
+	resp, err := client.Probe(ctx, connect.NewRequest(&apiv1.ProbeRequest{Host: "former", PeerAddress: address}))
+	assert.NilError(t, err)
+	assert.Equal(t, resp.Msg.Host, "h")
+	assert.Equal(t, calls.Load(), int64(2))
+}
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -243,7 +243,7 @@
 	if p.Via != "" {
 		at = p.Via
 	}
-	resp, err := r.n.peers.at(at).Probe(ctx, connect.NewRequest(&apiv1.ProbeRequest{Host: p.Host, PeerAddress: p.PeerAddress}))
+	resp, err := r.n.peers.at(at).Probe(ctx, connect.NewRequest(&apiv1.ProbeRequest{Host: p.Host, PeerAddress: p.PeerAddress, Direct: p.Via == ""}))
 	r.n.counters.probes.Add(1)
 	r.mu.Lock()
 	defer r.mu.Unlock()
