--- a/cmd/cactuspath/run.go
+++ b/cmd/cactuspath/run.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/spf13/cobra"
@@ -28,6 +29,7 @@
 				return err
 			}
 			defer startLogs(s.LogLevel)()
+			debug.SetGCPercent(s.GCPercent)
 			ctx, cancel := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
 			defer cancel()
 			p, err := process.Open(s, adapters())
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,6 +23,9 @@
 	ControlReplicas []string
 	TLS             transport.TLSFiles
 	LogLevel        int
+	// GCPercent is how much the heap may grow between two collections, in percent
+	// of what is in use. Less memory costs more processor time.
+	GCPercent int
 	// StopTimeout bounds a planned stop.
 	StopTimeout time.Duration
 	// Retry bounds second attempts; the estate's terms hold where it is zero.
@@ -94,7 +97,14 @@
 	Hosts             bool
 }
 
-const defaultStopTimeout = 30 * time.Second
+const (
+	defaultStopTimeout = 30 * time.Second
+	// defaultGCPercent is the runtime's own. Below the least value the collector
+	// takes more than the work itself.
+	defaultGCPercent = 100
+	minGCPercent     = 10
+	maxGCPercent     = 1000
+)
 
 // InvalidError lists everything that is wrong with a settings file.
 type InvalidError struct {
@@ -130,7 +140,7 @@
 	if len(reader.Problems()) > 0 {
 		return nil, reader.Problems()
 	}
-	s := &Settings{StopTimeout: defaultStopTimeout}
+	s := &Settings{StopTimeout: defaultStopTimeout, GCPercent: defaultGCPercent}
 	plain := false
 	root.Object(map[string]func(jsonc.Node){
 		"host":            func(n jsonc.Node) { s.Host = label(n) },
@@ -142,6 +152,7 @@
 		"tls":             func(n jsonc.Node) { s.TLS = readTLS(n) },
 		"allowPlainText":  func(n jsonc.Node) { plain = n.Bool() },
 		"logLevel":        func(n jsonc.Node) { s.LogLevel = int(n.Uint(0, 10)) },
+		"gcPercent":       func(n jsonc.Node) { s.GCPercent = int(n.Uint(minGCPercent, maxGCPercent)) },
 		"stopTimeout":     func(n jsonc.Node) { s.StopTimeout = n.Duration(time.Second, time.Hour) },
 		"metrics":         func(n jsonc.Node) { s.Metrics = address(n) },
 		"adapter":         func(n jsonc.Node) { s.Adapter = readAdapter(n) },
