Silence is noticed: of a backend server by its gate, of a peer by whoever waits for it

Change: the gate asks the server for its load ten times a second anyway; 0.6 s without a word and it is down, and what may be repeated goes back to its callers. What must not run twice is waited for.

--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -168,6 +168,13 @@
 	c.avoidUntil = now + min(firstAvoidance<<min(c.failures-1, 10), longestAvoidance)
 }
 
+// Avoid keeps new work away from a candidate for a while.
+func (p *Pool) Avoid(until time.Duration, host string) {
+	if c := p.byHost[host]; c != nil {
+		c.avoidUntil = max(c.avoidUntil, until)
+	}
+}
+
 // SetDraining notes that a candidate's gate said it is leaving, ahead of the
 // directory.
 func (p *Pool) SetDraining(c *Candidate) { c.Draining = true }
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -53,11 +53,13 @@
 	gate    *gate.Gate
 	waiting map[gate.Handle]chan gate.Event
 	// hints are told of a sibling that would end a running request sooner.
-	hints  map[gate.Handle]func(to string)
-	next   gate.Handle
-	timer  *time.Timer
-	armed  time.Duration
-	closed bool
+	hints map[gate.Handle]func(to string)
+	// repeatable ends running requests that may run elsewhere as well.
+	repeatable map[gate.Handle]context.CancelFunc
+	next       gate.Handle
+	timer      *time.Timer
+	armed      time.Duration
+	closed     bool
 
 	stopWatch context.CancelFunc
 
@@ -66,8 +68,10 @@
 	health   atomic.Pointer[string]
 	// observed is when the backend server last told its load.
 	observed atomic.Int64
-	failures atomic.Int32
-	down     atomic.Bool
+	// lastHeard is when it last said anything.
+	lastHeard atomic.Int64
+	failures  atomic.Int32
+	down      atomic.Bool
 }
 
 // New returns an endpoint whose gate is closed until a backend server is set.
@@ -75,7 +79,7 @@
 	if options.Dialect == nil {
 		options.Dialect = &hop.Dialect{}
 	}
-	e := &Endpoint{options: options, start: time.Now(), waiting: map[gate.Handle]chan gate.Event{}, hints: map[gate.Handle]func(string){}}
+	e := &Endpoint{options: options, start: time.Now(), waiting: map[gate.Handle]chan gate.Event{}, hints: map[gate.Handle]func(string){}, repeatable: map[gate.Handle]context.CancelFunc{}}
 	e.gate = gate.New(options.Host, config, 0)
 	var ctx context.Context
 	ctx, e.stopWatch = context.WithCancel(context.Background())
@@ -162,6 +166,7 @@
 		old.Close()
 	}
 	e.failures.Store(0)
+	e.heard()
 	e.setDown(false)
 }
 
@@ -247,7 +252,7 @@
 	}
 	switch event.Kind {
 	case gate.Started:
-		return e.forward(ctx, handle, out, reply)
+		return e.forward(ctx, handle, out, reply, req.Repeatable)
 	case gate.Moved:
 		reply.Verdict, reply.To = hop.Moved, event.To
 	default:
@@ -321,12 +326,13 @@
 func (e *Endpoint) finish(handle gate.Handle, outcome gate.Outcome) {
 	e.with(func(now time.Duration) []gate.Event {
 		delete(e.hints, handle)
+		delete(e.repeatable, handle)
 		return e.gate.Finish(now, handle, outcome)
 	})
 }
 
 // forward sends a started request to the backend server.
-func (e *Endpoint) forward(ctx context.Context, handle gate.Handle, out *hop.Outgoing, reply hop.Reply) (*http.Response, hop.Reply) {
+func (e *Endpoint) forward(caller context.Context, handle gate.Handle, out *hop.Outgoing, reply hop.Reply, repeatable bool) (*http.Response, hop.Reply) {
 	pool := e.backend.Load()
 	if pool == nil {
 		e.finish(handle, gate.NeverReached)
@@ -339,17 +345,26 @@
 		reply.Verdict, reply.Reason = hop.Refused, gate.TooLate
 		return nil, reply
 	}
+	ctx, cancel := context.WithCancel(caller)
+	if repeatable {
+		e.mu.Lock()
+		e.repeatable[handle] = cancel
+		e.mu.Unlock()
+	}
 	started := time.Now()
 	resp, err := pool.Do(ctx, e.toBackend(out, left))
 	if err != nil {
-		reply = e.failed(ctx, handle, err, reply)
+		cancel()
+		reply = e.failed(caller, handle, err, reply)
 		logs.Decision(true, "Backend server did not answer", "request", out.ID, "attempt", hop.FormatID(reply.ID), "host", e.options.Host, "verdict", reply.Verdict.String(),
-			"after", time.Since(started), "callerGone", ctx.Err() != nil, "err", err)
+			"after", time.Since(started), "callerGone", caller.Err() != nil, "err", err)
 		return nil, reply
 	}
 	e.failures.Store(0)
+	e.heard()
 	e.observe(resp.Header)
 	if e.options.Dialect.SaysNotRun(resp) {
+		defer cancel()
 		return nil, e.rejected(handle, resp, reply)
 	}
 	outcome := gate.Completed
@@ -357,8 +372,9 @@
 		outcome = gate.Failed
 	}
 	resp.Body = &runningBody{ReadCloser: resp.Body, end: func(cut bool) {
+		cancel()
 		switch {
-		case ctx.Err() != nil:
+		case caller.Err() != nil:
 			outcome = gate.Abandoned
 		case cut:
 			outcome = gate.Failed
@@ -367,7 +383,7 @@
 		e.options.Counters.Ran.Observe(time.Since(started))
 		if outcome != gate.Completed {
 			logs.Decision(true, "Backend server failed", "request", out.ID, "attempt", hop.FormatID(reply.ID), "host", e.options.Host, "status", resp.StatusCode,
-				"after", time.Since(started), "cut", cut, "callerGone", ctx.Err() != nil)
+				"after", time.Since(started), "cut", cut, "callerGone", caller.Err() != nil)
 		}
 	}}
 	return resp, reply
@@ -454,8 +470,9 @@
 		if closed || !e.down.Load() {
 			return
 		}
-		if e.backend.Load().Reachable() {
+		if e.answers() {
 			e.failures.Store(0)
+			e.heard()
 			e.SetCold()
 			e.setDown(false)
 			return
@@ -463,6 +480,24 @@
 	}
 }
 
+// answers tells whether the backend server is back: it answers its health path,
+// if it has one, whatever it says there, or accepts a connection.
+func (e *Endpoint) answers() bool {
+	pool, path := e.backend.Load(), e.health.Load()
+	if path == nil || *path == "" {
+		return pool.Reachable()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), loadTimeout)
+	defer cancel()
+	resp, err := pool.Do(ctx, &hop.Outgoing{Method: http.MethodGet, URI: *path, Host: pool.Address(), Header: http.Header{}, Deadline: time.Now().Add(loadTimeout)})
+	if err != nil {
+		return false
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	return true
+}
+
 // runningBody frees the slot once, when the answer's body ends.
 type runningBody struct {
 	io.ReadCloser
--- a/internal/endpoint/watch.go
+++ b/internal/endpoint/watch.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
 	"cactuspath/internal/hop"
 )
 
@@ -17,7 +21,11 @@
 	loadInterval = 100 * time.Millisecond
 	// loadTimeout bounds one question, so that a server that hangs is not asked
 	// by ever more of them.
-	loadTimeout = 500 * time.Millisecond
+	loadTimeout = 300 * time.Millisecond
+	// silentAfter is how long a backend server may tell nothing, neither to these
+	// questions nor to requests, before it counts as down. It answers them at once
+	// however busy it is; two unanswered ones are no accident.
+	silentAfter = 600 * time.Millisecond
 )
 
 // SetHealthPath names the path where the backend server tells its load; empty
@@ -49,15 +57,45 @@
 	}
 }
 
+func isTimeout(err error) bool {
+	var n net.Error
+	return errors.As(err, &n) && n.Timeout() || errors.Is(err, context.DeadlineExceeded)
+}
+
+// heard notes that the backend server said something.
+func (e *Endpoint) heard() { e.lastHeard.Store(int64(e.now())) }
+
+// noteSilence takes a backend server for down that has told nothing for long.
+// What runs there and may be repeated is given back to its callers.
+func (e *Endpoint) noteSilence() {
+	silence := e.now() - time.Duration(e.lastHeard.Load())
+	if silence < silentAfter || e.down.Load() {
+		return
+	}
+	klog.InfoS("Backend server silent", "host", e.options.Host, "silence", silence)
+	e.setDown(true)
+	e.mu.Lock()
+	for _, cancel := range e.repeatable {
+		cancel()
+	}
+	e.mu.Unlock()
+	go e.probe()
+}
+
 func (e *Endpoint) askLoad(ctx context.Context, pool *hop.Pool, path string) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	e.options.Counters.Probes.Add(1)
 	resp, err := pool.Do(ctx, &hop.Outgoing{Method: http.MethodGet, URI: path, Host: pool.Address(), Header: http.Header{}, Deadline: time.Now().Add(loadTimeout)})
 	if err != nil {
-		// Requests find out by themselves; a missing figure only ages.
+		// A broken connection is found out by requests, and a missing figure only
+		// ages. Silence is different: requests would wait in it to their deadlines.
+		if isTimeout(err) {
+			e.noteSilence()
+		}
 		return
 	}
+	e.heard()
 	e.observe(resp.Header)
 	_, _ = io.Copy(io.Discard, resp.Body)
 	_ = resp.Body.Close()
--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -29,6 +29,7 @@
 		"attempts_moved":                &n.calls.Moves,
 		"attempts_retried":              &n.calls.Retries,
 		"attempts_hedged":               &n.calls.Hedges,
+		"peers_silent":                  &n.calls.Silent,
 		"attempts_revokes":              &n.calls.Revokes,
 		"gate_started":                  &n.gates.Started,
 		"gate_moved":                    &n.gates.Moved,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -104,7 +104,7 @@
 	n.watcher = newWatcher(n)
 	n.proxy = proxy.New(proxy.Options{
 		Host: options.Host, DataCenter: options.DataCenter, Security: options.Security, Local: n, Need: n.need, Heard: n.heard, Revision: n.Revision, Revoke: n.revoke, Counters: n.calls,
-		Dialect: options.Dialect, CallerService: n.service, Shared: options.Retry,
+		Dialect: options.Dialect, CallerService: n.service, Shared: options.Retry, Alive: n.alive,
 	})
 	n.front = front.New(n.callers.count(n.proxy))
 	return n
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -115,6 +115,12 @@
 	return connect.NewResponse(&apiv1.RevokeResponse{Answer: apiv1.RevokeAnswer(answer)}), nil
 }
 
+// alive asks the node at an address for a sign of life.
+func (n *Node) alive(ctx context.Context, peerAddress string) bool {
+	_, err := n.peers.at(peerAddress).Probe(ctx, connect.NewRequest(&apiv1.ProbeRequest{Host: n.options.Host, PeerAddress: peerAddress, Direct: true}))
+	return err == nil
+}
+
 // revoke asks a node what became of an attempt.
 func (n *Node) revoke(ctx context.Context, peerAddress string, incarnation uint64, id gate.AttemptID, sentAgo time.Duration) gate.RevokeAnswer {
 	resp, err := n.peers.at(peerAddress).Revoke(ctx, connect.NewRequest(&apiv1.RevokeRequest{
--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -8,8 +8,8 @@
 
 // Counters count calls. Latencies are those of the callers' side.
 type Counters struct {
-	Answered, Retries, Moves, Lost, Canceled, CutShort, Hedges expvar.Int
-	Faults, Revokes                                            expvar.Map
+	Answered, Retries, Moves, Lost, Canceled, CutShort, Hedges, Silent expvar.Int
+	Faults, Revokes                                                    expvar.Map
 
 	// Took is the time from a request's head to the end of its answer.
 	Took *latency.Histogram
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -40,6 +40,8 @@
 	Dialect *hop.Dialect
 	// CallerService is the service beside this node, which its callers speak for.
 	CallerService func() string
+	// Alive asks the node at an address for a sign of life; nil to ask nobody.
+	Alive func(ctx context.Context, peerAddress string) bool
 	// Shared bounds second attempts, if the estate's terms do not.
 	Shared Shared
 	// Heard passes on a revision that another node mentioned.
@@ -63,6 +65,8 @@
 	mu       sync.RWMutex
 	services map[string]*service
 	peers    map[string]*hop.Pool
+	// pending are the attempts under way by peer address.
+	pending map[string]*pending
 	// mostNodes is the largest number of nodes seen: the nodes that are out of sight
 	// may still spend their share. Only Update uses it.
 	mostNodes int
@@ -70,7 +74,7 @@
 
 // New returns a handler that knows no service yet.
 func New(options Options) *Handler {
-	h := &Handler{options: options, start: time.Now(), seed: rand.Uint64(), services: map[string]*service{}, peers: map[string]*hop.Pool{}}
+	h := &Handler{options: options, start: time.Now(), seed: rand.Uint64(), services: map[string]*service{}, peers: map[string]*hop.Pool{}, pending: map[string]*pending{}}
 	if h.options.Dialect == nil {
 		h.options.Dialect = &hop.Dialect{}
 	}
@@ -132,6 +136,7 @@
 		if !used[address] {
 			pool.Close()
 			delete(h.peers, address)
+			delete(h.pending, address)
 		}
 	}
 }
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -142,6 +142,12 @@
 	return rules.Next(ended, s.budget, s.pool.Others(tried))
 }
 
+func (s *service) avoid(until time.Duration, host string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool.Avoid(until, host)
+}
+
 func (s *service) setDraining(c *balancer.Candidate) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- /dev/null
+++ b/internal/proxy/silence_test.go
@@ -0,0 +1,81 @@
+package proxy
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	apiv1 "cactuspath/api/cactuspath/v1"
+	"cactuspath/core/balancer"
+	"cactuspath/core/gate"
+	"cactuspath/internal/endpoint"
+)
+
+// frozen accepts connections and says nothing, as a host that froze does.
+func frozen(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			if _, err := l.Accept(); err != nil {
+				return
+			}
+		}
+	}()
+	return l.Addr().String()
+}
+
+// One of two hosts froze. A read that was sent there must be answered by the other
+// one long before its deadline; a payment may have run there and is waited for,
+// up to its deadline, and never sent again.
+func TestReadLeavesAFrozenHostAndAPaymentWaits(t *testing.T) {
+	var ran atomic.Int64
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		ran.Add(1)
+		_, _ = w.Write([]byte("there"))
+	}))
+	defer backend.Close()
+	e := endpoint.New(endpoint.Options{Host: "good", Incarnation: func() uint64 { return 1 }, Revision: func() uint64 { return 1 }, Heard: func(uint64) {},
+		Send: func(string, gate.Report) {}, Counters: endpoint.NewCounters()}, gate.Config{Slots: 10, Queue: 10})
+	defer e.Close()
+	e.SetBackend(backend.Listener.Addr().String())
+	good := httptest.NewServer(http.HandlerFunc(e.ServeHop))
+	defer good.Close()
+	goodAddress, frozenAddress := good.Listener.Addr().String(), frozen(t)
+	h := New(Options{Host: "front", Local: noLocal{}, Counters: NewCounters(), Heard: func(uint64) {}, Revision: func() uint64 { return 1 },
+		Need:  func(context.Context, string) error { return nil },
+		Alive: func(_ context.Context, address string) bool { return address == goodAddress },
+		Revoke: func(context.Context, string, uint64, gate.AttemptID, time.Duration) gate.RevokeAnswer {
+			return gate.RevokeUnknown
+		}})
+	h.Configure([]*apiv1.ServiceRecord{{Name: "pay", Spec: &apiv1.ServiceSpec{Hosts: []string{"pay.example"}, Slots: 4, TimeoutMs: 1200, MaxAttempts: 2, RetryPerMille: 100,
+		IdempotentMethods: []string{"GET"}}}}, nil)
+	candidate := func(host, address string) balancer.Candidate {
+		return balancer.Candidate{Host: host, PeerAddress: address, Incarnation: 1, Slots: 4}
+	}
+	ask := func(method string) (int, time.Duration) {
+		// Only the frozen host is known when the request is picked.
+		h.Update(map[string][]balancer.Candidate{"pay": {candidate("frozen", frozenAddress)}})
+		time.AfterFunc(50*time.Millisecond, func() {
+			h.Update(map[string][]balancer.Candidate{"pay": {candidate("frozen", frozenAddress), candidate("good", goodAddress)}})
+		})
+		w := httptest.NewRecorder()
+		start := time.Now()
+		h.ServeHTTP(w, httptest.NewRequest(method, "http://pay.example/", nil))
+		return w.Code, time.Since(start)
+	}
+	status, took := ask(http.MethodGet)
+	assert.Equal(t, status, 200)
+	assert.Assert(t, took < time.Second, "took %v", took)
+	status, took = ask(http.MethodPost)
+	assert.Equal(t, status, http.StatusGatewayTimeout)
+	assert.Assert(t, took >= 1200*time.Millisecond, "a payment was given up after %v", took)
+	assert.Equal(t, ran.Load(), int64(1))
+}
