Silence is a hint and breaks nothing off; small servers keep a slot for short requests; the last slots stay empty until a crowd's cost is known

Cause: the question to the backend server waited for a slot on a new connection, and half a second was too short for a peer behind a lossy link. Change: questions have a connection of their own; silence makes the caller's node try another endpoint beside the first, which goes on. Also: on servers of six slots none was kept for short requests (one in nine, rounded down), and gates that are full from the start never learned what a crowd costs.

--- a/core/gate/crowd.go
+++ b/core/gate/crowd.go
@@ -79,9 +79,11 @@
 
 func isCrowd(running, slots int) bool { return float64(running) > crowdShare*float64(slots) }
 
-// useful is how many of the slots are worth filling.
+// useful is how many of the slots are worth filling. The last ones are left empty
+// until enough is known of requests outside a crowd: a server that is full from
+// its start on would never show the difference.
 func (c *crowd) useful(slots int) int {
-	if c.factor() <= crowdWorth {
+	if c.roomy.seen >= crowdSamples && c.factor() <= crowdWorth {
 		return slots
 	}
 	return max(1, int(crowdShare*float64(slots)))
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -102,7 +102,10 @@
 // and gains the rest over the slow-start time, since its first requests are
 // slow and would pile up.
 func (g *Gate) slots(now time.Duration) int {
-	all := g.slow.crowd.useful(g.config.Slots)
+	all := g.config.Slots
+	if g.slow.known {
+		all = g.slow.crowd.useful(all)
+	}
 	if !g.cold || g.slow.known {
 		// A server that tells how slow it is needs no guess: filling it slowly would
 		// refuse what it can do.
@@ -171,8 +174,10 @@
 	// backend servers make for a request of theirs are: while one waits, its parent
 	// holds a slot, and when it is refused, what the parent has cost is lost.
 	shortShare = 0.5
-	// keptShare is the part of the slots that only short requests get, one in nine.
-	keptShare = 9
+	// keptShare is the part of the slots that only short requests get, one in nine,
+	// and one at least on a server that has fewestToKeep.
+	keptShare    = 9
+	fewestToKeep = 4
 )
 
 // short tells whether a request takes much less work than the usual one.
@@ -188,11 +193,18 @@
 	case g.short(now, r):
 		return g.config.Slots - g.running
 	case g.mixed(now) && g.slots(now) == g.config.Slots:
-		return g.config.Slots - g.config.Slots/keptShare - g.running
+		return g.config.Slots - kept(g.config.Slots) - g.running
 	}
 	return g.free(now)
 }
 
+func kept(slots int) int {
+	if slots < fewestToKeep {
+		return 0
+	}
+	return max(1, slots/keptShare)
+}
+
 // mixed tells whether short requests came lately beside the usual ones.
 func (g *Gate) mixed(now time.Duration) bool {
 	return g.lastShort > 0 && now-g.lastShort < shortMemory
@@ -234,7 +246,9 @@
 		return true
 	}
 	finish := now + g.finishIn(now, it)
-	if it.AimAt > 0 && finish > it.AimAt {
+	if it.AimAt > 0 && finish > it.AimAt && !g.short(now, it.Request) {
+		// A short one that is late keeps its place: it costs little, and its parent
+		// may still be in time.
 		it.rank.late = true
 		finish = now + g.finishIn(now, it)
 	}
@@ -369,7 +383,7 @@
 }
 
 func (g *Gate) missesAim(now time.Duration, it *item) bool {
-	return !it.rank.late && it.AimAt > 0 && now+g.shortest(now, it.Request) > it.AimAt
+	return !it.rank.late && it.AimAt > 0 && now+g.shortest(now, it.Request) > it.AimAt && !g.short(now, it.Request)
 }
 
 // Finish takes in the end of a running request.
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -53,19 +53,20 @@
 	gate    *gate.Gate
 	waiting map[gate.Handle]chan gate.Event
 	// hints are told of a sibling that would end a running request sooner.
-	hints map[gate.Handle]func(to string)
-	// repeatable ends running requests that may run elsewhere as well.
-	repeatable map[gate.Handle]context.CancelFunc
-	next       gate.Handle
-	timer      *time.Timer
-	armed      time.Duration
-	closed     bool
+	hints  map[gate.Handle]func(to string)
+	next   gate.Handle
+	timer  *time.Timer
+	armed  time.Duration
+	closed bool
 
 	stopWatch context.CancelFunc
 
-	backend  atomic.Pointer[hop.Pool]
-	instance atomic.Pointer[string]
-	health   atomic.Pointer[string]
+	backend atomic.Pointer[hop.Pool]
+	// questions has a connection of its own for what this node asks the backend
+	// server: a new connection may wait for a slot there.
+	questions atomic.Pointer[hop.Pool]
+	instance  atomic.Pointer[string]
+	health    atomic.Pointer[string]
 	// observed is when the backend server last told its load.
 	observed atomic.Int64
 	// lastHeard is when it last said anything.
@@ -79,7 +80,7 @@
 	if options.Dialect == nil {
 		options.Dialect = &hop.Dialect{}
 	}
-	e := &Endpoint{options: options, start: time.Now(), waiting: map[gate.Handle]chan gate.Event{}, hints: map[gate.Handle]func(string){}, repeatable: map[gate.Handle]context.CancelFunc{}}
+	e := &Endpoint{options: options, start: time.Now(), waiting: map[gate.Handle]chan gate.Event{}, hints: map[gate.Handle]func(string){}}
 	e.gate = gate.New(options.Host, config, 0)
 	var ctx context.Context
 	ctx, e.stopWatch = context.WithCancel(context.Background())
@@ -155,15 +156,19 @@
 		e.timer.Stop()
 	}
 	e.mu.Unlock()
-	if p := e.backend.Load(); p != nil {
-		p.Close()
+	for _, p := range []*hop.Pool{e.backend.Load(), e.questions.Load()} {
+		if p != nil {
+			p.Close()
+		}
 	}
 }
 
 // SetBackend names the backend server's address.
 func (e *Endpoint) SetBackend(address string) {
-	if old := e.backend.Swap(hop.NewPool(address, nil)); old != nil {
-		old.Close()
+	for _, p := range []*atomic.Pointer[hop.Pool]{&e.backend, &e.questions} {
+		if old := p.Swap(hop.NewPool(address, nil)); old != nil {
+			old.Close()
+		}
 	}
 	e.failures.Store(0)
 	e.heard()
@@ -252,7 +257,7 @@
 	}
 	switch event.Kind {
 	case gate.Started:
-		return e.forward(ctx, handle, out, reply, req.Repeatable)
+		return e.forward(ctx, handle, out, reply)
 	case gate.Moved:
 		reply.Verdict, reply.To = hop.Moved, event.To
 	default:
@@ -326,13 +331,12 @@
 func (e *Endpoint) finish(handle gate.Handle, outcome gate.Outcome) {
 	e.with(func(now time.Duration) []gate.Event {
 		delete(e.hints, handle)
-		delete(e.repeatable, handle)
 		return e.gate.Finish(now, handle, outcome)
 	})
 }
 
 // forward sends a started request to the backend server.
-func (e *Endpoint) forward(caller context.Context, handle gate.Handle, out *hop.Outgoing, reply hop.Reply, repeatable bool) (*http.Response, hop.Reply) {
+func (e *Endpoint) forward(ctx context.Context, handle gate.Handle, out *hop.Outgoing, reply hop.Reply) (*http.Response, hop.Reply) {
 	pool := e.backend.Load()
 	if pool == nil {
 		e.finish(handle, gate.NeverReached)
@@ -345,26 +349,18 @@
 		reply.Verdict, reply.Reason = hop.Refused, gate.TooLate
 		return nil, reply
 	}
-	ctx, cancel := context.WithCancel(caller)
-	if repeatable {
-		e.mu.Lock()
-		e.repeatable[handle] = cancel
-		e.mu.Unlock()
-	}
 	started := time.Now()
 	resp, err := pool.Do(ctx, e.toBackend(out, left))
 	if err != nil {
-		cancel()
-		reply = e.failed(caller, handle, err, reply)
+		reply = e.failed(ctx, handle, err, reply)
 		logs.Decision(true, "Backend server did not answer", "request", out.ID, "attempt", hop.FormatID(reply.ID), "host", e.options.Host, "verdict", reply.Verdict.String(),
-			"after", time.Since(started), "callerGone", caller.Err() != nil, "err", err)
+			"after", time.Since(started), "callerGone", ctx.Err() != nil, "err", err)
 		return nil, reply
 	}
 	e.failures.Store(0)
 	e.heard()
 	e.observe(resp.Header)
 	if e.options.Dialect.SaysNotRun(resp) {
-		defer cancel()
 		return nil, e.rejected(handle, resp, reply)
 	}
 	outcome := gate.Completed
@@ -372,9 +368,8 @@
 		outcome = gate.Failed
 	}
 	resp.Body = &runningBody{ReadCloser: resp.Body, end: func(cut bool) {
-		cancel()
 		switch {
-		case caller.Err() != nil:
+		case ctx.Err() != nil:
 			outcome = gate.Abandoned
 		case cut:
 			outcome = gate.Failed
@@ -383,7 +378,7 @@
 		e.options.Counters.Ran.Observe(time.Since(started))
 		if outcome != gate.Completed {
 			logs.Decision(true, "Backend server failed", "request", out.ID, "attempt", hop.FormatID(reply.ID), "host", e.options.Host, "status", resp.StatusCode,
-				"after", time.Since(started), "cut", cut, "callerGone", caller.Err() != nil)
+				"after", time.Since(started), "cut", cut, "callerGone", ctx.Err() != nil)
 		}
 	}}
 	return resp, reply
@@ -483,7 +478,7 @@
 // answers tells whether the backend server is back: it answers its health path,
 // if it has one, whatever it says there, or accepts a connection.
 func (e *Endpoint) answers() bool {
-	pool, path := e.backend.Load(), e.health.Load()
+	pool, path := e.questions.Load(), e.health.Load()
 	if path == nil || *path == "" {
 		return pool.Reachable()
 	}
--- a/internal/endpoint/watch.go
+++ b/internal/endpoint/watch.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,7 +27,7 @@
 	// silentAfter is how long a backend server may tell nothing, neither to these
 	// questions nor to requests, before it counts as down. It answers them at once
 	// however busy it is; two unanswered ones are no accident.
-	silentAfter = 600 * time.Millisecond
+	silentAfter = 800 * time.Millisecond
 )
 
 // SetHealthPath names the path where the backend server tells its load; empty
@@ -46,7 +48,7 @@
 			return
 		case <-ticker.C:
 		}
-		path, pool := e.health.Load(), e.backend.Load()
+		path, pool := e.health.Load(), e.questions.Load()
 		if path == nil || *path == "" || pool == nil || e.down.Load() {
 			continue
 		}
@@ -65,8 +67,9 @@
 // heard notes that the backend server said something.
 func (e *Endpoint) heard() { e.lastHeard.Store(int64(e.now())) }
 
-// noteSilence takes a backend server for down that has told nothing for long.
-// What runs there and may be repeated is given back to its callers.
+// noteSilence takes a backend server for down that has told nothing for long. The
+// callers of what runs there and may be repeated are told to try another endpoint
+// beside this one; the requests go on here, should the server still answer.
 func (e *Endpoint) noteSilence() {
 	silence := e.now() - time.Duration(e.lastHeard.Load())
 	if silence < silentAfter || e.down.Load() {
@@ -75,10 +78,11 @@
 	klog.InfoS("Backend server silent", "host", e.options.Host, "silence", silence)
 	e.setDown(true)
 	e.mu.Lock()
-	for _, cancel := range e.repeatable {
-		cancel()
-	}
+	hints := slices.Collect(maps.Values(e.hints))
 	e.mu.Unlock()
+	for _, hint := range hints {
+		hint(hop.AnyHost)
+	}
 	go e.probe()
 }
 
--- a/internal/hop/header.go
+++ b/internal/hop/header.go
@@ -28,6 +28,8 @@
 	// HintHeader stands in an interim answer (102) and names the host that would end
 	// the request sooner.
 	HintHeader = "Cactus-Hint"
+	// AnyHost is a hint that names no host: any other endpoint will do.
+	AnyHost = "*"
 
 	version   = "2"
 	separator = ";"
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -258,24 +258,12 @@
 			}
 		}
 	}
-	ctx, cancel := context.WithCancel(a.ctx)
-	end := cancel
-	if !c.rules.Idempotent || out.Stream != nil {
-		// It may run, and must not run twice: its answer is waited for.
-		end = nil
-	}
-	answered := c.h.watch(&a, end)
-	resp, err := c.h.peer(a.to.PeerAddress).Do(ctx, out)
+	answered := c.h.watch(&a)
+	resp, err := c.h.peer(a.to.PeerAddress).Do(a.ctx, out)
 	answered(err == nil)
 	if err != nil {
-		givenUp := a.ctx.Err() == nil && ctx.Err() != nil
-		cancel()
-		if givenUp {
-			return result{to: a.to, ended: c.silent(a)}
-		}
 		return result{to: a.to, ended: c.unanswered(a, err)}
 	}
-	resp.Body = &endingBody{ReadCloser: resp.Body, end: cancel}
 	reply, err := hop.ParseReply(resp.Header.Get(hop.Header))
 	if err == nil && reply.ID != a.id {
 		err = errors.Newf("the answer belongs to attempt %s", hop.FormatID(reply.ID))
@@ -361,15 +349,6 @@
 	return retry.Lost
 }
 
-// silent ends an attempt at a peer that gives no sign of life. It may have run;
-// nobody can be asked.
-func (c *call) silent(a attempt) retry.Ended {
-	c.s.done(c.h.now(), a.to, false)
-	c.h.options.Counters.Lost.Add(1)
-	logs.Decision(true, "Attempt lost", "request", c.requestID(), "attempt", hop.FormatID(a.id), "to", a.to.Host, "after", time.Since(a.sent), "err", "peer silent")
-	return retry.Lost
-}
-
 // countedBody tells the pool when an answer ends.
 type countedBody struct {
 	io.ReadCloser
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -82,13 +82,13 @@
 	if c.hedged || host == first.Host || time.Until(c.deadline) <= 0 {
 		return nil
 	}
-	to := c.s.hedge(&c.rules, host)
+	to := c.s.hedge(c.h.now(), &c.rules, host, first.Host)
 	if to == nil {
 		return nil
 	}
 	c.hedged = true
 	c.h.options.Counters.Hedges.Add(1)
-	logs.Decision(false, "Second attempt beside a stuck one", "request", c.requestID(), "service", c.s.name, "stuck", first.Host, "to", host, "after", time.Since(c.arrived))
+	logs.Decision(false, "Second attempt beside a stuck one", "request", c.requestID(), "service", c.s.name, "stuck", first.Host, "to", to.Host, "hint", host, "after", time.Since(c.arrived))
 	return to
 }
 
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -11,6 +11,7 @@
 	"cactuspath/core/balancer/leastoutstanding"
 	"cactuspath/core/balancer/nearby"
 	"cactuspath/core/retry"
+	"cactuspath/internal/hop"
 )
 
 // service is what this node keeps for one service it calls.
@@ -79,21 +80,24 @@
 const refillEvery = 100 * time.Millisecond
 
 // hedge takes a second attempt beside the first out of the budget and returns
-// its endpoint, counted as picked; nil if the host is not known or the budget is
-// spent.
-func (s *service) hedge(rules *retry.Request, host string) *balancer.Candidate {
+// its endpoint, counted as picked: the host named, or any but the stuck one. It
+// is nil if there is none or the budget is spent.
+func (s *service) hedge(now time.Duration, rules *retry.Request, host, stuck string) *balancer.Candidate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	to := s.pool.Get(host)
-	if to == nil || to.Draining {
+	named := s.pool.Get(host)
+	if host != hop.AnyHost && (named == nil || named.Draining) || !s.pool.Others([]string{stuck}) {
 		return nil
 	}
 	s.refill()
 	if !rules.Hedge(s.budget) {
 		return nil
 	}
-	s.pool.Start(to)
-	return to
+	if host == hop.AnyHost {
+		return s.pool.Pick(now, []string{stuck})
+	}
+	s.pool.Start(named)
+	return named
 }
 
 func (s *service) update(candidates []balancer.Candidate) {
--- a/internal/proxy/silence.go
+++ b/internal/proxy/silence.go
@@ -6,18 +6,21 @@
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"cactuspath/internal/hop"
 )
 
 // A host that froze, lost its power or sits behind a cut sends nothing, and what
 // was sent to it waits until its deadline. A peer from which nothing comes while
 // it owes answers is asked for a sign of life; without one, requests that may be
-// repeated go elsewhere, and new ones keep away for a while.
+// repeated are tried elsewhere beside it, and new ones keep away for a while.
 const (
 	// quietAfter is how long a peer may owe an answer without a byte from it before
 	// it is asked: longer than most answers take, well below the usual deadlines.
 	quietAfter = 300 * time.Millisecond
-	// signTimeout bounds the question. It is answered by the peer's process alone.
-	signTimeout = 250 * time.Millisecond
+	// signTimeout bounds the question. It is answered by the peer's process alone;
+	// a packet that is lost on its way comes again after some 200 ms.
+	signTimeout = 500 * time.Millisecond
 	// silentFor is how long new requests keep away from a peer that did not answer.
 	silentFor = time.Second
 )
@@ -28,7 +31,7 @@
 	mu       sync.Mutex
 	heard    time.Time
 	asking   bool
-	attempts map[*attempt]context.CancelFunc
+	attempts map[*attempt]bool
 }
 
 func (h *Handler) pendingAt(address string) *pending {
@@ -36,21 +39,21 @@
 	defer h.mu.Unlock()
 	p := h.pending[address]
 	if p == nil {
-		p = &pending{attempts: map[*attempt]context.CancelFunc{}}
+		p = &pending{attempts: map[*attempt]bool{}}
 		h.pending[address] = p
 	}
 	return p
 }
 
 // watch has the peer asked when it stays quiet. The function it returns ends the
-// watch. Cancel ends the attempt; nil for one that must not be repeated.
-func (h *Handler) watch(a *attempt, cancel context.CancelFunc) (done func(answered bool)) {
+// watch.
+func (h *Handler) watch(a *attempt) (done func(answered bool)) {
 	if h.options.Alive == nil {
 		return func(bool) {}
 	}
 	p := h.pendingAt(a.to.PeerAddress)
 	p.mu.Lock()
-	p.attempts[a] = cancel
+	p.attempts[a] = true
 	p.mu.Unlock()
 	timer := time.AfterFunc(quietAfter, func() { h.ask(p, a) })
 	return func(answered bool) {
@@ -67,7 +70,7 @@
 // ask asks a quiet peer for a sign of life.
 func (h *Handler) ask(p *pending, a *attempt) {
 	p.mu.Lock()
-	if _, waiting := p.attempts[a]; !waiting || p.asking || time.Since(p.heard) < quietAfter {
+	if !p.attempts[a] || p.asking || time.Since(p.heard) < quietAfter {
 		p.mu.Unlock()
 		return
 	}
@@ -86,9 +89,9 @@
 	h.options.Counters.Silent.Add(1)
 	klog.InfoS("Peer silent", "host", a.to.Host, "peer", a.to.PeerAddress, "waiting", len(p.attempts))
 	h.avoid(a.to.Host)
-	for _, end := range p.attempts {
-		if end != nil {
-			end()
+	for waiting := range p.attempts {
+		if waiting.onHint != nil {
+			waiting.onHint(hop.AnyHost)
 		}
 	}
 }
