--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -32,8 +32,10 @@
 	// a planned stop could use up the budget and fail the requests it moves.
 	Leaving
 	// NotRun: the gate refused it, no connection could be made, or a revoke
-	// established that it never started.
+	// established that it never started. It did not reach a backend server.
 	NotRun
+	// Rejected: the backend server itself said that it did not run it.
+	Rejected
 	// Lost: it was sent and what became of it is not known.
 	Lost
 )
@@ -61,12 +63,20 @@
 // nothing in the replays.
 const maxMoves = 2
 
+// leastTries is how many gates a request may be sent to, whatever MaxAttempts
+// says, as long as none of them passed it on: refused at a gate it has cost its
+// backend server nothing, and a planned stop refuses a request wherever it was sent.
+const leastTries = 3
+
 // Request follows one request through its attempts.
 type Request struct {
-	Idempotent  bool
+	Idempotent bool
+	// MaxAttempts is how many backend servers the request may reach.
 	MaxAttempts int
-	attempts    int
-	moves       int
+	// attempts counts all but moves, reached those that may have come to a server.
+	attempts int
+	reached  int
+	moves    int
 	// unknown: an earlier attempt of this idempotent request may have run.
 	unknown bool
 }
@@ -90,13 +100,16 @@
 		}
 		r.attempts--
 		return TryNamed
+	case Rejected:
+		r.reached++
 	case Lost:
+		r.reached++
 		if !r.Idempotent {
 			return GiveUpUnknown
 		}
 		r.unknown = true
 	}
-	if r.attempts >= r.MaxAttempts || !othersLeft {
+	if r.reached >= r.MaxAttempts || r.attempts >= max(r.MaxAttempts, leastTries) || !othersLeft {
 		return r.GiveUp()
 	}
 	if ended != Leaving && !budget.Take() {
@@ -108,10 +121,10 @@
 // Hedge tells whether a second attempt may run beside the first, for an
 // idempotent request whose server turned slow under it.
 func (r *Request) Hedge(budget *Budget) bool {
-	if !r.Idempotent || r.attempts+1 >= r.MaxAttempts || !budget.Take() {
+	if !r.Idempotent || r.reached+1 >= r.MaxAttempts || !budget.Take() {
 		return false
 	}
-	r.attempts++
+	r.reached++
 	return true
 }
 
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -25,6 +25,7 @@
 		{"attempts are limited", false, []Ended{NotRun, NotRun, NotRun}, GiveUpNotRun},
 		{"lost, then refused: it may have run", true, []Ended{Lost, NotRunAnywhere}, GiveUpUnknown},
 		{"lost, then moved too often: it may have run", true, []Ended{Lost, Moved, Moved, Moved}, GiveUpUnknown},
+		{"rejections by servers are limited", false, []Ended{Rejected, Rejected, Rejected}, GiveUpNotRun},
 		{"a restarted node is asked again", false, []Ended{Restarted}, TryNamed},
 	}
 	for _, c := range cases {
@@ -117,3 +118,16 @@
 func TestBudgetOfZeroAllowsNoRetry(t *testing.T) {
 	assert.Assert(t, !NewBudget(0).Take())
 }
+
+// A route allows one attempt. Its requests are refused by gates that drain: they
+// reached no backend server and go on to the next gate. One that a server
+// rejected has had its attempt.
+func TestRefusalAtAGateIsNoAttempt(t *testing.T) {
+	r := Request{MaxAttempts: 1}
+	budget := NewBudget(100)
+	assert.Equal(t, r.Next(Leaving, budget, true), TryOther)
+	assert.Equal(t, r.Next(NotRun, budget, true), TryOther)
+	assert.Equal(t, r.Next(NotRun, budget, true), GiveUpNotRun)
+	rejected := Request{MaxAttempts: 1}
+	assert.Equal(t, rejected.Next(Rejected, budget, true), GiveUpNotRun)
+}
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -59,7 +59,7 @@
 
 	{"what may have run is not sent again", "core/retry/retry.go", "if !r.Idempotent {\n\t\t\treturn GiveUpUnknown", "if false {\n\t\t\treturn GiveUpUnknown", "core/retry", ""},
 	{"an earlier lost attempt makes the outcome unknown", "core/retry/retry.go", "r.unknown = true", "", "core/retry", ""},
-	{"retries have a budget", "core/retry/retry.go", "if b.perMille == 0 || b.balance < budgetScale {", "if false {", "core/retry", ""},
+	{"retries have a budget", "core/retry/retry.go", "if b.perMille == 0 || b.earned+b.slack < almost {", "if false {", "core/retry", ""},
 	{"moves are limited", "core/retry/retry.go", "if r.moves > maxMoves {", "if false {", "core/retry", ""},
 	{"the measuring budget holds in every span", "core/measure/budget.go", "now-b.ring[b.first].at >= window", "now-b.ring[b.first].at >= window/2", "core/measure", ""},
 	{"an endpoint is picked although all seem unfit", "core/balancer/balancer.go", "c = p.pickAmong(now, tried, present)", "", "core/balancer", "AllUnfit"},
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -309,7 +309,7 @@
 	case hop.Broke:
 		return retry.Lost
 	case hop.Rejected:
-		return retry.NotRun
+		return retry.Rejected
 	}
 	if reply.Reason == gate.Draining {
 		c.s.setDraining(a.to)
