--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -254,7 +254,7 @@
 	if out.Stream != nil {
 		_ = http.NewResponseController(w).EnableFullDuplex()
 	}
-	c := &call{h: h, w: w, r: r, s: s, rules: rules, out: out, arrived: arrived, deadline: arrived.Add(timeout), caller: h.callerOf(r), route: route}
+	c := &call{h: h, w: w, r: r, s: s, rules: rules, out: out, arrived: arrived, deadline: arrived.Add(timeout - deliveryTime(timeout)), caller: h.callerOf(r), route: route}
 	c.id = [2]uint64{h.seed, h.request.Add(1)}
 	c.run()
 }
@@ -266,6 +266,18 @@
 	return h.options.CallerService()
 }
 
+const (
+	// mostDelivery and deliveryParts bound the time kept for an answer's way back. An
+	// answer at the very deadline comes after it: the caller has hung up by then,
+	// and what it sent behind this request on the same connection is lost with it.
+	mostDelivery  = 10 * time.Millisecond
+	deliveryParts = 20
+)
+
+func deliveryTime(timeout time.Duration) time.Duration {
+	return min(mostDelivery, timeout/deliveryParts)
+}
+
 // callerOf identifies the sender for fair shares: its address without the port,
 // or this host for processes on it. All nodes have callers on loopback; told by
 // that address alone they would share one place in every queue.
