trial: attempts that reached nobody cost no retry budget; near endpoints without room are not preferred

The dial timed out, and the retry budget was spent by servers that shed. Ruled out: dead peers (the hosts named served others at the time), the gates (no decision was logged).

--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -36,6 +36,8 @@
 	// avoidUntil: no new work before, since it could not be reached.
 	avoidUntil time.Duration
 	failures   int
+	// crowdedUntil: its gate had no room for a request a short while ago.
+	crowdedUntil time.Duration
 }
 
 // Policy picks among candidates, of which there is at least one. A policy may
@@ -53,6 +55,10 @@
 	// it one request tries again.
 	firstAvoidance   = 100 * time.Millisecond
 	longestAvoidance = 5 * time.Second
+	// crowdMemory is how long a candidate counts as crowded after its gate passed a
+	// request on or refused it. One node of a hundred sends a service a few requests
+	// a second: with less it would forget between two of them.
+	crowdMemory = time.Second
 )
 
 // Pool holds the candidates of one service.
@@ -175,6 +181,13 @@
 	}
 }
 
+// SetCrowded notes that a candidate's gate passed a request on, or refused it, for
+// lack of room.
+func (p *Pool) SetCrowded(now time.Duration, c *Candidate) { c.crowdedUntil = now + crowdMemory }
+
+// Crowded tells whether that happened a short while ago.
+func (c *Candidate) Crowded(now time.Duration) bool { return now < c.crowdedUntil }
+
 // SetDraining notes that a candidate's gate said it is leaving, ahead of the
 // directory.
 func (p *Pool) SetDraining(c *Candidate) { c.Draining = true }
--- a/core/balancer/nearby/nearby.go
+++ b/core/balancer/nearby/nearby.go
@@ -25,12 +25,21 @@
 // Name names the policy.
 func (p *policy) Name() string { return "nearby-" + p.inner.Name() }
 
+// roomy tells whether a near candidate is taken without a look at others. What
+// this caller has there says little where many callers share few near endpoints:
+// all would fill them, each within its own share, and the link in front of them
+// with bodies that are then sent again elsewhere. So a gate that had no room a
+// short while ago counts as well.
+func roomy(now time.Duration, c *balancer.Candidate) bool {
+	return float64(c.Outstanding) < roomShare*float64(max(1, c.Slots)) && !c.Crowded(now)
+}
+
 // Pick lets the inner policy choose among the near candidates that have room,
 // or among all when none has.
 func (p *policy) Pick(now time.Duration, candidates []*balancer.Candidate) *balancer.Candidate {
 	p.near = p.near[:0]
 	for _, c := range candidates {
-		if c.Near && float64(c.Outstanding) < roomShare*float64(max(1, c.Slots)) {
+		if c.Near && roomy(now, c) {
 			p.near = append(p.near, c)
 		}
 	}
--- a/core/balancer/nearby/nearby_test.go
+++ b/core/balancer/nearby/nearby_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -32,3 +33,16 @@
 		})
 	}
 }
+
+// The caller waits behind a full link. Thirty nodes share two near endpoints, each
+// with little outstanding there, so that the near ones always looked free: bodies
+// crossed their links, were passed on by the gate, and were sent again elsewhere.
+func TestCrowdedNearIsNotPreferred(t *testing.T) {
+	pool := balancer.NewPool(New(leastoutstanding.New(rand.New(rand.NewPCG(1, 2)))))
+	pool.Update([]balancer.Candidate{{Host: "far", Slots: 10}, {Host: "near", Near: true, Slots: 10}})
+	near := pool.Get("near")
+	pool.Start(near)
+	pool.SetCrowded(0, near)
+	assert.Equal(t, pool.Pick(time.Millisecond, nil).Host, "far")
+	assert.Equal(t, pool.Pick(time.Minute, nil).Host, "near")
+}
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -31,8 +31,13 @@
 	// of load, and happens once for each request in flight; it costs no budget, or
 	// a planned stop could use up the budget and fail the requests it moves.
 	Leaving
-	// NotRun: the gate refused it, no connection could be made, or a revoke
-	// established that it never started. It did not reach a backend server.
+	// Unreached: no connection could be made, to the endpoint's node or from there to
+	// its backend server. Nothing was sent, so that another attempt repeats nothing;
+	// it costs no budget, or one slow link would fail requests that every other
+	// endpoint could serve, while rejections elsewhere have used the budget up.
+	Unreached
+	// NotRun: the gate refused it, or a revoke established that it never started.
+	// It did not reach a backend server.
 	NotRun
 	// Rejected: the backend server itself said that it did not run it.
 	Rejected
@@ -112,7 +117,7 @@
 	if r.reached >= r.MaxAttempts || r.attempts >= max(r.MaxAttempts, leastTries) || !othersLeft {
 		return r.GiveUp()
 	}
-	if ended != Leaving && !budget.Take() {
+	if ended != Leaving && ended != Unreached && !budget.Take() {
 		return r.GiveUp()
 	}
 	return TryOther
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -19,6 +19,9 @@
 		{"two moves are allowed", false, []Ended{Moved, Moved}, TryNamed},
 		{"a third move gives up, and it did not run", false, []Ended{Moved, Moved, Moved}, GiveUpNotRun},
 		{"not run may go elsewhere", false, []Ended{NotRun}, TryOther},
+		{"what reached nobody may go elsewhere", false, []Ended{Unreached}, TryOther},
+		{"what reaches nobody is given up in the end", false, []Ended{Unreached, Unreached, Unreached}, GiveUpNotRun},
+		{"lost, then reaching nobody: it may have run", true, []Ended{Lost, Unreached, Unreached}, GiveUpUnknown},
 		{"full everywhere ends it at once", true, []Ended{NotRunAnywhere}, GiveUpNotRun},
 		{"a lost payment is never sent again", false, []Ended{Lost}, GiveUpUnknown},
 		{"a lost read may be sent again", true, []Ended{Lost}, TryOther},
@@ -49,7 +52,7 @@
 		budget := NewBudget(1000)
 		mayHaveRun := false
 		for range 12 {
-			ended := rapid.SampledFrom([]Ended{Moved, Restarted, NotRunAnywhere, NotRun, Lost}).Draw(t, "ended")
+			ended := rapid.SampledFrom([]Ended{Moved, Restarted, NotRunAnywhere, Unreached, NotRun, Lost}).Draw(t, "ended")
 			mayHaveRun = mayHaveRun || ended == Lost
 			action := r.Next(ended, budget, rapid.Bool().Draw(t, "others"))
 			if mayHaveRun && action == GiveUpNotRun {
@@ -131,3 +134,17 @@
 	rejected := Request{MaxAttempts: 1}
 	assert.Equal(t, rejected.Next(Rejected, budget, true), GiveUpNotRun)
 }
+
+// The caller sees a refusal although other endpoints have room. Servers of the
+// service reject requests and their retries use the budget up; then the link to
+// one host fills, its connections time out, and the requests sent there were
+// given up with most of their time left, for want of budget. Nothing was sent,
+// so the next attempt is the first to arrive.
+func TestUnreachedCostsNoBudget(t *testing.T) {
+	budget := NewBudget(0)
+	assert.Assert(t, !budget.Take())
+	r := Request{MaxAttempts: 3}
+	assert.Equal(t, r.Next(Unreached, budget, true), TryOther)
+	rejected := Request{MaxAttempts: 3}
+	assert.Equal(t, rejected.Next(Rejected, budget, true), GiveUpNotRun)
+}
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -302,6 +302,7 @@
 func (c *call) endOf(a attempt, reply hop.Reply) retry.Ended {
 	switch reply.Verdict {
 	case hop.Moved:
+		c.s.crowded(c.h.now(), a.to)
 		return retry.Moved
 	case hop.Restarted:
 		c.s.setIncarnation(a.to, reply.Incarnation)
@@ -310,10 +311,17 @@
 		return retry.Lost
 	case hop.Rejected:
 		return retry.Rejected
+	case hop.Unreached:
+		return retry.Unreached
 	}
-	if reply.Reason == gate.Draining {
+	switch reply.Reason {
+	case gate.Draining:
 		c.s.setDraining(a.to)
 		return retry.Leaving
+	case gate.Down:
+		return retry.Unreached
+	case gate.QueueFull, gate.TooLate:
+		c.s.crowded(c.h.now(), a.to)
 	}
 	if reply.Everywhere {
 		return retry.NotRunAnywhere
@@ -326,7 +334,7 @@
 	c.s.done(c.h.now(), a.to, false)
 	var dial *hop.DialError
 	if errors.As(err, &dial) {
-		return retry.NotRun
+		return retry.Unreached
 	}
 	if a.ctx.Err() != nil {
 		return retry.Lost
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -152,6 +152,12 @@
 	s.pool.Avoid(until, host)
 }
 
+func (s *service) crowded(now time.Duration, c *balancer.Candidate) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool.SetCrowded(now, c)
+}
+
 func (s *service) setDraining(c *balancer.Candidate) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
