--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -7,12 +7,10 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
 	"cactuspath/core/gate"
@@ -335,118 +333,6 @@
 	})
 }
 
-// forward sends a started request to the backend server.
-func (e *Endpoint) forward(ctx context.Context, handle gate.Handle, out *hop.Outgoing, reply hop.Reply) (*http.Response, hop.Reply) {
-	pool := e.backend.Load()
-	if pool == nil {
-		e.finish(handle, gate.NeverReached)
-		reply.Verdict = hop.Unreached
-		return nil, reply
-	}
-	left := time.Until(out.Deadline)
-	if left < time.Millisecond {
-		e.finish(handle, gate.NeverReached)
-		reply.Verdict, reply.Reason = hop.Refused, gate.TooLate
-		return nil, reply
-	}
-	started := time.Now()
-	resp, err := pool.Do(ctx, e.toBackend(out, left))
-	if err != nil {
-		reply = e.failed(ctx, handle, err, reply)
-		logs.Decision(true, "Backend server did not answer", "request", out.ID, "attempt", hop.FormatID(reply.ID), "host", e.options.Host, "verdict", reply.Verdict.String(),
-			"after", time.Since(started), "callerGone", ctx.Err() != nil, "err", err)
-		return nil, reply
-	}
-	e.failures.Store(0)
-	e.heard()
-	e.observe(resp.Header)
-	if e.options.Dialect.SaysNotRun(resp) {
-		return nil, e.rejected(handle, resp, reply)
-	}
-	outcome := gate.Completed
-	if resp.StatusCode >= http.StatusInternalServerError {
-		outcome = gate.Failed
-	}
-	resp.Body = &runningBody{ReadCloser: resp.Body, end: func(cut bool) {
-		switch {
-		case ctx.Err() != nil:
-			outcome = gate.Abandoned
-		case cut:
-			outcome = gate.Failed
-		}
-		e.finish(handle, outcome)
-		e.options.Counters.Ran.Observe(time.Since(started))
-		if outcome != gate.Completed {
-			logs.Decision(true, "Backend server failed", "request", out.ID, "attempt", hop.FormatID(reply.ID), "host", e.options.Host, "status", resp.StatusCode,
-				"after", time.Since(started), "cut", cut, "callerGone", ctx.Err() != nil)
-		}
-	}}
-	return resp, reply
-}
-
-// observe takes in the load that came with an answer.
-func (e *Endpoint) observe(h http.Header) {
-	dialect := e.options.Dialect
-	if dialect.Load == "" || dialect.ParseLoad == nil {
-		return
-	}
-	value := h.Get(dialect.Load)
-	if value == "" {
-		return
-	}
-	load, ok := dialect.ParseLoad(value)
-	if !ok {
-		e.options.Counters.LoadMalformed.Add(1)
-		return
-	}
-	e.observed.Store(int64(e.now()))
-	e.with(func(now time.Duration) []gate.Event { return e.gate.Observe(now, load.Slowdown) })
-}
-
-// toBackend is the request as the backend server gets it: with what is left of
-// its time now, after it waited, and for the instance that this gate stands for.
-func (e *Endpoint) toBackend(out *hop.Outgoing, left time.Duration) *hop.Outgoing {
-	sent := *out
-	dialect := e.options.Dialect
-	sent.Unasked = true
-	sent.Extra = []hop.Field{{Name: dialect.TimeoutField(), Value: strconv.FormatInt(left.Milliseconds(), 10)}, {Name: hop.ServiceHeader}}
-	if instance := e.instance.Load(); dialect.ExpectInstance != "" && instance != nil {
-		sent.Extra = append(sent.Extra, hop.Field{Name: dialect.ExpectInstance, Value: *instance})
-	}
-	return &sent
-}
-
-// rejected takes in an answer which says that the request did not run.
-func (e *Endpoint) rejected(handle gate.Handle, resp *http.Response, reply hop.Reply) hop.Reply {
-	_, _ = io.Copy(io.Discard, resp.Body)
-	_ = resp.Body.Close()
-	e.finish(handle, gate.NeverReached)
-	reply.Verdict = hop.Rejected
-	logs.Decision(true, "Backend server rejected", "attempt", hop.FormatID(reply.ID), "host", e.options.Host, "status", resp.StatusCode,
-		"otherInstance", e.options.Dialect.OtherInstance(resp))
-	return reply
-}
-
-func (e *Endpoint) failed(ctx context.Context, handle gate.Handle, err error, reply hop.Reply) hop.Reply {
-	var dial *hop.DialError
-	switch {
-	case errors.As(err, &dial):
-		e.finish(handle, gate.NeverReached)
-		reply.Verdict = hop.Unreached
-		if ctx.Err() == nil && e.failures.Add(1) == dialFailures {
-			e.setDown(true)
-			go e.probe()
-		}
-	case ctx.Err() != nil:
-		e.finish(handle, gate.Abandoned)
-		reply.Verdict = hop.Broke
-	default:
-		e.finish(handle, gate.Failed)
-		reply.Verdict = hop.Broke
-	}
-	return reply
-}
-
 func (e *Endpoint) setDown(down bool) {
 	if e.down.Swap(down) == down {
 		return
@@ -492,33 +378,3 @@
 	_ = resp.Body.Close()
 	return true
 }
-
-// runningBody frees the slot once, when the answer's body ends.
-type runningBody struct {
-	io.ReadCloser
-	end   func(cut bool)
-	ended bool
-}
-
-// Read reads the answer's body.
-func (b *runningBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if err != nil {
-		b.once(!errors.Is(err, io.EOF))
-	}
-	return n, err
-}
-
-// Close frees the slot if the body was not read to its end.
-func (b *runningBody) Close() error {
-	err := b.ReadCloser.Close()
-	b.once(true)
-	return err
-}
-
-func (b *runningBody) once(cut bool) {
-	if !b.ended {
-		b.ended = true
-		b.end(cut)
-	}
-}
