A line for a peer that was not reached; one walk for the queue ahead

Cause: tracing requests given up as not run with an empty reason took the caller's log, the gate's and the network's together, for nothing said that the dial had failed.

--- a/core/gate/admit.go
+++ b/core/gate/admit.go
@@ -27,7 +27,8 @@
 
 // finishIn estimates how long a request that arrives now would take in all.
 func (g *Gate) finishIn(now time.Duration, it *item) time.Duration {
-	return g.waitBehind(now, g.queue.ahead(it.rank), g.queue.workAhead(it.rank)) + g.serviceOf(now, it.Request, g.running+1)
+	ahead, work := g.queue.ahead(it.rank)
+	return g.waitBehind(now, ahead, work) + g.serviceOf(now, it.Request, g.running+1)
 }
 
 // room refuses a request that would not fit or not finish in time. The refusal
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -215,7 +215,8 @@
 
 // starts tells whether an arriving request may run at once.
 func (g *Gate) starts(now time.Duration, it *item) bool {
-	return g.roomFor(now, it.Request) > 0 && g.queue.ahead(it.rank) == 0
+	ahead, _ := g.queue.ahead(it.rank)
+	return g.roomFor(now, it.Request) > 0 && ahead == 0
 }
 
 func (g *Gate) run(now time.Duration, it *item) {
--- a/core/gate/rank.go
+++ b/core/gate/rank.go
@@ -110,29 +110,17 @@
 	return q.ranks[len(q.ranks)-1]
 }
 
-// ahead counts the waiting requests that are served before a newcomer of the rank.
-func (q *rankedQueue) ahead(r rank) int {
-	n := 0
+// ahead counts the waiting requests that are served before a newcomer of the rank,
+// and sums up their usual work, in nanoseconds.
+func (q *rankedQueue) ahead(r rank) (n int, work float64) {
 	for _, held := range q.ranks {
 		if r.before(held.rank) {
 			break
 		}
 		n += held.size
-	}
-	return n
-}
-
-// workAhead is the usual work of the waiting requests that are served before a
-// newcomer of the rank, in nanoseconds.
-func (q *rankedQueue) workAhead(r rank) float64 {
-	work := 0.0
-	for _, held := range q.ranks {
-		if r.before(held.rank) {
-			break
-		}
 		work += held.work
 	}
-	return work
+	return n, work
 }
 
 // work is the usual work of all that wait.
--- a/internal/proxy/ends.go
+++ b/internal/proxy/ends.go
@@ -67,6 +67,7 @@
 	c.s.done(c.h.now(), a.to, false)
 	var dial *hop.DialError
 	if errors.As(err, &dial) {
+		logs.Decision(true, "Peer not reached", "request", c.requestID(), "attempt", hop.FormatID(a.id), "to", a.to.Host, "after", time.Since(a.sent), "err", err)
 		return retry.Unreached
 	}
 	if a.ctx.Err() != nil {
