--- a/internal/soak/backend_test.go
+++ b/internal/soak/backend_test.go
@@ -24,12 +24,6 @@
 	afterDrain []string
 }
 
-func (r *runs) of(id string) int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.count[id]
-}
-
 // backend is a backend server in this process, announced to the node beside it.
 type backend struct {
 	address string
