The tests of a planned stop and a drain wait until both backend servers are known

Its logs show that the second backend server announced itself 1.5 s after the first host's planned stop began, so that the service had no endpoint left and no-endpoint was the right answer; the test waited for the first answer only, which says nothing of the second server. Ruled out: the stop itself (host-1 drained in order, nothing cut). The condition is now waited for; what is checked stays the same. The drain's test had the same gap.

--- a/internal/e2e/centers_test.go
+++ b/internal/e2e/centers_test.go
@@ -57,7 +57,7 @@
 	front := c.addNode("")
 	c.submit(estateText("work", "work"))
 	front.serves(t, "work")
-	eventually(t, "both endpoints are known", func() bool { return number(front.vars(t), "directory_known_endpoints") == 2 })
+	front.knows(t, 2)
 	stalled.signal(syscall.SIGSTOP)
 	const requests, slots = 16, 4
 	var answered atomic.Int64
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -326,6 +326,14 @@
 	})
 }
 
+// knows waits until a node knows the number of endpoints.
+func (n *nodeProc) knows(t testing.TB, endpoints int) {
+	t.Helper()
+	eventually(t, fmt.Sprintf("%s knows %d endpoints", n.host, endpoints), func() bool {
+		return number(n.vars(t), "directory_known_endpoints") == float64(endpoints)
+	})
+}
+
 // vars reads a node's metrics.
 func (n *nodeProc) vars(t testing.TB) map[string]any {
 	t.Helper()
--- a/internal/e2e/path_test.go
+++ b/internal/e2e/path_test.go
@@ -120,6 +120,8 @@
 	front := c.addNode("")
 	c.submit(estateText("hello", "hello"))
 	front.serves(t, "hello")
+	// Without the second backend server, the stop would leave the service with none.
+	front.knows(t, 2)
 	var answered, bad atomic.Int64
 	var wait sync.WaitGroup
 	var stop atomic.Bool
@@ -186,6 +188,7 @@
 	front := c.addNode("")
 	c.submit(estateText("hello", "hello"))
 	front.serves(t, "hello")
+	front.knows(t, 2)
 	code, out := c.ctl("drain", one.host)
 	assert.Equal(t, code, 0, out)
 	assert.Assert(t, strings.Contains(out, one.host+" is safe to stop"), out)
