Seeds of the soak that failed beside thirty runnable processes are listed as open

209, 210 and 237: late final answers on all four nodes at once, at a load of 27 to 31 on eight cores; logs: every process, also unpaused ones, has gaps of 2 to 4 s in the same seconds, and a read deadline of 1.5 s fired after 4.9 s. The three are green when run again at a load of 16 to 18. No check is changed.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -31,6 +31,11 @@
 	132, // a node that was down lost its port to another process: picked from the range of outgoing connections
 }
 
+// Open: seeds 209, 210 and 237 had final answers up to 5 s late, on all nodes at
+// once, on eight cores with about 30 runnable processes; a read's
+// deadline fired 3.4 s late in a process that nobody had paused. All three hold on
+// the same machine at half that load. They take the short run over its minute.
+
 // short are the seeds of a run without flags.
 var short = []uint64{1, 2}
 
