A shutdown closes a connection whose answer was just written

A shutdown that looked between a request's answer and its being counted out took the connection for busy; nothing closed it then. Read from conn.go; ended() now looks again, in an order that one of both must see the other.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -374,10 +374,20 @@
 	w.finish()
 }
 
+// ended counts a request out. A shutdown that looked between its answer and this
+// took the connection for busy and left it; without the second look here it would
+// stay open until its idle time is over, and hold the shutdown up.
 func (c *conn) ended() {
 	c.mu.Lock()
 	c.pending--
+	closing := c.closing
 	c.mu.Unlock()
+	c.server.mu.Lock()
+	closed := c.server.closed
+	c.server.mu.Unlock()
+	if closed && !closing {
+		c.closeIfIdle()
+	}
 }
 
 // lastWord tells whether the answer that is about to go out is the connection's
