A connection that a shutdown finds just answered ends as after any last answer

Now the request that is counted out last in a shutdown makes its answer the connection's last, and closeIfLast ends it gently as always; the flag is atomic, so that a request takes no lock of the server. The reader sets its idle deadline under the connection's lock: set after the one that ends the connection, it undid that one.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -143,14 +143,10 @@
 // a connection that ends under them means that their caller is gone.
 func (c *conn) waitForRequest(limits *Limits) bool {
 	for {
-		c.mu.Lock()
-		busy, closing := c.pending > 0, c.closing
-		c.mu.Unlock()
-		if closing && !busy {
+		if !c.awaits(limits) {
 			return false
 		}
 		// Blank lines between requests are allowed.
-		_ = c.raw.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
 		b, err := c.reader.Peek(1)
 		switch {
 		case err == nil && (b[0] == '\r' || b[0] == '\n'):
@@ -167,6 +163,19 @@
 	}
 }
 
+// awaits tells whether another request may come, and gives it the idle time. Both
+// under the lock: a deadline set here after the one that ends the connection would
+// undo that one, and leave the reader waiting on a connection that has ended.
+func (c *conn) awaits(limits *Limits) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing && c.pending == 0 {
+		return false
+	}
+	_ = c.raw.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
+	return true
+}
+
 func (c *conn) busy() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -366,7 +375,7 @@
 			}
 			w.abort()
 		}
-		c.ended()
+		w.last = c.ended() || w.last
 		close(w.done)
 		w.closeIfLast()
 	}()
@@ -374,20 +383,18 @@
 	w.finish()
 }
 
-// ended counts a request out. A shutdown that looked between its answer and this
-// took the connection for busy and left it; without the second look here it would
-// stay open until its idle time is over, and hold the shutdown up.
-func (c *conn) ended() {
+// ended counts a request out and tells whether its connection ends. A shutdown
+// that looked between the answer and this took the connection for busy and left
+// it; without the second look here it would stay open until its idle time is
+// over, and hold the shutdown up.
+func (c *conn) ended() bool {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.pending--
-	closing := c.closing
-	c.mu.Unlock()
-	c.server.mu.Lock()
-	closed := c.server.closed
-	c.server.mu.Unlock()
-	if closed && !closing {
-		c.closeIfIdle()
+	if c.pending == 0 && c.server.closed.Load() {
+		c.closing = true
 	}
+	return c.closing
 }
 
 // lastWord tells whether the answer that is about to go out is the connection's
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -389,3 +389,18 @@
 		}
 	})
 }
+
+// The caller's connection stays open and holds a planned stop up. Its answer went
+// out, a shutdown took the connection for busy, and only then was the request
+// counted out: nobody looked at the connection again.
+func TestShutdownBehindAnAnswerEndsItsConnection(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	s := New(http.NotFoundHandler())
+	c := newConn(s, near, t.Context(), func() {})
+	s.conns[c], c.pending = true, 1
+	assert.Assert(t, !c.lastWord(false), "the answer goes out before the shutdown")
+	assert.NilError(t, s.Shutdown(t.Context()))
+	assert.Assert(t, c.ended())
+	assert.Assert(t, !c.awaits(s.limits.Load()))
+}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -55,10 +55,11 @@
 	h2conns *handover
 
 	draining atomic.Bool
+	// closed is set under mu, so that no connection starts unseen behind it.
+	closed   atomic.Bool
 	mu       sync.Mutex
 	listener net.Listener
 	conns    map[*conn]bool
-	closed   bool
 	wait     sync.WaitGroup
 }
 
@@ -96,10 +97,7 @@
 	for {
 		raw, err := l.Accept()
 		if err != nil {
-			s.mu.Lock()
-			closed := s.closed
-			s.mu.Unlock()
-			if closed {
+			if s.closed.Load() {
 				return http.ErrServerClosed
 			}
 			if temporary(err) {
@@ -126,7 +124,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	c := newConn(s, raw, ctx, cancel)
 	s.mu.Lock()
-	if s.closed {
+	if s.closed.Load() {
 		s.mu.Unlock()
 		cancel()
 		_ = raw.Close()
@@ -153,7 +151,7 @@
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.Drain()
 	s.mu.Lock()
-	s.closed = true
+	s.closed.Store(true)
 	if s.listener != nil {
 		_ = s.listener.Close()
 	}
@@ -178,7 +176,7 @@
 // Close cuts every connection.
 func (s *Server) Close() error {
 	s.mu.Lock()
-	s.closed = true
+	s.closed.Store(true)
 	if s.listener != nil {
 		_ = s.listener.Close()
 	}
