--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -142,35 +142,30 @@
 }
 
 func (h *Handler) service(name string) *service {
-	h.mu.RLock()
-	s := h.services[name]
-	h.mu.RUnlock()
-	if s != nil {
-		return s
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if s = h.services[name]; s == nil {
-		s = newService(name)
-		h.services[name] = s
-	}
-	return s
+	return held(h, h.services, name, func() *service { return newService(name) })
 }
 
 func (h *Handler) peer(address string) *hop.Pool {
+	return held(h, h.peers, address, func() *hop.Pool { return hop.NewPool(address, h.options.Security) })
+}
+
+// held returns what one of the handler's maps has under the key, and creates it
+// if it is missing. Every attempt comes here: only the first takes the lock that
+// keeps others out.
+func held[V any](h *Handler, all map[string]*V, key string, create func() *V) *V {
 	h.mu.RLock()
-	p := h.peers[address]
+	v := all[key]
 	h.mu.RUnlock()
-	if p != nil {
-		return p
+	if v != nil {
+		return v
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if p = h.peers[address]; p == nil {
-		p = hop.NewPool(address, h.options.Security)
-		h.peers[address] = p
+	if v = all[key]; v == nil {
+		v = create()
+		all[key] = v
 	}
-	return p
+	return v
 }
 
 // Distance is the measured one-way delay to a peer, or 0 if not known.
--- a/internal/proxy/silence.go
+++ b/internal/proxy/silence.go
@@ -35,14 +35,7 @@
 }
 
 func (h *Handler) pendingAt(address string) *pending {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	p := h.pending[address]
-	if p == nil {
-		p = &pending{attempts: map[*attempt]bool{}}
-		h.pending[address] = p
-	}
-	return p
+	return held(h, h.pending, address, func() *pending { return &pending{attempts: map[*attempt]bool{}} })
 }
 
 // watch has the peer asked when it stays quiet. The function it returns ends the
