What an attempt knows of its endpoint is copied when it is picked

Cause: go test -race ./internal/proxy reports it in TestReadLeavesAFrozenHostAndAPaymentWaits: the question for a sign of life, new with the silence watch, reads the candidate's address while the directory's update rewrites it; the call, the revoke and the log line read the same entry without the lock as well. A torn address could be half of one and half of another. The service now hands out a copy taken under its lock, so that all of them are mended at once and not the one that the detector happened to see.

--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -11,7 +11,6 @@
 	"k8s.io/klog/v2"
 
 	"cactuspath/api/fault"
-	"cactuspath/core/balancer"
 	"cactuspath/core/gate"
 	"cactuspath/core/retry"
 	"cactuspath/internal/hop"
@@ -65,7 +64,7 @@
 
 // attempt is one try at one endpoint.
 type attempt struct {
-	to          *balancer.Candidate
+	to          *picked
 	id          gate.AttemptID
 	incarnation uint64
 	sent        time.Time
@@ -84,7 +83,7 @@
 // result is how one attempt ended. The response is nil unless the backend server
 // answered.
 type result struct {
-	to    *balancer.Candidate
+	to    *picked
 	resp  *http.Response
 	ended retry.Ended
 	// reply is what the endpoint's node said, if it said anything (reached).
@@ -136,7 +135,7 @@
 
 // follow makes one attempt, or two side by side where a hint says that the first
 // one is stuck; it returns the one that counts.
-func (c *call) follow(to *balancer.Candidate) result {
+func (c *call) follow(to *picked) result {
 	if !c.hedgeable() {
 		r := c.try(c.r.Context(), to, c.next(), nil)
 		c.note(r)
@@ -169,7 +168,7 @@
 
 // named is the endpoint that the last reply asks to try; if it is not known
 // here, any other.
-func (c *call) named(ended retry.Ended, last *balancer.Candidate) *balancer.Candidate {
+func (c *call) named(ended retry.Ended, last *picked) *picked {
 	host := last.Host
 	if ended == retry.Moved {
 		c.h.options.Counters.Moves.Add(1)
@@ -182,7 +181,7 @@
 }
 
 // try makes one attempt, which ends early when ctx does. OnHint may be nil.
-func (c *call) try(ctx context.Context, to *balancer.Candidate, number uint32, onHint func(to string)) result {
+func (c *call) try(ctx context.Context, to *picked, number uint32, onHint func(to string)) result {
 	a := attempt{ctx: ctx, to: to, id: gate.AttemptID{Request: c.id, Attempt: number}, incarnation: to.Incarnation, sent: time.Now(), onHint: onHint}
 	timeout := c.deadline.Sub(a.sent)
 	if timeout <= 0 {
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -5,7 +5,6 @@
 	"io"
 	"time"
 
-	"cactuspath/core/balancer"
 	"cactuspath/core/retry"
 	"cactuspath/internal/logs"
 )
@@ -27,7 +26,7 @@
 
 // race makes an attempt and, on a hint, a second one beside it. It returns the
 // first that was answered, or the one that says most when none is.
-func (c *call) race(to *balancer.Candidate) result {
+func (c *call) race(to *picked) result {
 	hints := make(chan string, maxRacing)
 	first := c.start(to, hints)
 	second := racer{}
@@ -58,7 +57,7 @@
 	return last
 }
 
-func (c *call) start(to *balancer.Candidate, hints chan<- string) racer {
+func (c *call) start(to *picked, hints chan<- string) racer {
 	ctx, cancel := context.WithCancel(c.r.Context())
 	r := racer{cancel: cancel, ended: make(chan result, 1)}
 	number := c.next()
@@ -78,7 +77,7 @@
 }
 
 // second picks the endpoint of a second attempt, if one may be made.
-func (c *call) second(first *balancer.Candidate, host string) *balancer.Candidate {
+func (c *call) second(first *picked, host string) *picked {
 	if c.hedged || host == first.Host || time.Until(c.deadline) <= 0 {
 		return nil
 	}
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -29,6 +29,22 @@
 	refilled time.Time
 }
 
+// picked is a candidate as it was when it was chosen. The pool's own entry, held,
+// changes with the directory while attempts run; read without the service's lock,
+// its address could be half of one and half of another.
+type picked struct {
+	balancer.Candidate
+	held *balancer.Candidate
+}
+
+// pick copies what the pool chose; the caller holds the lock. It is nil if c is.
+func pick(c *balancer.Candidate) *picked {
+	if c == nil {
+		return nil
+	}
+	return &picked{Candidate: *c, held: c}
+}
+
 // Shared is a budget of second attempts that all nodes have together.
 type Shared struct {
 	Ratio, Slack float64
@@ -82,7 +98,7 @@
 // hedge takes a second attempt beside the first out of the budget and returns
 // its endpoint, counted as picked: the host named, or any but the stuck one. It
 // is nil if there is none or the budget is spent.
-func (s *service) hedge(now time.Duration, rules *retry.Request, host, stuck string) *balancer.Candidate {
+func (s *service) hedge(now time.Duration, rules *retry.Request, host, stuck string) *picked {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	named := s.pool.Get(host)
@@ -94,10 +110,10 @@
 		return nil
 	}
 	if host == hop.AnyHost {
-		return s.pool.Pick(now, []string{stuck})
+		return pick(s.pool.Pick(now, []string{stuck}))
 	}
 	s.pool.Start(named)
-	return named
+	return pick(named)
 }
 
 func (s *service) update(candidates []balancer.Candidate) {
@@ -116,27 +132,27 @@
 	return s.spec, rules
 }
 
-func (s *service) pick(now time.Duration, tried []string) *balancer.Candidate {
+func (s *service) pick(now time.Duration, tried []string) *picked {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.pool.Pick(now, tried)
+	return pick(s.pool.Pick(now, tried))
 }
 
 // named returns the candidate with the host, counted as picked, or nil.
-func (s *service) named(host string) *balancer.Candidate {
+func (s *service) named(host string) *picked {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.pool.Get(host)
 	if c != nil {
 		s.pool.Start(c)
 	}
-	return c
+	return pick(c)
 }
 
-func (s *service) done(now time.Duration, c *balancer.Candidate, reached bool) {
+func (s *service) done(now time.Duration, to *picked, reached bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pool.Done(now, c, reached)
+	s.pool.Done(now, to.held, reached)
 }
 
 func (s *service) next(rules *retry.Request, ended retry.Ended, tried []string) retry.Action {
@@ -152,22 +168,22 @@
 	s.pool.Avoid(until, host)
 }
 
-func (s *service) crowded(now time.Duration, c *balancer.Candidate) {
+func (s *service) crowded(now time.Duration, to *picked) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pool.SetCrowded(now, c)
+	s.pool.SetCrowded(now, to.held)
 }
 
-func (s *service) setDraining(c *balancer.Candidate) {
+func (s *service) setDraining(to *picked) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pool.SetDraining(c)
+	s.pool.SetDraining(to.held)
 }
 
-func (s *service) setIncarnation(c *balancer.Candidate, incarnation uint64) {
+func (s *service) setIncarnation(to *picked, incarnation uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pool.SetIncarnation(c, incarnation)
+	s.pool.SetIncarnation(to.held, incarnation)
 }
 
 func (s *service) endpoints() int {
