Twins made one: what a node's claim is, and how running requests become mixed

member and watcher each put the claim together; the watcher also rendered the whole entry twenty times a second, to send it once in 30 s. noteCrowd and endCrowd were the same loop over another kind. Behaviour is unchanged; tests of core/gate, internal/node and the list of mutations pass.

--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -225,16 +225,17 @@
 	it.crowding = roomy
 	if isCrowd(g.running, g.config.Slots) {
 		it.crowding = full
-		g.noteCrowd()
+		g.mix(roomy)
 	}
 	g.estimate.start(now)
 	g.emit(Event{Kind: Started, Handle: it.Handle})
 }
 
-// noteCrowd marks the requests that began before the server filled up.
-func (g *Gate) noteCrowd() {
+// mix marks running requests of one kind as mixed: the server filled up, or
+// thinned out, while they ran.
+func (g *Gate) mix(kind crowding) {
 	for _, other := range g.items {
-		if other.state == stateRunning && other.crowding == roomy {
+		if other.state == stateRunning && other.crowding == kind {
 			other.crowding = mixed
 		}
 	}
@@ -287,7 +288,7 @@
 	}
 	g.running--
 	if !isCrowd(g.running, g.config.Slots) {
-		g.endCrowd()
+		g.mix(full)
 	}
 	delete(g.items, h)
 	delete(g.byID, it.ID)
@@ -308,15 +309,6 @@
 	return g.take()
 }
 
-// endCrowd marks the requests that go on after the crowd has thinned out.
-func (g *Gate) endCrowd() {
-	for _, other := range g.items {
-		if other.state == stateRunning && other.crowding == full {
-			other.crowding = mixed
-		}
-	}
-}
-
 // Cancel takes out a request that has not started; one that runs is left to
 // the driver, which ends it by Finish.
 func (g *Gate) Cancel(now time.Duration, h Handle) []Event {
--- a/internal/node/member.go
+++ b/internal/node/member.go
@@ -285,7 +285,7 @@
 // before.
 func (m *member) worthAnnouncing() bool {
 	n := m.n
-	now := claim{n.incarnation.Load(), n.sequence, n.state()}
+	now := n.claim()
 	if now == m.announced {
 		return false
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -318,6 +318,9 @@
 	return e
 }
 
+// claim is what an entry would say anew; the caller holds the lock.
+func (n *Node) claim() claim { return claim{n.incarnation.Load(), n.sequence, n.state()} }
+
 func (n *Node) state() apiv1.EndpointState {
 	switch {
 	case n.departed:
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -171,10 +171,14 @@
 	var at time.Time
 	for {
 		w.n.mu.Lock()
-		now := claim{w.n.incarnation.Load(), w.n.sequence, w.n.state()}
-		entry := w.n.entry("")
+		now := w.n.claim()
+		due := now != told || time.Since(at) > announceEvery
+		var entry *apiv1.Entry
+		if due {
+			entry = w.n.entry("")
+		}
 		w.n.mu.Unlock()
-		if now != told || time.Since(at) > announceEvery {
+		if due {
 			told, at = now, time.Now()
 			w.announceTo(ctx, w.addresses(), entry)
 		}
