A gate tells a slowness that lasts from the noise of neighbours

Cause: a backend server that tells a slowdown of 12 for nine seconds was taken to be its usual self again after 300 ms, so that 160 ms of work were expected to take 570 ms there and not 1.9 s. Change: the smallest figure of the last 1.5 to 2 s counts as lasting.

--- a/core/gate/slowdown.go
+++ b/core/gate/slowdown.go
@@ -18,6 +18,13 @@
 	// spell is how long a slow time is taken to last from any moment on. Slow times
 	// change by the half second; a longer assumption refuses what would end in time.
 	spell = 300 * time.Millisecond
+	// lastingSpan and lastingSpans bound how far back the lasting part of a slowdown
+	// is looked for: the smallest figure of one and a half to two seconds. Noise of
+	// neighbours that is on for a third of the time, drawn anew each half second,
+	// stays on so long once in thirty times; a server that is slow of itself shows
+	// no smaller figure however long one waits.
+	lastingSpan  = 500 * time.Millisecond
+	lastingSpans = 4
 	// demandGain moves the mean demand, per completion: some thirty completions.
 	demandGain = 1.0 / 30
 	// typicalGain moves the typical rate of progress, per second.
@@ -45,7 +52,8 @@
 	worked  float64 // nanoseconds of work at the usual speed
 	demand  mean
 	classes map[string]*mean
-	typical float64 // mean rate of progress, 0 to 1
+	typical float64 // mean rate of progress over that of the lasting slowdown, 0 to 1
+	lasting lasting
 	guess   float64 // of the mean demand, from aims
 	crowd   crowd
 }
@@ -74,14 +82,49 @@
 	s.worked += elapsed / s.factor
 	if s.known {
 		weight := 1 - math.Exp(-elapsed*typicalGain/float64(time.Second))
-		s.typical += (1/s.factor - s.typical) * weight
+		s.typical += (s.lasting.least()/s.factor - s.typical) * weight
 	}
 }
 
+// lasting finds the part of a slowdown that stays: the smallest of the recent
+// figures. A server that is twelve times slower for ten seconds was taken to be
+// its usual self again in a moment, and given requests that it could not end in
+// their time.
+type lasting struct {
+	// minima are the smallest figures of the last spans, the newest at span.
+	minima [lastingSpans]float64
+	span   int64
+}
+
+// tell takes in a figure.
+func (l *lasting) tell(now time.Duration, factor float64) {
+	span := int64(now / lastingSpan)
+	l.span = max(l.span, span-lastingSpans)
+	for l.span < span {
+		l.span++
+		l.minima[l.span%lastingSpans] = 0
+	}
+	held := &l.minima[span%lastingSpans]
+	if *held == 0 || factor < *held {
+		*held = factor
+	}
+}
+
+// least is the smallest figure of the recent spans. It is 1 until one is heard in
+// each of them: less would take a short slow time for a lasting one.
+func (l *lasting) least() float64 {
+	least := l.minima[0]
+	for _, m := range l.minima {
+		least = min(least, m)
+	}
+	return max(1, least)
+}
+
 // tell takes in a figure.
 func (s *slowdown) tell(now time.Duration, factor float64) {
 	s.advance(now)
 	s.factor, s.told, s.known = max(1, factor), now, true
+	s.lasting.tell(now, s.factor)
 }
 
 // fresh tells whether the figure may be relied on.
@@ -159,7 +202,13 @@
 		return time.Duration(atOnce)
 	}
 	left := demand - float64(spell)/s.factor
-	return spell + time.Duration(left/max(s.typical, slowestRate))
+	return spell + time.Duration(left*s.lasting.least()/max(s.typical, slowestRate))
+}
+
+// atBest is the time that work of the demand takes if nothing slows the server
+// but what lasts.
+func (s *slowdown) atBest(demand float64) time.Duration {
+	return time.Duration(demand * s.lasting.least())
 }
 
 // Observe takes in what the backend server says of its load.
@@ -227,6 +276,24 @@
 	return list
 }
 
+// Speed is what the gate goes by when it predicts how long requests take.
+type Speed struct {
+	// Slowdown is how many times longer than usual work takes; 1 if the server does
+	// not tell. Lasting is the part of it that is taken to stay.
+	Slowdown, Lasting float64
+	// Usual is the mean time of a request at the usual speed.
+	Usual time.Duration
+}
+
+// Speed tells what the gate predicts by.
+func (g *Gate) Speed(now time.Duration) Speed {
+	s := Speed{Slowdown: 1, Lasting: g.slow.lasting.least(), Usual: time.Duration(g.slow.usual())}
+	if g.told(now) {
+		s.Slowdown = g.slow.factor
+	}
+	return s
+}
+
 // told tells whether the server's own figure is what the gate goes by.
 func (g *Gate) told(now time.Duration) bool { return g.slow.fresh(now) }
 
@@ -252,5 +319,5 @@
 	if !g.told(now) {
 		return 0
 	}
-	return time.Duration(g.slow.demandOf(r))
+	return g.slow.atBest(g.slow.demandOf(r))
 }
--- a/core/gate/slowdown_test.go
+++ b/core/gate/slowdown_test.go
@@ -113,3 +113,67 @@
 	// Two run; of work of 100 ms on two slots some four more make an aim of 300 ms.
 	assert.Assert(t, waiting >= 2 && waiting <= 6, "%d wait", waiting)
 }
+
+// A server turns twelve times slower for good, not for the half second that a
+// neighbour takes. A caller whose request waits 160 ms of work elsewhere got its
+// deadline's end here: the gate thought that the slow time was nearly over.
+// After two seconds of no better figure the slowness is taken to last.
+func TestSlownessThatLastsIsNotTakenToBeNearlyOver(t *testing.T) {
+	g, now := toldGate(10)
+	siblingAt(g, now, "b", Load{Slots: 10, Service: 900 * ms})
+	for range 25 {
+		g.Observe(now, 12)
+		now += 100 * ms
+	}
+	siblingAt(g, now, "b", Load{Slots: 10, Service: 600 * ms})
+	load := g.Load(now)
+	assert.Assert(t, load.Service > 1000*ms, "siblings are told that 100 ms of work take %v here", load.Service)
+	events := g.Arrive(now, classed(1, "work", 400*ms, now))
+	assert.Equal(t, events[0].Kind, Moved)
+}
+
+// Where a server that is slow for good is the only one, a request that cannot end
+// in its time is refused at once: it would hold a slot until its deadline, and
+// its caller learn only then that it has to look elsewhere.
+func TestServerSlowForGoodRefusesWhatItCannotEnd(t *testing.T) {
+	g, now := toldGate(2)
+	for range 25 {
+		g.Observe(now, 12)
+		now += 100 * ms
+	}
+	for h := Handle(1); h <= 2; h++ {
+		g.Arrive(now, classed(h, "work", 400*ms, now))
+	}
+	r := classed(3, "work", 400*ms, now)
+	r.Deadline = now + 1000*ms
+	events := g.Arrive(now, r)
+	assert.Equal(t, events[0].Kind, Refused)
+	assert.Equal(t, events[0].Reason, TooLate)
+}
+
+// The neighbour's noise: seven times slower for half a second now and then. The
+// smallest recent figure is the usual one, so that nothing is held to last.
+func TestNoiseOfNeighboursIsNotTakenToLast(t *testing.T) {
+	g, now := toldGate(10)
+	for i := range 60 {
+		factor := 1.0
+		if i/5%3 != 0 {
+			factor = 7
+		}
+		g.Observe(now, factor)
+		now += 100 * ms
+		assert.Equal(t, g.Speed(now).Lasting, 1.0)
+	}
+}
+
+// The slowness that lasted is over with the first better figure.
+func TestLastingSlownessEndsWithTheFirstBetterFigure(t *testing.T) {
+	g, now := toldGate(10)
+	for range 25 {
+		g.Observe(now, 12)
+		now += 100 * ms
+	}
+	assert.Equal(t, g.Speed(now).Lasting, 12.0)
+	g.Observe(now, 1)
+	assert.Equal(t, g.Speed(now).Lasting, 1.0)
+}
