A node that stops gives its backend server work for a second more

Cause: at a planned stop the gate closed at once, although the process had to wait two seconds for its own callers to go elsewhere and 2.5 s more after its last request. The backend server runs on meanwhile: each stop took it out of its service for 3.4 s and the restart. Ruled out: a slow restart (60 ms from the start to the first request taken). Change: the gate closes after one second; the process stays two more, counted from there and not from its last request, and one heartbeat after it told the directory. TestNodeThatStopsServesItsBackendServerForAWhile fails without it.

--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -391,6 +391,15 @@
 	return true
 }
 
+// ready tells whether the node says that callers may be sent to it.
+func (n *nodeProc) ready(t testing.TB) bool {
+	t.Helper()
+	resp, err := http.Get("http://" + n.admin + "/readyz")
+	assert.NilError(t, err)
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
 // server is what the node says of its backend server.
 func (n *nodeProc) server(t testing.TB) map[string]any {
 	t.Helper()
--- a/internal/e2e/path_test.go
+++ b/internal/e2e/path_test.go
@@ -148,6 +148,26 @@
 	assert.Equal(t, leaving.cmd.ProcessState.ExitCode(), 0, leaving.log.String())
 }
 
+// A node beside the only backend server of a service is told to stop. Its callers
+// have to be sent elsewhere first, which takes two seconds; a gate that closed at
+// once would leave the service without any backend server for all that time.
+func TestNodeThatStopsServesItsBackendServerForAWhile(t *testing.T) {
+	c := newCluster(t, 1).start()
+	leaving := c.addNode("hello")
+	front := c.addNode("")
+	c.submit(estateText("hello", "hello"))
+	front.serves(t, "hello")
+	leaving.signal(syscall.SIGTERM)
+	eventually(t, "it says that it is not ready", func() bool { return !leaving.ready(t) })
+	for range 10 {
+		resp, _, err := front.request(http.MethodPost, "hello", "/work?sleep=5ms", strings.NewReader("x"))
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+	}
+	<-leaving.done
+	assert.Equal(t, leaving.cmd.ProcessState.ExitCode(), 0, leaving.log.String())
+}
+
 // Callers keep sending through a node that is told to stop. It must not wait for
 // a moment without any of them, which may never come, until its time runs out
 // and it cuts them: it stops taking new ones and ends with code 0.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -79,8 +79,9 @@
 	server   *server
 	retired  retired
 	sequence uint64
-	stopping bool
-	departed bool
+	// unready: a planned stop began. stopping: its gate has closed.
+	unready, stopping bool
+	departed          bool
 	// needed are services that callers asked for, beside the hosted one and
 	// those it depends on.
 	needed map[string]bool
@@ -166,21 +167,43 @@
 	drainPoll     = 20 * time.Millisecond
 )
 
+const (
+	// serveOnTime is for how long a node that stops still gives its backend server
+	// work. Its own callers take about two seconds to see that it is not ready, and
+	// the process has to wait for them; a gate that closed at once would take the
+	// backend server out of its service for all of that time.
+	serveOnTime = time.Second
+	// lingerTime is how long a node answers after its gate closed: by then the
+	// directory has told everybody. A connection closed under a request that was just
+	// sent would leave its outcome unknown; refused, it goes elsewhere.
+	lingerTime = 2 * time.Second
+	// departTime is how long it answers after it told the directory that it is gone.
+	// Nodes that have it for their relay ask once a heartbeat, and learn so of
+	// another one.
+	departTime = directory.HeartbeatInterval
+)
+
 // stop carries out a planned stop. The error names what was cut because the
 // stop timeout passed.
 func (n *Node) stop(servers []listening) error {
 	klog.InfoS("Planned stop began", "host", n.options.Host, "callersInFlight", n.callers.now(), "gateInFlight", n.InFlight())
 	n.front.Drain()
 	n.mu.Lock()
+	n.unready = true
+	n.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), n.options.StopTimeout)
+	defer cancel()
+	n.serveOn(ctx)
+	n.mu.Lock()
 	n.stopping = true
 	n.mu.Unlock()
 	n.applyDraining()
 	n.member.kick()
-	ctx, cancel := context.WithTimeout(context.Background(), n.options.StopTimeout)
-	defer cancel()
+	closed := time.Now()
+	klog.InfoS("Gate closed for the planned stop", "host", n.options.Host, "callersInFlight", n.callers.now(), "gateInFlight", n.InFlight())
 	n.waitDrained(ctx)
 	n.depart(ctx)
-	n.linger(ctx)
+	n.linger(ctx, max(departTime, lingerTime-time.Since(closed)))
 	var cut error
 	for _, s := range servers {
 		if err := s.Shutdown(ctx); err != nil {
@@ -191,6 +214,19 @@
 	return cut
 }
 
+// serveOn lets the gate go on for a while, unless its backend server is leaving
+// or gone.
+func (n *Node) serveOn(ctx context.Context) {
+	for end := time.Now().Add(serveOnTime); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(drainPoll) {
+		n.mu.Lock()
+		serving := n.server != nil && !n.draining()
+		n.mu.Unlock()
+		if !serving {
+			return
+		}
+	}
+}
+
 // waitDrained waits until nothing runs or waits at the gate. Callers' requests
 // that this node sends elsewhere are not waited for here: new ones may go on
 // coming until the listeners close, which lets those under way end.
@@ -208,15 +244,10 @@
 	n.member.syncNow(ctx)
 }
 
-// lingerTime is how long a node that left still answers: as long as the
-// directory takes to tell everybody. A connection closed under a request that
-// was just sent would leave its outcome unknown; refused, it goes elsewhere.
-const lingerTime = 2500 * time.Millisecond
-
-func (n *Node) linger(ctx context.Context) {
+func (n *Node) linger(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(lingerTime):
+	case <-time.After(d):
 	}
 }
 
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -83,7 +83,7 @@
 func (n *Node) Ready() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.records.Revision() > 0 && !n.stopping
+	return n.records.Revision() > 0 && !n.unready
 }
 
 // announce takes in an announcement or its renewal.
