The log on disk has never more than one write that no sync covers

Cause: commit positions were written without a sync, one after the other. A loss of power keeps or loses each of them by itself; with the first lost and the second kept, the log has a hole with a whole record behind it and passes for damaged. Change: what needs no sync stays in memory until the next write that is synced.

--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -83,7 +83,10 @@
 	folder string
 	lock   *os.File
 	file   *os.File
+	// buffer holds records that are not in the file yet. The first taken bytes of
+	// it were flushed without a sync.
 	buffer []byte
+	taken  int
 	size   int64
 	// good is the length up to which the file holds whole records.
 	good int64
@@ -289,21 +292,28 @@
 	return nil
 }
 
-// Flush writes what is buffered and, with sync, waits until it is on disk.
+// Flush with sync writes what is buffered and waits until it is on disk. Without,
+// it leaves the records in memory until the next one that syncs: they are not
+// needed after a crash.
+//
+// So the file never holds more than one write that no sync covers. A loss of power
+// keeps or loses each unsynced write by itself. Of two, the first could be lost
+// and the second kept: a hole with records behind it, which is not to be told from
+// damage to synced data, so that the replica would refuse to start for good.
 func (l *Log) Flush(sync bool) error {
-	if len(l.buffer) > 0 {
-		n, err := l.file.Write(l.buffer)
-		l.size += int64(n)
-		l.buffer = l.buffer[:0]
-		if err != nil {
-			return errors.Wrap(err, "write the log; free disk space or replace the disk")
-		}
+	if !sync {
+		l.taken = len(l.buffer)
+		return nil
 	}
-	if sync {
-		if err := l.file.Sync(); err != nil {
-			return errors.Wrap(err, "sync the log; replace the disk")
-		}
+	n, err := l.file.Write(l.buffer)
+	l.size += int64(n)
+	if err != nil {
+		return errors.Wrap(err, "write the log; free disk space or replace the disk")
+	}
+	if err := l.file.Sync(); err != nil {
+		return errors.Wrap(err, "sync the log; replace the disk")
 	}
+	l.buffer, l.taken = l.buffer[:0], 0
 	l.good = l.size
 	return nil
 }
@@ -311,7 +321,7 @@
 // Repair takes back what a failed Flush left behind, so that the same records
 // can be written again. It fails while the disk does.
 func (l *Log) Repair() error {
-	l.buffer = l.buffer[:0]
+	l.buffer = l.buffer[:l.taken]
 	if err := l.file.Truncate(l.good); err != nil {
 		return errors.Wrap(err, "cut the log back after a failed write")
 	}
@@ -363,6 +373,8 @@
 	if err := writeSynced(l.folder, logName, data); err != nil {
 		return err
 	}
+	// What waited in memory is older than the state that was just written.
+	l.buffer, l.taken = l.buffer[:0], 0
 	if l.file != nil {
 		_ = l.file.Close()
 	}
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -164,3 +164,65 @@
 	assert.Equal(t, len(restored.Entries), 2)
 	assert.Equal(t, l.TornBytes, int64(0))
 }
+
+// A replica does not start any more after a loss of power: "the log is damaged".
+// It had written two commit positions, each without a sync; the disk lost the
+// first write and kept the second, which left a hole with a whole record behind
+// it. The log then looks as if synced data had changed.
+func TestLostWriteBeforeAKeptOneIsNoDamage(t *testing.T) {
+	folder := t.TempDir()
+	assert.NilError(t, WriteIdentity(folder, Identity{MemberID: 1, Name: "a"}))
+	l, _, _, err := Open(folder)
+	assert.NilError(t, err)
+	path := filepath.Join(folder, logName)
+	sizeOf := func() int64 {
+		info, err := os.Stat(path)
+		assert.NilError(t, err)
+		return info.Size()
+	}
+	assert.NilError(t, l.Append([]*apiv1.LogEntry{{Term: 1, Index: 1, Data: []byte("change")}}, &apiv1.HardState{Term: 1}))
+	assert.NilError(t, l.Flush(true))
+	synced := sizeOf()
+	assert.NilError(t, l.Append(nil, &apiv1.HardState{Term: 1, Commit: 1}))
+	assert.NilError(t, l.Flush(false))
+	first := sizeOf()
+	assert.NilError(t, l.Append(nil, &apiv1.HardState{Term: 1, Commit: 1}))
+	assert.NilError(t, l.Flush(false))
+	assert.NilError(t, l.Close())
+
+	data, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	clear(data[synced:first])
+	assert.NilError(t, os.WriteFile(path, data, filePerm))
+	l, _, restored, err := Open(folder)
+	assert.NilError(t, err)
+	defer l.Close()
+	assert.Equal(t, len(restored.Entries), 1)
+}
+
+// Records that were flushed without a sync outlast a failed write behind them: the
+// replica that repairs its log writes only the failed ones again.
+func TestRepairKeepsWhatWasFlushedBefore(t *testing.T) {
+	folder := t.TempDir()
+	assert.NilError(t, WriteIdentity(folder, Identity{MemberID: 1, Name: "a"}))
+	l, _, _, err := Open(folder)
+	assert.NilError(t, err)
+	assert.NilError(t, l.Append(nil, &apiv1.HardState{Term: 3, Commit: 7}))
+	assert.NilError(t, l.Flush(false))
+	entry := &apiv1.LogEntry{Term: 3, Index: 1, Data: []byte("change")}
+	assert.NilError(t, l.Append([]*apiv1.LogEntry{entry}, nil))
+	whole := l.file
+	l.file, err = os.Open(whole.Name())
+	assert.NilError(t, err)
+	assert.Assert(t, l.Flush(true) != nil, "a file that is open for reading only took a write")
+	l.file = whole
+	assert.NilError(t, l.Repair())
+	assert.NilError(t, l.Append([]*apiv1.LogEntry{entry}, nil))
+	assert.NilError(t, l.Flush(true))
+	assert.NilError(t, l.Close())
+	l, _, restored, err := Open(folder)
+	assert.NilError(t, err)
+	defer l.Close()
+	assert.Equal(t, len(restored.Entries), 1)
+	assert.Equal(t, restored.HardState.Commit, uint64(7))
+}
