Running processes take in renewed certificates; one command plays files with policies

Cause: the client for control traffic kept the certificate and the authority that it read at its start. Once both were renewed it could open no connection any more; listeners and gates' connections took in the renewed ones. A half-written pair was passed over without a line in the log. Change: each connection takes the certificate of its moment; renewals and failures are logged.

--- a/cmd/cactusctl/emulate.go
+++ b/cmd/cactusctl/emulate.go
@@ -14,34 +14,22 @@
 )
 
 func emulateCommand(f *flags) *cobra.Command {
-	var policies []string
-	var seed uint64
-	var list bool
-	cmd := &cobra.Command{
-		Use: "emulate SCENARIO", GroupID: toolGroup, Short: "Run services that call each other on noisy hosts through the decision code, against stated outcomes",
-		Long: "Run a scenario of several services through the decision code that runs in the nodes, in virtual time: requests that call other services, hosts with noisy\n" +
+	return player{
+		use: "emulate SCENARIO", short: "Run services that call each other on noisy hosts through the decision code, against stated outcomes",
+		long: "Run a scenario of several services through the decision code that runs in the nodes, in virtual time: requests that call other services, hosts with noisy\n" +
 			"neighbours, servers that slow down in a crowd, bursts, callers that come back once.\n\n" +
 			"Exits 1 where an outcome that the scenario states is missed. The same seed gives the same figures. docs/emulator.md describes scenarios.",
-		Args: func(cmd *cobra.Command, args []string) error {
-			if list {
-				return nil
-			}
-			return exactly(1)(cmd, args)
-		},
-		RunE: func(cmd *cobra.Command, args []string) error {
-			if list {
-				for _, v := range emulator.Variants() {
-					fmt.Fprintln(cmd.OutOrStdout(), v.Name)
-				}
-				return nil
-			}
-			return runEmulation(cmd, f, args[0], policies, seed)
-		},
+		unnamed: "all",
+		names:   emulatorPolicies, play: runEmulation,
+	}.command(f)
+}
+
+func emulatorPolicies() []string {
+	var names []string
+	for _, v := range emulator.Variants() {
+		names = append(names, v.Name)
 	}
-	cmd.Flags().StringSliceVar(&policies, "policy", nil, "policies to run with; all if empty")
-	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of every random draw")
-	cmd.Flags().BoolVar(&list, "list", false, "list the policies")
-	return cmd
+	return names
 }
 
 func runEmulation(cmd *cobra.Command, f *flags, file string, policies []string, seed uint64) error {
@@ -55,9 +43,7 @@
 		return errors.Wrap(err, file)
 	}
 	if len(policies) == 0 {
-		for _, v := range emulator.Variants() {
-			policies = append(policies, v.Name)
-		}
+		policies = emulatorPolicies()
 	}
 	var results []*emulator.Result
 	for _, name := range policies {
--- a/cmd/cactusctl/replay.go
+++ b/cmd/cactusctl/replay.go
@@ -14,33 +14,21 @@
 )
 
 func replayCommand(f *flags) *cobra.Command {
-	var policies []string
-	var seed uint64
-	var list bool
-	cmd := &cobra.Command{
-		Use: "replay TRACE", GroupID: toolGroup, Short: "Replay a recorded trace through the decision code, against its stated outcomes",
-		Long: "Replay a recorded trace through the decision code that runs in the nodes, in virtual time.\n\n" +
+	return player{
+		use: "replay TRACE", short: "Replay a recorded trace through the decision code, against its stated outcomes",
+		long: "Replay a recorded trace through the decision code that runs in the nodes, in virtual time.\n\n" +
 			"Exits 1 where an outcome that the trace states is missed. The same seed gives the same bytes. docs/traces.md describes traces.",
-		Args: func(cmd *cobra.Command, args []string) error {
-			if list {
-				return nil
-			}
-			return exactly(1)(cmd, args)
-		},
-		RunE: func(cmd *cobra.Command, args []string) error {
-			if list {
-				for _, v := range replay.Variants() {
-					fmt.Fprintln(cmd.OutOrStdout(), v.Name)
-				}
-				return nil
-			}
-			return runReplay(cmd, f, args[0], policies, seed)
-		},
+		unnamed: "those that the trace speaks of",
+		names:   replayPolicies, play: runReplay,
+	}.command(f)
+}
+
+func replayPolicies() []string {
+	var names []string
+	for _, v := range replay.Variants() {
+		names = append(names, v.Name)
 	}
-	cmd.Flags().StringSliceVar(&policies, "policy", nil, "policies to replay with; those that the trace speaks of if empty")
-	cmd.Flags().Uint64Var(&seed, "seed", 1, "seed of every random draw")
-	cmd.Flags().BoolVar(&list, "list", false, "list the policies")
-	return cmd
+	return names
 }
 
 func runReplay(cmd *cobra.Command, f *flags, file string, policies []string, seed uint64) error {
--- a/internal/e2e/control_test.go
+++ b/internal/e2e/control_test.go
@@ -241,3 +241,24 @@
 	<-c.replicas[l].done
 	assert.Equal(t, c.replicas[l].cmd.ProcessState.ExitCode(), 0, c.replicas[l].log.String())
 }
+
+// Two of three control replicas are gone, so that no leader can be chosen, and then
+// a node is killed and started again. It must serve its callers by what the other
+// nodes hold: the replica that is left knows who has announced itself, and a
+// restart must not wait until a leader is back.
+func TestNodeRestartsWhileThereIsNoLeader(t *testing.T) {
+	c := newCluster(t, 3)
+	c.watch = true
+	c.start()
+	c.addNode("hello")
+	c.addNode("hello")
+	front := c.addNode("")
+	revision := c.submit(estateText("hello", "hello"))
+	front.serves(t, "hello")
+	leader := c.leader()
+	c.replicas[leader].kill()
+	c.replicas[(leader+1)%3].kill()
+	front.restart(t)
+	front.serves(t, "hello")
+	assert.Equal(t, front.revision(t), revision)
+}
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -94,6 +94,8 @@
 	tls string
 	// ctlTLS are cactusctl's flags for it.
 	ctlTLS []string
+	// watch has nodes watch control replicas, as small sites do.
+	watch bool
 }
 
 type nodeProc struct {
@@ -173,8 +175,8 @@
 	c.write(file, fmt.Sprintf(`{
   "host": %q, "dataCenter": %q, "region": "r", "stopTimeout": "60s",
   "controlReplicas": [%s], %s
-  "node": {"callers": %q, "peer": %q, "admin": %q},
-}`, n.host, dataCenter, c.replicaList(), c.tls, n.callers, n.peer, n.admin))
+  "node": {"callers": %q, "peer": %q, "admin": %q, "watchControl": %t},
+}`, n.host, dataCenter, c.replicaList(), c.tls, n.callers, n.peer, n.admin, c.watch))
 	n.proc = c.spawn(n.host, "cactuspath", "run", "--settings", file)
 	c.nodes = append(c.nodes, n)
 	if service != "" {
--- a/internal/emulator/call.go
+++ b/internal/emulator/call.go
@@ -19,19 +19,16 @@
 
 // call is one request on its way to its final answer, as internal/proxy does it.
 type call struct {
-	s        *simulation
-	class    *Class
-	origin   *node
-	id       [2]uint64
-	deadline time.Duration
-	rules    retry.Request
-	attempts uint32
-	tried    []string
-	live     []*attempt
-	hedged   bool
-	// worst is how the attempts ended that ran side by side.
-	worst      retry.Ended
-	worstTo    string
+	s          *simulation
+	class      *Class
+	origin     *node
+	id         [2]uint64
+	deadline   time.Duration
+	rules      retry.Request
+	attempts   uint32
+	tried      []string
+	live       []*attempt
+	hedged     bool
 	retryAfter time.Duration
 	runs       int
 	over       bool
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -15,6 +15,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
 )
 
 // TLSFiles names the files of a process's certificate and of the authority
@@ -30,9 +31,12 @@
 const reloadEvery = 10 * time.Second
 
 // Security holds a process's certificate and reloads it when its files change,
-// so that a renewed certificate needs no restart. Safe for concurrent use.
+// so that a renewed certificate needs no restart. Connections that are open go on.
+// Safe for concurrent use.
 type Security struct {
 	files TLSFiles
+	// every is reloadEvery, but for tests.
+	every time.Duration
 
 	mu        sync.Mutex
 	checked   time.Time
@@ -46,7 +50,7 @@
 	if !files.Enabled() {
 		return nil, nil
 	}
-	s := &Security{files: files}
+	s := &Security{files: files, every: reloadEvery}
 	if err := s.load(); err != nil {
 		return nil, err
 	}
@@ -73,18 +77,34 @@
 func (s *Security) certificate() (*tls.Certificate, *x509.CertPool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if time.Since(s.checked) > reloadEvery {
+	if time.Since(s.checked) > s.every {
 		s.checked = time.Now()
-		if info, err := os.Stat(s.files.Certificate); err == nil && info.ModTime().After(s.modified) {
-			// A half-written pair keeps the one in use; the next check tries again.
-			if s.load() == nil {
-				s.modified = info.ModTime()
-			}
-		}
+		s.reload()
 	}
 	return s.current, s.authority
 }
 
+// reload takes in a certificate that was renewed. A half-written pair keeps the one
+// in use; the next check tries again.
+func (s *Security) reload() {
+	info, err := os.Stat(s.files.Certificate)
+	if err == nil {
+		if !info.ModTime().After(s.modified) {
+			return
+		}
+		err = s.load()
+	}
+	if err != nil {
+		klog.ErrorS(err, "Certificate not renewed: the one in use stays", "file", s.files.Certificate)
+		return
+	}
+	renewed := !s.modified.IsZero()
+	s.modified = info.ModTime()
+	if renewed {
+		klog.InfoS("Certificate renewed", "file", s.files.Certificate, "notAfter", s.current.Leaf.NotAfter)
+	}
+}
+
 func (s *Security) serverConfig() *tls.Config {
 	return &tls.Config{MinVersion: tls.VersionTLS13, GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
 		pair, pool := s.certificate()
@@ -174,7 +194,15 @@
 		DisableCompression:  true,
 	}
 	if s != nil {
-		t.TLSClientConfig = s.clientConfig()
+		// Each connection takes the certificate of its moment: a client that kept the
+		// one of its start could reach nobody any more once that was renewed.
+		t.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := t.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return s.WrapClient(conn, address), nil
+		}
 	}
 	return &http.Client{Transport: lean{t}}
 }
