--- a/core/gate/crowd.go
+++ b/core/gate/crowd.go
@@ -111,9 +111,11 @@
 	return found[len(found)/2]
 }
 
-// crowdAt is the factor when the given number of requests run.
+// crowdAt is the factor when the given number of requests run. More than the
+// useful slots are not filled: a request that waits on a server whose last slots
+// stay empty does not run in a crowd.
 func (g *Gate) crowdAt(running int) float64 {
-	if isCrowd(running, g.config.Slots) {
+	if isCrowd(min(running, g.usefulSlots()), g.config.Slots) {
 		return g.crowdFactor()
 	}
 	return 1
