A node that waits for a relay hears of each other node once

Cause: a node that no relay answers yet asks two replicas twenty times a second for the nodes they know, and got all of them each time. Ruled out: watches of the configuration (a hundred bytes each while nothing changes). Change: a cursor tells what changed since the node last asked that replica's process; it is forgotten while a relay answers.

--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -47,12 +47,14 @@
 	replicas []string
 	// used are the addresses that are being watched.
 	used map[string]bool
+	// heard is how far each replica has told of other nodes.
+	heard map[string]*apiv1.ClaimCursor
 	// lost: no replica answers.
 	lost bool
 }
 
 func newWatcher(n *Node) *watcher {
-	return &watcher{n: n, used: map[string]bool{}}
+	return &watcher{n: n, used: map[string]bool{}, heard: map[string]*apiv1.ClaimCursor{}}
 }
 
 // run keeps the watches until ctx ends.
@@ -119,6 +121,7 @@
 		w.n.counters.watches.Add(1)
 		w.learn(resp.Replicas)
 		w.n.takeProvisional(resp.Entries)
+		w.hear(address, resp.Heard)
 		w.n.takeDelta(resp.Delta, !resp.Detached, "watch of "+address)
 		if resp.Detached {
 			w.note(address, false, nil)
@@ -139,23 +142,45 @@
 func (w *watcher) once(ctx context.Context, address string) (*apiv1.WatchResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchHold+watchSlack)
 	defer cancel()
-	resp, err := w.n.options.Control.At(address).Control.Watch(ctx, connect.NewRequest(w.request()))
+	resp, err := w.n.options.Control.At(address).Control.Watch(ctx, connect.NewRequest(w.request(address)))
 	if err != nil {
 		return nil, err
 	}
 	return resp.Msg, nil
 }
 
-func (w *watcher) request() *apiv1.WatchRequest {
+// hear notes how far a replica told of other nodes.
+func (w *watcher) hear(address string, to *apiv1.ClaimCursor) {
+	if to == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.heard[address] = to
+}
+
+// heardFrom is how far the replica has told of other nodes. It is forgotten while a
+// relay answers: the relay's answer replaces what was heard, so that a node which
+// loses it has to hear everything anew.
+func (w *watcher) heardFrom(address string, alone bool) *apiv1.ClaimCursor {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !alone {
+		clear(w.heard)
+	}
+	return w.heard[address]
+}
+
+func (w *watcher) request(address string) *apiv1.WatchRequest {
 	n := w.n
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	hold := watchHold
 	alone := !n.view.Following()
+	hold := watchHold
 	if alone {
 		hold = aloneHold
 	}
-	return &apiv1.WatchRequest{Host: n.options.Host, Revision: n.Revision(), HoldMs: uint32(hold.Milliseconds()), Entry: n.entry(""), WantEntries: alone}
+	return &apiv1.WatchRequest{Host: n.options.Host, Revision: n.Revision(), HoldMs: uint32(hold.Milliseconds()), Entry: n.entry(""), WantEntries: alone, Heard: w.heardFrom(address, alone)}
 }
 
 // announce tells every control replica of this node, at the start and when what
--- a/internal/replica/group_test.go
+++ b/internal/replica/group_test.go
@@ -111,8 +111,14 @@
 	}
 	p.put(claim(2, apiv1.EndpointState_ENDPOINT_STATE_SERVING))
 	p.put(claim(1, apiv1.EndpointState_ENDPOINT_STATE_DRAINING))
-	assert.Equal(t, p.entries()[0].Sequence, uint64(2))
+	assert.Equal(t, all(p)[0].Sequence, uint64(2))
 	p.put(claim(3, apiv1.EndpointState_ENDPOINT_STATE_DEPARTED))
-	assert.Equal(t, len(p.entries()), 0)
+	assert.Equal(t, len(all(p)), 0)
 	p.put(nil)
 }
+
+// all are the claims that a node hears of that has heard of none.
+func all(p *presence) []*apiv1.Entry {
+	list, _ := p.since(nil)
+	return list
+}
--- a/internal/replica/presence.go
+++ b/internal/replica/presence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sort"
 	"sync"
 	"time"
@@ -20,14 +21,25 @@
 // everything there is none for a second. It is soft state that every replica has
 // for itself; a claim that is out of date costs its reader one refused attempt.
 // Safe for concurrent use.
+//
+// A node that waits for a relay asks many times a second. It gets what changed
+// since it last asked: with all claims each time, 300 nodes that started together
+// took 1.6 MB a second from each replica.
 type presence struct {
+	// process tells this presence from that of the replica's process before.
+	process uint64
+
 	mu     sync.Mutex
 	byHost map[string]claimed
+	// version counts the changes.
+	version uint64
 }
 
 type claimed struct {
 	entry *apiv1.Entry
 	seen  time.Time
+	// version is that of the claim's last change.
+	version uint64
 }
 
 const (
@@ -37,7 +49,9 @@
 	maxPresence = 2 * maxWatchers
 )
 
-func newPresence() *presence { return &presence{byHost: map[string]claimed{}} }
+func newPresence() *presence {
+	return &presence{process: rand.Uint64(), byHost: map[string]claimed{}}
+}
 
 func (p *presence) put(e *apiv1.Entry) {
 	if e == nil {
@@ -47,30 +61,39 @@
 	defer p.mu.Unlock()
 	held, known := p.byHost[e.Host]
 	if known && !directory.Newer(e, held.entry) {
-		e = held.entry
+		held.seen = time.Now()
+		p.byHost[e.Host] = held
+		return
 	}
 	if !known && len(p.byHost) >= maxPresence {
 		return
 	}
-	p.byHost[e.Host] = claimed{e, time.Now()}
+	p.version++
+	p.byHost[e.Host] = claimed{entry: e, seen: time.Now(), version: p.version}
 }
 
-// entries lists the claims of nodes that are not gone, by host.
-func (p *presence) entries() []*apiv1.Entry {
+// since lists the claims that changed after the cursor, by host, and up to where
+// that tells. Without a cursor of this process it lists all of nodes that are there;
+// with one also those that have gone.
+func (p *presence) since(heard *apiv1.ClaimCursor) ([]*apiv1.Entry, *apiv1.ClaimCursor) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	after := uint64(0)
+	if heard.GetProcess() == p.process {
+		after = heard.GetVersion()
+	}
 	var list []*apiv1.Entry
 	for host, c := range p.byHost {
 		if time.Since(c.seen) > presenceLife {
 			delete(p.byHost, host)
 			continue
 		}
-		if !directory.Gone(c.entry) {
+		if c.version > after && (after > 0 || !directory.Gone(c.entry)) {
 			list = append(list, c.entry)
 		}
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].Host < list[j].Host })
-	return list
+	return list, &apiv1.ClaimCursor{Process: p.process, Version: p.version}
 }
 
 // Announce takes in a node's claim.
--- a/internal/replica/watch.go
+++ b/internal/replica/watch.go
@@ -48,7 +48,7 @@
 	}
 	r.mu.RUnlock()
 	if req.Msg.WantEntries {
-		resp.Entries = r.presence.entries()
+		resp.Entries, resp.Heard = r.presence.since(req.Msg.Heard)
 	}
 	return connect.NewResponse(resp), nil
 }
