--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -55,6 +55,9 @@
 	later := time.Now().Add(time.Second)
 	assert.NilError(t, os.Chtimes(files.Certificate, later, later))
 	assert.NilError(t, ask(client, address))
+	started := securityOf(t, files)
+	assert.NilError(t, ask(client, serveTLS(t, started)), "the running client and a process that starts now")
+	assert.NilError(t, ask(started.ControlClient(&Traffic{}), address), "a process that starts now and the running one")
 }
 
 // The renewed key is being written when it is looked at: the certificate in use
