--- a/core/gate/admit.go
+++ b/core/gate/admit.go
@@ -32,7 +32,8 @@
 }
 
 // heldFactor is how many times sooner a sibling must run requests for this gate to
-// hold one back.
+// hold one back: a server that noise has not struck is some four times faster than
+// one that it has, over the rest of the slow time.
 const heldFactor = 2
 
 // holds tells whether a request is better off waiting than running here now: the
