A gate has its slots before anybody can hear of its backend server

The server stood in the node's entry, which a heartbeat of that moment told, before the gate was configured. Change: the gate is made with the slots that are known. Conclusion: TestGateHasItsSlotsBeforeAnybodyHearsOfTheServer fails without it.

--- a/internal/node/announce_test.go
+++ b/internal/node/announce_test.go
@@ -135,3 +135,15 @@
 		assert.Equal(t, n.Revision(), step.want)
 	}
 }
+
+// A backend server announces itself, and at that moment a heartbeat goes out which
+// tells of it. Requests that come before the node has applied what the estate says
+// must find its slots: a gate without any refused all of them as full.
+func TestGateHasItsSlotsBeforeAnybodyHearsOfTheServer(t *testing.T) {
+	n := alone(t, "")
+	n.mu.Lock()
+	s := n.newServer(announcement("i-1", 1, false))
+	n.mu.Unlock()
+	defer s.endpoint.Close()
+	assert.Equal(t, s.endpoint.Load().Slots, 4)
+}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -101,7 +101,7 @@
 	s := n.server
 	fresh := s == nil
 	if fresh {
-		s = &server{service: a.Service, endpoint: n.newEndpoint()}
+		s = n.newServer(a)
 		n.server = s
 	}
 	moved := s.address != a.Address || s.instance != a.Instance
@@ -167,10 +167,43 @@
 	}
 }
 
-func (n *Node) newEndpoint() *endpoint.Endpoint {
-	return endpoint.New(endpoint.Options{
+// newServer sets up what an announcement tells of; the caller holds the lock. The
+// gate has its slots before anybody can hear of the server: a heartbeat that went
+// out between the two brought requests to a gate without any, which refused them
+// all as full.
+func (n *Node) newServer(a Announcement) *server {
+	config := gate.Config{}
+	if spec, slots := n.serving(a.Service, a.Slots); slots > 0 {
+		config = gateConfig(spec, slots, 1)
+	}
+	return &server{service: a.Service, endpoint: endpoint.New(endpoint.Options{
 		Host: n.options.Host, Incarnation: n.incarnation.Load, Send: n.reports.send, Revision: n.Revision, Heard: n.heard, Counters: n.gates, Dialect: n.options.Dialect,
-	}, gate.Config{})
+	}, config)}
+}
+
+// serving is what is known of a service, and the slots of a backend server that
+// announced a number, or none; the caller holds the lock.
+func (n *Node) serving(service string, announced uint32) (*apiv1.ServiceSpec, uint32) {
+	spec := n.records.Service(service).GetSpec()
+	slots := spec.GetSlots()
+	if announced > 0 {
+		slots = announced
+	}
+	if spec == nil {
+		// Other nodes may have the configuration already and send requests here: the
+		// server's own word is enough to run them.
+		spec = &apiv1.ServiceSpec{Queue: slots}
+	}
+	return spec, slots
+}
+
+// gateConfig is a gate's part of what the estate says of a service with a number of
+// gates.
+func gateConfig(spec *apiv1.ServiceSpec, slots uint32, gates int) gate.Config {
+	return gate.Config{
+		Slots: int(slots), Queue: int(spec.Queue), SlowStart: time.Duration(spec.SlowStartMs) * time.Millisecond, Siblings: true,
+		ReportsPerSecond: measure.GateShare(spec.Measure.GetReportsPerSecond(), gates), BytesPerSecond: measure.GateShare(spec.Measure.GetBytesPerSecond(), gates),
+	}
 }
 
 // withdraw ends an announcement.
@@ -309,25 +342,12 @@
 
 func (n *Node) applyGate(s *server, entries []*apiv1.Entry) {
 	n.mu.Lock()
-	spec := n.records.Service(s.service).GetSpec()
+	spec, slots := n.serving(s.service, s.slots)
 	n.mu.Unlock()
-	slots := spec.GetSlots()
-	if s.slots > 0 {
-		slots = s.slots
-	}
 	if slots == 0 {
 		return
 	}
-	if spec == nil {
-		// Other nodes may have the configuration already and send requests here: the
-		// server's own word is enough to run them.
-		spec = &apiv1.ServiceSpec{Queue: slots}
-	}
-	gates := max(1, len(entries))
-	s.endpoint.Configure(gate.Config{
-		Slots: int(slots), Queue: int(spec.Queue), SlowStart: time.Duration(spec.SlowStartMs) * time.Millisecond, Siblings: true,
-		ReportsPerSecond: measure.GateShare(spec.Measure.GetReportsPerSecond(), gates), BytesPerSecond: measure.GateShare(spec.Measure.GetBytesPerSecond(), gates),
-	})
+	s.endpoint.Configure(gateConfig(spec, slots, max(1, len(entries))))
 	s.endpoint.SetHealthPath(spec.HealthPath)
 	s.endpoint.SetSiblings(n.siblings(entries))
 	n.reports.setAddresses(entries)
