The emulator takes attempts out of its list by library calls

Cause: read over once more, a loop and a copy by hand did what slices.DeleteFunc and slices.Clone do. No product code is touched.

--- a/internal/emulator/call.go
+++ b/internal/emulator/call.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"slices"
 	"time"
 
 	"cactuspath/core/balancer"
@@ -104,12 +105,7 @@
 	a.settled = true
 	c := a.call
 	c.pool().Done(c.s.now(), a.to, true)
-	for i, other := range c.live {
-		if other == a {
-			c.live = append(c.live[:i], c.live[i+1:]...)
-			break
-		}
-	}
+	c.live = slices.DeleteFunc(c.live, func(other *attempt) bool { return other == a })
 	return !c.over
 }
 
@@ -220,7 +216,7 @@
 		return
 	}
 	c.over = true
-	for _, a := range append([]*attempt(nil), c.live...) {
+	for _, a := range slices.Clone(c.live) {
 		a.settle()
 		c.s.between(c.origin, a.node, func() { a.node.abandon(a) })
 	}
