A body's sender that begins late takes nothing from the next attempt

Cause: hop starts a goroutine that sends a streamed body. An answer that is read before that goroutine has run ("rejected" in the same segment as "100 Continue") left the body marked as unread, so the request was tried again; the first goroutine then still read its first bytes from the caller. The second endpoint got a body with a hole where the rest was due. Ruled out by reading: reuse of a connection with a body outstanding (hop gives it up), a closing chunk after an error (copyBody returns before it), the front reading a next request beside a sender (bodyLeft ends the connection), held and asked-for bodies (each attempt has its own reader). Beside it: net/http could look for a further request behind a body that is still being forwarded ("invalid concurrent Body.Read call"); such answers now end their connection between the nodes.

--- a/internal/endpoint/serve.go
+++ b/internal/endpoint/serve.go
@@ -5,8 +5,10 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
 	"cactuspath/core/gate"
@@ -33,16 +35,24 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	var streamed *streamedBody
 	if out.Stream != nil {
 		control := http.NewResponseController(w)
 		_ = control.EnableFullDuplex()
+		streamed = &streamedBody{Reader: r.Body}
+		out.Stream = streamed
 		if held == 0 && out.Length > 0 && out.Length <= maxBuffered {
-			out.Stream = &askedBody{Reader: r.Body, control: control, until: time.Now().Add(req.Timeout)}
+			out.Stream = &askedBody{Reader: streamed, control: control, until: time.Now().Add(req.Timeout)}
 		}
 	}
 	interim := &interimAnswers{w: w}
 	resp, reply := e.Attempt(r.Context(), req, out, interim.hint)
 	interim.end()
+	if streamed != nil && !streamed.ended.Load() {
+		// net/http would look for another request behind the rest of the body while the
+		// goroutine that forwards the body still reads from the same connection.
+		w.Header().Set("Connection", "close")
+	}
 	if resp == nil {
 		refuse(w, reply)
 		return
@@ -53,6 +63,21 @@
 	}
 }
 
+// streamedBody notes whether a body was read to its end.
+type streamedBody struct {
+	io.Reader
+	ended atomic.Bool
+}
+
+// Read reads the body.
+func (b *streamedBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.ended.Store(true)
+	}
+	return n, err
+}
+
 // askedBody is a body of moderate length that its sender holds back until it is
 // read.
 type askedBody struct {
--- /dev/null
+++ b/internal/proxy/body_test.go
@@ -0,0 +1,125 @@
+package proxy
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"cactuspath/core/gate"
+	callers "cactuspath/internal/front"
+	"cactuspath/internal/hop"
+)
+
+// earlyPeer asks for the body of a request's first attempt and rejects it in the
+// same segment; from later attempts it takes the whole body.
+type earlyPeer struct {
+	net.Listener
+	mu     sync.Mutex
+	bodies [][]byte
+}
+
+func newEarlyPeer(t *testing.T) *earlyPeer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	p := &earlyPeer{Listener: l}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go p.serve(c)
+		}
+	}()
+	return p
+}
+
+func (p *earlyPeer) serve(c net.Conn) {
+	defer c.Close()
+	r, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	req, err := hop.ParseRequest(r.Header.Get(hop.Header))
+	if err != nil {
+		return
+	}
+	reply := hop.Reply{ID: req.ID, Verdict: hop.Ran}
+	if req.ID.Attempt == 1 {
+		reply.Verdict = hop.Rejected
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Service Unavailable\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", hop.Header, reply.Encode())
+		_, _ = io.Copy(io.Discard, c)
+		return
+	}
+	_, _ = io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n")
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	p.mu.Lock()
+	p.bodies = append(p.bodies, body)
+	p.mu.Unlock()
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 2\r\n\r\nok", hop.Header, reply.Encode())
+}
+
+func (p *earlyPeer) received() [][]byte {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.bodies
+}
+
+// callersListener serves a handler as a node serves its callers.
+func callersListener(t *testing.T, h http.Handler) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := callers.New(h)
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = l.Close() })
+	return l.Addr().String()
+}
+
+// A backend server rejects a long upload before it is in. On a busy host the
+// answer is read before the goroutine that sends the body has begun. The request is
+// tried again; the first sender then took bytes out of the body, and the second
+// endpoint got one with a hole in it where the rest was due.
+func TestRejectedUploadLeavesNoHoleInTheNextOne(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	body := make([]byte, 200<<10)
+	for i := range body {
+		body[i] = byte(i % 251)
+	}
+	for _, chunked := range []bool{false, true} {
+		a, b := newEarlyPeer(t), newEarlyPeer(t)
+		address := callersListener(t, frontOf(t, gate.RevokeUnknown, a.Addr().String(), b.Addr().String()).Config.Handler)
+		for range 60 {
+			var source io.Reader = bytes.NewReader(body)
+			if chunked {
+				source = struct{ io.Reader }{source}
+			}
+			req, err := http.NewRequest(http.MethodPost, "http://"+address+"/upload", source)
+			assert.NilError(t, err)
+			req.Host = "pay.example"
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				// The answer came before the body was sent; the sender may see its end.
+				continue
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+		}
+		for _, got := range append(a.received(), b.received()...) {
+			assert.Assert(t, bytes.Equal(got, body), "chunked %v: an endpoint got %d bytes that are not the caller's %d", chunked, len(got), len(body))
+		}
+	}
+}
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -58,7 +57,7 @@
 
 	last       hop.Reply
 	reached    bool
-	bodyUsed   atomic.Bool
+	body       *bodyTurn
 	retryAfter time.Duration
 }
 
@@ -116,7 +115,7 @@
 			c.tried = append(c.tried, to.Host)
 		}
 		action := c.s.next(&c.rules, r.ended, c.tried)
-		if c.bodyUsed.Load() && (action == retry.TryOther || action == retry.TryNamed) {
+		if (action == retry.TryOther || action == retry.TryNamed) && !c.body.withdraw() {
 			// A streamed body that was partly read cannot be sent again.
 			action = c.rules.GiveUp()
 		}
@@ -225,27 +224,17 @@
 // been, and could send it to the same dead server again.
 func (c *call) movable() bool { return c.rules.Movable() && len(c.tried) == 0 }
 
-// outgoing is the request for one attempt; streamed bodies note their use.
+// outgoing is the request for one attempt, which has the turn at a streamed body.
 func (c *call) outgoing() *hop.Outgoing {
 	out := *c.out
 	out.Deadline = c.deadline.Add(grace)
 	if out.Stream != nil {
-		out.Stream = &noteUse{c.out.Stream, &c.bodyUsed}
+		c.body = &bodyTurn{source: c.out.Stream}
+		out.Stream = c.body
 	}
 	return &out
 }
 
-// noteUse marks that a streamed body was read from.
-type noteUse struct {
-	io.Reader
-	used *atomic.Bool
-}
-
-func (n *noteUse) Read(p []byte) (int, error) {
-	n.used.Store(true)
-	return n.Reader.Read(p)
-}
-
 func (c *call) remote(a attempt, req hop.Request, out *hop.Outgoing) result {
 	// The time left is in the hop's own header; the empty field keeps the caller's
 	// from being sent beside it.
