A backend server that starts again under its instance is served; heartbeats are checked

Cause: announcements were ordered by their sequence alone, which begins anew with each start. A server that crashed and came back as the same instance was "outdated" until its lease ran out and "ended" from then on. Now (start, sequence) orders them; the gate keeps what it remembers of attempts and forgets the earlier start's failures and speed; exchanges with the earlier start end, since behind a cut they would hold slots until their deadlines; a gate that follows another one cannot tell of attempts older than itself.

--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -374,6 +374,29 @@
 	}
 }
 
+// ServerRestarted forgets what was believed of the backend server's earlier start:
+// its failures, its speed and how long it has been slow. A server that crashed would
+// otherwise be passed by for failures of its former self. What the gate remembers of
+// attempts stays: those that ran at the earlier start have run, and are never called
+// "not run". The work of each class of requests and what a crowd costs stay as well,
+// since the program is the same.
+func (g *Gate) ServerRestarted(now time.Duration) []Event {
+	g.begin(now)
+	g.outlier = outlier{}
+	g.estimate = estimator{baseline: g.estimate.baseline, seen: g.estimate.seen, running: g.estimate.running, last: now}
+	g.slow.restart(now)
+	g.cold = false
+	g.announce(now)
+	g.fill(now)
+	return g.take()
+}
+
+// ForgetBefore tells that another gate stood before this backend server until now.
+// Of attempts that were sent to that one this gate cannot tell whether they ran.
+func (g *Gate) ForgetBefore(now time.Duration) {
+	g.memory.forgotten, g.memory.anyForgotten = max(g.memory.forgotten, now), true
+}
+
 // SetCold starts the slow start anew.
 func (g *Gate) SetCold(now time.Duration) {
 	g.cold, g.coldSince = true, now
--- a/core/gate/gate_test.go
+++ b/core/gate/gate_test.go
@@ -318,3 +318,21 @@
 	again.Handle = 3
 	assert.Equal(t, g.Arrive(3*ms, again)[0].Reason, Duplicate)
 }
+
+// A server that failed crashes and starts again. Its gate must not pass requests by
+// for failures of the earlier start, and still knows which attempts ran there.
+func TestRestartForgetsFailuresAndKeepsWhatRan(t *testing.T) {
+	g := New("a", Config{Slots: 2, Queue: 2, Siblings: true}, 0)
+	g.SetSiblings([]Sibling{{Host: "b"}})
+	g.Learn(0, Report{Host: "b", Incarnation: 1, Sequence: 1, Load: Load{Slots: 2}})
+	for i := range 10 {
+		at := time.Duration(i) * time.Millisecond
+		g.Arrive(at, Request{Handle: Handle(i + 1), ID: AttemptID{Attempt: uint32(i + 1)}, Deadline: time.Minute})
+		g.Finish(at, Handle(i+1), Failed)
+	}
+	assert.Assert(t, g.Load(10*time.Millisecond).Failing)
+	g.ServerRestarted(10 * time.Millisecond)
+	assert.Assert(t, !g.Load(10*time.Millisecond).Failing)
+	answer, _ := g.Revoke(11*time.Millisecond, AttemptID{Attempt: 3}, time.Millisecond)
+	assert.Equal(t, answer, RevokeFinished)
+}
--- a/core/gate/slowdown.go
+++ b/core/gate/slowdown.go
@@ -86,6 +86,14 @@
 	}
 }
 
+// restart forgets how slow the server was. The work clock runs on, since requests that
+// run were started by it.
+func (s *slowdown) restart(now time.Duration) {
+	s.advance(now)
+	s.factor, s.typical, s.lasting = 1, 1, lasting{}
+	s.told = now - slowdownLife - 1
+}
+
 // lasting finds the part of a slowdown that stays: the smallest of the recent
 // figures. A server that is twelve times slower for ten seconds was taken to be
 // its usual self again in a moment, and given requests that it could not end in
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -58,6 +58,9 @@
 	closed bool
 
 	stopWatch context.CancelFunc
+	// life is that of the backend server's present start.
+	life    context.Context
+	endLife context.CancelFunc
 
 	backend atomic.Pointer[hop.Pool]
 	// questions has a connection of its own for what this node asks the backend
@@ -82,6 +85,7 @@
 	e.gate = gate.New(options.Host, config, 0)
 	var ctx context.Context
 	ctx, e.stopWatch = context.WithCancel(context.Background())
+	e.life, e.endLife = context.WithCancel(context.Background())
 	go e.watchLoad(ctx)
 	return e
 }
@@ -173,6 +177,34 @@
 	e.setDown(false)
 }
 
+// SetRestarted tells that the backend server has started again at its address. What
+// was sent to its earlier start is lost: those exchanges end now, since a server that
+// vanished behind a cut would hold their slots until their deadlines.
+func (e *Endpoint) SetRestarted(address string) {
+	e.SetBackend(address)
+	next, end := context.WithCancel(context.Background())
+	e.mu.Lock()
+	endFormer := e.endLife
+	e.life, e.endLife = next, end
+	e.mu.Unlock()
+	endFormer()
+	e.with(func(now time.Duration) []gate.Event { return e.gate.ServerRestarted(now) })
+}
+
+// SetSuccessor tells that another endpoint served this host's backend server before.
+func (e *Endpoint) SetSuccessor() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.gate.ForgetBefore(e.now())
+}
+
+// Life ends when the backend server is known to have started again.
+func (e *Endpoint) Life() context.Context {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.life
+}
+
 // SetInstance names the instance of the backend server that requests are meant
 // for; empty for a backend server that has no instances.
 func (e *Endpoint) SetInstance(instance string) { e.instance.Store(&instance) }
--- a/internal/endpoint/forward.go
+++ b/internal/endpoint/forward.go
@@ -38,26 +38,38 @@
 		return nil, reply
 	}
 	started := time.Now()
-	resp, err := pool.Do(ctx, e.toBackend(out, left))
+	life := e.Life()
+	exchange, end := context.WithCancel(ctx)
+	stop := context.AfterFunc(life, end)
+	resp, err := pool.Do(exchange, e.toBackend(out, left))
 	if err != nil {
-		reply = e.failed(ctx, handle, err, reply)
+		stop()
+		end()
+		reply = e.failed(ctx, life, handle, err, reply)
 		logs.Decision(true, "Backend server did not answer", "request", out.ID, "attempt", hop.FormatID(reply.ID), "host", e.options.Host, "verdict", reply.Verdict.String(),
-			"after", time.Since(started), "callerGone", ctx.Err() != nil, "err", err)
+			"after", time.Since(started), "callerGone", ctx.Err() != nil, "restarted", life.Err() != nil, "err", err)
 		return nil, reply
 	}
 	e.failures.Store(0)
 	e.heard()
 	e.observe(resp.Header)
 	if e.options.Dialect.SaysNotRun(resp) {
-		return nil, e.rejected(handle, resp, reply)
+		reply = e.rejected(handle, resp, reply)
+		stop()
+		end()
+		return nil, reply
 	}
 	outcome := gate.Completed
 	if resp.StatusCode >= http.StatusInternalServerError {
 		outcome = gate.Failed
 	}
 	resp.Body = &runningBody{ReadCloser: resp.Body, end: func(cut bool) {
+		stop()
+		end()
 		switch {
-		case ctx.Err() != nil:
+		case ctx.Err() != nil, life.Err() != nil:
+			// Also where the server has started again: the gate's figures are those of
+			// its new start.
 			outcome = gate.Abandoned
 		case cut:
 			outcome = gate.Failed
@@ -130,7 +142,7 @@
 	return reply
 }
 
-func (e *Endpoint) failed(ctx context.Context, handle gate.Handle, err error, reply hop.Reply) hop.Reply {
+func (e *Endpoint) failed(ctx, life context.Context, handle gate.Handle, err error, reply hop.Reply) hop.Reply {
 	var dial *hop.DialError
 	switch {
 	case errors.As(err, &dial):
@@ -140,7 +152,7 @@
 			e.setDown(true)
 			go e.probe()
 		}
-	case ctx.Err() != nil:
+	case ctx.Err() != nil, life.Err() != nil:
 		e.finish(handle, gate.Abandoned)
 		reply.Verdict = hop.Broke
 	default:
--- /dev/null
+++ b/internal/endpoint/restart_test.go
@@ -0,0 +1,41 @@
+package endpoint
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cactuspath/core/gate"
+	"cactuspath/internal/hop"
+)
+
+// A backend server vanishes behind a cut with a request running and starts again. The
+// connection of its earlier start stays open and silent. The request's slot must be
+// free at once, its caller told that the answer is lost, and the gate must go on to
+// say that it ran: a payment is not repeated.
+func TestRestartEndsWhatRanAtTheEarlierStart(t *testing.T) {
+	d := startDark(t)
+	e := New(Options{Host: "h", Incarnation: func() uint64 { return 1 }, Revision: func() uint64 { return 1 }, Heard: func(uint64) {}, Send: func(string, gate.Report) {},
+		Counters: NewCounters()}, gate.Config{Slots: 1, Queue: 4})
+	defer e.Close()
+	e.SetBackend(d.address)
+	id := gate.AttemptID{Request: [2]uint64{1, 2}, Attempt: 1}
+	ended := make(chan hop.Reply, 1)
+	go func() {
+		out := &hop.Outgoing{Method: http.MethodPost, URI: "/slow", Host: "pay.example", Header: http.Header{}, Deadline: time.Now().Add(time.Minute)}
+		_, reply := e.Attempt(t.Context(), hop.Request{ID: id, Incarnation: 1, Timeout: time.Minute}, out, nil)
+		ended <- reply
+	}()
+	eventually(t, "the request runs", func() bool { return e.Load().Running == 1 })
+	e.SetRestarted(d.address)
+	select {
+	case reply := <-ended:
+		assert.Equal(t, reply.Verdict, hop.Broke)
+	case <-time.After(5 * time.Second):
+		t.Fatal("the request still waits for a server that is gone")
+	}
+	assert.Equal(t, e.Load().Running, 0)
+	assert.Equal(t, e.Revoke(id, time.Second), gate.RevokeFinished)
+}
--- a/internal/node/announce_test.go
+++ b/internal/node/announce_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	apiv1 "cactuspath/api/cactuspath/v1"
+	"cactuspath/core/gate"
 	"cactuspath/internal/controlclient"
 	"cactuspath/internal/hop"
 )
@@ -147,3 +148,83 @@
 	defer s.endpoint.Close()
 	assert.Equal(t, s.endpoint.Load().Slots, 4)
 }
+
+func startedAt(a Announcement, at int64) Announcement {
+	a.StartedAt = at
+	return a
+}
+
+// A backend server crashes and starts again as the same instance, with its sequence
+// begun anew. It must be taken in at once: ordered by sequence alone, the node left out
+// all that it said, let the lease run out and never served it again.
+func TestServerThatStartsAgainUnderItsInstanceIsServed(t *testing.T) {
+	n := alone(t, "")
+	assert.NilError(t, n.Announce(startedAt(announcement("i-1", 50, true), 1000)))
+	assert.NilError(t, n.Announce(startedAt(announcement("i-1", 1, false), 2000)))
+	assert.Equal(t, n.server.sequence, uint64(1))
+	n.mu.Lock()
+	assert.Assert(t, !n.draining(), "the drain of the earlier start drained the new one")
+	n.mu.Unlock()
+	// Announcements of the earlier start come late, among them its drain.
+	assert.NilError(t, n.Announce(startedAt(announcement("i-1", 51, true), 1000)))
+	assert.Equal(t, n.server.startedAt, int64(2000))
+	n.mu.Lock()
+	assert.Assert(t, !n.draining())
+	n.mu.Unlock()
+	n.withdraw("its lease ran out")
+	assert.NilError(t, n.Announce(startedAt(announcement("i-1", 52, false), 2000)))
+	assert.Assert(t, n.server == nil, "an ended start came back")
+	assert.NilError(t, n.Announce(startedAt(announcement("i-1", 1, false), 3000)))
+	assert.Assert(t, n.server != nil, "a later start of an ended one was left out")
+}
+
+// The node was restarted alone and found the server by asking it; its health answer
+// does not tell when it started. The next announcement adds that and is no new start.
+func TestStartIsLearntFromTheNextAnnouncement(t *testing.T) {
+	n := alone(t, "")
+	assert.NilError(t, n.announceFound(announcement("i-1", 0, false)))
+	e := n.server.endpoint
+	life := e.Life()
+	assert.NilError(t, n.Announce(startedAt(announcement("i-1", 7, false), 1000)))
+	assert.NilError(t, life.Err(), "exchanges were ended although the server did not start again")
+	assert.Equal(t, n.server.startedAt, int64(1000))
+	assert.NilError(t, n.Announce(startedAt(announcement("i-1", 1, false), 2000)))
+	assert.Assert(t, life.Err() != nil)
+	assert.Equal(t, n.server.endpoint, e, "the gate that knows what ran was replaced")
+}
+
+// A heartbeat of a crashed server was held up behind a cut, and another server has
+// registered at the address meanwhile. This node started after the crash and has not
+// seen the earlier one end; it goes by the times of their starts.
+func TestHeldUpAnnouncementOfAnEarlierServerChangesNothing(t *testing.T) {
+	n := alone(t, "")
+	assert.NilError(t, n.Announce(startedAt(announcement("i-2", 1, false), 2000)))
+	assert.NilError(t, n.Announce(startedAt(announcement("i-1", 9, true), 1000)))
+	assert.Equal(t, n.server.instance, "i-2")
+	assert.Assert(t, !n.server.draining)
+}
+
+// Another writer announces a service that the estate does not have. What is known of
+// the host's own backend server holds.
+func TestUnknownServiceIsNotServed(t *testing.T) {
+	n := alone(t, "")
+	n.takeDelta(&apiv1.EstateDelta{Revision: 1, Complete: true, Services: []*apiv1.ServiceRecord{{Name: "pay", ChangedAt: 1, Spec: &apiv1.ServiceSpec{Slots: 1}}}}, true, "test")
+	other := announcement("i-1", 1, false)
+	other.Service = "else"
+	assert.ErrorContains(t, n.Announce(other), "not in the estate")
+	assert.Assert(t, n.server == nil)
+	assert.NilError(t, n.Announce(announcement("i-1", 1, false)))
+	assert.Assert(t, n.server != nil)
+}
+
+// A request ran at a server that was then withdrawn, and its answer was lost. A new
+// server is announced, with a gate that has never heard of the request. It must not
+// call it "never started": a payment would run a second time.
+func TestLaterGateDoesNotSpeakForTheEarlierOne(t *testing.T) {
+	n := alone(t, "")
+	assert.NilError(t, n.Announce(announcement("i-1", 1, false)))
+	n.withdraw("it left")
+	assert.NilError(t, n.Announce(announcement("i-2", 1, false)))
+	id := gate.AttemptID{Request: [2]uint64{1, 2}, Attempt: 1}
+	assert.Equal(t, n.server.endpoint.Revoke(id, 100*time.Millisecond), gate.RevokeUnknown)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -73,11 +73,13 @@
 	front    *front.Server
 	callers  *inFlight
 
-	mu       sync.Mutex
-	records  *rollout.Records
-	view     *directory.View
-	server   *server
-	retired  retired
+	mu      sync.Mutex
+	records *rollout.Records
+	view    *directory.View
+	server  *server
+	retired retired
+	// served: a backend server was announced since this node started.
+	served   bool
 	sequence uint64
 	// unready: a planned stop began. stopping: its gate has closed.
 	unready, stopping bool
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,27 +16,6 @@
 	apiv1 "cactuspath/api/cactuspath/v1"
 )
 
-// Announcement is what a backend server says of itself.
-type Announcement struct {
-	Service string `json:"service"`
-	// Address is where the node reaches the backend server.
-	Address string `json:"address"`
-	// Slots is how many requests it runs at once; the estate's number if 0.
-	Slots uint32 `json:"slots,omitempty"`
-	// Instance identifies this start of the backend server, if its requests name
-	// the instance that is to run them.
-	Instance string `json:"instance,omitempty"`
-	// Sequence orders the announcements of one instance or, if it names none, of one
-	// address; one that comes late is left out. It rises over restarts of the backend
-	// server as well. 0 means that they have no order.
-	Sequence uint64 `json:"sequence,omitempty"`
-	// ColdFor is how long the server stays slow; the estate's slow start if 0.
-	ColdFor  time.Duration `json:"coldFor,omitempty"`
-	Draining bool          `json:"draining,omitempty"`
-	// Cold asks for a slow start.
-	Cold bool `json:"cold,omitempty"`
-}
-
 const (
 	// serverLease is how long an announcement counts without renewal.
 	serverLease = 10 * time.Second
@@ -51,33 +29,16 @@
 	slots    uint32
 	draining bool
 	instance string
-	sequence uint64
-	expires  time.Time
-	endpoint *endpoint.Endpoint
+	// startedAt is when the backend server started, in Unix milliseconds by its own
+	// clock; 0 if it does not tell.
+	startedAt int64
+	sequence  uint64
+	expires   time.Time
+	endpoint  *endpoint.Endpoint
 }
 
 var errOtherService = errors.New("this node serves a backend server of another service; withdraw that one first, or run one node for each")
 
-// Announce takes in an announcement or its renewal. When it returns, a drain
-// that it asks for holds: the gate starts no request any more.
-func (n *Node) Announce(a Announcement) error {
-	if problem := a.check(); problem != "" {
-		return errors.New(problem)
-	}
-	return n.announce(a)
-}
-
-// Withdraw ends the announcement of an instance; one of an earlier instance is
-// over already.
-func (n *Node) Withdraw(instance, why string) {
-	n.mu.Lock()
-	current := n.server != nil && n.server.instance == instance
-	n.mu.Unlock()
-	if current {
-		n.withdraw(why)
-	}
-}
-
 // Ready tells whether callers may be sent here: there is a configuration and no
 // planned stop.
 func (n *Node) Ready() bool {
@@ -86,87 +47,6 @@
 	return n.records.Revision() > 0 && !n.unready
 }
 
-// announce takes in an announcement or its renewal.
-func (n *Node) announce(a Announcement) error {
-	n.mu.Lock()
-	if why := n.outdated(a); why != "" {
-		n.mu.Unlock()
-		klog.InfoS("Announcement left out", "host", n.options.Host, "instance", a.Instance, "sequence", a.Sequence, "why", why)
-		return nil
-	}
-	if n.server != nil && n.server.service != a.Service {
-		n.mu.Unlock()
-		return errOtherService
-	}
-	s := n.server
-	fresh := s == nil
-	if fresh {
-		s = n.newServer(a)
-		n.server = s
-	}
-	moved := s.address != a.Address || s.instance != a.Instance
-	changed := fresh || moved || s.slots != a.Slots || s.draining != a.Draining
-	if s.instance != "" && s.instance != a.Instance {
-		n.retired.add(s.instance)
-	}
-	s.address, s.slots, s.draining, s.instance, s.sequence = a.Address, a.Slots, a.Draining, a.Instance, a.Sequence
-	s.expires = time.Now().Add(serverLease)
-	if changed {
-		n.sequence++
-	}
-	n.mu.Unlock()
-	if moved {
-		s.endpoint.SetInstance(a.Instance)
-		s.endpoint.SetBackend(a.Address)
-	}
-	if a.Cold && (fresh || moved) {
-		s.endpoint.SetCold()
-	}
-	if changed {
-		klog.InfoS("Backend server announced", "host", n.options.Host, "service", a.Service, "address", a.Address, "draining", a.Draining)
-		n.apply()
-		n.member.kick()
-	}
-	return nil
-}
-
-// outdated tells why an announcement is older than what is known, or "". One
-// that was held up on its way could end a drain, after which requests would
-// reach a backend server that is leaving, or bring back one that has ended.
-func (n *Node) outdated(a Announcement) string {
-	switch {
-	case a.Instance != "" && n.retired.has(a.Instance):
-		return "this instance has ended"
-	case n.server != nil && n.server.earlier(a):
-		return "a later one was taken in already"
-	}
-	return ""
-}
-
-// earlier tells whether an announcement was made before the one that is known.
-func (s *server) earlier(a Announcement) bool {
-	if s.instance != a.Instance || a.Sequence >= s.sequence {
-		return false
-	}
-	return a.Instance != "" || s.address == a.Address && a.Sequence > 0
-}
-
-// retiredKept is how many ended instances a node remembers: far more than one
-// host sees within the time that an announcement can be held up.
-const retiredKept = 64
-
-// retired are the newest instances that ended.
-type retired struct{ names []string }
-
-func (r *retired) has(instance string) bool { return slices.Contains(r.names, instance) }
-
-func (r *retired) add(instance string) {
-	r.names = append(r.names, instance)
-	if len(r.names) > retiredKept {
-		r.names = r.names[1:]
-	}
-}
-
 // newServer sets up what an announcement tells of; the caller holds the lock. The
 // gate has its slots before anybody can hear of the server: a heartbeat that went
 // out between the two brought requests to a gate without any, which refused them
@@ -176,9 +56,14 @@
 	if spec, slots := n.serving(a.Service, a.Slots); slots > 0 {
 		config = gateConfig(spec, slots, 1)
 	}
-	return &server{service: a.Service, endpoint: endpoint.New(endpoint.Options{
+	e := endpoint.New(endpoint.Options{
 		Host: n.options.Host, Incarnation: n.incarnation.Load, Send: n.reports.send, Revision: n.Revision, Heard: n.heard, Counters: n.gates, Dialect: n.options.Dialect,
-	}, config)}
+	}, config)
+	if n.served {
+		e.SetSuccessor()
+	}
+	n.served = true
+	return &server{service: a.Service, endpoint: e}
 }
 
 // serving is what is known of a service, and the slots of a backend server that
@@ -216,7 +101,7 @@
 	}
 	n.server = nil
 	if s.instance != "" {
-		n.retired.add(s.instance)
+		n.retired.add(s.instance, s.startedAt)
 	}
 	n.sequence++
 	n.mu.Unlock()
