A cold start that is announced is believed at once; crowds are measured against room

And on a server that stayed full the mean of all followed the crowd (1.00 to 1.25 found where 1.7 is true), so that the last slots were filled for good. Change: until the announced end of a cold start the smallest recent figure counts as lasting, and nothing is explored; a demand is compared with the mean of those that ran outside a crowd. Tests: the three new ones fail without it.

--- a/core/gate/admit.go
+++ b/core/gate/admit.go
@@ -45,7 +45,7 @@
 	switch {
 	case !g.told(now) || !it.Movable || it.rank.late || now >= it.AimAt:
 		return false
-	case g.slow.factor < hintSlowdown*g.slow.lasting.least():
+	case g.slow.factor < hintSlowdown*g.slow.lastingFactor():
 		return false
 	case now+g.serviceOf(now, it.Request, g.running+1) <= it.AimAt:
 		return false
--- a/core/gate/crowd.go
+++ b/core/gate/crowd.go
@@ -127,10 +127,11 @@
 // usefulSlots is how many of the slots are worth filling. The last ones are left
 // empty until enough is known of requests outside a crowd: a server that is full
 // from its start on would never show the difference. Then they are filled until
-// enough is known of requests in one.
+// enough is known of requests in one; not on a cold server, where finding out would
+// come on top of the slowest time there is.
 func (g *Gate) usefulSlots() int {
 	slots := g.config.Slots
-	if g.slow.crowd.roomy.seen >= crowdSamples && g.crowdFactor() <= crowdWorth {
+	if g.slow.crowd.roomy.seen >= crowdSamples && g.crowdFactor() <= crowdWorth && !(g.slow.isCold() && !g.slow.crowd.known()) {
 		return slots
 	}
 	return max(1, int(crowdShare*float64(slots)))
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -397,9 +397,11 @@
 	g.memory.forgotten, g.memory.anyForgotten = max(g.memory.forgotten, now), true
 }
 
-// SetCold starts the slow start anew.
-func (g *Gate) SetCold(now time.Duration) {
+// SetCold starts the slow start anew. Left is how long the server says that it stays
+// slow, 0 if it does not say.
+func (g *Gate) SetCold(now, left time.Duration) {
 	g.cold, g.coldSince = true, now
+	g.slow.coldUntil = now + left
 }
 
 // InFlight counts requests that run or wait here.
--- a/core/gate/slowdown.go
+++ b/core/gate/slowdown.go
@@ -51,11 +51,13 @@
 	last    time.Duration
 	worked  float64 // nanoseconds of work at the usual speed
 	demand  mean
-	classes map[string]*mean
+	classes map[string]*class
 	typical float64 // mean rate of progress over that of the lasting slowdown, 0 to 1
 	lasting lasting
 	guess   float64 // of the mean demand, from aims
-	crowd   crowd
+	// coldUntil is the end of the cold start that the server announced.
+	coldUntil time.Duration
+	crowd     crowd
 }
 
 // mean is a moving mean of demands in nanoseconds at the usual speed.
@@ -70,7 +72,7 @@
 }
 
 func newSlowdown(now time.Duration) slowdown {
-	return slowdown{factor: 1, last: now, demand: mean{value: float64(firstEstimate)}, classes: map[string]*mean{}, typical: 1}
+	return slowdown{factor: 1, last: now, demand: mean{value: float64(firstEstimate)}, classes: map[string]*class{}, typical: 1}
 }
 
 func (s *slowdown) advance(now time.Duration) {
@@ -82,7 +84,7 @@
 	s.worked += elapsed / s.factor
 	if s.known {
 		weight := 1 - math.Exp(-elapsed*typicalGain/float64(time.Second))
-		s.typical += (s.lasting.least()/s.factor - s.typical) * weight
+		s.typical += (s.lastingFactor()/s.factor - s.typical) * weight
 	}
 }
 
@@ -128,6 +130,33 @@
 	return max(1, least)
 }
 
+// heard is the smallest figure of the recent spans in which any was heard.
+func (l *lasting) heard() float64 {
+	least := math.Inf(1)
+	for _, m := range l.minima {
+		if m > 0 {
+			least = min(least, m)
+		}
+	}
+	if math.IsInf(least, 1) {
+		return 1
+	}
+	return max(1, least)
+}
+
+// isCold tells whether the server says that it is slow since it has just started.
+func (s *slowdown) isCold() bool { return s.last < s.coldUntil }
+
+// lastingFactor is the part of the slowdown that stays. A server that announced how
+// long it stays cold is believed at once: waiting for two seconds of figures, a fleet
+// that had just started took twice the work that it could end in time.
+func (s *slowdown) lastingFactor() float64 {
+	if s.isCold() {
+		return s.lasting.heard()
+	}
+	return s.lasting.least()
+}
+
 // tell takes in a figure.
 func (s *slowdown) tell(now time.Duration, factor float64) {
 	s.advance(now)
@@ -144,9 +173,9 @@
 func (s *slowdown) finish(it *item, crowding crowding, factor float64) {
 	demand := max(0, s.worked-it.workedAt)
 	usual := s.class(it.Class)
-	if s.known && usual != nil && usual.seen > 0 {
+	if s.known && usual != nil {
 		// Without the server's figure a slow host would pass for a crowd.
-		s.crowd.add(demand/max(usual.value, 1), crowding)
+		s.compare(usual, demand, crowding)
 	}
 	if crowding == full {
 		// A crowded server's time says nothing of the request.
@@ -158,11 +187,30 @@
 	}
 }
 
+// compare takes a demand in to find out what a crowd costs. Its measure is the mean of
+// those that ran outside a crowd: the mean of all follows the crowd on a server that
+// stays full, which then looked as if a crowd cost nothing, and was filled further.
+func (s *slowdown) compare(c *class, demand float64, crowding crowding) {
+	if crowding == roomy {
+		c.roomy.add(demand)
+	}
+	if c.roomy.seen > 0 {
+		s.crowd.add(demand/max(c.roomy.value, 1), crowding)
+	}
+}
+
+// class is what is known of the demands of one class of requests.
+type class struct {
+	mean
+	// roomy is the mean of those that ran outside a crowd.
+	roomy mean
+}
+
 // class is the mean of one class of requests; nil if too many are kept already.
-func (s *slowdown) class(name string) *mean {
+func (s *slowdown) class(name string) *class {
 	m := s.classes[name]
 	if m == nil && len(s.classes) < maxClasses {
-		m = &mean{}
+		m = &class{}
 		s.classes[name] = m
 	}
 	return m
@@ -211,13 +259,13 @@
 		return time.Duration(atOnce)
 	}
 	left := demand - float64(spell)/s.factor
-	return spell + time.Duration(left*s.lasting.least()/max(s.typical, slowestRate))
+	return spell + time.Duration(left*s.lastingFactor()/max(s.typical, slowestRate))
 }
 
 // atBest is the time that work of the demand takes if nothing slows the server
 // but what lasts.
 func (s *slowdown) atBest(demand float64) time.Duration {
-	return time.Duration(demand * s.lasting.least())
+	return time.Duration(demand * s.lastingFactor())
 }
 
 // Observe takes in what the backend server says of its load.
@@ -299,7 +347,7 @@
 
 // Speed tells what the gate predicts by.
 func (g *Gate) Speed(now time.Duration) Speed {
-	s := Speed{Slowdown: 1, Lasting: g.slow.lasting.least(), Crowd: g.crowdFactor(), Usual: time.Duration(g.slow.usual())}
+	s := Speed{Slowdown: 1, Lasting: g.slow.lastingFactor(), Crowd: g.crowdFactor(), Usual: time.Duration(g.slow.usual())}
 	if g.told(now) {
 		s.Slowdown = g.slow.factor
 	}
--- a/core/gate/slowdown_test.go
+++ b/core/gate/slowdown_test.go
@@ -223,3 +223,57 @@
 	assert.Equal(t, g.Speed(0).Crowd, 1.6)
 	assert.Equal(t, g.usefulSlots(), 4)
 }
+
+// A server fills up and stays full, so that every request runs in a crowd and takes
+// 1.7 times as long. The mean of its class follows, and measured by that mean a crowd
+// seemed to cost nothing: the last slots were filled for good, each of them worth less
+// than nothing.
+func TestFullServerDoesNotForgetWhatACrowdCosts(t *testing.T) {
+	s := newSlowdown(0)
+	s.known = true
+	serve := func(demand time.Duration, kind crowding) {
+		it := &item{Request: Request{Class: "lookup"}, workedAt: s.worked - float64(demand)}
+		s.finish(it, kind, 1)
+	}
+	for range 2 * crowdWindow {
+		serve(80*time.Millisecond, roomy)
+	}
+	for range 10 * crowdWindow {
+		serve(136*time.Millisecond, full)
+	}
+	assert.Assert(t, s.crowd.own() > 1.6, "a crowd was found to cost %.2f", s.crowd.own())
+}
+
+// Every server of a service has lost its power and starts again, twice as slow for
+// three seconds, and says so. Requests that cannot end in their time must be refused
+// from the first figure on: the gate took the slowness for a neighbour's noise for two
+// seconds, started all that came and had it end late.
+func TestAnnouncedColdStartIsBelievedAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		desc string
+		left time.Duration
+		want float64
+	}{{"announced", 3 * time.Second, 2}, {"not announced", 0, 1}} {
+		g := New("a", Config{Slots: 4, Queue: 4}, 0)
+		g.SetCold(0, c.left)
+		g.Observe(10*time.Millisecond, 8)
+		g.Observe(310*time.Millisecond, 2)
+		assert.Equal(t, g.Speed(320*time.Millisecond).Lasting, c.want, c.desc)
+		g.Observe(3*time.Second, 1)
+		assert.Equal(t, g.Speed(3*time.Second).Lasting, 1.0, c.desc)
+	}
+}
+
+// A cold server has shown how long requests take outside a crowd. Its last slots are
+// not filled to find out what a crowd costs before the cold start is over.
+func TestColdServerIsNotCrowdedToFindOut(t *testing.T) {
+	g := New("a", Config{Slots: 10, Queue: 4}, 0)
+	g.SetCold(0, 3*time.Second)
+	g.Observe(0, 2)
+	for range crowdSamples {
+		g.slow.crowd.add(1, roomy)
+	}
+	assert.Equal(t, g.usefulSlots(), 8)
+	g.Observe(3*time.Second, 1)
+	assert.Equal(t, g.usefulSlots(), 10)
+}
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -227,10 +227,11 @@
 	e.with(func(now time.Duration) []gate.Event { return e.gate.SetDraining(now, draining) })
 }
 
-// SetCold starts the slow start.
-func (e *Endpoint) SetCold() {
+// SetCold starts the slow start. Left is how long the backend server says that it
+// stays slow, 0 if it does not say.
+func (e *Endpoint) SetCold(left time.Duration) {
 	e.with(func(now time.Duration) []gate.Event {
-		e.gate.SetCold(now)
+		e.gate.SetCold(now, left)
 		return nil
 	})
 }
@@ -388,7 +389,7 @@
 		if e.answers() {
 			e.failures.Store(0)
 			e.heard()
-			e.SetCold()
+			e.SetCold(0)
 			e.setDown(false)
 			return
 		}
--- a/internal/node/announce.go
+++ b/internal/node/announce.go
@@ -101,7 +101,7 @@
 		s.endpoint.SetRestarted(a.Address)
 	}
 	if a.Cold && (fresh || moved || restarted) {
-		s.endpoint.SetCold()
+		s.endpoint.SetCold(a.ColdFor)
 	}
 	if changed {
 		klog.InfoS("Backend server announced", "host", n.options.Host, "service", a.Service, "address", a.Address, "instance", a.Instance, "startedAt", a.StartedAt,
--- a/internal/replay/run.go
+++ b/internal/replay/run.go
@@ -298,7 +298,7 @@
 		n.loseAnswers = *e.LoseAnswers
 	}
 	if e.Cold {
-		n.gate.SetCold(s.Now())
+		n.gate.SetCold(s.Now(), 0)
 	}
 	if e.Draining != nil {
 		n.draining = *e.Draining
