--- a/cmd/cactusctl/emulate.go
+++ b/cmd/cactusctl/emulate.go
@@ -9,12 +9,13 @@
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
+	"cactuspath/core/mechanism"
 	"cactuspath/internal/emulator"
 	"cactuspath/internal/operator"
 )
 
 func emulateCommand(f *flags) *cobra.Command {
-	return player{
+	cmd := player{
 		use: "emulate SCENARIO", short: "Run services that call each other on noisy hosts through the decision code, against stated outcomes",
 		long: "Run a scenario of several services through the decision code that runs in the nodes, in virtual time: requests that call other services, hosts with noisy\n" +
 			"neighbours, servers that slow down in a crowd, bursts, callers that come back once.\n\n" +
@@ -22,6 +23,27 @@
 		unnamed: "all",
 		names:   emulatorPolicies, play: runEmulation,
 	}.command(f)
+	cmd.Flags().StringSlice(withoutFlag, nil, "play also what the nodes run without these mechanisms, one at a time; join two by + to switch both off: "+strings.Join(mechanism.All().Names(), ", "))
+	return cmd
+}
+
+const withoutFlag = "without"
+
+// withouts are the variants that --without asks for.
+func withouts(cmd *cobra.Command) ([]emulator.Variant, error) {
+	asked, err := cmd.Flags().GetStringSlice(withoutFlag)
+	if err != nil {
+		return nil, err
+	}
+	var list []emulator.Variant
+	for _, names := range asked {
+		off, err := mechanism.Parse(strings.Split(names, "+"))
+		if err != nil {
+			return nil, &usageError{err}
+		}
+		list = append(list, emulator.Without(off))
+	}
+	return list, nil
 }
 
 func emulatorPolicies() []string {
@@ -42,8 +64,15 @@
 	if err != nil {
 		return errors.Wrap(err, file)
 	}
+	reduced, err := withouts(cmd)
+	if err != nil {
+		return err
+	}
 	if len(policies) == 0 {
 		policies = emulatorPolicies()
+		if len(reduced) > 0 {
+			policies = []string{emulator.Chosen}
+		}
 	}
 	var results []*emulator.Result
 	for _, name := range policies {
@@ -53,6 +82,9 @@
 		}
 		results = append(results, emulator.Run(scenario, variant, seed))
 	}
+	for _, variant := range reduced {
+		results = append(results, emulator.Run(scenario, variant, seed))
+	}
 	if err := f.print(cmd.OutOrStdout(), results, func(out io.Writer) { printEmulation(out, scenario, results) }); err != nil {
 		return err
 	}
--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -70,6 +70,9 @@
 	eligible []*Candidate
 }
 
+// SetPolicy replaces the policy; candidates and what is known of them stay.
+func (p *Pool) SetPolicy(policy Policy) { p.policy = policy }
+
 // NewPool returns a pool without candidates.
 func NewPool(policy Policy) *Pool {
 	return &Pool{policy: policy, byHost: map[string]*Candidate{}}
--- a/core/gate/admit.go
+++ b/core/gate/admit.go
@@ -1,6 +1,10 @@
 package gate
 
-import "time"
+import (
+	"time"
+
+	"cactuspath/core/mechanism"
+)
 
 // Admission: how long a request that arrives would wait, whether it is taken, and
 // at whose cost.
@@ -43,7 +47,7 @@
 // over; one whose aim has passed is not held.
 func (g *Gate) holds(now time.Duration, it *item) bool {
 	switch {
-	case !g.told(now) || !it.Movable || it.rank.late || now >= it.AimAt:
+	case g.off(mechanism.Holds), !g.told(now) || !it.Movable || it.rank.late || now >= it.AimAt:
 		return false
 	case g.slow.factor < hintSlowdown*g.slow.lastingFactor():
 		return false
@@ -68,7 +72,7 @@
 		return true
 	}
 	finish := now + g.finishIn(now, it)
-	if it.AimAt > 0 && finish > it.AimAt && !g.short(now, it.Request) {
+	if it.AimAt > 0 && finish > it.AimAt && !g.off(mechanism.Aims) && !g.short(now, it.Request) {
 		// A short one that is late keeps its place: it costs little, and its parent
 		// may still be in time.
 		it.rank.late = true
--- a/core/gate/crowd.go
+++ b/core/gate/crowd.go
@@ -1,6 +1,10 @@
 package gate
 
-import "slices"
+import (
+	"slices"
+
+	"cactuspath/core/mechanism"
+)
 
 // Some backend servers slow down as a whole when nearly all of their slots are
 // taken: six requests then take longer than four and two after them. The gate
@@ -95,6 +99,9 @@
 // what all gates found counts: a single one finds 1.0 to 2.2 where 1.7 is true,
 // and one that has just started knows nothing.
 func (g *Gate) crowdFactor() float64 {
+	if g.off(mechanism.Crowd) {
+		return 1
+	}
 	found := g.crowdFound[:0]
 	if own := g.slow.crowd.own(); own > 0 {
 		found = append(found, own)
@@ -131,6 +138,9 @@
 // come on top of the slowest time there is.
 func (g *Gate) usefulSlots() int {
 	slots := g.config.Slots
+	if g.off(mechanism.Crowd) {
+		return slots
+	}
 	if g.slow.crowd.roomy.seen >= crowdSamples && g.crowdFactor() <= crowdWorth && !(g.slow.isCold() && !g.slow.crowd.known()) {
 		return slots
 	}
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -12,6 +12,8 @@
 import (
 	"sort"
 	"time"
+
+	"cactuspath/core/mechanism"
 )
 
 type itemState int
@@ -80,11 +82,15 @@
 func (g *Gate) Configure(now time.Duration, config Config) []Event {
 	g.begin(now)
 	g.config = config
+	g.slow.off = config.Off
 	g.siblings.budget.Set(config.ReportsPerSecond, config.BytesPerSecond)
 	g.fill(now)
 	return g.take()
 }
 
+// off tells whether a mechanism is switched off.
+func (g *Gate) off(m mechanism.Set) bool { return g.config.Off.Has(m) }
+
 // begin starts a batch of events.
 func (g *Gate) begin(now time.Duration) {
 	g.events = nil
@@ -125,7 +131,13 @@
 // Arrive takes in a request.
 func (g *Gate) Arrive(now time.Duration, r Request) []Event {
 	g.begin(now)
-	it := &item{Request: r, arrived: now, rank: rank{priority: r.Priority, aim: r.Aim}, work: g.slow.demandOf(r)}
+	if g.off(mechanism.FairShares) {
+		r.Caller = ""
+	}
+	it := &item{Request: r, arrived: now, work: g.slow.demandOf(r)}
+	if !g.off(mechanism.Ranks) {
+		it.rank = rank{priority: r.Priority, aim: r.Aim}
+	}
 	g.slow.expect(r)
 	if reason := g.unfit(now, r); reason != 0 {
 		g.emit(Event{Kind: Refused, Handle: r.Handle, Reason: reason, RetryAfter: g.retryAfter(now)})
@@ -269,7 +281,7 @@
 // missesAim tells whether a waiting request is not likely to be answered within
 // its aim if it started now.
 func (g *Gate) missesAim(now time.Duration, it *item) bool {
-	if it.rank.late || it.AimAt == 0 || g.short(now, it.Request) {
+	if g.off(mechanism.Aims) || it.rank.late || it.AimAt == 0 || g.short(now, it.Request) {
 		return false
 	}
 	needs := aimMargin * g.crowdAt(g.running+1) * float64(g.shortest(now, it.Request))
--- a/core/gate/outlier.go
+++ b/core/gate/outlier.go
@@ -3,6 +3,8 @@
 import (
 	"sort"
 	"time"
+
+	"cactuspath/core/mechanism"
 )
 
 const (
@@ -40,7 +42,7 @@
 // failing compares this server's ratio with its siblings'.
 func (g *Gate) failing(now time.Duration) bool {
 	s := &g.outlier
-	if s.seen < failWeight/4 || s.ratio < failFloor {
+	if g.off(mechanism.Outlier) || s.seen < failWeight/4 || s.ratio < failFloor {
 		return false
 	}
 	var others []float64
--- a/core/gate/room.go
+++ b/core/gate/room.go
@@ -1,6 +1,10 @@
 package gate
 
-import "time"
+import (
+	"time"
+
+	"cactuspath/core/mechanism"
+)
 
 // Room: how many of the slots a request may take. Short ones may take more.
 
@@ -25,9 +29,9 @@
 func (g *Gate) roomFor(now time.Duration, r Request) int {
 	switch {
 	case g.cold && !g.slow.known:
-	case g.short(now, r):
+	case !g.off(mechanism.KeptSlots) && g.short(now, r):
 		return g.config.Slots - g.running
-	case g.mixed(now) && g.slots(now) == g.config.Slots:
+	case !g.off(mechanism.KeptSlots) && g.mixed(now) && g.slots(now) == g.config.Slots:
 		return g.config.Slots - kept(g.config.Slots) - g.running
 	}
 	return g.free(now)
--- a/core/gate/siblings.go
+++ b/core/gate/siblings.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"cactuspath/core/measure"
+	"cactuspath/core/mechanism"
 )
 
 // The gates of one service bind late: a request that would wait here, or that
@@ -287,6 +288,9 @@
 		return false
 	}
 	forced := g.draining || g.down || g.failing(now) && !g.outlier.trial(now)
+	if !forced && g.off(mechanism.Moves) {
+		return false
+	}
 	if !forced && float64(there)*gain > float64(g.finishIn(now, it)) {
 		return false
 	}
@@ -366,6 +370,9 @@
 // fullEverywhere tells whether the siblings that this gate knows of are as busy
 // as it is, so that trying one of them would only add to the load.
 func (g *Gate) fullEverywhere(now time.Duration) bool {
+	if g.off(mechanism.Everywhere) {
+		return false
+	}
 	known := false
 	for _, sib := range g.siblings.list {
 		known = known || sib.fresh(now)
--- a/core/gate/slowdown.go
+++ b/core/gate/slowdown.go
@@ -4,6 +4,8 @@
 	"math"
 	"sort"
 	"time"
+
+	"cactuspath/core/mechanism"
 )
 
 // A backend server that shares its host may say how many times longer than usual
@@ -57,6 +59,7 @@
 	guess   float64 // of the mean demand, from aims
 	// coldUntil is the end of the cold start that the server announced.
 	coldUntil time.Duration
+	off       mechanism.Set
 	crowd     crowd
 }
 
@@ -145,12 +148,15 @@
 }
 
 // isCold tells whether the server says that it is slow since it has just started.
-func (s *slowdown) isCold() bool { return s.last < s.coldUntil }
+func (s *slowdown) isCold() bool { return s.last < s.coldUntil && !s.off.Has(mechanism.Cold) }
 
 // lastingFactor is the part of the slowdown that stays. A server that announced how
 // long it stays cold is believed at once: waiting for two seconds of figures, a fleet
 // that had just started took twice the work that it could end in time.
 func (s *slowdown) lastingFactor() float64 {
+	if s.off.Has(mechanism.Lasting) {
+		return 1
+	}
 	if s.isCold() {
 		return s.lasting.heard()
 	}
@@ -271,6 +277,9 @@
 // Observe takes in what the backend server says of its load.
 func (g *Gate) Observe(now time.Duration, factor float64) []Event {
 	g.begin(now)
+	if g.off(mechanism.Told) {
+		return g.take()
+	}
 	g.slow.tell(now, factor)
 	g.hintStuck(now)
 	g.announce(now)
@@ -292,7 +301,7 @@
 // hintStuck looks for requests that run on a server which turned slow under them.
 // Only the gate knows that at once; the request's caller decides what follows.
 func (g *Gate) hintStuck(now time.Duration) {
-	if !g.config.Siblings || !g.told(now) || g.slow.factor < hintSlowdown {
+	if g.off(mechanism.Hints) || !g.config.Siblings || !g.told(now) || g.slow.factor < hintSlowdown {
 		return
 	}
 	for _, it := range g.runningByHandle() {
--- a/core/gate/slowdown_test.go
+++ b/core/gate/slowdown_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"cactuspath/core/mechanism"
 )
 
 func classed(h Handle, class string, aim time.Duration, now time.Duration) Request {
@@ -277,3 +279,18 @@
 	g.Observe(3*time.Second, 1)
 	assert.Equal(t, g.usefulSlots(), 10)
 }
+
+// Switched off, a mechanism decides nothing from the next request on, and works again
+// once it is switched on.
+func TestSwitchedOffMechanismDecidesNothing(t *testing.T) {
+	g, now := toldGate(10)
+	siblingAt(g, now, "b", Load{Slots: 10, Service: 100 * ms})
+	g.Observe(now, 7)
+	config := g.config
+	config.Off = mechanism.Moves | mechanism.Holds
+	g.Configure(now, config)
+	assert.DeepEqual(t, kinds(g.Arrive(now, classed(1, "work", 400*ms, now))), []EventKind{Started})
+	config.Off = 0
+	g.Configure(now, config)
+	assert.DeepEqual(t, kinds(g.Arrive(now, classed(2, "work", 400*ms, now))), []EventKind{Moved})
+}
--- a/core/gate/types.go
+++ b/core/gate/types.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"cactuspath/core/mechanism"
 )
 
 // Handle names a request at its gate, as the driver chose it.
@@ -100,6 +102,8 @@
 	Siblings bool
 	// ReportsPerSecond and BytesPerSecond are this gate's share of the budget.
 	ReportsPerSecond, BytesPerSecond int
+	// Off are the mechanisms that are switched off.
+	Off mechanism.Set
 }
 
 // Outcome tells how a request ended.
--- a/internal/emulator/variants.go
+++ b/internal/emulator/variants.go
@@ -7,9 +7,10 @@
 
 	"cactuspath/core/balancer"
 	"cactuspath/core/balancer/leastoutstanding"
-	"cactuspath/core/balancer/nearby"
+	"cactuspath/core/balancer/nodes"
 	"cactuspath/core/balancer/random"
 	"cactuspath/core/balancer/twochoices"
+	"cactuspath/core/mechanism"
 )
 
 // Variant is one way to decide that a scenario is run with.
@@ -21,12 +22,22 @@
 	Siblings bool
 	// Omniscient picks by the servers' true state.
 	Omniscient bool
+	// Off are the mechanisms that are switched off.
+	Off mechanism.Set
 }
 
 // Chosen is the variant that the nodes run.
 const Chosen = "cactus"
 
-func chosen(random *rand.Rand) balancer.Policy { return nearby.New(leastoutstanding.New(random)) }
+// Without is what the nodes run with some mechanisms switched off.
+func Without(off mechanism.Set) Variant {
+	name := Chosen
+	for _, n := range off.Names() {
+		name += " -" + n
+	}
+	build := func(random *rand.Rand) balancer.Policy { return nodes.Policy(random, off) }
+	return Variant{Name: name, Build: build, Siblings: true, Off: off}
+}
 
 // Variants lists every variant.
 func Variants() []Variant {
@@ -34,7 +45,7 @@
 		{Name: "random", Build: random.New},
 		{Name: "least-outstanding", Build: leastoutstanding.New},
 		{Name: "two-choices", Build: twochoices.New},
-		{Name: Chosen, Build: chosen, Siblings: true},
+		Without(0),
 		{Name: "omniscient", Build: random.New, Siblings: true, Omniscient: true},
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 
 	apiv1 "cactuspath/api/cactuspath/v1"
 	"cactuspath/core/directory"
+	"cactuspath/core/mechanism"
 	"cactuspath/core/rollout"
 	"cactuspath/internal/controlclient"
 	"cactuspath/internal/endpoint"
@@ -51,6 +52,8 @@
 	WatchControl bool
 	// Retry bounds the second attempts of all nodes; zero for the estate's terms.
 	Retry proxy.Shared
+	// Disabled are mechanisms of the decision code that are switched off.
+	Disabled mechanism.Set
 }
 
 // Node is one node. Safe for concurrent use.
@@ -80,6 +83,7 @@
 	retired retired
 	// served: a backend server was announced since this node started.
 	served   bool
+	disabled mechanism.Set
 	sequence uint64
 	// unready: a planned stop began. stopping: its gate has closed.
 	unready, stopping bool
@@ -109,10 +113,26 @@
 		Host: options.Host, DataCenter: options.DataCenter, Security: options.Security, Local: n, Need: n.need, Heard: n.heard, Revision: n.Revision, Revoke: n.revoke, Counters: n.calls,
 		Dialect: options.Dialect, CallerService: n.service, Shared: options.Retry, Alive: n.alive,
 	})
+	n.disabled = options.Disabled
+	n.proxy.Disable(options.Disabled)
 	n.front = front.New(n.callers.count(n.proxy))
 	return n
 }
 
+// Disable switches mechanisms of the decision code off, and all others on.
+func (n *Node) Disable(off mechanism.Set) {
+	n.mu.Lock()
+	same := n.disabled == off
+	n.disabled = off
+	n.mu.Unlock()
+	if same {
+		return
+	}
+	klog.InfoS("Mechanisms switched", "host", n.options.Host, "disabled", off.Names())
+	n.proxy.Disable(off)
+	n.apply()
+}
+
 // Run serves until ctx ends, then stops as planned: no new work, work in
 // flight ends, the directory is told.
 func (n *Node) Run(ctx context.Context) error {
@@ -123,7 +143,8 @@
 	for _, loop := range []func(context.Context){n.member.run, n.relay.run, n.reports.run, n.watchServer, n.watcher.run, n.watcher.announce, n.findServer} {
 		loops.Go(func() { loop(background) })
 	}
-	klog.InfoS("Node started", "host", n.options.Host, "callers", n.options.Callers.Addr(), "peer", n.options.PeerAddress, "admin", n.options.Admin.Addr())
+	klog.InfoS("Node started", "host", n.options.Host, "callers", n.options.Callers.Addr(), "peer", n.options.PeerAddress, "admin", n.options.Admin.Addr(),
+		"disabled", n.options.Disabled.Names())
 	<-ctx.Done()
 	err := n.stop(servers)
 	cancel()
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -54,7 +54,7 @@
 func (n *Node) newServer(a Announcement) *server {
 	config := gate.Config{}
 	if spec, slots := n.serving(a.Service, a.Slots); slots > 0 {
-		config = gateConfig(spec, slots, 1)
+		config = n.gateConfig(spec, slots, 1)
 	}
 	e := endpoint.New(endpoint.Options{
 		Host: n.options.Host, Incarnation: n.incarnation.Load, Send: n.reports.send, Revision: n.Revision, Heard: n.heard, Counters: n.gates, Dialect: n.options.Dialect,
@@ -83,11 +83,12 @@
 }
 
 // gateConfig is a gate's part of what the estate says of a service with a number of
-// gates.
-func gateConfig(spec *apiv1.ServiceSpec, slots uint32, gates int) gate.Config {
+// gates; the caller holds the lock.
+func (n *Node) gateConfig(spec *apiv1.ServiceSpec, slots uint32, gates int) gate.Config {
 	return gate.Config{
 		Slots: int(slots), Queue: int(spec.Queue), SlowStart: time.Duration(spec.SlowStartMs) * time.Millisecond, Siblings: true,
 		ReportsPerSecond: measure.GateShare(spec.Measure.GetReportsPerSecond(), gates), BytesPerSecond: measure.GateShare(spec.Measure.GetBytesPerSecond(), gates),
+		Off: n.disabled,
 	}
 }
 
@@ -228,11 +229,12 @@
 func (n *Node) applyGate(s *server, entries []*apiv1.Entry) {
 	n.mu.Lock()
 	spec, slots := n.serving(s.service, s.slots)
+	config := n.gateConfig(spec, slots, max(1, len(entries)))
 	n.mu.Unlock()
 	if slots == 0 {
 		return
 	}
-	s.endpoint.Configure(gateConfig(spec, slots, max(1, len(entries))))
+	s.endpoint.Configure(config)
 	s.endpoint.SetHealthPath(spec.HealthPath)
 	s.endpoint.SetSiblings(n.siblings(entries))
 	n.reports.setAddresses(entries)
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -175,7 +175,7 @@
 	p.Node = node.New(node.Options{
 		Host: s.Host, DataCenter: s.DataCenter, Region: s.Region, Callers: callers, Peer: peer, Admin: admin, Reports: socket, PeerAddress: peerAddress,
 		Security: p.security, Control: p.client, StopTimeout: s.StopTimeout,
-		Dialect: p.dialect(), Service: n.Service, Backend: n.Backend, WatchControl: n.WatchControl,
+		Disabled: s.Disabled, Dialect: p.dialect(), Service: n.Service, Backend: n.Backend, WatchControl: n.WatchControl,
 		Retry: proxy.Shared{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window},
 	})
 	return nil
--- a/internal/process/reload.go
+++ b/internal/process/reload.go
@@ -56,5 +56,8 @@
 	if changed {
 		p.client.SetAddresses(s.ControlReplicas)
 	}
-	klog.InfoS("Settings reloaded", "file", file, "why", why, "controlReplicas", s.ControlReplicas, "changed", changed)
+	if p.Node != nil {
+		p.Node.Disable(s.Disabled)
+	}
+	klog.InfoS("Settings reloaded", "file", file, "why", why, "controlReplicas", s.ControlReplicas, "changed", changed, "disabled", s.Disabled.Names())
 }
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -11,6 +11,7 @@
 
 	"cactuspath/api/fault"
 	"cactuspath/core/gate"
+	"cactuspath/core/mechanism"
 	"cactuspath/core/retry"
 	"cactuspath/internal/hop"
 	"cactuspath/internal/logs"
@@ -246,7 +247,7 @@
 			}
 		}
 	}
-	if len(out.Buffered) >= bulkyBody {
+	if len(out.Buffered) >= bulkyBody && !c.h.disabled(mechanism.AskFirst) {
 		out.AskFirst()
 	}
 	answered := c.h.watch(&a)
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -13,6 +13,7 @@
 	"cactuspath/api/fault"
 	"cactuspath/core/balancer"
 	"cactuspath/core/gate"
+	"cactuspath/core/mechanism"
 	"cactuspath/internal/endpoint"
 	"cactuspath/internal/hop"
 	"cactuspath/internal/transport"
@@ -59,6 +60,8 @@
 	start   time.Time
 	table   atomic.Pointer[Table]
 	ready   atomic.Bool
+	// off are the mechanisms that are switched off, a mechanism.Set.
+	off     atomic.Uint32
 	request atomic.Uint64
 	seed    uint64
 
@@ -82,6 +85,18 @@
 	return h
 }
 
+// Disable switches mechanisms off, and all others on.
+func (h *Handler) Disable(off mechanism.Set) {
+	h.off.Store(uint32(off))
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	for _, s := range h.services {
+		s.disable(off)
+	}
+}
+
+func (h *Handler) disabled(m mechanism.Set) bool { return mechanism.Set(h.off.Load()).Has(m) }
+
 func (h *Handler) now() time.Duration { return time.Since(h.start) }
 
 // Configure applies the newest records.
@@ -142,7 +157,7 @@
 }
 
 func (h *Handler) service(name string) *service {
-	return held(h, h.services, name, func() *service { return newService(name) })
+	return held(h, h.services, name, func() *service { return newService(name, mechanism.Set(h.off.Load())) })
 }
 
 func (h *Handler) peer(address string) *hop.Pool {
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -8,8 +8,8 @@
 
 	apiv1 "cactuspath/api/cactuspath/v1"
 	"cactuspath/core/balancer"
-	"cactuspath/core/balancer/leastoutstanding"
-	"cactuspath/core/balancer/nearby"
+	"cactuspath/core/balancer/nodes"
+	"cactuspath/core/mechanism"
 	"cactuspath/core/retry"
 	"cactuspath/internal/hop"
 )
@@ -51,9 +51,17 @@
 	Window       time.Duration
 }
 
-func newService(name string) *service {
-	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return &service{name: name, spec: &apiv1.ServiceSpec{}, pool: balancer.NewPool(nearby.New(leastoutstanding.New(random))), budget: retry.NewBudget(0)}
+func newService(name string, off mechanism.Set) *service {
+	s := &service{name: name, spec: &apiv1.ServiceSpec{}, budget: retry.NewBudget(0)}
+	s.pool = balancer.NewPool(nodes.Policy(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), off))
+	return s
+}
+
+// disable changes which mechanisms are switched off.
+func (s *service) disable(off mechanism.Set) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool.SetPolicy(nodes.Policy(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), off))
 }
 
 func (s *service) configure(spec *apiv1.ServiceSpec) {
--- a/internal/proxy/silence.go
+++ b/internal/proxy/silence.go
@@ -7,6 +7,7 @@
 
 	"k8s.io/klog/v2"
 
+	"cactuspath/core/mechanism"
 	"cactuspath/internal/hop"
 )
 
@@ -41,7 +42,7 @@
 // watch has the peer asked when it stays quiet. The function it returns ends the
 // watch.
 func (h *Handler) watch(a *attempt) (done func(answered bool)) {
-	if h.options.Alive == nil {
+	if h.options.Alive == nil || h.disabled(mechanism.Silence) {
 		return func(bool) {}
 	}
 	p := h.pendingAt(a.to.PeerAddress)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"cactuspath/core/jsonc"
+	"cactuspath/core/mechanism"
 	"cactuspath/internal/transport"
 )
 
@@ -32,6 +33,8 @@
 	Retry RetryBudget
 	// Metrics is where metrics are served to other hosts; empty for nowhere.
 	Metrics string
+	// Disabled are mechanisms of the decision code that are switched off.
+	Disabled mechanism.Set
 	// Adapter connects the process to an outside platform; nil for none.
 	Adapter *Adapter
 }
@@ -155,6 +158,7 @@
 		"gcPercent":       func(n jsonc.Node) { s.GCPercent = int(n.Uint(minGCPercent, maxGCPercent)) },
 		"stopTimeout":     func(n jsonc.Node) { s.StopTimeout = n.Duration(time.Second, time.Hour) },
 		"metrics":         func(n jsonc.Node) { s.Metrics = address(n) },
+		"policy":          func(n jsonc.Node) { s.Disabled = readPolicy(n) },
 		"adapter":         func(n jsonc.Node) { s.Adapter = readAdapter(n) },
 	}, "host", "dataCenter", "region", "controlReplicas")
 	if s.Node == nil && s.Control == nil {
@@ -164,6 +168,21 @@
 	return s, reader.Problems()
 }
 
+// readPolicy reads {"disable": [names]}.
+func readPolicy(n jsonc.Node) mechanism.Set {
+	var off mechanism.Set
+	n.Object(map[string]func(jsonc.Node){"disable": func(list jsonc.Node) {
+		for _, name := range list.Elements() {
+			m, err := mechanism.Parse([]string{name.String()})
+			if err != nil {
+				name.Fail(err.Error(), "take a name from the list, or leave the entry out")
+			}
+			off |= m
+		}
+	}})
+	return off
+}
+
 // checkOpen refuses listeners that others can reach without TLS, unless the
 // settings say so plainly: what nodes tell each other decides where work goes.
 func (s *Settings) checkOpen(root jsonc.Node, plain bool) {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"cactuspath/core/mechanism"
 )
 
 const whole = `{
@@ -23,6 +25,12 @@
 	assert.Equal(t, s.Control.Operators[0].Name, "mai")
 }
 
+func TestMechanismsAreSwitchedOffByName(t *testing.T) {
+	s, problems := Parse([]byte(strings.Replace(whole, `"host": "h1"`, `"policy": {"disable": ["hints", "moves"]}, "host": "h1"`, 1)))
+	assert.Equal(t, len(problems), 0)
+	assert.Equal(t, s.Disabled, mechanism.Hints|mechanism.Moves)
+}
+
 func TestParseRefuses(t *testing.T) {
 	cases := []struct{ desc, old, new, want string }{
 		{"no role", `"node"`, `"nodes"`, `unknown field "nodes"`},
@@ -31,6 +39,7 @@
 		{"peer in the open without TLS", `127.0.0.1:7070`, `10.0.0.9:7070`, "can be reached from other hosts without TLS"},
 		{"founders without itself", `{"c1": "127`, `{"c2": "127`, "founders does not list this replica"},
 		{"short digest", `0123456789012`, `1`, "not a SHA-256 digest"},
+		{"a mechanism that is not there", `"host": "h1"`, `"policy": {"disable": ["moves", "luck"]}, "host": "h1"`, "no such mechanism: \"luck\""},
 		{"no replicas", `["10.0.0.1:7000"]`, `[]`, "no control replica is named"},
 	}
 	for _, c := range cases {
