--- a/deploy/pairs/main.go
+++ b/deploy/pairs/main.go
@@ -25,8 +25,10 @@
 // options are the command's flags.
 type options struct {
 	bench, a, b, site, days, seeds, why string
-	jobs                                int
-	noCPU                               bool
+	// changed are the checkouts that b names.
+	changed []string
+	jobs    int
+	noCPU   bool
 }
 
 // play is one day on one checkout.
@@ -52,7 +54,7 @@
 	var o options
 	flag.StringVar(&o.bench, "bench", "", "the bench's program")
 	flag.StringVar(&o.a, "a", "", "checkout with the code as it was")
-	flag.StringVar(&o.b, "b", "", "checkout with the change")
+	flag.StringVar(&o.b, "b", "", "checkouts with a change each, separated by commas; they share the plays of the first one")
 	flag.StringVar(&o.site, "site", "", "site file")
 	flag.StringVar(&o.days, "days", "", "days, separated by commas")
 	flag.StringVar(&o.seeds, "seeds", "1-4", "first and last seed")
@@ -74,7 +76,8 @@
 	if o.bench == "" || o.a == "" || o.b == "" || o.site == "" || o.days == "" || o.why == "" {
 		return errors.New("-bench, -a, -b, -site, -days and -why are needed")
 	}
-	for _, checkout := range []string{o.a, o.b} {
+	o.changed = strings.Split(o.b, ",")
+	for _, checkout := range append([]string{o.a}, o.changed...) {
 		if out, err := command(o, checkout, "build").CombinedOutput(); err != nil {
 			return errors.Wrapf(err, "%s does not build: %s", checkout, out)
 		}
@@ -82,14 +85,20 @@
 	var plays []play
 	for seed := first; seed <= last; seed++ {
 		for _, day := range strings.Split(o.days, ",") {
-			plays = append(plays, play{o.a, day, seed}, play{o.b, day, seed})
+			plays = append(plays, play{o.a, day, seed})
+			for _, b := range o.changed {
+				plays = append(plays, play{b, day, seed})
+			}
 		}
 	}
 	outcomes, err := playAll(o, plays)
 	if err != nil {
 		return err
 	}
-	report(o, first, last, outcomes)
+	for _, b := range o.changed {
+		fmt.Println("== " + b)
+		report(o, b, first, last, outcomes)
+	}
 	return nil
 }
 
@@ -194,19 +203,23 @@
 	return fmt.Sprintf("%3.0f pairs  before %.3f  difference %+.4f ± %.4f  won %.0f %%", n, s.before/n, mean, stdErr, 100*float64(won)/n)
 }
 
-func report(o options, first, last int, outcomes map[play]outcome) {
+// tellFailed prints a play that broke a rule or fell below its floors.
+func tellFailed(checkout, day string, seed int, out outcome) {
+	if len(out.Breaks) > 0 || out.Fault != nil || len(out.Short) > 0 {
+		fmt.Printf("%s %s seed %d: rules %v, fault %v, below its floors %v\n", checkout, day, seed, out.Breaks, out.Fault, out.Short)
+	}
+}
+
+func report(o options, changed string, first, last int, outcomes map[play]outcome) {
 	all, served := &sample{}, &sample{}
 	classes, order := map[string]*sample{}, []string{}
 	for _, day := range strings.Split(o.days, ",") {
 		one := &sample{}
 		for seed := first; seed <= last; seed++ {
 			a, okA := outcomes[play{o.a, day, seed}]
-			b, okB := outcomes[play{o.b, day, seed}]
-			for name, out := range map[string]outcome{o.a: a, o.b: b} {
-				if len(out.Breaks) > 0 || out.Fault != nil || len(out.Short) > 0 {
-					fmt.Printf("%s %s seed %d: rules %v, fault %v, below its floors %v\n", name, day, seed, out.Breaks, out.Fault, out.Short)
-				}
-			}
+			b, okB := outcomes[play{changed, day, seed}]
+			tellFailed(o.a, day, seed, a)
+			tellFailed(changed, day, seed, b)
 			if !okA || !okB {
 				continue
 			}
