--- a/core/gate/slowdown.go
+++ b/core/gate/slowdown.go
@@ -144,7 +144,7 @@
 	if math.IsInf(least, 1) {
 		return 1
 	}
-	return max(1, least)
+	return least
 }
 
 // isCold tells whether the server says that it is slow since it has just started.
