--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -36,8 +36,8 @@
 	// avoidUntil: no new work before, since it could not be reached.
 	avoidUntil time.Duration
 	failures   int
-	// crowdedUntil and noRoomUntil: its gate had no room for a request a short while ago.
-	crowdedUntil, noRoomUntil time.Duration
+	// crowdedUntil: its gate had no room for a request a short while ago.
+	crowdedUntil time.Duration
 }
 
 // Policy picks among candidates, of which there is at least one. A policy may
@@ -56,15 +56,12 @@
 	firstAvoidance   = 100 * time.Millisecond
 	longestAvoidance = 5 * time.Second
 	// crowdMemory is how long a candidate counts as crowded after its gate passed a
-	// request on or refused it. One node of a hundred sends a service a few requests
-	// a second: with less it would forget between two of them, and find out anew each
-	// time which of many endpoints has room.
-	crowdMemory = time.Second
-	// noRoomMemory is for how long such a candidate is taken to have no room at all.
-	// Room comes and goes within a tenth of a second, and asking costs a message inside
-	// the data centre: callers whose only near endpoint was left for a second sent 57 in
-	// 100 requests to other data centres.
-	noRoomMemory = 100 * time.Millisecond
+	// request on or refused it. Room comes and goes within a tenth of a second, and
+	// asking costs a message inside the data centre: callers of 20 requests a second
+	// that kept away for a second sent 57 in 100 of them to other data centres. As long
+	// as three requests of its own was worse for callers of few (10 pairs of days on each
+	// of two sites).
+	crowdMemory = 100 * time.Millisecond
 )
 
 // Pool holds the candidates of one service.
@@ -192,16 +189,11 @@
 
 // SetCrowded notes that a candidate's gate passed a request on, or refused it, for
 // lack of room.
-func (p *Pool) SetCrowded(now time.Duration, c *Candidate) {
-	c.crowdedUntil, c.noRoomUntil = now+crowdMemory, now+noRoomMemory
-}
+func (p *Pool) SetCrowded(now time.Duration, c *Candidate) { c.crowdedUntil = now + crowdMemory }
 
 // Crowded tells whether that happened a short while ago.
 func (c *Candidate) Crowded(now time.Duration) bool { return now < c.crowdedUntil }
 
-// NoRoom tells whether it happened just now.
-func (c *Candidate) NoRoom(now time.Duration) bool { return now < c.noRoomUntil }
-
 // SetDraining notes that a candidate's gate said it is leaving, ahead of the
 // directory.
 func (p *Pool) SetDraining(c *Candidate) { c.Draining = true }
--- a/core/balancer/nearby/nearby.go
+++ b/core/balancer/nearby/nearby.go
@@ -28,31 +28,24 @@
 
 // roomy tells whether a near candidate is taken without a look at others. What
 // this caller has there says little where many callers share few near endpoints:
-// all would fill them, each within its own share. So a gate that had no room just
-// now counts as well.
+// all would fill them, each within its own share, and the link in front of them
+// with bodies that are then sent again elsewhere. So a gate that had no room a
+// short while ago counts as well.
 func roomy(now time.Duration, c *balancer.Candidate) bool {
-	return float64(c.Outstanding) < roomShare*float64(max(1, c.Slots)) && !c.NoRoom(now)
+	return float64(c.Outstanding) < roomShare*float64(max(1, c.Slots)) && !c.Crowded(now)
 }
 
-// Pick lets the inner policy choose among the near candidates that have room, those
-// that were not crowded lately first, or among all when none has room.
+// Pick lets the inner policy choose among the near candidates that have room,
+// or among all when none has.
 func (p *policy) Pick(now time.Duration, candidates []*balancer.Candidate) *balancer.Candidate {
-	p.gather(candidates, func(c *balancer.Candidate) bool { return roomy(now, c) && !c.Crowded(now) })
-	if len(p.near) == 0 {
-		p.gather(candidates, func(c *balancer.Candidate) bool { return roomy(now, c) })
-	}
-	if len(p.near) == 0 {
-		return p.inner.Pick(now, candidates)
-	}
-	return p.inner.Pick(now, p.near)
-}
-
-// gather collects the near candidates that pass a test.
-func (p *policy) gather(candidates []*balancer.Candidate, test func(*balancer.Candidate) bool) {
 	p.near = p.near[:0]
 	for _, c := range candidates {
-		if c.Near && test(c) {
+		if c.Near && roomy(now, c) {
 			p.near = append(p.near, c)
 		}
 	}
+	if len(p.near) == 0 {
+		return p.inner.Pick(now, candidates)
+	}
+	return p.inner.Pick(now, p.near)
 }
