--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -60,7 +60,7 @@
 	// asking costs a message inside the data centre: callers of 20 requests a second
 	// that kept away for a second sent 57 in 100 of them to other data centres. As long
 	// as three requests of its own was worse for callers of few (10 pairs of days on each
-	// of two sites).
+	// of two sites). Against a second: 0.026 +- 0.007 of a day's worth (35 pairs).
 	crowdMemory = 100 * time.Millisecond
 )
 
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -399,7 +399,7 @@
 	g.outlier = outlier{}
 	g.estimate = estimator{baseline: g.estimate.baseline, seen: g.estimate.seen, running: g.estimate.running, last: now}
 	g.slow.restart(now)
-	g.cold = false
+	g.cold = false // SetCold follows if the new start says so
 	g.announce(now)
 	g.fill(now)
 	return g.take()
--- a/core/gate/slowdown.go
+++ b/core/gate/slowdown.go
@@ -96,7 +96,7 @@
 func (s *slowdown) restart(now time.Duration) {
 	s.advance(now)
 	s.factor, s.typical, s.lasting = 1, 1, lasting{}
-	s.told = now - slowdownLife - 1
+	s.told, s.coldUntil = now-slowdownLife-1, 0
 }
 
 // lasting finds the part of a slowdown that stays: the smallest of the recent
@@ -151,8 +151,9 @@
 func (s *slowdown) isCold() bool { return s.last < s.coldUntil && !s.off.Has(mechanism.Cold) }
 
 // lastingFactor is the part of the slowdown that stays. A server that announced how
-// long it stays cold is believed at once: waiting for two seconds of figures, a fleet
-// that had just started took twice the work that it could end in time.
+// long it stays cold is believed at once: during two seconds of figures that had to be
+// waited for, a fleet that had just started took in what it could not end in time. Days
+// that end with a loss of power earn 0.021 +- 0.010 more of their worth (16 pairs of days).
 func (s *slowdown) lastingFactor() float64 {
 	if s.off.Has(mechanism.Lasting) {
 		return 1
