The test of near endpoints notices a memory of a second

Fourteen safeguards taken out one by one (the twelve new ones and two whose text changed): thirteen were noticed at once; this one only by chance of the draw, now always.

--- a/core/balancer/balancer_test.go
+++ b/core/balancer/balancer_test.go
@@ -142,5 +142,7 @@
 		}
 	}
 	assert.Assert(t, far > 0, "nobody looked elsewhere while there was no room")
-	assert.Equal(t, pick(110*time.Millisecond), "near")
+	for range 20 {
+		assert.Equal(t, pick(110*time.Millisecond), "near")
+	}
 }
