--- /dev/null
+++ b/core/gate/server.go
@@ -0,0 +1,77 @@
+package gate
+
+import (
+	"sort"
+	"time"
+)
+
+// What the gate is told of its backend server: that it leaves, cannot be reached, has
+// started anew.
+
+// SetDraining starts or ends a drain. Requests that wait move or are refused at
+// once, since they would otherwise start on a server that is leaving.
+func (g *Gate) SetDraining(now time.Duration, draining bool) []Event {
+	g.begin(now)
+	g.draining = draining
+	if draining {
+		g.refuseAll(now, Draining)
+	}
+	g.announce(now)
+	return g.take()
+}
+
+// SetDown tells whether the backend server can be reached at all.
+func (g *Gate) SetDown(now time.Duration, down bool) []Event {
+	g.begin(now)
+	g.down = down
+	if down {
+		g.refuseAll(now, Down)
+	}
+	g.announce(now)
+	return g.take()
+}
+
+func (g *Gate) refuseAll(now time.Duration, reason Reason) {
+	var waiting []*item
+	for _, it := range g.items {
+		if it.state != stateRunning {
+			waiting = append(waiting, it)
+		}
+	}
+	sort.Slice(waiting, func(i, j int) bool { return waiting[i].Handle < waiting[j].Handle })
+	for _, it := range waiting {
+		if !g.rebind(now, it, 0) {
+			g.drop(it, reason, 0)
+		}
+	}
+}
+
+// ServerRestarted forgets what was believed of the backend server's earlier start:
+// its failures, its speed and how long it has been slow. A server that crashed would
+// otherwise be passed by for failures of its former self. What the gate remembers of
+// attempts stays: those that ran at the earlier start have run, and are never called
+// "not run". The work of each class of requests and what a crowd costs stay as well,
+// since the program is the same.
+func (g *Gate) ServerRestarted(now time.Duration) []Event {
+	g.begin(now)
+	g.outlier = outlier{}
+	g.estimate = estimator{baseline: g.estimate.baseline, seen: g.estimate.seen, running: g.estimate.running, last: now}
+	g.slow.restart(now)
+	g.cold = false // SetCold follows if the new start says so
+	g.announce(now)
+	g.fill(now)
+	return g.take()
+}
+
+// ForgetBefore tells that another gate stood before this backend server until now.
+// Of attempts that were sent to that one this gate cannot tell whether they ran.
+func (g *Gate) ForgetBefore(now time.Duration) {
+	g.memory.forgotten, g.memory.anyForgotten = max(g.memory.forgotten, now), true
+}
+
+// SetCold starts the slow start anew. Left is how long the server says that it stays
+// slow, 0 if it does not say.
+func (g *Gate) SetCold(now, left time.Duration) {
+	g.cold, g.coldSince = true, now
+	g.slow.coldUntil = now + left
+}
--- a/core/gate/slowdown.go
+++ b/core/gate/slowdown.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"sort"
 	"time"
 
 	"cactuspath/core/mechanism"
@@ -20,27 +19,10 @@
 	// spell is how long a slow time is taken to last from any moment on. Slow times
 	// change by the half second; a longer assumption refuses what would end in time.
 	spell = 300 * time.Millisecond
-	// lastingSpan and lastingSpans bound how far back the lasting part of a slowdown
-	// is looked for: the smallest figure of one and a half to two seconds. Noise of
-	// neighbours that is on for a third of the time, drawn anew each half second,
-	// stays on so long once in thirty times; a server that is slow of itself shows
-	// no smaller figure however long one waits.
-	lastingSpan  = 500 * time.Millisecond
-	lastingSpans = 4
-	// demandGain moves the mean demand, per completion: some thirty completions.
-	demandGain = 1.0 / 30
 	// typicalGain moves the typical rate of progress, per second.
 	typicalGain = 0.05
 	// slowestRate bounds the typical rate of progress from below.
 	slowestRate = 1.0 / 16
-	// maxClasses bounds the classes of requests whose demand is kept apart.
-	maxClasses = 64
-	// aimOverWork is how many times the usual work an aim allows, where no request of
-	// the class has completed yet: 2.6 to 4 in the users' deployments.
-	aimOverWork = 3
-	// classSamples is how many completions a class needs before its mean replaces
-	// the guess from its aim: the first to complete are the shortest.
-	classSamples = 5
 )
 
 // slowdown follows the figure that the server tells. It keeps a clock that runs
@@ -63,17 +45,6 @@
 	crowd     crowd
 }
 
-// mean is a moving mean of demands in nanoseconds at the usual speed.
-type mean struct {
-	value float64
-	seen  int
-}
-
-func (m *mean) add(v float64) {
-	m.seen++
-	m.value += (v - m.value) * max(demandGain, 1/float64(m.seen))
-}
-
 func newSlowdown(now time.Duration) slowdown {
 	return slowdown{factor: 1, last: now, demand: mean{value: float64(firstEstimate)}, classes: map[string]*class{}, typical: 1}
 }
@@ -99,54 +70,6 @@
 	s.told, s.coldUntil = now-slowdownLife-1, 0
 }
 
-// lasting finds the part of a slowdown that stays: the smallest of the recent
-// figures. A server that is twelve times slower for ten seconds was taken to be
-// its usual self again in a moment, and given requests that it could not end in
-// their time.
-type lasting struct {
-	// minima are the smallest figures of the last spans, the newest at span.
-	minima [lastingSpans]float64
-	span   int64
-}
-
-// tell takes in a figure.
-func (l *lasting) tell(now time.Duration, factor float64) {
-	span := int64(now / lastingSpan)
-	l.span = max(l.span, span-lastingSpans)
-	for l.span < span {
-		l.span++
-		l.minima[l.span%lastingSpans] = 0
-	}
-	held := &l.minima[span%lastingSpans]
-	if *held == 0 || factor < *held {
-		*held = factor
-	}
-}
-
-// least is the smallest figure of the recent spans. It is 1 until one is heard in
-// each of them: less would take a short slow time for a lasting one.
-func (l *lasting) least() float64 {
-	least := l.minima[0]
-	for _, m := range l.minima {
-		least = min(least, m)
-	}
-	return max(1, least)
-}
-
-// heard is the smallest figure of the recent spans in which any was heard.
-func (l *lasting) heard() float64 {
-	least := math.Inf(1)
-	for _, m := range l.minima {
-		if m > 0 {
-			least = min(least, m)
-		}
-	}
-	if math.IsInf(least, 1) {
-		return 1
-	}
-	return least
-}
-
 // isCold tells whether the server says that it is slow since it has just started.
 func (s *slowdown) isCold() bool { return s.last < s.coldUntil && !s.off.Has(mechanism.Cold) }
 
@@ -194,71 +117,6 @@
 	}
 }
 
-// compare takes a demand in to find out what a crowd costs. Its measure is the mean of
-// those that ran outside a crowd: the mean of all follows the crowd on a server that
-// stays full, which then looked as if a crowd cost nothing, and was filled further.
-func (s *slowdown) compare(c *class, demand float64, crowding crowding) {
-	if crowding == roomy {
-		c.roomy.add(demand)
-	}
-	if c.roomy.seen > 0 {
-		s.crowd.add(demand/max(c.roomy.value, 1), crowding)
-	}
-}
-
-// class is what is known of the demands of one class of requests.
-type class struct {
-	mean
-	// roomy is the mean of those that ran outside a crowd.
-	roomy mean
-}
-
-// class is the mean of one class of requests; nil if too many are kept already.
-func (s *slowdown) class(name string) *class {
-	m := s.classes[name]
-	if m == nil && len(s.classes) < maxClasses {
-		m = &class{}
-		s.classes[name] = m
-	}
-	return m
-}
-
-// guessSamples is how many completions the mean demand needs before it replaces
-// the guess from aims: the first to complete are the shortest.
-const guessSamples = 20
-
-// usual is the mean demand of all requests.
-func (s *slowdown) usual() float64 {
-	if s.demand.seen < guessSamples && s.guess > 0 {
-		return s.guess
-	}
-	return s.demand.value
-}
-
-// expect lets the aims of what arrives stand for the mean demand at first.
-func (s *slowdown) expect(r Request) {
-	if r.Aim == 0 || s.demand.seen >= guessSamples {
-		return
-	}
-	demand := s.demandOf(r)
-	if s.guess == 0 {
-		s.guess = demand
-	}
-	s.guess += (demand - s.guess) / guessSamples
-}
-
-// demandOf is the demand of a request's class. Before one of it completed, its
-// aim tells: operators set aims to a few times of the usual work.
-func (s *slowdown) demandOf(r Request) float64 {
-	if m := s.classes[r.Class]; m != nil && (m.seen >= classSamples || m.seen > 0 && r.Aim == 0) {
-		return m.value
-	}
-	if r.Aim > 0 {
-		return float64(r.Aim) / aimOverWork
-	}
-	return s.demand.value
-}
-
 // expected is the time that work of the demand takes from now on.
 func (s *slowdown) expected(demand float64) time.Duration {
 	atOnce := demand * s.factor
@@ -287,62 +145,6 @@
 	return g.take()
 }
 
-const (
-	// hintGain is how many times sooner a sibling must be expected to end a request
-	// anew than it ends here. A second attempt costs work and budget, so that it
-	// has to gain more than a move.
-	hintGain = 1.3
-	// hintSlowdown is from which slowdown on running requests are looked at.
-	hintSlowdown = 2.5
-	// restShare is the part of a usual demand that is taken to be left of a request
-	// which has had more than that already.
-	restShare = 0.25
-)
-
-// hintStuck looks for requests that run on a server which turned slow under them.
-// Only the gate knows that at once; the request's caller decides what follows.
-func (g *Gate) hintStuck(now time.Duration) {
-	if g.off(mechanism.Hints) || !g.config.Siblings || !g.told(now) || g.slow.factor < hintSlowdown {
-		return
-	}
-	for _, it := range g.runningByHandle() {
-		if !it.Repeatable || it.hinted {
-			continue
-		}
-		usual := g.slow.demandOf(it.Request)
-		left := max(restShare*usual, usual-(g.slow.worked-it.workedAt))
-		here := g.slow.expected(left)
-		sib, there := g.siblings.soonest(now, it)
-		if sib == nil || !sib.roomy() || float64(there)*hintGain > float64(here) || now+there > it.Deadline {
-			continue
-		}
-		it.hinted = true
-		sib.sent = append(sib.sent, now)
-		g.emit(Event{Kind: Hint, Handle: it.Handle, To: sib.Host})
-	}
-}
-
-// hintRoom is up to which share of its slots a sibling may be taken to get second
-// attempts: on a busy service they would push first ones aside.
-const hintRoom = 0.7
-
-// roomy tells whether a sibling has slots to spare.
-func (s *sibling) roomy() bool {
-	l := s.report.Load
-	return float64(l.Running+l.Waiting+len(s.sent)) < hintRoom*float64(l.Slots)
-}
-
-func (g *Gate) runningByHandle() []*item {
-	var list []*item
-	for _, it := range g.items {
-		if it.state == stateRunning {
-			list = append(list, it)
-		}
-	}
-	sort.Slice(list, func(i, j int) bool { return list[i].Handle < list[j].Handle })
-	return list
-}
-
 // Speed is what the gate goes by when it predicts how long requests take.
 type Speed struct {
 	// Slowdown is how many times longer than usual work takes; 1 if the server does
