--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -5,13 +5,11 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"k8s.io/klog/v2"
 
 	"cactuspath/core/gate"
 	"cactuspath/internal/hop"
