--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-
 	"cactuspath/core/gate"
 	"cactuspath/internal/hop"
 	"cactuspath/internal/logs"
