--- a/internal/node/announce.go
+++ b/internal/node/announce.go
@@ -15,7 +15,7 @@
 	Address string `json:"address"`
 	// Slots is how many requests it runs at once; the estate's number if 0.
 	Slots uint32 `json:"slots,omitempty"`
-	// Instance identifies this start of the backend server, if its requests name
+	// Instance names the backend server, if its requests name
 	// the instance that is to run them.
 	Instance string `json:"instance,omitempty"`
 	// StartedAt is when the backend server started, in Unix milliseconds; 0 if it does
