A refused request is not sent to an endpoint that is leaving

Now only a first pick may fall back to one that is believed to leave. The new test fails without it.

--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -110,7 +110,9 @@
 
 // Pick chooses a candidate that is not in tried. When none is fit it falls
 // back to any that was not tried, since a wrong belief about all endpoints
-// must not turn into an outage; nil means that all were tried.
+// must not turn into an outage; nil means that there is none. A request that was tried
+// already falls back to none that is leaving: of a full service the only one left was
+// often a host that was gone, and the caller's final answer came 300 ms late.
 func (p *Pool) Pick(now time.Duration, tried []string) *Candidate {
 	var c *Candidate
 	if len(tried) > 0 {
@@ -119,19 +121,22 @@
 	if c == nil {
 		c = p.pickAmong(now, tried, fit)
 	}
-	if c == nil {
+	if c == nil && len(tried) == 0 {
 		c = p.pickAmong(now, tried, present)
 	}
+	if c == nil {
+		c = p.pickAmong(now, tried, staying)
+	}
 	if c != nil {
 		p.Start(c)
 	}
 	return c
 }
 
-// Others tells whether a candidate exists that is not in tried.
+// Others tells whether a candidate exists that stays and is not in tried.
 func (p *Pool) Others(tried []string) bool {
 	for _, c := range p.all {
-		if !slices.Contains(tried, c.Host) {
+		if !c.Draining && !slices.Contains(tried, c.Host) {
 			return true
 		}
 	}
@@ -154,6 +159,8 @@
 
 func present(time.Duration, *Candidate) bool { return true }
 
+func staying(_ time.Duration, c *Candidate) bool { return !c.Draining }
+
 func (p *Pool) pickAmong(now time.Duration, tried []string, test func(time.Duration, *Candidate) bool) *Candidate {
 	p.eligible = p.eligible[:0]
 	for _, c := range p.all {
--- a/core/balancer/balancer_test.go
+++ b/core/balancer/balancer_test.go
@@ -146,3 +146,15 @@
 		assert.Equal(t, pick(110*time.Millisecond), "near")
 	}
 }
+
+// A service is full, and one of its three endpoints has left with its host; the
+// directory still lists it as draining. A request that two gates have refused must get
+// its answer now: sent to the third it waited for a connection that nobody accepts.
+func TestRefusedRequestIsNotSentToALeavingEndpoint(t *testing.T) {
+	p := pool(leastoutstanding.New(source()), 3)
+	p.SetDraining(p.Get("host-02"))
+	tried := []string{"host-00", "host-01"}
+	assert.Assert(t, !p.Others(tried))
+	assert.Assert(t, p.Pick(0, tried) == nil)
+	assert.Assert(t, p.Pick(0, tried[:1]) == p.Get("host-01"))
+}
