--- a/internal/emulator/unseen_test.go
+++ b/internal/emulator/unseen_test.go
@@ -30,7 +30,9 @@
 		{"no crowd slows them", func(s *Scenario) { each(s, func(v *Service) { v.Crowd, v.CrowdFactor = 0, 0 }) }},
 		{"a crowd slows them threefold", func(s *Scenario) { each(s, func(v *Service) { v.CrowdFactor = 3 }) }},
 		{"no noise", func(s *Scenario) { each(s, func(v *Service) { v.Noise.Share = 0 }) }},
-		{"strong noise in long spells", func(s *Scenario) { each(s, func(v *Service) { v.Noise = Noise{Share: 0.3, Factor: 10, Every: Millis(1500)} }) }},
+		{"strong noise in long spells", func(s *Scenario) {
+			each(s, func(v *Service) { v.Noise = Noise{Share: 0.3, Factor: 10, Every: Millis(1500)} })
+		}},
 		{"aims of twice the work", func(s *Scenario) {
 			for i := range s.Classes {
 				s.Classes[i].Aim = 2 * s.Classes[i].Work
