Read once more: logic that stood twice, and steps that were not needed

- internal/endpoint: an exchange's context and its end were undone in three places by two calls each; `within` returns one end.
- core/gate: refuseAll collected and sorted what waits; oldestFirst does.
What a crowd costs starts at 1 and is not bounded at each question.
- core/balancer: one fallback is chosen where two picks followed each other.
- internal/proxy: a service's policy with its randomness is made in one place.
- cmd/cactusctl: emulate and replay read their files by one function, with the same errors.
The mutation list follows the changed text and has the safeguard of leaving endpoints, which was missing; both are noticed.

--- a/cmd/cactusctl/emulate.go
+++ b/cmd/cactusctl/emulate.go
@@ -3,10 +3,8 @@
 import (
 	"fmt"
 	"io"
-	"os"
 	"strings"
 
-	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
 	"cactuspath/core/mechanism"
@@ -55,14 +53,9 @@
 }
 
 func runEmulation(cmd *cobra.Command, f *flags, file string, policies []string, seed uint64) error {
-	in, err := os.Open(file)
+	scenario, err := readFile(file, "scenario", emulator.Read)
 	if err != nil {
-		return errors.Wrap(err, "open the scenario")
-	}
-	defer in.Close()
-	scenario, err := emulator.Read(in)
-	if err != nil {
-		return errors.Wrap(err, file)
+		return err
 	}
 	reduced, err := withouts(cmd)
 	if err != nil {
--- a/cmd/cactusctl/play.go
+++ b/cmd/cactusctl/play.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"io"
+	"os"
 
+	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 )
 
@@ -42,3 +45,14 @@
 	cmd.Flags().BoolVar(&list, "list", false, "list the policies")
 	return cmd
 }
+
+// readFile reads what a player plays; kind names it in errors.
+func readFile[T any](file, kind string, read func(io.Reader) (T, error)) (played T, err error) {
+	in, err := os.Open(file)
+	if err != nil {
+		return played, errors.Wrap(err, "open the "+kind)
+	}
+	defer in.Close()
+	played, err = read(in)
+	return played, errors.Wrap(err, file)
+}
--- a/cmd/cactusctl/replay.go
+++ b/cmd/cactusctl/replay.go
@@ -3,10 +3,8 @@
 import (
 	"fmt"
 	"io"
-	"os"
 	"strings"
 
-	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
 	"cactuspath/internal/operator"
@@ -32,14 +30,9 @@
 }
 
 func runReplay(cmd *cobra.Command, f *flags, file string, policies []string, seed uint64) error {
-	in, err := os.Open(file)
+	trace, err := readFile(file, "trace", func(in io.Reader) (*replay.Trace, error) { return replay.Read(in, seed) })
 	if err != nil {
-		return errors.Wrap(err, "open the trace")
-	}
-	defer in.Close()
-	trace, err := replay.Read(in, seed)
-	if err != nil {
-		return errors.Wrap(err, file)
+		return err
 	}
 	if len(policies) == 0 {
 		policies = replay.PoliciesNeeded(trace)
--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -121,11 +121,12 @@
 	if c == nil {
 		c = p.pickAmong(now, tried, fit)
 	}
-	if c == nil && len(tried) == 0 {
-		c = p.pickAmong(now, tried, present)
-	}
 	if c == nil {
-		c = p.pickAmong(now, tried, staying)
+		fallback := present
+		if len(tried) > 0 {
+			fallback = staying
+		}
+		c = p.pickAmong(now, tried, fallback)
 	}
 	if c != nil {
 		p.Start(c)
--- a/core/gate/crowd.go
+++ b/core/gate/crowd.go
@@ -102,7 +102,7 @@
 	if g.off(mechanism.Crowd) {
 		return 1
 	}
-	return max(1, g.crowdCost)
+	return g.crowdCost
 }
 
 // weighCrowd works the cost of a crowd out anew, after a report or a completion that
--- a/core/gate/demand.go
+++ b/core/gate/demand.go
@@ -45,7 +45,7 @@
 	}
 }
 
-// class is the mean of one class of requests; nil if too many are kept already.
+// class is what is known of the class with a name; nil if too many are kept already.
 func (s *slowdown) class(name string) *class {
 	m := s.classes[name]
 	if m == nil && len(s.classes) < maxClasses {
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -71,7 +71,7 @@
 
 // New returns a gate named host among its siblings.
 func New(host string, config Config, now time.Duration) *Gate {
-	g := &Gate{estimate: newEstimator(), slow: newSlowdown(now), memory: newMemory(), items: map[Handle]*item{}, byID: map[AttemptID]*item{}}
+	g := &Gate{estimate: newEstimator(), slow: newSlowdown(now), memory: newMemory(), items: map[Handle]*item{}, byID: map[AttemptID]*item{}, crowdCost: 1}
 	g.estimate.last = now
 	g.siblings = newSiblings(host)
 	g.Configure(now, config)
--- a/core/gate/server.go
+++ b/core/gate/server.go
@@ -1,9 +1,6 @@
 package gate
 
-import (
-	"sort"
-	"time"
-)
+import "time"
 
 // What the gate is told of its backend server: that it leaves, cannot be reached, has
 // started anew.
@@ -32,14 +29,7 @@
 }
 
 func (g *Gate) refuseAll(now time.Duration, reason Reason) {
-	var waiting []*item
-	for _, it := range g.items {
-		if it.state != stateRunning {
-			waiting = append(waiting, it)
-		}
-	}
-	sort.Slice(waiting, func(i, j int) bool { return waiting[i].Handle < waiting[j].Handle })
-	for _, it := range waiting {
+	for _, it := range g.oldestFirst() {
 		if !g.rebind(now, it, 0) {
 			g.drop(it, reason, 0)
 		}
--- a/internal/endpoint/forward.go
+++ b/internal/endpoint/forward.go
@@ -39,11 +39,9 @@
 	}
 	started := time.Now()
 	life := e.Life()
-	exchange, end := context.WithCancel(ctx)
-	stop := context.AfterFunc(life, end)
+	exchange, end := within(ctx, life)
 	resp, err := pool.Do(exchange, e.toBackend(out, left))
 	if err != nil {
-		stop()
 		end()
 		reply = e.failed(ctx, life, handle, err, reply)
 		logs.Decision(true, "Backend server did not answer", "request", out.ID, "attempt", hop.FormatID(reply.ID), "host", e.options.Host, "verdict", reply.Verdict.String(),
@@ -55,7 +53,6 @@
 	e.observe(resp.Header)
 	if e.options.Dialect.SaysNotRun(resp) {
 		reply = e.rejected(handle, resp, reply)
-		stop()
 		end()
 		return nil, reply
 	}
@@ -64,7 +61,6 @@
 		outcome = gate.Failed
 	}
 	resp.Body = &runningBody{ReadCloser: resp.Body, end: func(cut bool) {
-		stop()
 		end()
 		switch {
 		case ctx.Err() != nil, life.Err() != nil:
@@ -84,6 +80,16 @@
 	return resp, reply
 }
 
+// within is ctx that ends with life as well; end frees what it holds.
+func within(ctx, life context.Context) (both context.Context, end func()) {
+	both, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(life, cancel)
+	return both, func() {
+		stop()
+		cancel()
+	}
+}
+
 // fetched is the request with its body in memory, if its sender held that back.
 func (e *Endpoint) fetched(out *hop.Outgoing) (*hop.Outgoing, error) {
 	asked, ok := out.Stream.(*askedBody)
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -79,7 +79,8 @@
 	{"a near endpoint without room is not preferred", "core/balancer/nearby/nearby.go", " && !c.Crowded(now)", "", "core/balancer/nearby", "Crowded"},
 	{"moves are limited", "core/retry/retry.go", "if r.moves > maxMoves {", "if false {", "core/retry", ""},
 	{"the measuring budget holds in every span", "core/measure/budget.go", "now-b.ring[b.first].at >= window", "now-b.ring[b.first].at >= window/2", "core/measure", ""},
-	{"an endpoint is picked although all seem unfit", "core/balancer/balancer.go", "c = p.pickAmong(now, tried, present)", "", "core/balancer", "AllUnfit"},
+	{"an endpoint is picked although all seem unfit", "core/balancer/balancer.go", "c = p.pickAmong(now, tried, fallback)", "_ = fallback", "core/balancer", "AllUnfit"},
+	{"a refused request is not sent to a leaving endpoint", "core/balancer/balancer.go", "\t\t\tfallback = staying\n", "\t\t\tfallback = present\n", "core/balancer", "LeavingEndpoint"},
 
 	{"an older delta is left out", "core/rollout/records.go", "delta.Revision < r.revision || ", "", "core/rollout", "NeverMoves"},
 	{"an older or partial record is left out", "core/rollout/records.go", "if held == nil || held.ChangedAt < s.ChangedAt {", "if true {", "core/rollout", "LatePartial"},
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -52,16 +52,19 @@
 }
 
 func newService(name string, off mechanism.Set) *service {
-	s := &service{name: name, spec: &apiv1.ServiceSpec{}, budget: retry.NewBudget(0)}
-	s.pool = balancer.NewPool(nodes.Policy(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), off))
-	return s
+	return &service{name: name, spec: &apiv1.ServiceSpec{}, pool: balancer.NewPool(newPolicy(off)), budget: retry.NewBudget(0)}
+}
+
+// newPolicy is the nodes' policy with a source of randomness of its own.
+func newPolicy(off mechanism.Set) balancer.Policy {
+	return nodes.Policy(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), off)
 }
 
 // disable changes which mechanisms are switched off.
 func (s *service) disable(off mechanism.Set) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pool.SetPolicy(nodes.Policy(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), off))
+	s.pool.SetPolicy(newPolicy(off))
 }
 
 func (s *service) configure(spec *apiv1.ServiceSpec) {
