Sight: each sender of a body says what it read, and when

Cause looked for: other bytes where the rest of an upload was due. The logs did not tell which sender read what, nor whether its attempt had ended. Change: one bounded line at the end of each sender; no logic changed.

--- a/internal/endpoint/serve.go
+++ b/internal/endpoint/serve.go
@@ -45,6 +45,7 @@
 			out.Stream = &askedBody{Reader: streamed, control: control, until: time.Now().Add(req.Timeout)}
 		}
 	}
+	out.Request, out.Attempt = out.ID, hop.FormatID(req.ID)
 	interim := &interimAnswers{w: w}
 	resp, reply := e.Attempt(r.Context(), req, out, interim.hint)
 	interim.end()
--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -9,9 +9,12 @@
 	"net/http/httputil"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"cactuspath/internal/logs"
 )
 
 // Outgoing is a request to send. Header must hold no hop-by-hop fields.
@@ -35,6 +38,8 @@
 	OnInterim func(http.Header)
 	// Deadline bounds the exchange up to the end of the answer's head.
 	Deadline time.Time
+	// Request and Attempt name the request and the attempt in the log.
+	Request, Attempt string
 }
 
 // AskFirst has the peer asked whether it wants a body that is held in memory. A
@@ -105,6 +110,8 @@
 	unusable bool
 	foreign  int
 	done     bool
+	// over tells the body's sender that the exchange has ended.
+	over atomic.Bool
 }
 
 func (x *exchange) run(out *Outgoing) (*http.Response, error) {
@@ -200,7 +207,9 @@
 	x.lift()
 	go func() {
 		defer close(x.sent)
-		x.sendErr = copyBody(x.conn.writer, out)
+		source := &countedReader{Reader: out.Stream, x: x}
+		x.sendErr = copyBody(x.conn.writer, source, out.Length)
+		x.logSender(out, source)
 		if x.sendErr != nil {
 			// The peer must see a broken body, never a shortened one.
 			_ = x.conn.SetDeadline(longPast)
@@ -208,10 +217,37 @@
 	}()
 }
 
-func copyBody(w *bufio.Writer, out *Outgoing) error {
-	if out.Length >= 0 {
-		n, err := io.Copy(w, io.LimitReader(out.Stream, out.Length))
-		if err == nil && n != out.Length {
+// logSender tells what a body's sender took from its source, and whether its
+// exchange had ended by then: a sender that outlives its exchange takes what belongs
+// to another attempt.
+func (x *exchange) logSender(out *Outgoing, source *countedReader) {
+	over := x.over.Load()
+	logs.Decision(x.sendErr != nil || over, "Body sender ended", "request", out.Request, "attempt", out.Attempt, "to", x.pool.address, "length", out.Length,
+		"read", source.read, "readLate", source.readLate, "unflushed", x.conn.writer.Buffered(), "exchangeOver", over, "err", x.sendErr)
+}
+
+// countedReader counts what is read of a body.
+type countedReader struct {
+	io.Reader
+	x              *exchange
+	read, readLate int64
+}
+
+// Read reads the body.
+func (r *countedReader) Read(p []byte) (int, error) {
+	over := r.x.over.Load()
+	n, err := r.Reader.Read(p)
+	r.read += int64(n)
+	if over {
+		r.readLate += int64(n)
+	}
+	return n, err
+}
+
+func copyBody(w *bufio.Writer, source io.Reader, length int64) error {
+	if length >= 0 {
+		n, err := io.Copy(w, io.LimitReader(source, length))
+		if err == nil && n != length {
 			err = io.ErrUnexpectedEOF
 		}
 		if err != nil {
@@ -220,7 +256,7 @@
 		return w.Flush()
 	}
 	chunked := httputil.NewChunkedWriter(flusher{w})
-	if _, err := io.Copy(chunked, out.Stream); err != nil {
+	if _, err := io.Copy(chunked, source); err != nil {
 		return err
 	}
 	if err := chunked.Close(); err != nil {
@@ -303,6 +339,7 @@
 		return
 	}
 	x.done = true
+	x.over.Store(true)
 	x.stop()
 	// A sender of the body may still wait for its source; it is not waited for,
 	// since the source may be a caller that sends nothing more.
@@ -331,6 +368,7 @@
 		return
 	}
 	x.done = true
+	x.over.Store(true)
 	x.pool.put(x.conn)
 }
 
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -194,6 +194,7 @@
 		From: c.h.options.DataCenter, Repeatable: onHint != nil, Bulky: c.out.Stream != nil || len(c.out.Buffered) >= bulkyBody}
 	c.rankRequest(&req, a.sent)
 	out := c.outgoing()
+	out.Request, out.Attempt = c.requestID(), hop.FormatID(a.id)
 	if to.Host == c.h.options.Host {
 		if local := c.h.options.Local.Endpoint(c.s.name); local != nil {
 			out.Deadline = c.deadline
