--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -57,6 +57,8 @@
 type proc struct {
 	name string
 	args []string
+	// env is added to the environment of the process.
+	env  []string
 	cmd  *exec.Cmd
 	log  *syncBuffer
 	done chan struct{}
@@ -168,19 +170,38 @@
 
 // addNodeIn is addNode in a data centre.
 func (c *cluster) addNodeIn(dataCenter, service string) *nodeProc {
+	c.t.Helper()
+	return c.addNodeWith(nodeSetup{dataCenter: dataCenter, service: service})
+}
+
+// nodeSetup is what a test wants of a node.
+type nodeSetup struct {
+	dataCenter, service string
+	// env is added to the environment of the node's process.
+	env []string
+	// before, if not nil, puts something before the listener for other nodes, and
+	// returns the address by which they reach it.
+	before func(peer string) string
+}
+
+func (c *cluster) addNodeWith(setup nodeSetup) *nodeProc {
 	c.t.Helper()
 	a := testport.Addresses(c.t, 3)
 	n := &nodeProc{host: fmt.Sprintf("host-%d", len(c.nodes)+1), callers: a[0], peer: a[1], admin: a[2]}
+	peerAddress := n.peer
+	if setup.before != nil {
+		peerAddress = setup.before(n.peer)
+	}
 	file := filepath.Join(c.folder, n.host+".jsonc")
 	c.write(file, fmt.Sprintf(`{
   "host": %q, "dataCenter": %q, "region": "r", "stopTimeout": "60s",
   "controlReplicas": [%s], %s
-  "node": {"callers": %q, "peer": %q, "admin": %q, "watchControl": %t},
-}`, n.host, dataCenter, c.replicaList(), c.tls, n.callers, n.peer, n.admin, c.watch))
-	n.proc = c.spawn(n.host, "cactuspath", "run", "--settings", file)
+  "node": {"callers": %q, "peer": %q, "peerAddress": %q, "admin": %q, "watchControl": %t},
+}`, n.host, setup.dataCenter, c.replicaList(), c.tls, n.callers, n.peer, peerAddress, n.admin, c.watch))
+	n.proc = c.spawnWith(setup.env, n.host, "cactuspath", "run", "--settings", file)
 	c.nodes = append(c.nodes, n)
-	if service != "" {
-		c.addBackend(n, service)
+	if setup.service != "" {
+		c.addBackend(n, setup.service)
 	}
 	return n
 }
@@ -192,7 +213,12 @@
 // spawn starts a process that ends with the test at the latest.
 func (c *cluster) spawn(name, binary string, args ...string) *proc {
 	c.t.Helper()
-	p := &proc{name: name, args: append([]string{binary}, args...)}
+	return c.spawnWith(nil, name, binary, args...)
+}
+
+func (c *cluster) spawnWith(env []string, name, binary string, args ...string) *proc {
+	c.t.Helper()
+	p := &proc{name: name, args: append([]string{binary}, args...), env: env}
 	p.start(c.t)
 	c.t.Cleanup(func() {
 		p.kill()
@@ -209,6 +235,7 @@
 		p.log = &syncBuffer{}
 	}
 	p.cmd = exec.Command(filepath.Join(binaries, p.args[0]), p.args[1:]...)
+	p.cmd.Env = append(os.Environ(), p.env...)
 	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
 	assert.NilError(t, p.cmd.Start())
 	p.done = make(chan struct{})
