--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -31,5 +31,18 @@
   (cd "$module" && "$bin/staticcheck" ./...)
 done
 
+# Tests that fail for a known fault, one a line: test, cause, issue. They are passed
+# over and printed; there are three at most, so that the list stays one to work off.
+skip=()
+if [ -s KNOWN-RED.txt ]; then
+  echo "== known to fail"
+  cat KNOWN-RED.txt
+  if [ "$(wc -l < KNOWN-RED.txt)" -gt 3 ]; then
+    echo "KNOWN-RED.txt has more than three lines; mend before adding" >&2
+    exit 1
+  fi
+  skip=(-skip "^($(cut -d, -f1 KNOWN-RED.txt | paste -sd '|'))\$")
+fi
+
 echo "== go test"
-go test work
+go test "${skip[@]}" work
