An exchange ends after its body's sender; nothing interim follows an answer's beginning

Cause: the goroutine that sends a streamed body belonged to nobody. It began or went on after its exchange had ended, and touched what outlasts the exchange: the caller's connection (it took bytes that the next attempt should have sent, or asked the caller for a body that nobody wanted, inside the answer or behind it) and the connection to the server. Between nodes a hint was written beside the question for a body. Change: internal/hop/upload.go owns it. A Body is lent to the sender of one exchange; every way out of an exchange takes it back, closes the connection, wakes the sender and waits until it is gone. proxy's bodyTurn and endpoint's streamedBody go. front asks for a body under one lock with the answer's head, endpoint's interim answers go through one place. A deadline in the past that a broken body sets is not taken off again. An answer that came whole is no abandoned one because the connection that asked for it ends.

--- a/internal/endpoint/forward.go
+++ b/internal/endpoint/forward.go
@@ -63,9 +63,9 @@
 	resp.Body = &runningBody{ReadCloser: resp.Body, end: func(cut bool) {
 		end()
 		switch {
-		case ctx.Err() != nil, life.Err() != nil:
+		case cut && ctx.Err() != nil, life.Err() != nil:
 			// Also where the server has started again: the gate's figures are those of
-			// its new start.
+			// its new start. An answer that came whole counts, whoever left since.
 			outcome = gate.Abandoned
 		case cut:
 			outcome = gate.Failed
@@ -90,13 +90,14 @@
 	}
 }
 
-// fetched is the request with its body in memory, if its sender held that back.
+// fetched is the request with its body in memory, if the body is of moderate length.
+// Until it is there the backend server has seen nothing of the request: a sender that
+// breaks off leaves it not run, and not in doubt.
 func (e *Endpoint) fetched(out *hop.Outgoing) (*hop.Outgoing, error) {
-	asked, ok := out.Stream.(*askedBody)
-	if !ok {
+	if out.Stream == nil || out.Length <= 0 || out.Length > maxBuffered {
 		return out, nil
 	}
-	body, err := asked.fetch(out.Length)
+	body, err := out.Stream.Fetch(out.Length, out.Deadline)
 	if err != nil {
 		return out, err
 	}
--- a/internal/endpoint/serve.go
+++ b/internal/endpoint/serve.go
@@ -5,10 +5,8 @@
 	"net/http"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
 	"cactuspath/core/gate"
@@ -31,27 +29,23 @@
 		// The body comes once it is read: only if the gate lets the request run.
 		held = 0
 	}
-	out, err := outgoing(r, e.options.Dialect, req.Timeout, held)
+	interim := &interimAnswers{w: w}
+	if held == 0 {
+		r.Body = &askedBody{ReadCloser: r.Body, interim: interim}
+	}
+	out, err := outgoing(w, r, e.options.Dialect, req.Timeout, held)
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	var streamed *streamedBody
+	out.Request, out.Attempt = out.ID, hop.FormatID(req.ID)
 	if out.Stream != nil {
-		control := http.NewResponseController(w)
-		_ = control.EnableFullDuplex()
-		streamed = &streamedBody{Reader: r.Body}
-		out.Stream = streamed
-		if held == 0 && out.Length > 0 && out.Length <= maxBuffered {
-			out.Stream = &askedBody{Reader: streamed, control: control, until: time.Now().Add(req.Timeout)}
-		}
+		_ = http.NewResponseController(w).EnableFullDuplex()
 	}
-	out.Request, out.Attempt = out.ID, hop.FormatID(req.ID)
-	interim := &interimAnswers{w: w}
 	resp, reply := e.Attempt(r.Context(), req, out, interim.hint)
 	interim.end()
-	if streamed != nil && !streamed.ended.Load() {
-		// net/http would look for another request behind the rest of the body while the
-		// goroutine that forwards the body still reads from the same connection.
+	if out.Stream != nil && !out.Stream.Ended() {
+		// The rest of the body stays unread. Without this net/http reads on for it, and
+		// the sender, which is told nothing, would put its next request behind it.
 		w.Header().Set("Connection", "close")
 	}
 	if resp == nil {
@@ -64,42 +58,27 @@
 	}
 }
 
-// streamedBody notes whether a body was read to its end.
-type streamedBody struct {
-	io.Reader
-	ended atomic.Bool
-}
-
-// Read reads the body.
-func (b *streamedBody) Read(p []byte) (int, error) {
-	n, err := b.Reader.Read(p)
-	if errors.Is(err, io.EOF) {
-		b.ended.Store(true)
-	}
-	return n, err
-}
-
-// askedBody is a body of moderate length that its sender holds back until it is
-// read.
+// askedBody is a body that its sender holds back until it is asked for. It is asked
+// for when it is first read.
 type askedBody struct {
-	io.Reader
-	control *http.ResponseController
-	until   time.Time
+	io.ReadCloser
+	interim *interimAnswers
+	asked   bool
 }
 
-// fetch reads the whole body. Until it is there the backend server has seen nothing
-// of the request: a sender that breaks off leaves it not run, and not in doubt.
-func (b *askedBody) fetch(length int64) ([]byte, error) {
-	_ = b.control.SetReadDeadline(b.until)
-	body := make([]byte, length)
-	if _, err := io.ReadFull(b, body); err != nil {
-		return nil, err
+// Read reads the body.
+func (b *askedBody) Read(p []byte) (int, error) {
+	if !b.asked {
+		b.asked = true
+		b.interim.askForBody()
 	}
-	return body, b.control.SetReadDeadline(time.Time{})
+	return b.ReadCloser.Read(p)
 }
 
-// interimAnswers sends hints ahead of the answer. Hints come from other
-// goroutines; once the answer begins there must be none, since the two would mix.
+// interimAnswers sends what goes ahead of the answer: hints, which come from other
+// goroutines, and the question for the body, which comes from the one that sends it
+// on. Two at once would mix on the connection, and so would one with the answer: one
+// goes out at a time, and none once the answer begins.
 type interimAnswers struct {
 	mu    sync.Mutex
 	w     http.ResponseWriter
@@ -117,6 +96,14 @@
 	a.w.Header().Del(hop.HintHeader)
 }
 
+func (a *interimAnswers) askForBody() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.ended {
+		a.w.WriteHeader(http.StatusContinue)
+	}
+}
+
 func (a *interimAnswers) end() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -131,12 +118,12 @@
 
 // Outgoing builds the request to a backend server from one that arrived. A
 // short body is read into memory first.
-func Outgoing(r *http.Request, dialect *hop.Dialect, timeout time.Duration) (*hop.Outgoing, error) {
-	return outgoing(r, dialect, timeout, maxBuffered)
+func Outgoing(w http.ResponseWriter, r *http.Request, dialect *hop.Dialect, timeout time.Duration) (*hop.Outgoing, error) {
+	return outgoing(w, r, dialect, timeout, maxBuffered)
 }
 
 // outgoing reads bodies of up to held bytes into memory.
-func outgoing(r *http.Request, dialect *hop.Dialect, timeout time.Duration, held int64) (*hop.Outgoing, error) {
+func outgoing(w http.ResponseWriter, r *http.Request, dialect *hop.Dialect, timeout time.Duration, held int64) (*hop.Outgoing, error) {
 	out := &hop.Outgoing{Method: r.Method, URI: requestURI(r), Host: r.Host, Header: r.Header, Length: r.ContentLength, Deadline: time.Now().Add(timeout)}
 	if dialect.RequestID != "" {
 		out.IDField, out.ID = dialect.RequestID, r.Header.Get(dialect.RequestID)
@@ -151,7 +138,7 @@
 		}
 		out.Buffered = body
 	default:
-		out.Stream = r.Body
+		out.Stream = hop.NewBody(r.Body, http.NewResponseController(w).SetReadDeadline)
 	}
 	return out, nil
 }
--- a/internal/front/body_test.go
+++ b/internal/front/body_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -42,3 +43,42 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(rest), "")
 }
+
+// Two requests on one connection: the second waits to be asked for its body, and its
+// handler stops reading the body before the first one is answered. The question
+// waits for the first answer, and must not go out once the body is stopped: what the
+// caller then sends nobody wants, and the question may meet the answer.
+func TestStoppedBodyIsNotAskedFor(t *testing.T) {
+	release := make(chan struct{})
+	stopped := make(chan struct{})
+	_, address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			<-release
+			fmt.Fprint(w, "first")
+			return
+		}
+		reading := make(chan struct{})
+		go func() {
+			defer close(reading)
+			_, _ = r.Body.Read(make([]byte, 1))
+		}()
+		time.Sleep(20 * time.Millisecond)
+		_ = http.NewResponseController(w).SetReadDeadline(longPast)
+		select {
+		case <-reading:
+		case <-time.After(5 * time.Second):
+			t.Error("the reader of a stopped body waits on")
+		}
+		fmt.Fprint(w, "second")
+		close(stopped)
+	})
+	c := dial(t, address)
+	c.send(t, get("/first")+longUpload)
+	<-stopped
+	close(release)
+	_, body := c.answer(t, http.MethodGet)
+	assert.Equal(t, body, "first")
+	resp, body := c.answer(t, http.MethodPost)
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	assert.Equal(t, body, "second")
+}
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -14,6 +14,8 @@
 
 	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
+
+	"cactuspath/internal/hop"
 )
 
 const readBuffer = 4 << 10
@@ -360,7 +362,7 @@
 		r.Body = io.NopCloser(bytes.NewReader(held))
 		return nil, true
 	}
-	body := &streamedBody{ReadCloser: r.Body, w: w, finished: make(chan struct{}), expects: strings.EqualFold(r.Header.Get("Expect"), "100-continue")}
+	body := newStreamedBody(r.Body, w, hop.AsksFirst(r.Header))
 	r.Body = body
 	w.body = body
 	return body.finished, true
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -2,11 +2,11 @@
 
 import (
 	"bytes"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -28,11 +28,14 @@
 	// turn is closed when all earlier answers are out, done when this one is.
 	turn, done chan struct{}
 	held       bytes.Buffer
-	started    bool
 	chunked    bool
 	mustClose  bool
 	last       bool
-	broken     bool
+	// interim lets one goroutine write at a time until the head is out: the one that
+	// reads the body may ask for it while the handler answers. It guards started.
+	interim sync.Mutex
+	started bool
+	broken  atomic.Bool
 	// length is what Content-Length announced, or -1.
 	length, written int64
 	body            *streamedBody
@@ -77,7 +80,7 @@
 
 // Flush sends what is held, once it is this answer's turn.
 func (w *response) Flush() {
-	if w.broken {
+	if w.broken.Load() {
 		return
 	}
 	w.WriteHeader(http.StatusOK)
@@ -103,6 +106,15 @@
 // EnableFullDuplex is always on.
 func (w *response) EnableFullDuplex() error { return nil }
 
+// SetReadDeadline bounds reads of the request's body, also one that waits. It is
+// meant for http.ResponseController.
+func (w *response) SetReadDeadline(t time.Time) error {
+	if w.body == nil {
+		return nil
+	}
+	return w.body.setReadDeadline(t)
+}
+
 func (w *response) hasBody() bool {
 	return w.request.Method != http.MethodHead && w.status != http.StatusNoContent && w.status != http.StatusNotModified
 }
@@ -113,10 +125,12 @@
 	select {
 	case <-w.turn:
 	case <-w.c.ctx.Done():
-		w.broken = true
+		w.broken.Store(true)
 		return w.c.ctx.Err()
 	}
+	w.interim.Lock()
 	w.started = true
+	w.interim.Unlock()
 	if whole && w.length < 0 && w.hasBody() && !w.hasTrailers() {
 		w.length = int64(w.held.Len())
 	}
@@ -202,13 +216,17 @@
 }
 
 func (w *response) raw(p []byte) error {
-	if w.broken {
+	return w.write(p, writeTimeout)
+}
+
+func (w *response) write(p []byte, timeout time.Duration) error {
+	if w.broken.Load() {
 		return net.ErrClosed
 	}
-	_ = w.c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_ = w.c.raw.SetWriteDeadline(time.Now().Add(timeout))
 	_, err := w.c.raw.Write(p)
 	if err != nil {
-		w.broken = true
+		w.broken.Store(true)
 		w.c.cancel()
 	}
 	return err
@@ -228,7 +246,7 @@
 
 // finish sends what is left and ends the answer.
 func (w *response) finish() {
-	if w.broken {
+	if w.broken.Load() {
 		return
 	}
 	w.WriteHeader(http.StatusOK)
@@ -258,7 +276,7 @@
 // abort breaks the connection off, so that an answer which is not whole does not
 // look complete.
 func (w *response) abort() {
-	w.broken = true
+	w.broken.Store(true)
 	w.c.mu.Lock()
 	w.c.closing = true
 	w.c.mu.Unlock()
@@ -272,7 +290,7 @@
 
 // closeIfLast ends the connection after its last answer.
 func (w *response) closeIfLast() {
-	if !w.last || w.broken {
+	if !w.last || w.broken.Load() {
 		return
 	}
 	if tcp, ok := w.c.raw.(*net.TCPConn); ok {
@@ -282,38 +300,3 @@
 	// with bytes unread would reset the connection under the answer.
 	_ = w.c.raw.SetReadDeadline(time.Now().Add(lingerTime))
 }
-
-// bodyLeft tells whether the request's body was not read to its end.
-func (w *response) bodyLeft() bool { return w.body != nil && !w.body.ended.Load() }
-
-// streamedBody is a body that the handler reads from the connection.
-type streamedBody struct {
-	io.ReadCloser
-	w        *response
-	expects  bool
-	ended    atomic.Bool
-	finished chan struct{}
-}
-
-// Read reads the body, asking the caller for it first if it waits to be asked.
-func (b *streamedBody) Read(p []byte) (int, error) {
-	if b.expects {
-		b.expects = false
-		select {
-		case <-b.w.turn:
-			_ = b.w.raw([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
-		case <-b.w.c.ctx.Done():
-			return 0, b.w.c.ctx.Err()
-		}
-	}
-	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF && b.ended.CompareAndSwap(false, true) {
-		close(b.finished)
-	} else if err != nil && err != io.EOF {
-		b.w.c.cancel()
-	}
-	return n, err
-}
-
-// Close leaves the rest of the body unread.
-func (b *streamedBody) Close() error { return nil }
--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -51,6 +52,9 @@
 	raw    syscall.RawConn
 	since  time.Time
 	reused bool
+	// failed: a body broke off on the connection, and nothing on it is read or
+	// written any more.
+	failed atomic.Bool
 	// peek looks at the socket without reading from it; it is made once, since a
 	// look comes before every request. It leaves its finding in clean.
 	peek   func(fd uintptr) bool
@@ -58,6 +62,12 @@
 	clean  bool
 }
 
+// fail makes all reads and writes of the connection fail, now and later.
+func (c *conn) fail() {
+	c.failed.Store(true)
+	_ = c.SetDeadline(longPast)
+}
+
 // DialError means that no connection could be made: nothing was sent.
 type DialError struct {
 	Address string
--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -6,15 +6,11 @@
 	"context"
 	"io"
 	"net/http"
-	"net/http/httputil"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
-
-	"cactuspath/internal/logs"
 )
 
 // Outgoing is a request to send. Header must hold no hop-by-hop fields.
@@ -27,7 +23,7 @@
 	Buffered []byte
 	// Stream is a body read once, of Length bytes, or of unknown length if
 	// negative. It is sent only after the peer asked for it (100 Continue).
-	Stream io.Reader
+	Stream *Body
 	Length int64
 	// Unasked: the peer does not ask for a streamed body; it is sent at once.
 	Unasked bool
@@ -46,7 +42,7 @@
 // gate that refuses a request or moves it has no use for the body, which would take
 // a share of its host's link all the same, and of that between data centres.
 func (out *Outgoing) AskFirst() {
-	out.Stream, out.Length, out.Buffered = bytes.NewReader(out.Buffered), int64(len(out.Buffered)), nil
+	out.Stream, out.Length, out.Buffered = NewBody(bytes.NewReader(out.Buffered), nil), int64(len(out.Buffered)), nil
 }
 
 // AsksFirst tells whether the sender of a request waits to be asked for its body.
@@ -104,14 +100,12 @@
 	pool *Pool
 	conn *conn
 	stop func() bool
-	// sent is closed when a streamed body was sent; sendErr is its error.
-	sent     chan struct{}
-	sendErr  error
+	// sender sends a streamed body, once the peer asked for it; it is gone when the
+	// exchange has ended.
+	sender   *sender
 	unusable bool
 	foreign  int
 	done     bool
-	// over tells the body's sender that the exchange has ended.
-	over atomic.Bool
 }
 
 func (x *exchange) run(out *Outgoing) (*http.Response, error) {
@@ -139,7 +133,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode == http.StatusContinue && out.Stream != nil && x.sent == nil {
+		if resp.StatusCode == http.StatusContinue && out.Stream != nil && x.sender == nil {
 			x.sendBody(out)
 			continue
 		}
@@ -155,7 +149,7 @@
 			}
 			continue
 		}
-		if out.Stream != nil && x.sent == nil {
+		if out.Stream != nil && x.sender == nil {
 			// The answer came without the body: what the peer expects next on
 			// this connection is not certain.
 			x.unusable = true
@@ -192,10 +186,11 @@
 	return err
 }
 
-// lift takes the deadline off, unless the caller went away meanwhile.
+// lift takes the deadline off, unless the caller went away or the body broke off
+// meanwhile.
 func (x *exchange) lift() {
 	_ = x.conn.SetDeadline(time.Time{})
-	if x.ctx.Err() != nil {
+	if x.ctx.Err() != nil || x.conn.failed.Load() {
 		_ = x.conn.SetDeadline(longPast)
 	}
 }
@@ -203,80 +198,8 @@
 // sendBody streams the body beside the reading of the answer, which may come
 // before the body's end.
 func (x *exchange) sendBody(out *Outgoing) {
-	x.sent = make(chan struct{})
 	x.lift()
-	go func() {
-		defer close(x.sent)
-		source := &countedReader{Reader: out.Stream, x: x}
-		x.sendErr = copyBody(x.conn.writer, source, out.Length)
-		x.logSender(out, source)
-		if x.sendErr != nil {
-			// The peer must see a broken body, never a shortened one.
-			_ = x.conn.SetDeadline(longPast)
-		}
-	}()
-}
-
-// logSender tells what a body's sender took from its source, and whether its
-// exchange had ended by then: a sender that outlives its exchange takes what belongs
-// to another attempt.
-func (x *exchange) logSender(out *Outgoing, source *countedReader) {
-	over := x.over.Load()
-	logs.Decision(x.sendErr != nil || over, "Body sender ended", "request", out.Request, "attempt", out.Attempt, "to", x.pool.address, "length", out.Length,
-		"read", source.read, "readLate", source.readLate, "unflushed", x.conn.writer.Buffered(), "exchangeOver", over, "err", x.sendErr)
-}
-
-// countedReader counts what is read of a body.
-type countedReader struct {
-	io.Reader
-	x              *exchange
-	read, readLate int64
-}
-
-// Read reads the body.
-func (r *countedReader) Read(p []byte) (int, error) {
-	over := r.x.over.Load()
-	n, err := r.Reader.Read(p)
-	r.read += int64(n)
-	if over {
-		r.readLate += int64(n)
-	}
-	return n, err
-}
-
-func copyBody(w *bufio.Writer, source io.Reader, length int64) error {
-	if length >= 0 {
-		n, err := io.Copy(w, io.LimitReader(source, length))
-		if err == nil && n != length {
-			err = io.ErrUnexpectedEOF
-		}
-		if err != nil {
-			return err
-		}
-		return w.Flush()
-	}
-	chunked := httputil.NewChunkedWriter(flusher{w})
-	if _, err := io.Copy(chunked, source); err != nil {
-		return err
-	}
-	if err := chunked.Close(); err != nil {
-		return err
-	}
-	if _, err := w.WriteString("\r\n"); err != nil {
-		return err
-	}
-	return w.Flush()
-}
-
-// flusher sends each chunk as it comes, so that a slow upload is not held back.
-type flusher struct{ w *bufio.Writer }
-
-func (f flusher) Write(p []byte) (int, error) {
-	n, err := f.w.Write(p)
-	if err == nil && f.w.Available() < bufferSize/2 {
-		err = f.w.Flush()
-	}
-	return n, err
+	x.sender = startSender(x.conn, out)
 }
 
 func writeHead(w *bufio.Writer, out *Outgoing) error {
@@ -334,16 +257,17 @@
 	return false
 }
 
+// abort ends the exchange at the cost of its connection.
 func (x *exchange) abort() {
 	if x.done {
 		return
 	}
 	x.done = true
-	x.over.Store(true)
 	x.stop()
-	// A sender of the body may still wait for its source; it is not waited for,
-	// since the source may be a caller that sends nothing more.
 	_ = x.conn.Close()
+	if x.sender != nil {
+		x.sender.end()
+	}
 }
 
 // finish gives the connection back if the exchange left it clean. One with an
@@ -353,22 +277,17 @@
 	if x.done {
 		return
 	}
-	if x.sent != nil {
-		select {
-		case <-x.sent:
-			reusable = reusable && x.sendErr == nil
-		default:
-			reusable = false
-		}
-	}
+	bodyOut := x.sender != nil && !x.sender.finished()
 	// Bytes after the answer's end belong to no request.
 	spare := x.conn.reader.Buffered() > 0
-	if !reusable || spare || x.unusable || !x.stop() {
+	if !reusable || bodyOut || spare || x.unusable || !x.stop() {
 		x.abort()
 		return
 	}
 	x.done = true
-	x.over.Store(true)
+	if x.sender != nil {
+		x.sender.end()
+	}
 	x.pool.put(x.conn)
 }
 
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -73,7 +73,7 @@
 func TestRefusedStreamIsNotRead(t *testing.T) {
 	p := serve(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
 	body := &countingReader{r: strings.NewReader(strings.Repeat("x", 100_000))}
-	resp, err := p.Do(context.Background(), &Outgoing{Method: "POST", URI: "/", Host: "h", Stream: body, Length: 100_000, Deadline: far()})
+	resp, err := p.Do(context.Background(), &Outgoing{Method: "POST", URI: "/", Host: "h", Stream: NewBody(body, nil), Length: 100_000, Deadline: far()})
 	assert.NilError(t, err)
 	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
 	_ = read(t, resp)
@@ -97,7 +97,7 @@
 			n, err := io.Copy(io.Discard, r.Body)
 			fmt.Fprintf(w, "%d %v", n, err)
 		})
-		resp, err := p.Do(context.Background(), &Outgoing{Method: "POST", URI: "/", Host: "h", Stream: strings.NewReader(strings.Repeat("x", 200_000)), Length: length, Deadline: far()})
+		resp, err := p.Do(context.Background(), &Outgoing{Method: "POST", URI: "/", Host: "h", Stream: NewBody(strings.NewReader(strings.Repeat("x", 200_000)), nil), Length: length, Deadline: far()})
 		assert.NilError(t, err)
 		assert.Equal(t, read(t, resp), "200000 <nil>")
 	}
@@ -111,7 +111,7 @@
 		_, err := io.Copy(io.Discard, r.Body)
 		seen <- err
 	})
-	_, err := p.Do(context.Background(), &Outgoing{Method: "POST", URI: "/", Host: "h", Stream: strings.NewReader("short"), Length: 100_000, Deadline: far()})
+	_, err := p.Do(context.Background(), &Outgoing{Method: "POST", URI: "/", Host: "h", Stream: NewBody(strings.NewReader("short"), nil), Length: 100_000, Deadline: far()})
 	var lost *LostError
 	assert.Assert(t, errors.As(err, &lost))
 	assert.Assert(t, <-seen != nil)
--- /dev/null
+++ b/internal/hop/upload.go
@@ -0,0 +1,244 @@
+package hop
+
+import (
+	"bufio"
+	"io"
+	"net/http/httputil"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cactuspath/internal/logs"
+)
+
+// A streamed body is sent by a goroutine beside the one that reads the answer, since
+// the answer may come first. That goroutine touches three things that outlast its
+// exchange: the caller's connection that it reads, the words that ask the caller for
+// the body, and the connection that it writes. Begun or left over after the end of
+// its exchange it took bytes out of the body that the next attempt sent, and the next
+// server got a body with a hole. So an exchange does not end before its sender is
+// gone: every way out of an exchange leads through sender.end.
+
+// Body is a request's body that is read once, as it is sent. It is lent to one
+// exchange after the other; only the sender of the exchange that has it can read it.
+// Safe for concurrent use.
+type Body struct {
+	source io.Reader
+	// setReadDeadline wakes a read of the source that waits; nil for a source that
+	// never waits.
+	setReadDeadline func(time.Time) error
+
+	mu sync.Mutex
+	// holder is the sender that may read, nil for none.
+	holder *sender
+	// reading: a read of the source is under way.
+	reading bool
+	// touched: a read was begun, so that what is left may not be the whole body.
+	touched bool
+	ended   bool
+}
+
+// NewBody returns a body that is read from source. SetReadDeadline makes a read of
+// it that waits return once the time has passed, as that of http.ResponseController
+// does; nil stands for a source that never waits.
+func NewBody(source io.Reader, setReadDeadline func(time.Time) error) *Body {
+	return &Body{source: source, setReadDeadline: setReadDeadline}
+}
+
+// Whole tells whether no byte of the body was read, so that another attempt may send
+// it.
+func (b *Body) Whole() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.touched
+}
+
+// Ended tells whether the body was read to its end.
+func (b *Body) Ended() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ended
+}
+
+// Fetch reads a whole body of the given length, until a time at the latest.
+func (b *Body) Fetch(length int64, until time.Time) ([]byte, error) {
+	if b.setReadDeadline != nil {
+		if err := b.setReadDeadline(until); err != nil {
+			return nil, err
+		}
+	}
+	body := make([]byte, length)
+	if _, err := io.ReadFull(held{b, nil}, body); err != nil {
+		return nil, err
+	}
+	if b.setReadDeadline == nil {
+		return body, nil
+	}
+	return body, b.setReadDeadline(time.Time{})
+}
+
+// errTakenBack ends a sender whose exchange is over.
+var errTakenBack = errors.New("the exchange ended before its body was sent")
+
+// held reads a body for its holder; nobody holds one that is fetched.
+type held struct {
+	body   *Body
+	holder *sender
+}
+
+// Read reads the body, as long as the holder has it.
+func (h held) Read(p []byte) (int, error) {
+	b := h.body
+	if !b.begin(h.holder) {
+		return 0, errTakenBack
+	}
+	n, err := b.source.Read(p)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reading = false
+	b.ended = b.ended || errors.Is(err, io.EOF)
+	if b.holder != h.holder {
+		h.holder.dropped += int64(n)
+		return 0, errTakenBack
+	}
+	return n, err
+}
+
+func (b *Body) begin(holder *sender) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.holder != holder {
+		return false
+	}
+	b.reading, b.touched = true, true
+	return true
+}
+
+func (b *Body) lend(holder *sender) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.holder = holder
+}
+
+// takeBack ends the holder's reads: the one under way is woken, and those that would
+// begin later fail.
+func (b *Body) takeBack(holder *sender) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.holder == holder {
+		b.holder = nil
+	}
+	if !b.reading || b.setReadDeadline == nil {
+		return nil
+	}
+	return b.setReadDeadline(longPast)
+}
+
+// sender sends one body on one exchange.
+type sender struct {
+	out  *Outgoing
+	conn *conn
+	// done is closed when the sender's goroutine has ended; what follows is read only
+	// then.
+	done chan struct{}
+	err  error
+	// read and sent count the body's bytes that were read and handed to the
+	// connection, dropped those that a read under way took after the exchange's end.
+	read, sent, dropped int64
+}
+
+func startSender(c *conn, out *Outgoing) *sender {
+	s := &sender{out: out, conn: c, done: make(chan struct{})}
+	out.Stream.lend(s)
+	go s.run()
+	return s
+}
+
+func (s *sender) run() {
+	defer close(s.done)
+	var copied int64
+	copied, s.err = s.copy()
+	s.sent = max(0, copied-int64(s.conn.writer.Buffered()))
+	if s.err != nil {
+		// The peer must see a broken body, never a shortened one.
+		s.conn.fail()
+	}
+}
+
+// gone tells whether the sender's goroutine has ended.
+func (s *sender) gone() bool {
+	select {
+	case <-s.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// finished tells whether the body was sent to its end.
+func (s *sender) finished() bool { return s.gone() && s.err == nil }
+
+// end takes the body back and returns when the sender's goroutine is gone. The
+// connection that it writes to must be closed, or the body sent.
+func (s *sender) end() {
+	over := !s.gone()
+	if err := s.out.Stream.takeBack(s); err != nil {
+		// Nothing can wake the read under way; what it takes is dropped when it returns.
+		logs.Decision(true, "Body sender not woken", "request", s.out.Request, "attempt", s.out.Attempt, "err", err)
+		return
+	}
+	<-s.done
+	logs.Decision(s.err != nil, "Body sender ended", "request", s.out.Request, "attempt", s.out.Attempt, "to", s.conn.RemoteAddr().String(), "length", s.out.Length,
+		"read", s.read, "sent", s.sent, "dropped", s.dropped, "exchangeOver", over, "err", s.err)
+}
+
+// Read reads the body for the sender, and counts.
+func (s *sender) Read(p []byte) (int, error) {
+	n, err := held{s.out.Stream, s}.Read(p)
+	s.read += int64(n)
+	return n, err
+}
+
+// copy sends the body; it returns how many of its bytes were written.
+func (s *sender) copy() (int64, error) {
+	w := s.conn.writer
+	if s.out.Length < 0 {
+		return copyChunked(w, s)
+	}
+	n, err := io.Copy(w, io.LimitReader(s, s.out.Length))
+	if err == nil && n != s.out.Length {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return n, err
+	}
+	return n, w.Flush()
+}
+
+func copyChunked(w *bufio.Writer, source io.Reader) (int64, error) {
+	chunked := httputil.NewChunkedWriter(flusher{w})
+	n, err := io.Copy(chunked, source)
+	if err != nil {
+		return n, err
+	}
+	if err := chunked.Close(); err != nil {
+		return n, err
+	}
+	if _, err := w.WriteString("\r\n"); err != nil {
+		return n, err
+	}
+	return n, w.Flush()
+}
+
+// flusher sends each chunk as it comes, so that a slow upload is not held back.
+type flusher struct{ w *bufio.Writer }
+
+// Write sends a part of a chunk.
+func (f flusher) Write(p []byte) (int, error) {
+	n, err := f.w.Write(p)
+	if err == nil && f.w.Available() < bufferSize/2 {
+		err = f.w.Flush()
+	}
+	return n, err
+}
--- /dev/null
+++ b/internal/hop/upload_test.go
@@ -0,0 +1,240 @@
+package hop
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// stalled is a caller that sends nothing until it is released or stopped, as a
+// connection does whose read deadline is set.
+type stalled struct {
+	release, stopped chan struct{}
+	begun            chan struct{}
+	stop, begin      sync.Once
+	rest             io.Reader
+	reading          atomic.Int32
+}
+
+func newStalled(rest string) *stalled {
+	return &stalled{release: make(chan struct{}), stopped: make(chan struct{}), begun: make(chan struct{}), rest: strings.NewReader(rest)}
+}
+
+func (s *stalled) Read(p []byte) (int, error) {
+	s.reading.Add(1)
+	defer s.reading.Add(-1)
+	s.begin.Do(func() { close(s.begun) })
+	select {
+	case <-s.release:
+		return s.rest.Read(p)
+	case <-s.stopped:
+		// A read that has taken bytes returns them, whoever stops it.
+		return s.rest.Read(p)
+	}
+}
+
+func (s *stalled) setReadDeadline(t time.Time) error {
+	if !t.IsZero() && t.Before(time.Now()) {
+		s.stop.Do(func() { close(s.stopped) })
+	}
+	return nil
+}
+
+// peer accepts connections and hands each to the function.
+func peer(t *testing.T, serve func(net.Conn)) *Pool {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				serve(c)
+			}()
+		}
+	}()
+	return NewPool(l.Addr().String(), nil)
+}
+
+// readHead reads a request's head; a streamed body waits to be asked for.
+func readRequestHead(c net.Conn) {
+	buffer := make([]byte, 4096)
+	for text := ""; !strings.Contains(text, "\r\n\r\n"); {
+		n, err := c.Read(buffer)
+		if err != nil {
+			return
+		}
+		text += string(buffer[:n])
+	}
+}
+
+const refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+
+// A server asks for an upload and rejects it, both at once. The answer is read
+// before the goroutine that sends the body has begun. Once the exchange has ended
+// that goroutine must read nothing: what it took would be missing in the body that
+// the next attempt sends.
+func TestSenderThatBeginsLateReadsNothing(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	p := peer(t, func(c net.Conn) {
+		readRequestHead(c)
+		_, _ = io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n"+refusal)
+		_, _ = io.Copy(io.Discard, c)
+	})
+	late := 0
+	for range 50 {
+		source := &countingReader{r: strings.NewReader(strings.Repeat("x", 200_000))}
+		body := NewBody(source, nil)
+		resp, err := p.Do(context.Background(), &Outgoing{Method: "POST", URI: "/", Host: "h", Stream: body, Length: 200_000, Deadline: far()})
+		assert.NilError(t, err)
+		assert.Equal(t, read(t, resp), "")
+		if !body.Whole() {
+			continue
+		}
+		late++
+		runtime.Gosched()
+		time.Sleep(time.Millisecond)
+		assert.Equal(t, source.n, 0, "a sender read after its exchange had ended")
+	}
+	assert.Assert(t, late > 10, "only %d senders began late", late)
+}
+
+// A server answers early while the caller sends nothing. The sender waits in a read
+// of the caller's connection. The exchange must not end before it is gone, woken
+// from that read; what the read took meanwhile is passed on to nobody.
+func TestExchangeEndsAfterItsSender(t *testing.T) {
+	source := newStalled(strings.Repeat("x", 1000))
+	var got atomic.Int64
+	p := peer(t, func(c net.Conn) {
+		readRequestHead(c)
+		_, _ = io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n")
+		<-source.begun
+		_, _ = io.WriteString(c, refusal)
+		n, _ := io.Copy(io.Discard, c)
+		got.Add(n)
+	})
+	body := NewBody(source, source.setReadDeadline)
+	resp, err := p.Do(context.Background(), &Outgoing{Method: "POST", URI: "/", Host: "h", Stream: body, Length: 200_000, Deadline: far()})
+	assert.NilError(t, err)
+	assert.Equal(t, read(t, resp), "")
+	assert.Equal(t, source.reading.Load(), int32(0), "the sender outlived its exchange")
+	assert.Assert(t, !body.Whole())
+	assert.Equal(t, got.Load(), int64(0))
+}
+
+// A caller that sends nothing more goes away. The attempt ends at once, and its
+// sender with it.
+func TestCanceledExchangeEndsAfterItsSender(t *testing.T) {
+	source := newStalled("")
+	p := peer(t, func(c net.Conn) {
+		readRequestHead(c)
+		_, _ = io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n")
+		_, _ = io.Copy(io.Discard, c)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-source.begun
+		cancel()
+	}()
+	_, err := p.Do(ctx, &Outgoing{Method: "POST", URI: "/", Host: "h", Stream: NewBody(source, source.setReadDeadline), Length: -1, Deadline: far()})
+	assert.Assert(t, errors.Is(err, context.Canceled), "%v", err)
+	assert.Equal(t, source.reading.Load(), int32(0), "the sender outlived its exchange")
+}
+
+// The caller's upload breaks off after the server has begun its answer. The server
+// must see a broken body at once, and not wait for the rest until somebody gives up.
+func TestBodyThatBreaksOffBehindTheAnswersHeadIsBroken(t *testing.T) {
+	source := newStalled("")
+	broken := make(chan error, 1)
+	p := peer(t, func(c net.Conn) {
+		readRequestHead(c)
+		_, _ = io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n")
+		<-source.begun
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf")
+		_, err := io.Copy(io.Discard, c)
+		broken <- err
+	})
+	resp, err := p.Do(context.Background(), &Outgoing{Method: "POST", URI: "/", Host: "h", Stream: NewBody(source, source.setReadDeadline), Length: 200_000, Deadline: far()})
+	assert.NilError(t, err)
+	close(source.release)
+	_, err = io.ReadAll(resp.Body)
+	assert.Assert(t, err != nil)
+	select {
+	case <-broken:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the server still waits for the body")
+	}
+}
+
+// The first attempt's sender may be anywhere when the next attempt begins: whoever
+// reads, and in whatever pieces, the bytes that reach the servers in the end are the
+// caller's, in order, or the body does not count as whole.
+func TestBodyIsLentToOneSenderAtATime(t *testing.T) {
+	text := strings.Repeat("0123456789", 100)
+	for round := range 200 {
+		body := NewBody(strings.NewReader(text), nil)
+		first, second := &sender{out: &Outgoing{Stream: body}}, &sender{out: &Outgoing{Stream: body}}
+		body.lend(first)
+		begun := make(chan int, 1)
+		go func() {
+			n, _ := first.Read(make([]byte, 7))
+			begun <- n
+		}()
+		if round%2 == 0 {
+			runtime.Gosched()
+		}
+		assert.NilError(t, body.takeBack(first))
+		if !body.Whole() {
+			<-begun
+			continue
+		}
+		body.lend(second)
+		got, err := io.ReadAll(second)
+		assert.NilError(t, err)
+		assert.Equal(t, string(got), text)
+		assert.Equal(t, <-begun, 0)
+	}
+}
+
+// A source that cannot be woken must not hold the end of an exchange up for ever.
+func TestSourceThatCannotBeWokenHoldsNobodyUp(t *testing.T) {
+	source := newStalled("")
+	defer close(source.release)
+	p := peer(t, func(c net.Conn) {
+		readRequestHead(c)
+		_, _ = io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n")
+		<-source.begun
+		_, _ = io.WriteString(c, refusal)
+		_, _ = io.Copy(io.Discard, c)
+	})
+	unsupported := func(time.Time) error { return fmt.Errorf("no deadlines here: %w", os.ErrNoDeadline) }
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		resp, err := p.Do(context.Background(), &Outgoing{Method: "POST", URI: "/", Host: "h", Stream: NewBody(source, unsupported), Length: 200_000, Deadline: far()})
+		if err == nil {
+			_, _ = io.Copy(io.Discard, resp.Body)
+		}
+	}()
+	select {
+	case <-ended:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the exchange does not end")
+	}
+}
--- a/internal/proxy/body_test.go
+++ b/internal/proxy/body_test.go
@@ -19,19 +19,22 @@
 )
 
 // earlyPeer asks for the body of a request's first attempt and rejects it in the
-// same segment; from later attempts it takes the whole body.
+// same segment, or once it has read some of it; from later attempts it takes the
+// whole body.
 type earlyPeer struct {
 	net.Listener
+	// reads is how many bytes of a body it reads before it rejects.
+	reads  int64
 	mu     sync.Mutex
 	bodies [][]byte
 }
 
-func newEarlyPeer(t *testing.T) *earlyPeer {
+func newEarlyPeer(t *testing.T, reads int64) *earlyPeer {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
-	p := &earlyPeer{Listener: l}
+	p := &earlyPeer{Listener: l, reads: reads}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -57,7 +60,13 @@
 	reply := hop.Reply{ID: req.ID, Verdict: hop.Ran}
 	if req.ID.Attempt == 1 {
 		reply.Verdict = hop.Rejected
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Service Unavailable\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", hop.Header, reply.Encode())
+		asks := "HTTP/1.1 100 Continue\r\n\r\n"
+		if p.reads > 0 {
+			_, _ = io.WriteString(c, asks)
+			asks = ""
+			_, _ = io.CopyN(io.Discard, r.Body, p.reads)
+		}
+		_, _ = fmt.Fprintf(c, asks+"HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", hop.Header, reply.Encode())
 		_, _ = io.Copy(io.Discard, c)
 		return
 	}
@@ -100,7 +109,7 @@
 		body[i] = byte(i % 251)
 	}
 	for _, chunked := range []bool{false, true} {
-		a, b := newEarlyPeer(t), newEarlyPeer(t)
+		a, b := newEarlyPeer(t, 0), newEarlyPeer(t, 0)
 		address := callersListener(t, frontOf(t, gate.RevokeUnknown, a.Addr().String(), b.Addr().String()).Config.Handler)
 		for range 60 {
 			var source io.Reader = bytes.NewReader(body)
@@ -123,3 +132,24 @@
 		}
 	}
 }
+
+// A backend server rejects a long upload after it has read a part. That part is gone:
+// the rest of the body must not be sent to another endpoint as if it were the whole.
+func TestUploadThatWasPartlyReadIsNotSentAgain(t *testing.T) {
+	a, b := newEarlyPeer(t, 10_000), newEarlyPeer(t, 10_000)
+	address := callersListener(t, frontOf(t, gate.RevokeUnknown, a.Addr().String(), b.Addr().String()).Config.Handler)
+	for range 10 {
+		body := io.MultiReader(bytes.NewReader(make([]byte, 100<<10)), bytes.NewReader(make([]byte, 100<<10)))
+		req, err := http.NewRequest(http.MethodPost, "http://"+address+"/upload", body)
+		assert.NilError(t, err)
+		req.Host = "pay.example"
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			// The answer came before the body was sent; the sender may see its end.
+			continue
+		}
+		_ = resp.Body.Close()
+		assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+	}
+	assert.Equal(t, len(a.received())+len(b.received()), 0)
+}
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -58,7 +58,6 @@
 
 	last       hop.Reply
 	reached    bool
-	body       *bodyTurn
 	retryAfter time.Duration
 }
 
@@ -116,8 +115,7 @@
 			c.tried = append(c.tried, to.Host)
 		}
 		action := c.s.next(&c.rules, r.ended, c.tried)
-		if (action == retry.TryOther || action == retry.TryNamed) && !c.body.withdraw() {
-			// A streamed body that was partly read cannot be sent again.
+		if (action == retry.TryOther || action == retry.TryNamed) && !c.sendable() {
 			action = c.rules.GiveUp()
 		}
 		switch action {
@@ -193,8 +191,7 @@
 	req := hop.Request{ID: a.id, Incarnation: a.incarnation, Timeout: timeout, Movable: c.movable(), Revision: c.h.options.Revision(), Caller: c.caller,
 		From: c.h.options.DataCenter, Repeatable: onHint != nil, Bulky: c.out.Stream != nil || len(c.out.Buffered) >= bulkyBody}
 	c.rankRequest(&req, a.sent)
-	out := c.outgoing()
-	out.Request, out.Attempt = c.requestID(), hop.FormatID(a.id)
+	out := c.outgoing(a.id)
 	if to.Host == c.h.options.Host {
 		if local := c.h.options.Local.Endpoint(c.s.name); local != nil {
 			out.Deadline = c.deadline
@@ -226,14 +223,15 @@
 // been, and could send it to the same dead server again.
 func (c *call) movable() bool { return c.rules.Movable() && len(c.tried) == 0 }
 
-// outgoing is the request for one attempt, which has the turn at a streamed body.
-func (c *call) outgoing() *hop.Outgoing {
+// sendable tells whether the request can be sent once more: a streamed body of which
+// a part was read cannot.
+func (c *call) sendable() bool { return c.out.Stream == nil || c.out.Stream.Whole() }
+
+// outgoing is the request for one attempt.
+func (c *call) outgoing(id gate.AttemptID) *hop.Outgoing {
 	out := *c.out
 	out.Deadline = c.deadline.Add(grace)
-	if out.Stream != nil {
-		c.body = &bodyTurn{source: c.out.Stream}
-		out.Stream = c.body
-	}
+	out.Request, out.Attempt = c.requestID(), hop.FormatID(id)
 	return &out
 }
 
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -255,7 +255,7 @@
 		}
 		r.Body = http.MaxBytesReader(w, r.Body, int64(spec.MaxBodyBytes))
 	}
-	out, err := endpoint.Outgoing(r, dialect, timeout)
+	out, err := endpoint.Outgoing(w, r, dialect, timeout)
 	if err != nil {
 		h.fail(w, r, Fault{Fault: fault.Malformed, Message: "the body could not be read: " + err.Error() + "; send as many bytes as Content-Length says"}, 0)
 		return
