Long test files of consensus and proxy are split by job

Checked: the sorted lines of both packages before and after differ by imports and four headings alone; `go test -list` counts 12 and 20 tests before and after. `go test` of core/consensus (0.8 s), internal/proxy (2.9 s) and internal/mutation: ok. Conclusion: a pure move.

--- a/core/consensus/explore_test.go
+++ b/core/consensus/explore_test.go
@@ -5,11 +5,9 @@
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
-	"sort"
 	"strings"
 	"testing"
 
-	"github.com/anishathalye/porcupine"
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
@@ -27,82 +25,6 @@
 	snapshotLag  = 12
 )
 
-// disk is what a crash leaves: synced state, and a tail that may be lost.
-type disk struct {
-	hard     *apiv1.HardState
-	snapshot *apiv1.Snapshot
-	entries  []*apiv1.LogEntry
-	founders *apiv1.Membership
-}
-
-func (d *disk) save(rd Ready) {
-	if rd.Snapshot != nil {
-		d.snapshot = rd.Snapshot
-		d.entries = nil
-	}
-	for _, e := range rd.Entries {
-		d.cut(e.Index)
-		d.entries = append(d.entries, e)
-	}
-	if rd.HardState != nil {
-		d.hard = rd.HardState
-	}
-}
-
-func (d *disk) cut(index uint64) {
-	for i, e := range d.entries {
-		if e.Index >= index {
-			d.entries = d.entries[:i:i]
-			return
-		}
-	}
-}
-
-func (d *disk) compact(s *apiv1.Snapshot) {
-	d.snapshot = s
-	var kept []*apiv1.LogEntry
-	for _, e := range d.entries {
-		if e.Index > s.Index {
-			kept = append(kept, e)
-		}
-	}
-	d.entries = kept
-}
-
-// register is the state machine under test: a revision that a change moves on
-// only from the base it names, with the outcome of every change remembered.
-type register struct {
-	revision uint64
-	outcomes map[string]bool
-}
-
-func (s *register) apply(data []byte) (id string, accepted bool) {
-	var base uint64
-	_, _ = fmt.Sscanf(string(data), "%s %d", &id, &base)
-	if outcome, seen := s.outcomes[id]; seen {
-		return id, outcome
-	}
-	accepted = base == s.revision
-	if accepted {
-		s.revision++
-	}
-	s.outcomes[id] = accepted
-	return id, accepted
-}
-
-func (s *register) snapshot() []byte {
-	text := fmt.Sprintf("%d", s.revision)
-	ids := make([]string, 0, len(s.outcomes))
-	for id := range s.outcomes {
-		ids = append(ids, id)
-	}
-	sort.Strings(ids)
-	for _, id := range ids {
-		text += fmt.Sprintf(" %s=%t", id, s.outcomes[id])
-	}
-	return []byte(text)
-}
-
 type replica struct {
 	id      uint64
 	raft    *Raft
@@ -113,18 +35,6 @@
 	frozen  bool
 }
 
-type operation struct {
-	client   int
-	submit   bool
-	id       string
-	base     uint64
-	started  int64
-	finished int64
-	// result: the revision read, or 1 for accepted.
-	result  uint64
-	unknown bool
-}
-
 type explorer struct {
 	t        *testing.T
 	seed     int
@@ -312,179 +222,6 @@
 	x.work(r, true)
 }
 
-func (x *explorer) any() *replica { return x.replicas[x.order[x.random.IntN(len(x.order))]] }
-
-func (x *explorer) chaos() {
-	switch roll := x.random.IntN(1000); {
-	case roll < 450:
-		x.deliver()
-		x.deliver()
-	case roll < 800:
-		if r := x.any(); r.alive && !r.frozen {
-			r.raft.Tick()
-			x.work(r, true)
-		}
-	case roll < 880:
-		x.submit()
-	case roll < 930:
-		x.read()
-	case roll < 945:
-		r := x.any()
-		if !r.alive {
-			x.start(r)
-		}
-	case roll < 950:
-		x.any().frozen = true
-	case roll < 960:
-		x.any().frozen = false
-	case roll < 970:
-		x.cuts[[2]uint64{x.any().id, x.any().id}] = true
-	case roll < 980:
-		x.cuts = map[[2]uint64]bool{}
-	case roll < 983:
-		x.isolateLeader()
-	case roll < 986:
-		x.replaceDisk()
-	case roll < 996:
-		x.promote()
-	case roll < 998:
-		if r := x.leaderReplica(); r != nil {
-			r.raft.TransferLeader()
-			x.work(r, true)
-		}
-	}
-}
-
-func (x *explorer) isolateLeader() {
-	r := x.leaderReplica()
-	if r == nil {
-		return
-	}
-	for _, id := range x.order {
-		x.cuts[[2]uint64{r.id, id}] = true
-		x.cuts[[2]uint64{id, r.id}] = true
-	}
-}
-
-func (x *explorer) leaderReplica() *replica {
-	for _, id := range x.order {
-		if r := x.replicas[id]; r.alive && !r.frozen && r.raft.Status().Role == Leader {
-			return r
-		}
-	}
-	return nil
-}
-
-// replaceDisk loses one voter's disk when the others can go on without it. The
-// replica returns as a new member: learner first, voter once it caught up.
-func (x *explorer) replaceDisk() {
-	leader := x.leaderReplica()
-	if leader == nil {
-		return
-	}
-	status := leader.raft.Status()
-	voters, up := 0, 0
-	var victim *replica
-	for _, m := range status.Membership.Members {
-		r := x.replicas[m.Id]
-		if m.Learner {
-			return
-		}
-		voters++
-		if r == nil {
-			return
-		}
-		if r.alive && status.Match[m.Id] >= status.Commit {
-			up++
-		}
-		if r != leader {
-			victim = r
-		}
-	}
-	if victim == nil || voters < 3 || up < voters {
-		return
-	}
-	if _, _, err := leader.raft.Remove(victim.id); err != nil {
-		return
-	}
-	x.work(leader, false)
-	x.nextID++
-	id := x.nextID
-	victim.alive = false
-	victim.disk = &disk{}
-	delete(x.replicas, victim.id)
-	for i, o := range x.order {
-		if o == victim.id {
-			x.order = append(x.order[:i:i], x.order[i+1:]...)
-			break
-		}
-	}
-	x.add(id, &disk{})
-}
-
-// promote moves the newest replica towards voting.
-func (x *explorer) promote() {
-	leader := x.leaderReplica()
-	if leader == nil {
-		return
-	}
-	for _, id := range x.order {
-		if m := FindMember(leader.raft.Status().Membership, id); m == nil {
-			_, _, _ = leader.raft.AddLearner(id, fmt.Sprint(id), "")
-		} else if m.Learner {
-			_, _, _ = leader.raft.Promote(id)
-		}
-	}
-	x.work(leader, false)
-}
-
-func (x *explorer) submit() {
-	r := x.any()
-	if !r.alive || r.frozen {
-		return
-	}
-	op := &operation{client: len(x.ops), submit: true, started: x.tick()}
-	x.nextOp++
-	op.id, op.base = fmt.Sprintf("c%d", x.nextOp), r.state.revision
-	if len(x.waiting) > 0 && x.random.IntN(3) == 0 {
-		x.resend(r)
-		return
-	}
-	if _, _, err := r.raft.Propose([]byte(fmt.Sprintf("%s %d", op.id, op.base))); err != nil {
-		return
-	}
-	x.ops = append(x.ops, op)
-	x.waiting[op.id] = op
-	x.work(r, true)
-}
-
-// resend proposes a change again whose answer has not come.
-func (x *explorer) resend(r *replica) {
-	ids := make([]string, 0, len(x.waiting))
-	for id := range x.waiting {
-		ids = append(ids, id)
-	}
-	sort.Strings(ids)
-	op := x.waiting[ids[x.random.IntN(len(ids))]]
-	_, _, _ = r.raft.Propose([]byte(fmt.Sprintf("%s %d", op.id, op.base)))
-	x.work(r, true)
-}
-
-func (x *explorer) read() {
-	r := x.any()
-	if !r.alive || r.frozen {
-		return
-	}
-	x.nextRead++
-	if err := r.raft.Read(x.nextRead); err != nil {
-		return
-	}
-	op := &operation{client: len(x.ops), started: x.tick()}
-	x.ops = append(x.ops, op)
-	x.reads[x.nextRead] = op
-	x.work(r, true)
-}
-
 // settle heals everything and expects one leader that all members follow.
 func (x *explorer) settle() {
 	x.cuts = map[[2]uint64]bool{}
@@ -537,48 +274,6 @@
 	}
 }
 
-// registerModel is the sequential history that operators may observe.
-var registerModel = porcupine.Model{
-	Init: func() any { return uint64(0) },
-	Step: func(state, input, output any) (bool, any) {
-		revision, op := state.(uint64), input.(*operation)
-		if !op.submit {
-			return op.unknown || op.result == revision, revision
-		}
-		if op.unknown {
-			if op.base == revision {
-				return true, revision + 1
-			}
-			return true, revision
-		}
-		accepted := op.base == revision
-		if accepted != (op.result == 1) {
-			return false, revision
-		}
-		if accepted {
-			return true, revision + 1
-		}
-		return true, revision
-	},
-}
-
-func (x *explorer) checkLinearizable() {
-	var history []porcupine.Operation
-	for _, op := range x.ops {
-		if op.finished == 0 {
-			if !op.submit {
-				continue
-			}
-			op.unknown = true
-			op.finished = 1 << 40
-		}
-		history = append(history, porcupine.Operation{ClientId: op.client, Input: op, Call: op.started, Output: nil, Return: op.finished})
-	}
-	if !porcupine.CheckOperations(registerModel, history) {
-		x.t.Fatalf("seed %d: the history is not linearizable", x.seed)
-	}
-}
-
 // Operators submit and read while replicas crash with their unsynced tail
 // gone, freeze, are cut off one way or both, lose a disk and are replaced, and
 // messages are lost, doubled and reordered. Whatever the schedule, a term has
