Control replica: joiners and presence keep what was said lately in one way

Cause: joiners.go and presence.go both kept a map of what others said of themselves with the time it was said, took out what was too old while listing, and listed by key. Ruled out: one type for both; presence also has a bound, versions and a cursor, which joiners have no use for, so these stay in presence.go. Ruled out as well: sorting all claims at each question, which nodes that wait ask many times a second; only what is wanted is sorted, as before. The mutation "a waiting node hears of each change once" follows the changed text. Conclusion: the same claims and members in the same order, by one mechanism.

--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -103,7 +103,7 @@
 	{"the body of a moved request is not sent", "internal/proxy/call.go", "out.AskFirst()", "_ = out", "internal/proxy", "MovedBody"},
 	{"a body is whole before the backend server sees it", "internal/endpoint/serve.go", "if held == 0 && out.Length > 0 && out.Length <= maxBuffered {", "if false {", "internal/endpoint", "BodyThatBreaksOff"},
 	{"a cursor of an earlier process hides nothing", "internal/replica/presence.go", "if heard.GetProcess() == p.process {", "if true {", "internal/replica", "EarlierProcess"},
-	{"a waiting node hears of each change once", "internal/replica/presence.go", "if c.version > after && ", "if ", "internal/replica", "EachChangeOnce"},
+	{"a waiting node hears of each change once", "internal/replica/presence.go", "return c.version > after && ", "return ", "internal/replica", "EachChangeOnce"},
 	{"a renewed certificate is taken in", "internal/transport/transport.go", "if !info.ModTime().After(s.modified) {", "if true {", "internal/transport", "RenewedCertificates"},
 	{"a folder has one process", "internal/wal/wal.go", "return ErrLocked", "", "internal/wal", "Locked"},
 	{"a connection with bytes waiting is not used again", "internal/hop/conn.go", "if time.Since(c.since) < idleTimeout && c.quiet() {", "if time.Since(c.since) < idleTimeout {", "internal/hop", "SecondAnswer|ClosedIdle"},
--- a/internal/replica/joiners.go
+++ b/internal/replica/joiners.go
@@ -1,7 +1,6 @@
 package replica
 
 import (
-	"sort"
 	"sync"
 	"time"
 
@@ -13,35 +12,21 @@
 
 // joiners are the replicas that asked to join lately. Safe for concurrent use.
 type joiners struct {
-	mu   sync.Mutex
-	byID map[uint64]joiner
+	mu    sync.Mutex
+	asked recent[uint64, *apiv1.Member]
 }
 
-type joiner struct {
-	member *apiv1.Member
-	asked  time.Time
-}
-
-func newJoiners() *joiners { return &joiners{byID: map[uint64]joiner{}} }
+func newJoiners() *joiners { return &joiners{asked: newRecent[uint64, *apiv1.Member](joinLife)} }
 
 func (j *joiners) put(m *apiv1.Member) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.byID[m.Id] = joiner{m, time.Now()}
+	j.asked.put(m.Id, m)
 }
 
 // waiting lists those that still ask, by id.
 func (j *joiners) waiting() []*apiv1.Member {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	var list []*apiv1.Member
-	for id, entry := range j.byID {
-		if time.Since(entry.asked) > joinLife {
-			delete(j.byID, id)
-			continue
-		}
-		list = append(list, entry.member)
-	}
-	sort.Slice(list, func(a, b int) bool { return list[a].Id < list[b].Id })
-	return list
+	return j.asked.list(func(*apiv1.Member) bool { return true })
 }
--- a/internal/replica/presence.go
+++ b/internal/replica/presence.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sort"
 	"sync"
 	"time"
 
@@ -30,14 +29,13 @@
 	process uint64
 
 	mu     sync.Mutex
-	byHost map[string]claimed
+	claims recent[string, claimed]
 	// version counts the changes.
 	version uint64
 }
 
 type claimed struct {
 	entry *apiv1.Entry
-	seen  time.Time
 	// version is that of the claim's last change.
 	version uint64
 }
@@ -50,7 +48,7 @@
 )
 
 func newPresence() *presence {
-	return &presence{process: rand.Uint64(), byHost: map[string]claimed{}}
+	return &presence{process: rand.Uint64(), claims: newRecent[string, claimed](presenceLife)}
 }
 
 func (p *presence) put(e *apiv1.Entry) {
@@ -59,17 +57,16 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	held, known := p.byHost[e.Host]
+	held, known := p.claims.held(e.Host)
 	if known && !directory.Newer(e, held.entry) {
-		held.seen = time.Now()
-		p.byHost[e.Host] = held
+		p.claims.put(e.Host, held)
 		return
 	}
-	if !known && len(p.byHost) >= maxPresence {
+	if !known && len(p.claims.byKey) >= maxPresence {
 		return
 	}
 	p.version++
-	p.byHost[e.Host] = claimed{entry: e, seen: time.Now(), version: p.version}
+	p.claims.put(e.Host, claimed{entry: e, version: p.version})
 }
 
 // since lists the claims that changed after the cursor, by host, and up to where
@@ -82,17 +79,11 @@
 	if heard.GetProcess() == p.process {
 		after = heard.GetVersion()
 	}
+	news := func(c claimed) bool { return c.version > after && (after > 0 || !directory.Gone(c.entry)) }
 	var list []*apiv1.Entry
-	for host, c := range p.byHost {
-		if time.Since(c.seen) > presenceLife {
-			delete(p.byHost, host)
-			continue
-		}
-		if c.version > after && (after > 0 || !directory.Gone(c.entry)) {
-			list = append(list, c.entry)
-		}
+	for _, c := range p.claims.list(news) {
+		list = append(list, c.entry)
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].Host < list[j].Host })
 	return list, &apiv1.ClaimCursor{Process: p.process, Version: p.version}
 }
 
