Emulator and replay count a server's work in one place

Cause: internal/emulator/server.go and internal/replay/engine.go each had the work clock of a server: time that passes at its speed, what ends first, the planned end. Ruled out: one server type; the emulator's has crowds, noise and work in parts, the replay's fails fast and is killed. Both keep what is theirs and use `virtual.Work`. Ruled out too: a speed that is kept rather than asked for, which could differ in the last bit from what was computed before. Change: internal/virtual/work.go, with two tests: a change of speed and a standstill move what is under way, and work that ends together keeps its order. The replay's rule that a server at speed 0 or less ends nothing now holds for the emulator as well, whose speed is above 0 unless a scenario states a factor below 0. `go test` of internal/virtual, internal/emulator (15.5 s) and internal/replay (22.5 s): ok.

--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -60,7 +60,7 @@
 			index := len(s.nodes)
 			n := &node{s: s, host: service.Name + "-" + strconv.Itoa(j), center: (i + j) % s.scenario.DataCenters, service: service,
 				random: s.source(uint64(index)), requests: map[gate.Handle]*attempt{}}
-			n.server = &server{clock: &s.clock, slots: service.Slots, crowdShare: service.Crowd, crowdFactor: service.CrowdFactor, noise: 1, slowness: 1, working: map[*job]bool{}}
+			n.server = newServer(&s.clock, service)
 			n.gate = gate.New(n.host, n.config(), 0)
 			s.nodes = append(s.nodes, n)
 			s.byHost[n.host] = n
--- a/internal/replay/engine.go
+++ b/internal/replay/engine.go
@@ -6,25 +6,15 @@
 	"cactuspath/internal/virtual"
 )
 
-// server is a backend server: slots that work at a common speed. Work is
-// counted on a clock of its own that runs at that speed, so that a change of
-// speed moves every request in flight.
+// server is a backend server: slots that work at a common speed.
 type server struct {
 	clock    *virtual.Clock
 	speed    float64
 	failFast bool
-	work     float64
-	last     time.Duration
-	running  map[*job]bool
-	order    uint64
-	wake     uint64
+	work     *virtual.Work[*job]
 }
 
-type job struct {
-	endsAt float64
-	order  uint64
-	done   func(outcome jobOutcome)
-}
+type job struct{ done func(outcome jobOutcome) }
 
 type jobOutcome int
 
@@ -38,73 +28,43 @@
 const failFastTime = 100 * time.Microsecond
 
 func newServer(c *virtual.Clock) *server {
-	return &server{clock: c, speed: 1, running: map[*job]bool{}}
-}
-
-func (s *server) advance() {
-	s.work += float64(s.clock.Now()-s.last) * s.speed
-	s.last = s.clock.Now()
+	s := &server{clock: c, speed: 1}
+	s.work = virtual.NewWork(c, func() float64 { return s.speed }, func(j *job) { s.end(j, jobCompleted) })
+	return s
 }
 
 func (s *server) start(demand time.Duration, done func(jobOutcome)) *job {
-	s.advance()
-	s.order++
-	j := &job{endsAt: s.work + float64(demand), order: s.order, done: done}
-	s.running[j] = true
+	s.work.Pass()
+	j := &job{done}
+	s.work.Begin(j, demand)
 	if s.failFast {
 		s.clock.After(failFastTime, func() { s.end(j, jobFailed) })
 		return j
 	}
-	s.plan()
+	s.work.Plan()
 	return j
 }
 
 func (s *server) end(j *job, outcome jobOutcome) {
-	if !s.running[j] {
+	if !s.work.Has(j) {
 		return
 	}
-	s.advance()
-	delete(s.running, j)
+	s.work.Pass()
+	s.work.Leave(j)
 	j.done(outcome)
-	s.plan()
+	s.work.Plan()
 }
 
 func (s *server) setSpeed(speed float64) {
-	s.advance()
+	s.work.Pass()
 	s.speed = speed
-	s.plan()
-}
-
-func (s *server) first() *job {
-	var best *job
-	for j := range s.running {
-		if best == nil || j.endsAt < best.endsAt || j.endsAt == best.endsAt && j.order < best.order {
-			best = j
-		}
-	}
-	return best
-}
-
-// plan schedules the next completion; a plan made before is void.
-func (s *server) plan() {
-	s.wake++
-	wake := s.wake
-	j := s.first()
-	if j == nil || s.speed <= 0 {
-		return
-	}
-	left := max(0, (j.endsAt-s.work)/s.speed)
-	s.clock.After(time.Duration(left)+1, func() {
-		if s.wake == wake {
-			s.end(j, jobCompleted)
-		}
-	})
+	s.work.Plan()
 }
 
 func (s *server) kill() {
-	for j := s.first(); j != nil; j = s.first() {
-		delete(s.running, j)
+	for j, ok := s.work.First(); ok; j, ok = s.work.First() {
+		s.work.Leave(j)
 		j.done(jobKilled)
 	}
-	s.plan()
+	s.work.Plan()
 }
