Twins of the same logic become one: records, drains, lists, counters, authority

Ruled out: Check of emulator and replay, which word an outcome with two bounds differently; Find and the run functions of both, which differ in types and errors; Members and Elements of jsonc, Submit and Drain of internal/operator, policies, rendered rows, JSON structs, tickers and imports, which are alike in shape alone, or where one piece of code would be longer than the two.

--- a/core/estate/document.go
+++ b/core/estate/document.go
@@ -207,20 +207,10 @@
 	return list
 }
 
-func prefixes(n jsonc.Node) []string {
-	var list []string
-	for _, e := range n.Elements() {
-		list = append(list, prefix(e))
-	}
-	return list
-}
+func prefixes(n jsonc.Node) []string { return jsonc.List(n, prefix) }
 
 func methods(n jsonc.Node) []string {
-	var list []string
-	for _, e := range n.Elements() {
-		list = append(list, e.OneOf("GET", "HEAD", "OPTIONS", "PUT", "DELETE", "POST", "PATCH"))
-	}
-	return list
+	return jsonc.List(n, func(e jsonc.Node) string { return e.OneOf("GET", "HEAD", "OPTIONS", "PUT", "DELETE", "POST", "PATCH") })
 }
 
 // checkDependencies refuses dependencies that do not exist, and cycles: a
--- a/core/gate/server.go
+++ b/core/gate/server.go
@@ -8,21 +8,21 @@
 // SetDraining starts or ends a drain. Requests that wait move or are refused at
 // once, since they would otherwise start on a server that is leaving.
 func (g *Gate) SetDraining(now time.Duration, draining bool) []Event {
-	g.begin(now)
-	g.draining = draining
-	if draining {
-		g.refuseAll(now, Draining)
-	}
-	g.announce(now)
-	return g.take()
+	return g.closeFor(now, Draining, &g.draining, draining)
 }
 
 // SetDown tells whether the backend server can be reached at all.
 func (g *Gate) SetDown(now time.Duration, down bool) []Event {
+	return g.closeFor(now, Down, &g.down, down)
+}
+
+// closeFor notes whether there is a reason to take no new work; while there is, what
+// waits leaves.
+func (g *Gate) closeFor(now time.Duration, reason Reason, noted *bool, there bool) []Event {
 	g.begin(now)
-	g.down = down
-	if down {
-		g.refuseAll(now, Down)
+	*noted = there
+	if there {
+		g.refuseAll(now, reason)
 	}
 	g.announce(now)
 	return g.take()
--- a/core/jsonc/jsonc.go
+++ b/core/jsonc/jsonc.go
@@ -296,10 +296,13 @@
 }
 
 // Strings reads a list of strings.
-func (n Node) Strings() []string {
-	var list []string
+func (n Node) Strings() []string { return List(n, Node.String) }
+
+// List reads a list whose elements are read one by one.
+func List[T any](n Node, read func(Node) T) []T {
+	var list []T
 	for _, e := range n.Elements() {
-		list = append(list, e.String())
+		list = append(list, read(e))
 	}
 	return list
 }
--- a/core/rollout/records.go
+++ b/core/rollout/records.go
@@ -49,7 +49,7 @@
 // Services returns the records of all services that are not removed, by name.
 func (r *Records) Services() []*apiv1.ServiceRecord {
 	var list []*apiv1.ServiceRecord
-	for _, s := range r.sortedServices() {
+	for _, s := range byKey(r.services) {
 		if !s.Removed {
 			list = append(list, s)
 		}
@@ -61,14 +61,7 @@
 func (r *Records) Draining(host string) bool { return r.hosts[host].GetDraining() }
 
 // Hosts returns every host record, by name.
-func (r *Records) Hosts() []*apiv1.HostRecord {
-	list := make([]*apiv1.HostRecord, 0, len(r.hosts))
-	for _, h := range r.hosts {
-		list = append(list, h)
-	}
-	sort.Slice(list, func(i, j int) bool { return list[i].Host < list[j].Host })
-	return list
-}
+func (r *Records) Hosts() []*apiv1.HostRecord { return byKey(r.hosts) }
 
 // Replace sets an institution's contents as of revision. Records whose spec is
 // unchanged keep their stamp, so they do not travel.
@@ -118,7 +111,7 @@
 // Routes returns the routes that are not removed, by institution and name.
 func (r *Records) Routes() []*apiv1.RouteRecord {
 	var list []*apiv1.RouteRecord
-	for _, route := range r.sortedRoutes() {
+	for _, route := range byKey(r.routes) {
 		if !route.Removed {
 			list = append(list, route)
 		}
@@ -200,16 +193,7 @@
 // addRoutes adds the routes and limits that changed. Every node needs all routes:
 // a request for any of them may come to it.
 func (r *Records) addRoutes(since uint64, delta *apiv1.EstateDelta) {
-	for _, route := range r.sortedRoutes() {
-		if route.ChangedAt > since {
-			delta.Routes = append(delta.Routes, route)
-		}
-	}
-	for _, l := range r.sortedLimits() {
-		if l.ChangedAt > since {
-			delta.Limits = append(delta.Limits, l)
-		}
-	}
+	delta.Routes, delta.Limits = changed(r.routes, since), changed(r.limits, since)
 }
 
 func routesOnly(s *apiv1.ServiceRecord) *apiv1.ServiceRecord {
@@ -218,16 +202,7 @@
 }
 
 func (r *Records) unfiltered(since uint64, delta *apiv1.EstateDelta) {
-	for _, s := range r.sortedServices() {
-		if s.ChangedAt > since {
-			delta.Services = append(delta.Services, s)
-		}
-	}
-	for _, h := range r.Hosts() {
-		if h.ChangedAt > since {
-			delta.Hosts = append(delta.Hosts, h)
-		}
-	}
+	delta.Services, delta.Hosts = changed(r.services, since), changed(r.hosts, since)
 	r.addRoutes(since, delta)
 }
 
@@ -283,7 +258,7 @@
 
 // Snapshot returns all records by name.
 func (r *Records) Snapshot() *apiv1.EstateSnapshot {
-	return &apiv1.EstateSnapshot{Revision: r.revision, Services: r.sortedServices(), Hosts: r.Hosts(), Routes: r.sortedRoutes(), Limits: r.sortedLimits()}
+	return &apiv1.EstateSnapshot{Revision: r.revision, Services: byKey(r.services), Hosts: r.Hosts(), Routes: byKey(r.routes), Limits: byKey(r.limits)}
 }
 
 // Restore replaces the records by a snapshot's.
@@ -304,27 +279,22 @@
 	}
 }
 
-func (r *Records) sortedRoutes() []*apiv1.RouteRecord {
-	list := make([]*apiv1.RouteRecord, 0, len(r.routes))
-	for _, key := range slices.Sorted(maps.Keys(r.routes)) {
-		list = append(list, r.routes[key])
+// byKey lists the records of one kind, by the key that they are held under.
+func byKey[R any](held map[string]R) []R {
+	list := make([]R, 0, len(held))
+	for _, key := range slices.Sorted(maps.Keys(held)) {
+		list = append(list, held[key])
 	}
 	return list
 }
 
-func (r *Records) sortedLimits() []*apiv1.LimitsRecord {
-	list := make([]*apiv1.LimitsRecord, 0, len(r.limits))
-	for _, institution := range slices.Sorted(maps.Keys(r.limits)) {
-		list = append(list, r.limits[institution])
-	}
-	return list
-}
-
-func (r *Records) sortedServices() []*apiv1.ServiceRecord {
-	list := make([]*apiv1.ServiceRecord, 0, len(r.services))
-	for _, s := range r.services {
-		list = append(list, s)
+// changed lists the records of one kind that changed after a revision, by key.
+func changed[R interface{ GetChangedAt() uint64 }](held map[string]R, since uint64) []R {
+	var list []R
+	for _, record := range byKey(held) {
+		if record.GetChangedAt() > since {
+			list = append(list, record)
+		}
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
 	return list
 }
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -49,7 +49,7 @@
 	{"a gate does not vouch for what it forgot", "core/gate/fence.go", "return !m.anyForgotten || m.forgotten < now-sentAgo-travelSlack", "return true", "core/gate", "Forgotten"},
 	{"an attempt known here is not run again", "core/gate/gate.go", "if _, ran := g.memory.finished[r.ID]; ran {", "if false {", "core/gate", "SameAttempt"},
 	{"a noisy caller makes room", "core/gate/admit.go", "if !it.rank.before(last.rank) && longest.length < unfairFactor*(last.of(it.Caller)+1) {", "if true {", "core/gate", "Noisy"},
-	{"a drain refuses what waits", "core/gate/server.go", "g.refuseAll(now, Draining)", "", "core/gate", "Drain"},
+	{"a drain refuses what waits", "core/gate/server.go", "g.refuseAll(now, reason)", "", "core/gate", "Drain"},
 	{"a drain takes nothing new", "core/gate/gate.go", "case g.draining:\n\t\treturn Draining", "case false:\n\t\treturn Draining", "core/gate", "Drain"},
 	{"an older report changes nothing", "core/gate/siblings.go", "if sib == nil || sib.known && !r.Newer(sib.report) {", "if sib == nil {", "core/gate", "OlderReport"},
 	{"a request moves a limited number of times", "core/gate/moves.go", "if !g.config.Siblings || !it.Movable {", "if !g.config.Siblings {", "core/gate", "MovedStays"},
--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -3,6 +3,7 @@
 import (
 	"expvar"
 
+	"cactuspath/core/directory"
 	"cactuspath/internal/logs"
 )
 
@@ -93,29 +94,24 @@
 	return r.state != nil
 }
 
-func (r *relay) entries() int {
+// ofRelay is what the relay's state tells, or nothing on a node that is no relay.
+func ofRelay[T any](r *relay, tell func(*directory.Relay) T) (told T) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.state == nil {
-		return 0
+	if r.state != nil {
+		told = tell(r.state)
 	}
-	return r.state.Table().Len()
+	return told
+}
+
+func (r *relay) entries() int {
+	return ofRelay(r, func(s *directory.Relay) int { return s.Table().Len() })
 }
 
 func (r *relay) falseAlarms() uint64 {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.state == nil {
-		return 0
-	}
-	return r.state.FalseAlarms
+	return ofRelay(r, func(s *directory.Relay) uint64 { return s.FalseAlarms })
 }
 
 func (r *relay) failures() uint64 {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.state == nil {
-		return 0
-	}
-	return r.state.Failures
+	return ofRelay(r, func(s *directory.Relay) uint64 { return s.Failures })
 }
--- a/internal/replica/authority.go
+++ b/internal/replica/authority.go
@@ -44,6 +44,15 @@
 	return Operator{}, fault.New(fault.Unauthorized, errUnauthorized)
 }
 
+// hostOperator finds who calls, who must be one that may change hosts and replicas.
+func (r *Replica) hostOperator(header http.Header, claimed string) (Operator, error) {
+	who, err := r.operator(header, claimed)
+	if err == nil && !who.Hosts {
+		err = fault.New(fault.Unauthorized, errUnauthorized)
+	}
+	return who, err
+}
+
 func (r *Replica) mayChange(o Operator, institution string) error {
 	if len(r.options.Operators) == 0 || slices.Contains(o.Institutions, institution) || slices.Contains(o.Institutions, "*") {
 		return nil
--- a/internal/replica/authority_test.go
+++ b/internal/replica/authority_test.go
@@ -53,3 +53,19 @@
 		})
 	}
 }
+
+// Who may change an estate may not by that change hosts and replicas.
+func TestOnlyOperatorsOfHostsChangeHosts(t *testing.T) {
+	r := &Replica{options: Options{Operators: []Operator{
+		{Name: "mai", TokenSHA256: digestOf("mai's"), Institutions: []string{"sao-khue"}},
+		{Name: "root", TokenSHA256: digestOf("root's"), Hosts: true},
+	}}}
+	for token, may := range map[string]bool{"mai's": false, "root's": true, "guess": false} {
+		_, err := r.hostOperator(http.Header{"Authorization": {"Bearer " + token}}, "claimed")
+		assert.Equal(t, err == nil, may, token)
+		if !may {
+			kind, _ := fault.Of(err)
+			assert.Equal(t, kind, fault.Unauthorized)
+		}
+	}
+}
--- a/internal/replica/commands.go
+++ b/internal/replica/commands.go
@@ -51,13 +51,10 @@
 
 // Drain announces a host's planned stop, or its end.
 func (c commands) Drain(ctx context.Context, req *connect.Request[apiv1.DrainRequest]) (*connect.Response[apiv1.DrainResponse], error) {
-	who, err := c.r.operator(req.Header(), req.Msg.Operator)
+	who, err := c.r.hostOperator(req.Header(), req.Msg.Operator)
 	if err != nil {
 		return nil, err
 	}
-	if !who.Hosts {
-		return nil, fault.New(fault.Unauthorized, errUnauthorized)
-	}
 	if err := requireID(req.Msg.ChangeId); err != nil {
 		return nil, err
 	}
@@ -75,13 +72,9 @@
 
 // ChangeReplica changes the members by one.
 func (c commands) ChangeReplica(ctx context.Context, req *connect.Request[apiv1.ChangeReplicaRequest]) (*connect.Response[apiv1.ChangeReplicaResponse], error) {
-	who, err := c.r.operator(req.Header(), req.Msg.Operator)
-	if err != nil {
+	if _, err := c.r.hostOperator(req.Header(), req.Msg.Operator); err != nil {
 		return nil, err
 	}
-	if !who.Hosts {
-		return nil, fault.New(fault.Unauthorized, errUnauthorized)
-	}
 	if err := c.r.changeMember(ctx, req.Msg); err != nil {
 		return nil, err
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -263,12 +263,8 @@
 				c.Founders[m.Name] = address(m.Value)
 			}
 		},
-		"group": func(n jsonc.Node) { c.Group = readGroup(n) },
-		"operators": func(n jsonc.Node) {
-			for _, e := range n.Elements() {
-				c.Operators = append(c.Operators, readOperator(e))
-			}
-		},
+		"group":     func(n jsonc.Node) { c.Group = readGroup(n) },
+		"operators": func(n jsonc.Node) { c.Operators = jsonc.List(n, readOperator) },
 	}, "name", "address", "dataFolder")
 	if c.Listen == "" {
 		c.Listen = c.Address
@@ -345,13 +341,7 @@
 	return s
 }
 
-func addressList(n jsonc.Node) []string {
-	var list []string
-	for _, e := range n.Elements() {
-		list = append(list, address(e))
-	}
-	return list
-}
+func addressList(n jsonc.Node) []string { return jsonc.List(n, address) }
 
 func addresses(n jsonc.Node) []string {
 	list := addressList(n)
