Soak: the last phase rolls nodes with nothing else near; bodies that name themselves

A fault counts as near a planned stop if it is under way or ended less than a second before the request.

Bodies are made of blocks that say whose they are and where they belong.

--- a/internal/soak/answers_test.go
+++ b/internal/soak/answers_test.go
@@ -3,10 +3,12 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,8 +25,8 @@
 	tail []byte
 }
 
-// keptTail is how much of a connection is shown, in bytes.
-const keptTail = 160
+// keptTail is how much of a connection is kept, in bytes: more than an answer.
+const keptTail = 8 << 10
 
 // Read reads from the connection.
 func (t *trace) Read(p []byte) (int, error) {
@@ -36,12 +38,28 @@
 	return n, err
 }
 
+// shown is what was kept, with lines that come again and again counted.
+func (t *trace) shown() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out strings.Builder
+	for lines := strings.SplitAfter(string(t.tail), "\n"); len(lines) > 0; {
+		n := 1
+		for n < len(lines) && lines[n] == lines[0] {
+			n++
+		}
+		out.WriteString(lines[0])
+		if n > 1 {
+			fmt.Fprintf(&out, "(%d times)\n", n)
+		}
+		lines = lines[n:]
+	}
+	return out.String()
+}
+
 func (u *uploader) accuse(up *upload, format string, args ...any) {
-	u.trace.mu.Lock()
-	tail := string(u.trace.tail)
-	u.trace.mu.Unlock()
-	u.fail("%s %s (%d bytes, chunked %v, expects %v, request %d on its connection from %v): "+format+"; the connection's last bytes: %q",
-		append(append([]any{up.id, up.mode, up.length, up.chunked, up.expects, u.used, u.conn.LocalAddr()}, args...), tail)...)
+	u.fail("%s %s (%d bytes, chunked %v, expects %v, request %d on its connection from %v): "+format+"; what came last on it: %q",
+		append(append([]any{up.id, up.mode, up.length, up.chunked, up.expects, u.used, u.conn.LocalAddr()}, args...), u.trace.shown())...)
 }
 
 // silent checks that nothing came since the last answer: whatever did belongs to no
@@ -52,7 +70,7 @@
 	b, err := u.reader.Peek(1)
 	_ = u.conn.SetReadDeadline(time.Time{})
 	if len(b) > 0 {
-		u.fail("%s: %q came on a connection from %v on which every request had its answer", u.nodes[u.node].name, u.trace.tail, u.conn.LocalAddr())
+		u.fail("%s: %q came on a connection from %v on which every request had its answer", u.nodes[u.node].name, u.trace.shown(), u.conn.LocalAddr())
 		return false
 	}
 	return errors.Is(err, os.ErrDeadlineExceeded)
@@ -75,6 +93,9 @@
 			return false
 		}
 		u.judge(up, resp, string(body))
+		if i == len(batch)-1 && !resp.Close {
+			u.staysOpen(up)
+		}
 		if resp.Close {
 			u.stopped.Store(true)
 			for _, behind := range batch[i+1:] {
@@ -147,6 +168,20 @@
 	}
 }
 
+// stopHeard is how long a process may take to hear of its planned stop.
+const stopHeard = time.Second
+
+// staysOpen checks that an answer which leaves the connection open comes from a node
+// that is not stopped as planned: such a one has its answers close their connections,
+// so that callers go elsewhere before it is gone.
+func (u *uploader) staysOpen(up *upload) {
+	node := u.nodes[u.node]
+	since := node.stoppingSince()
+	if !since.IsZero() && up.began.Sub(since) > stopHeard && node.onlyStopped(since.Add(-nearFault)) {
+		u.accuse(up, "its answer leaves the connection open, %v after the node's planned stop began", time.Since(since))
+	}
+}
+
 // atEnd checks that a connection whose end was announced ends, with nothing behind.
 func (u *uploader) atEnd(up *upload) {
 	_ = u.conn.SetReadDeadline(time.Now().Add(farewell))
@@ -158,6 +193,11 @@
 	}
 }
 
+// nearFault is how long before a request a fault must have ended that does not count
+// as near. An answer under way is cut by what happens while it is; what an earlier
+// fault left, such as broken connections between nodes, shows when a request is sent.
+const nearFault = time.Second
+
 // ended judges a connection that ended before a request had its whole answer. While
 // processes are killed, paused or cut off this may be; it may not where none is.
 func (u *uploader) ended(up *upload, batch []*upload, err error) {
@@ -171,7 +211,7 @@
 		at, _ := u.seen.ranAt(other.id)
 		nodes = append(nodes, at...)
 	}
-	node, since := u.nodes[u.node], up.began.Add(-calmAfter)
+	node, since := u.nodes[u.node], up.began.Add(-nearFault)
 	switch {
 	case errors.Is(err, errNoAnswer), errors.Is(err, os.ErrDeadlineExceeded):
 		if node.calm(time.Since(up.began) + calmAfter) {
@@ -179,7 +219,7 @@
 		}
 	case !endOfConnection(err):
 		u.accuse(up, "what came is not HTTP: %v", err)
-	case attempts == 0 && node.calm(time.Since(since)):
+	case attempts == 0 && node.calm(time.Since(up.began)+calmAfter):
 		u.accuse(up, "a node that was left alone ended the connection without an answer: %v", err)
 	case len(ran) > 0 && node.onlyStopped(since) && u.onlyStoppedAt(nodes, since):
 		u.accuse(up, "ran at nodes %v, which were stopped as planned at most, as was the caller's, and its answer was cut: %v", ran, err)
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"time"
 
 	"cactuspath/internal/operator"
@@ -76,9 +78,7 @@
 	for _, id := range s.seen.afterDrain {
 		s.fail("%s reached a server whose drain was acknowledged", id)
 	}
-	for _, wrong := range s.seen.wrong {
-		s.fail("%s", wrong)
-	}
+	s.failures = append(s.failures, s.seen.wrong...)
 	ctx, cancel := context.WithTimeout(context.Background(), settle)
 	defer cancel()
 	if shown, err := s.operator.Show(ctx, "soak"); err != nil || shown.Revision < s.accepted {
@@ -86,6 +86,32 @@
 	}
 }
 
+// memory is what the processes of the site have in memory at this moment, and this
+// test's own, in MB.
+func (s *soak) memory() (site, own int) {
+	for _, p := range append(append([]*process{}, s.replicas...), s.nodes...) {
+		p.mu.Lock()
+		site += resident(p.cmd.Process.Pid)
+		p.mu.Unlock()
+	}
+	return site / 1024, resident(os.Getpid()) / 1024
+}
+
+// resident is the resident memory of a process in KiB; 0 for one that has ended.
+func resident(pid int) int {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	for _, line := range strings.Split(string(text), "\n") {
+		if value, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kib, _ := strconv.Atoi(strings.Fields(value)[0])
+			return kib
+		}
+	}
+	return 0
+}
+
 // keepLogs keeps the logs of a failed run.
 func (s *soak) keepLogs() {
 	if !s.t.Failed() {
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -77,11 +77,11 @@
 // joined begins a fault of the link to a process.
 func joined(p *process, begin func()) step {
 	return func() func() {
-		p.strike()
+		p.strike(1)
 		begin()
 		return func() {
 			p.links[0].heal()
-			p.strike()
+			p.strike(-1)
 		}
 	}
 }
--- a/internal/soak/requests_test.go
+++ b/internal/soak/requests_test.go
@@ -69,15 +69,24 @@
 
 func (r *request) repeatable() bool { return r.kind == kindRead || r.kind == kindPut }
 
-// byteAt is the byte at a place of the request's body: others have another there.
-func (r *request) byteAt(at int) byte { return byte(at*31 + r.number*17 + at>>8) }
+// A body is made of blocks that each say whose they are and where they belong, so
+// that bytes out of place tell where they come from.
+const (
+	blockText  = "%-17.17s%06d\n"
+	blockBytes = 24
+)
 
+// bytes is a part of the request's body.
 func (r *request) bytes(from, to int) []byte {
-	b := make([]byte, 0, max(0, to-from))
-	for at := from; at < to; at++ {
-		b = append(b, r.byteAt(at))
+	if from >= to {
+		return nil
+	}
+	first := from - from%blockBytes
+	b := make([]byte, 0, to-first+blockBytes)
+	for at := first; at < to; at += blockBytes {
+		b = fmt.Appendf(b, blockText, r.id, at)
 	}
-	return b
+	return b[from-first : to-first]
 }
 
 // bodyCheck reads a request's body and checks each byte.
@@ -90,7 +99,7 @@
 }
 
 // strangeBytes is how many bytes of a body with an error in it are shown.
-const strangeBytes = 24
+const strangeBytes = 2 * blockBytes
 
 // read reads until the body's end or its first bytes up to most were read.
 func (b *bodyCheck) read(most int) error {
--- a/internal/soak/series_test.go
+++ b/internal/soak/series_test.go
@@ -33,8 +33,10 @@
 	stutterDelay = 30 * time.Millisecond
 	// uploadWait is how long a kill waits for an upload under way.
 	uploadWait = 300 * time.Millisecond
-	// seriesGap is the longest pause before another series begins.
+	// seriesGap is the longest pause before another series begins at the usual site; a
+	// larger one has them more often, up to mostOften times.
 	seriesGap = 1200 * time.Millisecond
+	mostOften = 6
 	// stopLimit is the stopTimeout of the nodes, stopSlack what a process may take
 	// beside it to end.
 	stopLimit = 8 * time.Second
@@ -46,10 +48,11 @@
 	random := rand.New(rand.NewPCG(s.seed, s.seed+1))
 	var ends sync.WaitGroup
 	defer ends.Wait()
+	gap := seriesGap / time.Duration(min(mostOften, max(1, len(s.nodes)/usualNodes)))
 	for until := time.Now().Add(d); time.Now().Before(until); {
 		one := rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))
 		ends.Go(func() { s.oneSeries(one) })
-		time.Sleep(time.Duration(random.Int64N(int64(seriesGap))))
+		time.Sleep(time.Duration(random.Int64N(int64(gap))))
 	}
 }
 
@@ -94,6 +97,27 @@
 	})
 }
 
+// stopGap is the pause between two planned stops of the last phase: less than a stop
+// takes, so that the next node stops while the one before is on its way out.
+const stopGap = 1500 * time.Millisecond
+
+// rollQuietly stops nodes as planned, one after the other while those before come
+// back, with nothing else that befalls the site: what the stops promise holds for
+// every request.
+func (s *soak) rollQuietly() {
+	var ends sync.WaitGroup
+	defer ends.Wait()
+	first := int(s.seed % uint64(len(s.nodes)))
+	for i := range rolled {
+		p := s.nodes[(first+i)%len(s.nodes)]
+		ends.Go(func() {
+			s.stopAsPlanned(p)
+			p.start(s.t)
+		})
+		time.Sleep(stopGap)
+	}
+}
+
 // stopAsPlanned ends a process with SIGTERM. If nothing else befell it, it cuts
 // nothing, says so by its exit code, and takes no longer than it may.
 func (s *soak) stopAsPlanned(p *process) {
@@ -103,7 +127,7 @@
 	p.mu.Lock()
 	code := p.cmd.ProcessState.ExitCode()
 	p.mu.Unlock()
-	if !p.onlyStopped(began.Add(-calmAfter)) {
+	if !p.onlyStopped(began.Add(-nearFault)) {
 		return
 	}
 	if code != 0 {
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -40,14 +40,17 @@
 	paused bool
 	// touched is when the soak last stopped, paused or started it, hurt when it last
 	// did anything but to stop it as planned, to start it or to have it read its
-	// settings. A process that is hurt since long ago and paused still is hurt.
+	// settings. struck counts the faults under way of what joins it to others.
 	touched, hurt time.Time
+	struck        int
+	// stopping is when it was told to stop as planned; zero unless it runs on since.
+	stopping time.Time
 }
 
 func (p *process) start(t *testing.T) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.touched = time.Now()
+	p.touched, p.stopping = time.Now(), time.Time{}
 	cmd := exec.Command(p.binary, "run", "--settings", p.settings)
 	out := &lockedWriter{p: p}
 	cmd.Stdout, cmd.Stderr = out, out
@@ -83,6 +86,9 @@
 		p.hurt = p.touched
 	}
 	p.paused = s == syscall.SIGSTOP
+	if s == syscall.SIGTERM {
+		p.stopping = p.touched
+	}
 	_ = p.cmd.Process.Signal(s)
 }
 
@@ -109,13 +115,21 @@
 func (p *process) onlyStopped(since time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !p.paused && p.hurt.Before(since)
+	return !p.paused && p.struck == 0 && p.hurt.Before(since)
+}
+
+// stoppingSince is when the process was told to stop as planned, or zero.
+func (p *process) stoppingSince() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.stopping
 }
 
-// strike notes a fault of what joins the process to others.
-func (p *process) strike() {
+// strike notes that a fault of what joins the process to others begins (1) or ends (-1).
+func (p *process) strike(n int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.struck += n
 	p.hurt = time.Now()
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -97,7 +97,10 @@
 	s.trouble(*duration)
 	series.Wait()
 	s.heal()
+	site, own := s.memory()
 	s.eventually("every node serves again", s.allServe)
+	s.rollQuietly()
+	s.eventually("every node serves behind planned stops", s.allServe)
 	s.eventually("changes are accepted again", func() bool { return s.submit(context.Background()) })
 	close(s.stop)
 	s.wait.Wait()
@@ -105,7 +108,7 @@
 	for _, f := range s.failures {
 		t.Error(f)
 	}
-	t.Logf("seed %d: %d served, %d uploads answered, %d left, %d not run, revision %d", n, s.served.Load(), s.uploaded.Load(), s.left.Load(), s.refused.Load(), s.accepted)
+	t.Logf("seed %d: %d served, %d uploads answered, %d left, %d not run, revision %d, %d MB in the site, %d MB here", n, s.served.Load(), s.uploaded.Load(), s.left.Load(), s.refused.Load(), s.accepted, site, own)
 }
 
 func (s *soak) fail(format string, args ...any) {
--- a/internal/soak/uploads_test.go
+++ b/internal/soak/uploads_test.go
@@ -27,6 +27,8 @@
 	farewell = 3 * time.Second
 	// seldom is one in how many uploads is left in the middle.
 	seldom = 12
+	// uploaderNumbers is how many requests a caller can number.
+	uploaderNumbers = 1_000_000
 )
 
 // lengths of bodies: none, some below and above the sizes at which nodes hold a body
@@ -43,7 +45,7 @@
 	pieces uint64
 
 	began time.Time
-	// asked is closed when the caller was asked for the body, or has its answer.
+	// wanted is closed when the caller was asked for the body, or has its answer.
 	wanted  chan struct{}
 	wanting sync.Once
 	// sentAt is when the last byte was out, in nanoseconds; 0 before.
@@ -61,14 +63,17 @@
 	conn   net.Conn
 	reader *bufio.Reader
 	trace  *trace
-	used   int
-	// leaves: the answer being read announced the connection's end.
+	// used counts the requests on the connection, next numbers those of this caller.
+	used int
+	next uint64
+	// stopped: an answer announced the connection's end, or it has ended.
 	stopped atomic.Bool
 }
 
 // upload sends bodies through one node until the soak ends.
 func (s *soak) upload(node, number int) {
-	u := &uploader{soak: s, node: node, random: rand.New(rand.NewPCG(s.seed, uint64(1+node*uploadersPerNode+number)))}
+	u := &uploader{soak: s, node: node, next: uint64(1+number) * uploaderNumbers}
+	u.random = rand.New(rand.NewPCG(s.seed, uint64(1+node*uploadersPerNode+number)))
 	for s.rest() {
 		if u.conn == nil && !u.dial() {
 			continue
@@ -103,10 +108,11 @@
 	}
 	batch := make([]*upload, n)
 	for i := range batch {
+		u.next++
 		kind := []string{kindPut, kindPost}[u.random.IntN(2)]
 		length := lengths[u.random.IntN(len(lengths))]
 		m := modes[u.random.IntN(len(modes))]
-		up := &upload{request: newRequest(kind, u.node, u.ids.Add(1), m, length), leavesAt: -1, wanted: make(chan struct{})}
+		up := &upload{request: newRequest(kind, u.node, u.next, m, length), leavesAt: -1, wanted: make(chan struct{})}
 		up.chunked, up.expects, up.slow = u.random.IntN(2) == 0, u.random.IntN(4) == 0, u.random.IntN(4) == 0
 		up.pieces = u.random.Uint64()
 		if u.random.IntN(seldom) == 0 && length > 0 {
