What is in force is applied by one goroutine at a time

A node read its records under its lock and put them in force outside it; beside it the callers' side asked whether there is a configuration only after it had looked into a table that may have been replaced meanwhile. Ruled out: an order by revision alone (drains and endpoints have none). Change: one lock from the reading to the last use, for drains too; readiness is asked before the table.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -82,6 +82,11 @@
 	served   bool
 	disabled mechanism.Set
 	sequence uint64
+	// applying is held from the reading of what is in force to its last use: of two
+	// that apply at once the one that read first may otherwise write last, and an older
+	// configuration, or the end of a drain, takes the place of a newer one until the
+	// next change. It is taken before mu.
+	applying sync.Mutex
 	// unready: a planned stop began. stopping: its gate has closed.
 	unready, stopping bool
 	departed          bool
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -167,12 +167,15 @@
 
 // apply carries the newest records and entries to the proxy and the gate.
 func (n *Node) apply() {
+	n.applying.Lock()
+	defer n.applying.Unlock()
 	n.mu.Lock()
+	revision := n.records.Revision()
 	records, routes, limits := n.records.Services(), n.records.Routes(), n.records.Limits()
 	byService := n.view.ByService()
 	s := n.server
 	n.mu.Unlock()
-	if n.Revision() > 0 {
+	if revision > 0 {
 		// Without a configuration every request would be told that it has no route,
 		// which its caller takes for final.
 		n.proxy.Configure(records, routes)
@@ -182,7 +185,7 @@
 	if s != nil {
 		n.applyGate(s, byService[s.service])
 	}
-	n.applyDraining()
+	n.setGateDraining()
 }
 
 func frontLimits(l *apiv1.CallerLimits) front.Limits {
@@ -251,7 +254,15 @@
 	return list
 }
 
+// applyDraining closes or opens the gate as the node's drains say.
 func (n *Node) applyDraining() {
+	n.applying.Lock()
+	defer n.applying.Unlock()
+	n.setGateDraining()
+}
+
+// setGateDraining is called with applying held.
+func (n *Node) setGateDraining() {
 	n.mu.Lock()
 	draining, s := n.draining(), n.server
 	n.mu.Unlock()
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -210,9 +210,13 @@
 // ServeHTTP serves one caller's request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
+	// Asked before the table is read: an empty one may be replaced by the first
+	// configuration in between, and the caller would be told for good that it has no
+	// route.
+	ready := h.ready.Load()
 	target, ok := h.table.Load().Find(r)
 	if !ok {
-		h.unknownService(w, r)
+		h.unknownService(w, r, ready)
 		return
 	}
 	name := target.Service
@@ -229,8 +233,8 @@
 	h.options.Counters.Took.Observe(time.Since(arrived))
 }
 
-func (h *Handler) unknownService(w http.ResponseWriter, r *http.Request) {
-	if !h.ready.Load() {
+func (h *Handler) unknownService(w http.ResponseWriter, r *http.Request, ready bool) {
+	if !ready {
 		h.fail(w, r, Fault{Fault: fault.NotReady, Message: "this node has no configuration yet; ask another node or come back when it is ready"}, time.Second)
 		return
 	}
