A caller that still sends gets the whole of an early answer

The connection was closed with bytes of the body unread, which resets it and drops what has not been taken of the answer. Change: the callers' listener reads on for the half second that it gives refused callers; the gate's node has net/http read on behind the answer.

--- a/internal/endpoint/serve.go
+++ b/internal/endpoint/serve.go
@@ -44,9 +44,10 @@
 	resp, reply := e.Attempt(r.Context(), req, out, interim.hint)
 	interim.end()
 	if out.Stream != nil && !out.Stream.Ended() {
-		// The rest of the body stays unread. Without this net/http reads on for it, and
-		// the sender, which is told nothing, would put its next request behind it.
+		// The rest of the body stays unread. The sender, told nothing, would put its next
+		// request behind it.
 		w.Header().Set("Connection", "close")
+		defer linger(w)
 	}
 	if resp == nil {
 		refuse(w, reply)
@@ -58,6 +59,19 @@
 	}
 }
 
+// lingerTime is how long the rest of an unread body is read and dropped behind the
+// answer. The sender closes the connection once it has the answer, which takes a round
+// trip; half a second is one between far regions with a lost packet.
+const lingerTime = 500 * time.Millisecond
+
+// linger has net/http read on for a while behind the answer before it closes the
+// connection. Closed with unread bytes a connection is reset, and what is still on its
+// way of the answer is lost; and a body's sender that was woken has left a deadline in
+// the past.
+func linger(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(lingerTime))
+}
+
 // askedBody is a body that its sender holds back until it is asked for. It is asked
 // for when it is first read.
 type askedBody struct {
--- a/internal/front/body_test.go
+++ b/internal/front/body_test.go
@@ -82,3 +82,30 @@
 	assert.Equal(t, resp.StatusCode, http.StatusOK)
 	assert.Equal(t, body, "second")
 }
+
+// A caller is still sending a long body when the whole of a long answer is there. It
+// reads the answer while it goes on sending, as callers do that answer to
+// "Connection: close" only behind the answer. Closing the connection with bytes of the
+// body unread resets it, and what is still on its way of the answer is lost.
+func TestCallerThatStillSendsGetsTheWholeAnswer(t *testing.T) {
+	text := strings.Repeat("a", 4<<20)
+	_, address := serve(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, text) })
+	for range 10 {
+		c := dial(t, address)
+		c.send(t, "POST /upload HTTP/1.1\r\nHost: a.example\r\nContent-Length: 1000000\r\n\r\n")
+		sent := make(chan struct{})
+		go func() {
+			defer close(sent)
+			piece := strings.Repeat("x", 10_000)
+			for range 100 {
+				if _, err := io.WriteString(c, piece); err != nil {
+					return
+				}
+			}
+		}()
+		_, body := c.answer(t, http.MethodPost)
+		assert.Equal(t, len(body), len(text))
+		_ = c.Close()
+		<-sent
+	}
+}
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -261,9 +261,9 @@
 	c.lingerClose()
 }
 
-// lingerTime is how long what a refused caller still sends is read and dropped:
-// closing with unread bytes resets the connection, and the caller might never
-// see the answer.
+// lingerTime is how long what a caller still sends behind its last answer is read and
+// dropped: closing with unread bytes resets the connection, and what is still on its
+// way of the answer is lost.
 const lingerTime = 500 * time.Millisecond
 
 func (c *conn) lingerClose() {
@@ -317,7 +317,12 @@
 	case <-streamed:
 	case <-w.done:
 	}
-	return !w.bodyLeft() && (!w.mustClose || c.watchEnd())
+	if w.bodyLeft() {
+		// The answer is out and says that the connection ends; the caller may still send.
+		c.lingerClose()
+		return false
+	}
+	return !w.mustClose || c.watchEnd()
 }
 
 // watchEnd waits for the end of a connection on which no further request is
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -72,6 +72,8 @@
 	{"a caller is not asked for its body inside the answer", "internal/front/body.go", "if b.w.started {", "if false {", "internal/front", "InsideTheAnswer"},
 	{"the answer holds no question for the body, end to end", "internal/front/body.go", "if b.w.started {", "if false {", "internal/e2e", "AnswerHoldsNoQuestion"},
 	{"a caller is not asked for a body that was stopped", "internal/front/body.go", "\tcase <-b.stopped:\n\t\treturn os.ErrDeadlineExceeded\n", "", "internal/front", "StoppedBody"},
+	{"a caller that still sends gets the whole of its answer", "internal/front/conn.go", "\t\tc.lingerClose()\n\t\treturn false\n\t}\n\treturn !w.mustClose", "\t\treturn false\n\t}\n\treturn !w.mustClose", "internal/front", "StillSends"},
+	{"a node that still sends gets the whole of its answer", "internal/endpoint/serve.go", "\t\tdefer linger(w)\n", "", "internal/endpoint", "StillSends"},
 	{"hints and the question for a body go out one at a time", "internal/endpoint/serve.go", "\t\tb.interim.askForBody()\n", "", "internal/endpoint", "Hints"},
 	{"a connection between nodes ends with a body that is not read on", "internal/endpoint/serve.go", "if out.Stream != nil && !out.Stream.Ended() {", "if false {", "internal/e2e", "UnreadBodyThatNobodyAskedFor"},
 	{"an older configuration does not take the place of a newer one", "internal/node/server.go", "func (n *Node) apply() {\n\tn.applying.Lock()\n\tdefer n.applying.Unlock()\n", "func (n *Node) apply() {\n", "internal/node", "NotReplacedByAnOlder"},
