An answer is read to its end though its server closed under the body's sender

Ruled out: the half second that the gate's node reads on (it had ended, its body being longer than net/http reads). Change: only a body that broke off at its source ends the exchange; where the peer ended the connection the answer is read.

--- a/internal/hop/upload.go
+++ b/internal/hop/upload.go
@@ -170,6 +170,8 @@
 	// read and sent count the body's bytes that were read and handed to the
 	// connection, dropped those that a read under way took after the exchange's end.
 	read, sent, dropped int64
+	// sourceFailed: the body broke off. Only the sender uses it.
+	sourceFailed bool
 }
 
 func startSender(c *conn, out *Outgoing) *sender {
@@ -184,8 +186,9 @@
 	var copied int64
 	copied, s.err = s.copy()
 	s.sent = max(0, copied-int64(s.conn.writer.Buffered()))
-	if s.err != nil {
-		// The peer must see a broken body, never a shortened one.
+	if s.sourceFailed || errors.Is(s.err, io.ErrUnexpectedEOF) {
+		// The peer must see a broken body, never a shortened one. Where it was the peer
+		// that ended the connection, its answer may be there: that one is read.
 		s.conn.fail()
 	}
 }
@@ -222,6 +225,7 @@
 func (s *sender) Read(p []byte) (int, error) {
 	n, err := held{s.out.Stream, s}.Read(p)
 	s.read += int64(n)
+	s.sourceFailed = err != nil && !errors.Is(err, io.EOF)
 	return n, err
 }
 
--- a/internal/hop/upload_test.go
+++ b/internal/hop/upload_test.go
@@ -335,3 +335,26 @@
 		}
 	}
 }
+
+// A server answers an upload early and closes the connection, as one does that wants no
+// more of it. The sender notices first: its write fails. The answer is there all the
+// same, and must be read to its end.
+func TestAnswerIsReadThoughItsServerClosedUnderTheSender(t *testing.T) {
+	text := strings.Repeat("a", 30_000)
+	p := peer(t, func(c net.Conn) {
+		readRequestHead(c)
+		_, _ = io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n")
+		_, _ = io.CopyN(io.Discard, c, 1000)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+	})
+	for _, length := range []int64{1 << 40, -1} {
+		body := NewBody(endless{}, nil)
+		resp, err := p.Do(context.Background(), &Outgoing{Method: "POST", URI: "/", Host: "h", Stream: body, Length: length, Deadline: far()})
+		assert.NilError(t, err)
+		// The sender's write fails before the answer is read.
+		time.Sleep(50 * time.Millisecond)
+		got, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, len(got), len(text))
+	}
+}
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -73,6 +73,7 @@
 	{"the answer holds no question for the body, end to end", "internal/front/response.go", "\tw.started = true\n", "\tw.started = w.body == nil\n", "internal/e2e", "AnswerHoldsNoQuestion"},
 	{"a caller is not asked for a body that was stopped", "internal/front/body.go", "\tcase <-b.stopped:\n\t\treturn os.ErrDeadlineExceeded\n", "", "internal/front", "StoppedBody"},
 	{"an exchange whose body is not out gives its connection up", "internal/hop/exchange.go", "if !reusable || bodyOut || spare", "if !reusable || bodyOut && false || spare", "internal/hop", "WaitsInAWrite"},
+	{"an answer is read though its server closed under the sender", "internal/hop/upload.go", "if s.sourceFailed || errors.Is(s.err, io.ErrUnexpectedEOF) {", "if s.err != nil {", "internal/hop", "ClosedUnderTheSender"},
 	{"a sender whose source is closed is waited for", "internal/hop/upload.go", "err := s.out.Stream.takeBack(s); errors.Is(err, errors.ErrUnsupported) {", "err := s.out.Stream.takeBack(s); err != nil {", "internal/hop", "ClosedSource"},
 	{"a caller is asked ahead of the answer's head", "internal/proxy/call.go", "\t\tc.w.WriteHeader(http.StatusContinue)\n", "", "internal/proxy", "AnswersAsItReads"},
 	{"a caller's node is asked ahead of the answer's head", "internal/endpoint/serve.go", "\t\tinterim.askForBody()\n\t}\n\tinterim.end()", "\t}\n\tinterim.end()", "internal/endpoint", "AnswersAsItReads"},
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -23,6 +23,7 @@
 	263, // a paused node took in a server's drain and then an announcement from before it, which ended the drain
 	345, // a node that had just started put an empty table in force after its first one, and told a caller that there is no route
 	717, // a caller that still sent its body lost the end of an early answer: the connection was closed with bytes unread
+	832, // a server closed its connection under a body's sender, and its answer, which was there, was not read to its end
 }
 
 // Open: seeds 209, 210, 216, 237, 245 and 264 had final answers up to 7 s late, on
