--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -44,7 +44,7 @@
 	touched, hurt time.Time
 	// started: it wrote a line since it was last started; it handles signals by then.
 	started bool
-	struck        int
+	struck  int
 	// stopping is when it was told to stop as planned; zero unless it runs on since.
 	stopping time.Time
 }
