The log names attempts without formatting them on each call; two fakes say that they close

Change: the attempt is kept as it is and formatted for the line; the fakes announce the close, which is what the test is not about.

--- a/internal/endpoint/early_test.go
+++ b/internal/endpoint/early_test.go
@@ -108,7 +108,7 @@
 	if err != nil {
 		return
 	}
-	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nread \r\n")
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nread \r\n")
 	n, _ := io.Copy(io.Discard, r.Body)
 	_, _ = fmt.Fprintf(c, "6\r\n%06d\r\n0\r\n\r\n", n)
 }
--- a/internal/endpoint/serve.go
+++ b/internal/endpoint/serve.go
@@ -37,7 +37,7 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	out.Request, out.Attempt = out.ID, hop.FormatID(req.ID)
+	out.Attempt = req.ID
 	if out.Stream != nil {
 		_ = http.NewResponseController(w).EnableFullDuplex()
 	}
--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"cactuspath/core/gate"
 )
 
 // Outgoing is a request to send. Header must hold no hop-by-hop fields.
@@ -34,8 +36,8 @@
 	OnInterim func(http.Header)
 	// Deadline bounds the exchange up to the end of the answer's head.
 	Deadline time.Time
-	// Request and Attempt name the request and the attempt in the log.
-	Request, Attempt string
+	// Attempt names the attempt in the log.
+	Attempt gate.AttemptID
 }
 
 // AskFirst has the peer asked whether it wants a body that is held in memory. A
--- a/internal/hop/upload.go
+++ b/internal/hop/upload.go
@@ -213,11 +213,11 @@
 	if err := s.out.Stream.takeBack(s); errors.Is(err, errors.ErrUnsupported) {
 		// Nothing can wake the read under way; what it takes is dropped when it returns.
 		// Any other error is that of a source that is closed: its reads return.
-		logs.Decision(true, "Body sender not woken", "request", s.out.Request, "attempt", s.out.Attempt, "err", err)
+		logs.Decision(true, "Body sender not woken", "request", s.out.ID, "attempt", FormatID(s.out.Attempt), "err", err)
 		return
 	}
 	<-s.done
-	logs.Decision(s.err != nil, "Body sender ended", "request", s.out.Request, "attempt", s.out.Attempt, "to", s.conn.RemoteAddr().String(), "length", s.out.Length,
+	logs.Decision(s.err != nil, "Body sender ended", "request", s.out.ID, "attempt", FormatID(s.out.Attempt), "to", s.conn.RemoteAddr().String(), "length", s.out.Length,
 		"read", s.read, "sent", s.sent, "dropped", s.dropped, "exchangeOver", over, "err", s.err)
 }
 
--- a/internal/hop/upload_test.go
+++ b/internal/hop/upload_test.go
@@ -84,7 +84,7 @@
 	}
 }
 
-const refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+const refusal = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
 // A server asks for an upload and rejects it, both at once. The answer is read
 // before the goroutine that sends the body has begun. Once the exchange has ended
--- a/internal/proxy/body_test.go
+++ b/internal/proxy/body_test.go
@@ -199,7 +199,7 @@
 		}
 		req, _ := hop.ParseRequest(r.Header.Get(hop.Header))
 		reply := hop.Reply{ID: req.ID, Verdict: hop.Ran}
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n%s: %s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nread \r\n", hop.Header, reply.Encode())
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n%s: %s\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nread \r\n", hop.Header, reply.Encode())
 		n, _ := io.Copy(io.Discard, r.Body)
 		_, _ = fmt.Fprintf(c, "6\r\n%06d\r\n0\r\n\r\n", n)
 	}
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -233,7 +233,7 @@
 func (c *call) outgoing(id gate.AttemptID) *hop.Outgoing {
 	out := *c.out
 	out.Deadline = c.deadline.Add(grace)
-	out.Request, out.Attempt = c.requestID(), hop.FormatID(id)
+	out.Attempt = id
 	return &out
 }
 
