--- a/internal/hop/upload_test.go
+++ b/internal/hop/upload_test.go
@@ -315,7 +315,8 @@
 		_, _ = io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n")
 		// By now the sender has filled what the connection holds.
 		time.Sleep(100 * time.Millisecond)
-		_, _ = io.WriteString(c, refusal)
+		// Nothing says that the connection ends: whether it may be kept is the sender's state.
+		_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
 		<-release
 	})
 	for _, length := range []int64{1 << 40, -1} {
