One accept loop for the end-to-end tests' checking servers

Cause: the scripted server of the new tests wrote the loop of the older one again. Ruled out: one loop for all fake listeners of four packages (they keep other things). Change: tests only; both start through the same function, assertions untouched.

--- a/internal/e2e/bodies_test.go
+++ b/internal/e2e/bodies_test.go
@@ -50,6 +50,12 @@
 }
 
 func newCheckingServer(t *testing.T) *checkingServer {
+	t.Helper()
+	return listening(t, (*checkingServer).serve)
+}
+
+// listening hands each connection to serve, which owns it.
+func listening(t *testing.T, serve func(*checkingServer, net.Conn)) *checkingServer {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -61,7 +67,7 @@
 			if err != nil {
 				return
 			}
-			go s.serve(c)
+			go serve(s, c)
 		}
 	}()
 	return s
--- a/internal/e2e/tap_test.go
+++ b/internal/e2e/tap_test.go
@@ -225,20 +225,7 @@
 // path other than "/", as long as serve says that the connection goes on.
 func scripted(t *testing.T, serve func(s *checkingServer, c net.Conn, req *http.Request) bool) *checkingServer {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	s := &checkingServer{Listener: l}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go s.follow(c, serve)
-		}
-	}()
-	return s
+	return listening(t, func(s *checkingServer, c net.Conn) { s.follow(c, serve) })
 }
 
 func (s *checkingServer) follow(c net.Conn, serve func(s *checkingServer, c net.Conn, req *http.Request) bool) {
