Gates learn whether requests keep the pace of their start; siblings are judged by a request's own class

Requests keep the pace of their start; the gate believed that they follow the server, expected 917 ms where 4.6 s came, left them where they were, and sent second attempts for requests that were not slowed. Besides, a sibling was judged by its usual request: a call of 160 ms saw no gain at a fast sibling whose usual request takes 600 ms.

Ruled out: slots (median 0.42 taken), queues (wait 0 at p90), the noise's length (0.71 s in the mean, as the site's).

Change: the gate learns from requests during which the speed changed which kind of server it has (core/gate/pace.go; mechanism "pace"), puts starts off to the end of a slow time where that is sooner, knows when slots become free, names a sibling for what began in doubt or is overdue, and weighs a sibling by the request's own work and the sibling's slowdown (new in reports). The emulator has both kinds of server; the users' scenarios keep the pace, and the stated outcomes are checked on both.

--- a/core/gate/admit.go
+++ b/core/gate/admit.go
@@ -22,7 +22,10 @@
 		return 0
 	}
 	slots := float64(max(1, g.slots(now)))
-	if g.told(now) {
+	switch {
+	case g.keepsPace(now):
+		return g.waitForSlot(now, ahead, work)
+	case g.told(now):
 		return g.slow.expected((work + g.slow.usual()) / slots)
 	}
 	turns := float64(ahead+1) / slots
@@ -32,7 +35,11 @@
 // finishIn estimates how long a request that arrives now would take in all.
 func (g *Gate) finishIn(now time.Duration, it *item) time.Duration {
 	ahead, work := g.queue.ahead(it.rank)
-	return g.waitBehind(now, ahead, work) + g.serviceOf(now, it.Request, g.running+1)
+	wait := g.waitBehind(now, ahead, work)
+	if g.keepsPace(now) {
+		return wait + g.serviceAfter(wait, it.Request)
+	}
+	return wait + g.serviceOf(now, it.Request, g.running+1)
 }
 
 // heldFactor is how many times sooner a sibling must run requests for this gate to
@@ -47,7 +54,11 @@
 // over; one whose aim has passed is not held.
 func (g *Gate) holds(now time.Duration, it *item) bool {
 	switch {
-	case g.off(mechanism.Holds), !g.told(now) || !it.Movable || it.rank.late || now >= it.AimAt:
+	case g.off(mechanism.Holds):
+		return false
+	case g.keepsPace(now):
+		return g.holdsForSpeed(now, it)
+	case !g.told(now) || !it.Movable || it.rank.late || now >= it.AimAt:
 		return false
 	case g.slow.factor < hintSlowdown*g.slow.lastingFactor():
 		return false
--- a/core/gate/aims.go
+++ b/core/gate/aims.go
@@ -41,10 +41,22 @@
 	if g.off(mechanism.Aims) || it.rank.late || it.AimAt == 0 || g.short(now, it.Request) {
 		return false
 	}
-	needs := aimMargin * g.crowdAt(g.running+1) * float64(g.shortest(now, it.Request))
+	needs := g.margin(now) * g.crowdAt(g.running+1) * float64(g.shortest(now, it.Request))
 	return now+time.Duration(needs) > it.AimAt
 }
 
+// keptMargin is aimMargin on servers whose requests keep the pace of their start: no
+// slow time can catch them, so that their work alone varies. Of work that varies by a
+// third, one in twenty takes 1.6 times the mean.
+const keptMargin = 1.6
+
+func (g *Gate) margin(now time.Duration) float64 {
+	if g.keepsPace(now) {
+		return keptMargin
+	}
+	return aimMargin
+}
+
 // demoteLate looks for waiting requests that no longer make their aim.
 func (g *Gate) demoteLate(now time.Duration) {
 	var late []*item
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -28,6 +28,8 @@
 	started time.Duration
 	// workedAt is what the server's work clock showed at the start.
 	workedAt float64
+	// pace is how fast the server was at the start.
+	pace startPace
 	// crowding is how full the server has been since the start.
 	crowding crowding
 	// hinted: its caller was told of a sibling that would be sooner.
@@ -65,7 +67,9 @@
 	// lastShort is when a short request last came.
 	lastShort time.Duration
 	// crowdCost is what crowdFactor tells; crowdFound is scratch space for it.
-	crowdCost  float64
+	crowdCost float64
+	// freeAt is scratch space for freeTimes.
+	freeAt     []time.Duration
 	crowdFound []float64
 }
 
@@ -225,10 +229,14 @@
 // Load is what answers and siblings are told.
 func (g *Gate) Load(now time.Duration) Load {
 	g.estimate.advance(now)
-	return Load{
+	l := Load{
 		Running: g.running, Waiting: g.queue.size, Slots: g.slots(now),
 		Service: g.service(now), Draining: g.draining || g.down,
 		Full:      g.queue.size >= g.config.Queue*fullPercent/100 && g.free(now) <= 0,
 		FailRatio: g.outlier.ratio, Failing: g.failing(now), Crowd: g.slow.crowd.own(),
 	}
+	if g.told(now) {
+		l.Slowdown, l.Wait = g.slow.stretch(), g.wait(now)
+	}
+	return l
 }
--- a/core/gate/moves.go
+++ b/core/gate/moves.go
@@ -40,13 +40,14 @@
 	return awayCost
 }
 
-// soonest is the sibling expected to finish a request first, travel included.
-func (s *siblings) soonest(now time.Duration, it *item) (best *sibling, finish time.Duration) {
-	for _, sib := range s.list {
+// soonest is the sibling expected to finish a request first, travel included. Without
+// a request it is for the usual one.
+func (g *Gate) soonest(now time.Duration, it *item) (best *sibling, finish time.Duration) {
+	for _, sib := range g.siblings.list {
 		if !sib.fresh(now) || !sib.report.Load.open() {
 			continue
 		}
-		f := sib.report.Load.finishIn(herdFactor*len(sib.sent)) + 2*sib.Distance + s.cost(sib, it)
+		f := g.finishAt(sib, it) + 2*sib.Distance + g.siblings.cost(sib, it)
 		if best == nil || f < finish {
 			best, finish = sib, f
 		}
@@ -54,6 +55,19 @@
 	return best, finish
 }
 
+// finishAt is how long a sibling is expected to take for a request. Where servers tell
+// their speed, the work is that of the request's own class: a call of 160 ms looked as
+// slow at a fast sibling whose usual request takes 900 ms as at a slow server here, and
+// stayed.
+func (g *Gate) finishAt(sib *sibling, it *item) time.Duration {
+	l := sib.report.Load
+	extra := herdFactor * len(sib.sent)
+	if it == nil || l.Slowdown == 0 || !g.slow.known {
+		return l.finishIn(extra)
+	}
+	return l.waitIn(extra) + time.Duration(g.slow.demandOf(it.Request)*l.Slowdown)
+}
+
 // waitingGain is how many times sooner a sibling must finish a request that waits.
 func (g *Gate) waitingGain(now time.Duration) float64 {
 	if g.told(now) {
@@ -69,7 +83,7 @@
 	if !g.config.Siblings || !it.Movable {
 		return false
 	}
-	sib, there := g.siblings.soonest(now, it)
+	sib, there := g.soonest(now, it)
 	if sib == nil {
 		return false
 	}
@@ -96,6 +110,6 @@
 	for _, sib := range g.siblings.list {
 		known = known || sib.fresh(now)
 	}
-	sib, there := g.siblings.soonest(now, nil)
+	sib, there := g.soonest(now, nil)
 	return known && (sib == nil || float64(there)*g.waitingGain(now) > float64(g.wait(now)+g.service(now)))
 }
--- a/core/gate/report.go
+++ b/core/gate/report.go
@@ -28,6 +28,11 @@
 	// the gate's own verdict that its siblings do markedly better.
 	FailRatio float64
 	Failing   bool
+	// Slowdown is how many times longer than usual the work of a request takes that
+	// starts now, and Wait for how long it would wait; 0 where the server does not tell
+	// its speed.
+	Slowdown float64
+	Wait     time.Duration
 	// Crowd is how many times longer work was found to take when nearly all slots
 	// are taken; 0 if that is not known.
 	Crowd float64
@@ -44,6 +49,17 @@
 	return l.Service + time.Duration(turns*float64(l.Service))
 }
 
+// waitIn estimates how long a request would wait that arrives when extra others have
+// arrived since the load was taken.
+func (l Load) waitIn(extra int) time.Duration {
+	taken := l.Running + l.Waiting
+	if taken+extra < l.Slots || l.Slots == 0 {
+		return 0
+	}
+	more := min(extra, taken+extra-l.Slots+1)
+	return l.Wait + time.Duration(float64(more)/float64(l.Slots)*float64(l.Service))
+}
+
 // Report is one gate's load.
 type Report struct {
 	Host string
--- a/core/gate/slowdown.go
+++ b/core/gate/slowdown.go
@@ -43,10 +43,12 @@
 	coldUntil time.Duration
 	off       mechanism.Set
 	crowd     crowd
+	pace      pace
+	spells    spells
 }
 
 func newSlowdown(now time.Duration) slowdown {
-	return slowdown{factor: 1, last: now, demand: mean{value: float64(firstEstimate)}, classes: map[string]*class{}, typical: 1}
+	return slowdown{factor: 1, last: now, demand: mean{value: float64(firstEstimate)}, classes: map[string]*class{}, typical: 1, pace: newPace()}
 }
 
 func (s *slowdown) advance(now time.Duration) {
@@ -92,6 +94,7 @@
 	s.advance(now)
 	s.factor, s.told, s.known = max(1, factor), now, true
 	s.lasting.tell(now, s.factor)
+	s.spells.tell(now, s.isSlow())
 }
 
 // fresh tells whether the figure may be relied on.
@@ -101,8 +104,11 @@
 // it.workedAt; crowding tells how full the server was while it ran, and factor what
 // that costs.
 func (s *slowdown) finish(it *item, crowding crowding, factor float64) {
-	demand := max(0, s.worked-it.workedAt)
 	usual := s.class(it.Class)
+	demand, certain := s.demandFrom(it, usual)
+	if !certain {
+		return
+	}
 	if s.known && usual != nil {
 		// Without the server's figure a slow host would pass for a crowd.
 		s.compare(usual, demand, crowding)
@@ -117,16 +123,43 @@
 	}
 }
 
-// expected is the time that work of the demand takes from now on.
+// demandFrom is what a completed request took at the usual speed. It is not certain
+// where the speed changed near the start of one that kept the pace of its start.
+func (s *slowdown) demandFrom(it *item, usual *class) (demand float64, certain bool) {
+	following := max(0, s.worked-it.workedAt)
+	if !s.known || !it.pace.confirmed {
+		// Without figures both clocks show the same.
+		return following, true
+	}
+	atStart := max(0, float64(s.last-it.started)/it.pace.factor)
+	if it.pace.sure() && usual != nil && usual.seen >= classSamples {
+		s.pace.compare(atStart, following, usual.value)
+	}
+	if !s.keepsPace() {
+		return following, true
+	}
+	return atStart, it.pace.sure()
+}
+
+// expected is the time that work of the demand takes if it starts now.
 func (s *slowdown) expected(demand float64) time.Duration {
 	atOnce := demand * s.factor
-	if atOnce <= float64(spell) {
+	if s.keepsPace() || atOnce <= float64(spell) {
 		return time.Duration(atOnce)
 	}
 	left := demand - float64(spell)/s.factor
 	return spell + time.Duration(left*s.lastingFactor()/max(s.typical, slowestRate))
 }
 
+// stretch is how many times longer than usual the usual work takes that starts now.
+func (s *slowdown) stretch() float64 {
+	usual := s.usual()
+	if usual <= 0 {
+		return s.factor
+	}
+	return float64(s.expected(usual)) / usual
+}
+
 // atBest is the time that work of the demand takes if nothing slows the server
 // but what lasts.
 func (s *slowdown) atBest(demand float64) time.Duration {
@@ -140,7 +173,9 @@
 		return g.take()
 	}
 	g.slow.tell(now, factor)
+	g.confirm(g.slow.factor)
 	g.hintStuck(now)
+	g.fill(now)
 	g.announce(now)
 	return g.take()
 }
--- a/core/gate/start.go
+++ b/core/gate/start.go
@@ -40,6 +40,7 @@
 
 func (g *Gate) run(now time.Duration, it *item) {
 	it.state, it.started, it.workedAt = stateRunning, now, g.slow.worked
+	it.pace = startPace{factor: g.slow.factor}
 	g.running++
 	it.crowding = roomy
 	if isCrowd(g.running, g.config.Slots) {
--- a/core/mechanism/mechanism.go
+++ b/core/mechanism/mechanism.go
@@ -49,11 +49,14 @@
 	Silence
 	// AskFirst holds larger bodies back until a gate wants them.
 	AskFirst
+	// Pace learns whether requests keep the pace of their start; without it their work
+	// is taken to follow the speed of their server.
+	Pace
 )
 
 var names = map[Set]string{
 	Moves: "moves", Holds: "holds", Hints: "hints", Crowd: "crowd", Ranks: "ranks", Aims: "aims", KeptSlots: "kept-slots", Everywhere: "everywhere",
-	Outlier: "outlier", Lasting: "lasting", Cold: "cold", Told: "told", FairShares: "fair-shares", Near: "near", Silence: "silence", AskFirst: "ask-first",
+	Outlier: "outlier", Lasting: "lasting", Cold: "cold", Told: "told", FairShares: "fair-shares", Near: "near", Silence: "silence", AskFirst: "ask-first", Pace: "pace",
 }
 
 // Has tells whether the set holds a mechanism.
--- a/deploy/pairs/main.go
+++ b/deploy/pairs/main.go
@@ -29,6 +29,7 @@
 	changed []string
 	jobs    int
 	noCPU   bool
+	small   bool
 }
 
 // play is one day on one checkout.
@@ -61,6 +62,7 @@
 	flag.StringVar(&o.why, "why", "", "a line for the journal")
 	flag.IntVar(&o.jobs, "jobs", 4, "plays at a time")
 	flag.BoolVar(&o.noCPU, "no-cpu", true, "do not charge processor time, which differs from play to play")
+	flag.BoolVar(&o.small, "small", false, "play the small twins of days of large sites")
 	flag.Parse()
 	if err := run(o); err != nil {
 		fmt.Fprintln(os.Stderr, "pairs:", err)
@@ -160,6 +162,9 @@
 	if o.noCPU {
 		args = append(args, "--no-cpu")
 	}
+	if o.small {
+		args = append(args, "--small")
+	}
 	text, runErr := command(o, p.checkout, args...).CombinedOutput()
 	data, err := os.ReadFile(file)
 	if err != nil {
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -32,10 +32,21 @@
 // Each scenario states what the chosen policy must reach, and in comparison to
 // others that meet the same requests and the same noise.
 func TestScenariosMeetTheirStatedOutcomes(t *testing.T) {
+	checkOutcomes(t, func(*Scenario) {})
+}
+
+// The same where running requests follow the speed of their server: the gates find out
+// which kind of server they have, and reach what is stated on either.
+func TestScenariosMeetTheirStatedOutcomesWhereRequestsFollowTheirServer(t *testing.T) {
+	checkOutcomes(t, func(s *Scenario) { each(s, func(v *Service) { v.KeepsPace = false }) })
+}
+
+func checkOutcomes(t *testing.T, change func(*Scenario)) {
 	for _, file := range scenarios(t) {
 		t.Run(strings.TrimSuffix(filepath.Base(file), ".json"), func(t *testing.T) {
 			t.Parallel()
 			s := readScenario(t, file)
+			change(s)
 			var results []*Result
 			for _, name := range PoliciesNeeded(s) {
 				v, err := Find(name)
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -60,6 +60,9 @@
 	Crowd       float64 `json:"crowd"`
 	CrowdFactor float64 `json:"crowdFactor"`
 	Noise       Noise   `json:"noise"`
+	// KeepsPace: a request keeps the slowness of its start to its end. Otherwise all
+	// that runs follows the slowness as it changes.
+	KeepsPace bool `json:"keepsPace"`
 	// ReportsPerSecond is the measuring budget of the whole service.
 	ReportsPerSecond int `json:"reportsPerSecond"`
 }
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -14,20 +14,24 @@
 	crowdShare, crowdFactor float64
 	// noise and slowness are the factors that the server tells of.
 	noise, slowness float64
+	keepsPace       bool
 	rejects         float64
 	work            *virtual.Work[*job]
 	taken           int
 }
 
 func newServer(clock *virtual.Clock, service *Service) *server {
-	s := &server{slots: service.Slots, crowdShare: service.Crowd, crowdFactor: service.CrowdFactor, noise: 1, slowness: 1}
+	s := &server{slots: service.Slots, crowdShare: service.Crowd, crowdFactor: service.CrowdFactor, noise: 1, slowness: 1, keepsPace: service.KeepsPace}
 	s.work = virtual.NewWork(clock, s.speed, s.part)
 	return s
 }
 
 // job is one request at a server. Its work comes in parts, with calls between.
 type job struct {
-	parts   []time.Duration
+	parts []time.Duration
+	// pace is how many times longer each part takes, at a server that keeps the pace
+	// of a request's start.
+	pace    float64
 	between func(ended func(ok bool))
 	over    bool
 	done    func(ok bool)
@@ -36,7 +40,10 @@
 func (s *server) told() float64 { return s.noise * s.slowness }
 
 func (s *server) speed() float64 {
-	speed := 1 / s.told()
+	speed := 1.0
+	if !s.keepsPace {
+		speed /= s.told()
+	}
 	if s.crowdShare > 0 && float64(s.taken) > s.crowdShare*float64(s.slots) {
 		speed /= s.crowdFactor
 	}
@@ -52,6 +59,10 @@
 }
 
 func (s *server) start(j *job) {
+	j.pace = 1
+	if s.keepsPace {
+		j.pace = s.told()
+	}
 	s.change(func() {
 		s.taken++
 		s.enter(j)
@@ -60,7 +71,7 @@
 
 // enter begins the next part of a job's work.
 func (s *server) enter(j *job) {
-	s.work.Begin(j, j.parts[0])
+	s.work.Begin(j, time.Duration(j.pace*float64(j.parts[0])))
 	j.parts = j.parts[1:]
 }
 
--- a/internal/emulator/unseen_test.go
+++ b/internal/emulator/unseen_test.go
@@ -29,6 +29,7 @@
 		{"forty slots", func(s *Scenario) { resize(s, 3, 40) }},
 		{"no crowd slows them", func(s *Scenario) { each(s, func(v *Service) { v.Crowd, v.CrowdFactor = 0, 0 }) }},
 		{"a crowd slows them threefold", func(s *Scenario) { each(s, func(v *Service) { v.CrowdFactor = 3 }) }},
+		{"running requests follow their server", func(s *Scenario) { each(s, func(v *Service) { v.KeepsPace = false }) }},
 		{"no noise", func(s *Scenario) { each(s, func(v *Service) { v.Noise.Share = 0 }) }},
 		{"strong noise in long spells", func(s *Scenario) {
 			each(s, func(v *Service) { v.Noise = Noise{Share: 0.3, Factor: 10, Every: Millis(1500)} })
