A gate has its server's figure before it decides; a server error does not win while the other attempt runs

Requests that may not be repeated cannot be helped once they run.

Change: before a request is decided on, a figure older than 20 ms is asked for anew, by one question at a time for all that wait, for 25 ms at most, and not at all from a server that did not answer the last one. Besides, race() waits for the other attempt when one ends with a server error (tests failed before: 500 to callers whose second attempt was about to succeed).

--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -53,6 +53,9 @@
 // answer has told it.
 const loadInterval = 100 * time.Millisecond
 
+// freshFigure is how old a figure may be when a request comes.
+const freshFigure = 20 * time.Millisecond
+
 func (n *node) watchLoad() {
 	if n.s.now()-n.observed >= loadInterval {
 		n.observe()
@@ -85,6 +88,9 @@
 		return
 	}
 	c := a.call
+	if n.s.now()-n.observed >= freshFigure {
+		n.observe()
+	}
 	n.next++
 	a.handle = n.next
 	n.requests[a.handle] = a
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -67,6 +67,11 @@
 	health    atomic.Pointer[string]
 	// observed is when the backend server last told its load.
 	observed atomic.Int64
+	// asking is closed when the question under way has ended; nil without one. It is
+	// guarded by mu.
+	asking chan struct{}
+	// mute: the backend server did not tell its load in time when it was last asked.
+	mute atomic.Bool
 	// lastHeard is when it last said anything.
 	lastHeard atomic.Int64
 	failures  atomic.Int32
@@ -227,6 +232,7 @@
 		return nil, reply
 	}
 	arrived := time.Now()
+	e.refreshFigure(ctx)
 	handle, event := e.admit(ctx, req, onHint)
 	e.logAdmission(req, out, event, time.Since(arrived))
 	if event.Kind != gate.Started {
--- a/internal/endpoint/watch.go
+++ b/internal/endpoint/watch.go
@@ -48,14 +48,44 @@
 			return
 		case <-ticker.C:
 		}
-		path, pool := e.health.Load(), e.questions.Load()
-		if path == nil || *path == "" || pool == nil || e.down.Load() {
-			continue
+		if e.figureAge() >= loadInterval {
+			e.askLoad()
 		}
-		if e.now()-time.Duration(e.observed.Load()) < loadInterval {
-			continue
-		}
-		e.askLoad(ctx, pool, *path)
+	}
+}
+
+// figureAge is how long ago the backend server last told its load.
+func (e *Endpoint) figureAge() time.Duration { return e.now() - time.Duration(e.observed.Load()) }
+
+const (
+	// freshFigure is how old the backend server's figure may be when a request comes.
+	// A server whose speed changes by the half second turns slow within it for one
+	// start in 200; at 100 ms, one start in 40 was made on a server that had just
+	// turned slow, and reached its timeout where requests keep the pace of their start.
+	// Answers tell the figure as well, so that this asks 50 times a second at most.
+	freshFigure = 20 * time.Millisecond
+	// mostAsking bounds how long a request waits for the figure. It comes from the
+	// same host, at once however busy the server is.
+	mostAsking = 25 * time.Millisecond
+)
+
+// refreshFigure has the backend server tell its load before a request is decided on,
+// if the last figure is not fresh. A server that did not answer is not waited for.
+func (e *Endpoint) refreshFigure(ctx context.Context) {
+	if e.options.Dialect.Load == "" || e.mute.Load() || e.figureAge() < freshFigure {
+		return
+	}
+	told := e.askLoad()
+	if told == nil {
+		return
+	}
+	timer := time.NewTimer(mostAsking)
+	defer timer.Stop()
+	select {
+	case <-told:
+	case <-timer.C:
+		e.mute.Store(true)
+	case <-ctx.Done():
 	}
 }
 
@@ -86,8 +116,32 @@
 	go e.probe()
 }
 
-func (e *Endpoint) askLoad(ctx context.Context, pool *hop.Pool, path string) {
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+// askLoad asks the backend server for its load, by one question at a time. The
+// channel is closed when the question has ended; it is nil if there is nobody to ask.
+func (e *Endpoint) askLoad() <-chan struct{} {
+	path, pool := e.health.Load(), e.questions.Load()
+	if path == nil || *path == "" || pool == nil || e.down.Load() {
+		return nil
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.asking == nil {
+		ended := make(chan struct{})
+		e.asking = ended
+		go func() {
+			e.question(pool, *path)
+			e.mu.Lock()
+			e.asking = nil
+			e.mu.Unlock()
+			close(ended)
+		}()
+	}
+	return e.asking
+}
+
+// question is one question for the load.
+func (e *Endpoint) question(pool *hop.Pool, path string) {
+	ctx, cancel := context.WithTimeout(context.Background(), loadTimeout)
 	defer cancel()
 	e.options.Counters.Probes.Add(1)
 	resp, err := pool.Do(ctx, &hop.Outgoing{Method: http.MethodGet, URI: path, Host: pool.Address(), Header: http.Header{}, Deadline: time.Now().Add(loadTimeout)})
@@ -99,6 +153,7 @@
 		}
 		return
 	}
+	e.mute.Store(false)
 	e.heard()
 	e.observe(resp.Header)
 	_, _ = io.Copy(io.Discard, resp.Body)
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"time"
 
 	"cactuspath/core/retry"
@@ -24,39 +25,63 @@
 	ended  chan result
 }
 
-// race makes an attempt and, on a hint, a second one beside it. It returns the
-// first that was answered, or the one that says most when none is.
+// race makes an attempt and, on a hint, a second one beside it. It returns the first
+// good answer. A server error is kept while the other attempt runs, and is the answer
+// only if that one has none: a caller whose first attempt ended with 500 got that
+// although the second one was about to succeed. Without any answer it returns the end
+// that says most.
 func (c *call) race(to *picked) result {
 	hints := make(chan string, maxRacing)
-	first := c.start(to, hints)
-	second := racer{}
+	racers := [maxRacing]racer{c.start(to, hints)}
 	var last result
-	for first.ended != nil || second.ended != nil {
+	for racers[0].ended != nil || racers[1].ended != nil {
+		var r result
+		var from int
 		select {
 		case host := <-hints:
 			if other := c.second(to, host); other != nil {
-				second = c.start(other, hints)
+				racers[1] = c.start(other, hints)
 			}
-		case r := <-first.ended:
-			first.ended = nil
-			if r.resp != nil {
-				return c.win(r, first, second)
-			}
-			first.cancel()
-			last = worse(last, r)
-		case r := <-second.ended:
-			second.ended = nil
-			if r.resp != nil {
-				return c.win(r, second, first)
-			}
-			second.cancel()
+			continue
+		case r = <-racers[0].ended:
+			from = 0
+		case r = <-racers[1].ended:
+			from = 1
+		}
+		winner, other := &racers[from], racers[1-from]
+		winner.ended = nil
+		switch {
+		case r.resp == nil:
+			winner.cancel()
 			last = worse(last, r)
+		case isServerError(r.resp) && other.ended != nil:
+			last = c.keep(r, *winner)
+		default:
+			dropAnswer(last)
+			return c.win(r, *winner, other)
 		}
 	}
 	c.note(last)
 	return last
 }
 
+func isServerError(resp *http.Response) bool {
+	return resp.StatusCode >= http.StatusInternalServerError
+}
+
+// keep holds an answer back while the other attempt runs.
+func (c *call) keep(r result, from racer) result {
+	r.resp.Body = &endingBody{ReadCloser: r.resp.Body, end: from.cancel}
+	return r
+}
+
+// dropAnswer ends an answer that was held back and is not wanted any more.
+func dropAnswer(r result) {
+	if r.resp != nil {
+		_ = r.resp.Body.Close()
+	}
+}
+
 func (c *call) start(to *picked, hints chan<- string) racer {
 	ctx, cancel := context.WithCancel(c.r.Context())
 	r := racer{cancel: cancel, ended: make(chan result, 1)}
@@ -91,8 +116,11 @@
 	return to
 }
 
-// worse keeps the end that says more of what may have run.
+// worse keeps the end that says more of what may have run; an answer says most.
 func worse(held, r result) result {
+	if held.resp != nil {
+		return held
+	}
 	if held.to == nil || r.ended == retry.Lost || held.ended != retry.Lost && r.ended != retry.Moved && r.ended != retry.Restarted {
 		return r
 	}
@@ -103,7 +131,7 @@
 // keeps its answer, should it still come, from being left unread.
 func (c *call) win(r result, winner, loser racer) result {
 	c.note(r)
-	r.resp.Body = &endingBody{ReadCloser: r.resp.Body, end: winner.cancel}
+	r = c.keep(r, winner)
 	if loser.ended != nil {
 		loser.cancel()
 		go func() {
