A request whose body has come is decided on anew

Change: when the body is there the gate has a fresh figure and decides again: it runs, or waits with its body for the end of the slow time. The body's way no longer counts as work.

--- a/core/gate/pace_test.go
+++ b/core/gate/pace_test.go
@@ -201,3 +201,34 @@
 	}
 	return list
 }
+
+// An upload of 60 KB was let in while its server was fast; its body took 150 ms on a
+// narrow link, and the server turned slow meanwhile. Sent now it would take seven times
+// its work. It waits with its body for the end of the slow time, is not sent on, and its
+// time does not count the body's way.
+func TestUploadWhoseBodyCameIsDecidedOnAnew(t *testing.T) {
+	g, now := toldGate(10)
+	siblingAt(g, now, "b", Load{Slots: 10, Service: 100 * ms, Slowdown: 1})
+	usual := g.slow.usual()
+	assert.DeepEqual(t, started(g.Arrive(now, classed(1, "work", 400*ms, now))), []Handle{1})
+	now += 150 * ms
+	g.Observe(now, 7)
+	assert.Equal(t, len(kinds(g.Reconsider(now, 1))), 0, "it waits")
+	assert.Equal(t, g.running, 0)
+	now += 100 * ms
+	assert.DeepEqual(t, started(g.Observe(now, 1)), []Handle{1})
+	g.Observe(now+100*ms, 1)
+	g.Finish(now+100*ms, 1, Completed)
+	assert.Assert(t, g.slow.usual() < 1.02*usual)
+}
+
+// The server stayed fast, or is leaving: what was let in runs when its body is there.
+func TestUploadRunsOnceItsBodyCame(t *testing.T) {
+	g, now := toldGate(10)
+	g.Arrive(now, classed(1, "work", 400*ms, now))
+	assert.DeepEqual(t, started(g.Reconsider(now+150*ms, 1)), []Handle{1})
+	g.Arrive(now, classed(2, "work", 400*ms, now))
+	g.Observe(now+150*ms, 7)
+	g.SetDraining(now+150*ms, true)
+	assert.DeepEqual(t, started(g.Reconsider(now+150*ms, 2)), []Handle{2})
+}
--- a/core/gate/start.go
+++ b/core/gate/start.go
@@ -38,6 +38,29 @@
 	return g.roomFor(now, it.Request) > 0 && ahead == 0
 }
 
+// Reconsider decides anew on a request that was started and has not been sent to the
+// server yet, since its body had to come first. It starts, or waits for the end of a
+// slow time that began meanwhile: the server's speed counts when the work begins. It
+// is not moved, since the body would have to come a second time.
+func (g *Gate) Reconsider(now time.Duration, h Handle) []Event {
+	g.begin(now)
+	it := g.items[h]
+	if it == nil || it.state != stateRunning {
+		return g.take()
+	}
+	g.running--
+	g.estimate.abandon(now)
+	it.Movable = false
+	if g.closed() == 0 && g.holds(now, it) {
+		it.state = stateWaiting
+		g.queue.push(it)
+	} else {
+		g.run(now, it)
+	}
+	g.announce(now)
+	return g.take()
+}
+
 func (g *Gate) run(now time.Duration, it *item) {
 	it.state, it.started, it.workedAt = stateRunning, now, g.slow.worked
 	it.pace = startPace{factor: g.slow.factor}
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -288,22 +288,39 @@
 		}
 		return e.gate.Arrive(now, gateRequest(now, handle, req))
 	})
+	return handle, e.verdict(ctx, handle, ch)
+}
+
+// verdict waits for what the gate decides on a request.
+func (e *Endpoint) verdict(ctx context.Context, handle gate.Handle, ch <-chan gate.Event) gate.Event {
 	select {
 	case event := <-ch:
-		return handle, event
+		return event
 	default:
 	}
 	select {
 	case event := <-ch:
-		return handle, event
+		return event
 	case <-ctx.Done():
 		// The gate may have started it meanwhile; then it runs and is ended by
 		// forward, which sees the same context.
 		e.with(func(now time.Duration) []gate.Event { return e.gate.Cancel(now, handle) })
-		return handle, <-ch
+		return <-ch
 	}
 }
 
+// reconsider has the gate decide anew on a started request whose body has come, by a
+// fresh figure.
+func (e *Endpoint) reconsider(ctx context.Context, handle gate.Handle) gate.Event {
+	e.refreshFigure(ctx)
+	ch := make(chan gate.Event, 1)
+	e.with(func(now time.Duration) []gate.Event {
+		e.waiting[handle] = ch
+		return e.gate.Reconsider(now, handle)
+	})
+	return e.verdict(ctx, handle, ch)
+}
+
 func gateRequest(now time.Duration, handle gate.Handle, req hop.Request) gate.Request {
 	r := gate.Request{Handle: handle, ID: req.ID, Caller: req.Caller, Deadline: now + req.Timeout, Movable: req.Movable, From: req.From, Bulky: req.Bulky,
 		Class: req.Class, Priority: req.Priority, Repeatable: req.Repeatable}
--- a/internal/endpoint/forward.go
+++ b/internal/endpoint/forward.go
@@ -24,13 +24,20 @@
 		reply.Verdict = hop.Unreached
 		return nil, reply
 	}
-	out, err := e.fetched(out)
+	whole, err := e.fetched(out)
 	if err != nil {
 		e.finish(handle, gate.NeverReached)
 		reply.Verdict = hop.Unreached
 		logs.Decision(true, "Body did not come", "request", out.ID, "attempt", hop.FormatID(reply.ID), "host", e.options.Host, "length", out.Length, "callerGone", ctx.Err() != nil, "err", err)
 		return nil, reply
 	}
+	if whole != out {
+		out = whole
+		if event := e.reconsider(ctx, handle); event.Kind != gate.Started {
+			reply.Verdict, reply.Reason, reply.RetryAfter, reply.Everywhere = hop.Refused, event.Reason, event.RetryAfter, event.Everywhere
+			return nil, reply
+		}
+	}
 	left := time.Until(out.Deadline)
 	if left < time.Millisecond {
 		e.finish(handle, gate.NeverReached)
