Logs tell requests with the same content apart from others, and what ran on a server that ended

Callers saw a service refuse for seconds again and again while its servers ended one after the other. The logs name requests by id only, and each caller's retry has a new one: which request was on all those servers could not be read from them, nor whether one was. Three hypotheses could not be told apart: (1) one request comes again under new ids and nothing remembers it; (2) our own second attempts spread it; (3) gates go on sending to servers that have ended.

Added: a key of a request's content (method, host, path, query, body, calling service; and one without query and calling service), with the attempt and with the gate's decision; and a line for a backend server that ended, with the requests that it was running. A server has ended if exchanges broke off and no connection can be made, or if another start of it announces itself. The header between nodes carries the content, since the gate may not have the body yet: version 3.

--- a/internal/endpoint/backend.go
+++ b/internal/endpoint/backend.go
@@ -29,6 +29,7 @@
 // was sent to its earlier start is lost: those exchanges end now, since a server that
 // vanished behind a cut would hold their slots until their deadlines.
 func (e *Endpoint) SetRestarted(address string) {
+	e.account(e.witness.restarted())
 	e.SetBackend(address)
 	next, end := context.WithCancel(context.Background())
 	e.mu.Lock()
@@ -46,12 +47,21 @@
 	return e.life
 }
 
+// SetOtherServer tells that another backend server, or another start of it, has taken
+// the place of the one before at this address.
+func (e *Endpoint) SetOtherServer(instance, address string) {
+	e.account(e.witness.restarted())
+	e.SetInstance(instance)
+	e.SetBackend(address)
+}
+
 // SetInstance names the instance of the backend server that requests are meant
 // for; empty for a backend server that has no instances.
 func (e *Endpoint) SetInstance(instance string) { e.instance.Store(&instance) }
 
 // SetDraining starts or ends a drain.
 func (e *Endpoint) SetDraining(draining bool) {
+	e.witness.setPlanned(draining)
 	e.with(func(now time.Duration) []gate.Event { return e.gate.SetDraining(now, draining) })
 }
 
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -54,6 +54,8 @@
 	armed  time.Duration
 	closed bool
 
+	witness *witness
+
 	stopWatch context.CancelFunc
 	// life is that of the backend server's present start.
 	life    context.Context
@@ -83,7 +85,7 @@
 	if options.Dialect == nil {
 		options.Dialect = &hop.Dialect{}
 	}
-	e := &Endpoint{options: options, start: time.Now(), waiting: map[gate.Handle]chan gate.Event{}, hints: map[gate.Handle]func(string){}}
+	e := &Endpoint{options: options, start: time.Now(), waiting: map[gate.Handle]chan gate.Event{}, hints: map[gate.Handle]func(string){}, witness: newWitness()}
 	e.gate = gate.New(options.Host, config, 0)
 	var ctx context.Context
 	ctx, e.stopWatch = context.WithCancel(context.Background())
@@ -240,7 +242,7 @@
 	}
 	switch event.Kind {
 	case gate.Started:
-		return e.forward(ctx, handle, out, reply)
+		return e.forward(ctx, handle, req, out, reply)
 	case gate.Moved:
 		reply.Verdict, reply.To = hop.Moved, event.To
 	default:
@@ -264,7 +266,7 @@
 	default:
 		e.options.Counters.Waited.Observe(waited)
 	}
-	logs.Decision(failure, "Gate decided", "request", out.ID, "attempt", hop.FormatID(req.ID), "host", e.options.Host, "outcome", outcome, "reason", event.Reason.String(),
+	logs.Decision(failure, "Gate decided", "request", out.ID, "attempt", hop.FormatID(req.ID), "host", e.options.Host, "content", req.Content.Exact.String(), "alike", req.Content.Alike.String(), "outcome", outcome, "reason", event.Reason.String(),
 		"to", event.To, "waited", waited, "left", time.Until(out.Deadline), "running", load.Running, "waiting", load.Waiting, "slots", load.Slots,
 		"service", load.Service, "slowdown", speed.Slowdown, "lasting", speed.Lasting, "crowd", speed.Crowd, "usual", speed.Usual, "loadAge", e.now()-time.Duration(e.observed.Load()), "retryAfter", event.RetryAfter, "everywhere", event.Everywhere, "revision", e.options.Revision())
 }
--- a/internal/endpoint/forward.go
+++ b/internal/endpoint/forward.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"cactuspath/core/gate"
+	"cactuspath/core/quarantine"
 	"cactuspath/internal/hop"
 	"cactuspath/internal/logs"
 )
@@ -17,7 +18,7 @@
 // One request on its way to the backend server, and its answer on the way back.
 
 // forward sends a started request to the backend server.
-func (e *Endpoint) forward(ctx context.Context, handle gate.Handle, out *hop.Outgoing, reply hop.Reply) (*http.Response, hop.Reply) {
+func (e *Endpoint) forward(ctx context.Context, handle gate.Handle, req hop.Request, out *hop.Outgoing, reply hop.Reply) (*http.Response, hop.Reply) {
 	pool := e.backend.Load()
 	if pool == nil {
 		e.finish(handle, gate.NeverReached)
@@ -45,6 +46,7 @@
 		return nil, reply
 	}
 	started := time.Now()
+	e.witness.begin(handle, e.runOf(req, out))
 	life := e.Life()
 	exchange, end := within(ctx, life)
 	resp, err := pool.Do(exchange, e.toBackend(out, left))
@@ -77,6 +79,11 @@
 		case cut:
 			outcome = gate.Failed
 		}
+		if cut && ctx.Err() == nil {
+			e.broke(handle)
+		} else {
+			e.witness.end(handle, !cut)
+		}
 		e.finish(handle, outcome)
 		e.options.Counters.Ran.Observe(time.Since(started))
 		if outcome != gate.Completed {
@@ -87,6 +94,26 @@
 	return resp, reply
 }
 
+// runOf is what is remembered of a request while the backend server has it. A body
+// that is streamed tells requests apart only as it passes.
+func (e *Endpoint) runOf(req hop.Request, out *hop.Outgoing) *run {
+	r := &run{request: out.ID, content: req.Content}
+	if out.Stream != nil && !r.content.Known() {
+		r.target, r.stream = e.target(out), out.Stream
+		out.Stream.SumUp()
+	}
+	return r
+}
+
+// target is what a request asks for, as far as it is known without its body.
+func (e *Endpoint) target(out *hop.Outgoing) quarantine.Target {
+	t := quarantine.Target{Method: out.Method, Host: out.Host, URI: out.URI}
+	if field := e.options.Dialect.CallerService; field != "" {
+		t.Caller = out.Header.Get(field)
+	}
+	return t
+}
+
 // within is ctx that ends with life as well; end frees what it holds.
 func within(ctx, life context.Context) (both context.Context, end func()) {
 	both, cancel := context.WithCancel(ctx)
@@ -149,6 +176,7 @@
 func (e *Endpoint) rejected(handle gate.Handle, resp *http.Response, reply hop.Reply) hop.Reply {
 	_, _ = io.Copy(io.Discard, resp.Body)
 	_ = resp.Body.Close()
+	e.witness.end(handle, true)
 	e.finish(handle, gate.NeverReached)
 	reply.Verdict = hop.Rejected
 	logs.Decision(true, "Backend server rejected", "attempt", hop.FormatID(reply.ID), "host", e.options.Host, "status", resp.StatusCode,
@@ -160,6 +188,7 @@
 	var dial *hop.DialError
 	switch {
 	case errors.As(err, &dial):
+		e.witness.end(handle, false)
 		e.finish(handle, gate.NeverReached)
 		reply.Verdict = hop.Unreached
 		if ctx.Err() == nil && e.failures.Add(1) == dialFailures {
@@ -167,9 +196,11 @@
 			go e.probe()
 		}
 	case ctx.Err() != nil, life.Err() != nil:
+		e.witness.end(handle, false)
 		e.finish(handle, gate.Abandoned)
 		reply.Verdict = hop.Broke
 	default:
+		e.broke(handle)
 		e.finish(handle, gate.Failed)
 		reply.Verdict = hop.Broke
 	}
--- a/internal/hop/header.go
+++ b/internal/hop/header.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"cactuspath/core/gate"
+	"cactuspath/core/quarantine"
 )
 
 const (
@@ -31,10 +32,10 @@
 	// AnyHost is a hint that names no host: any other endpoint will do.
 	AnyHost = "*"
 
-	version   = "2"
+	version   = "3"
 	separator = ";"
 
-	requestFields = 12
+	requestFields = 14
 	flagMovable   = 1
 	flagBulky     = 2
 
@@ -66,6 +67,8 @@
 	// Aim is the time within which an answer is worth most, and AimLeft what is
 	// left of it, which may be less than nothing. Both are 0 without an aim.
 	Aim, AimLeft time.Duration
+	// Content identifies what the request asks for; zero while its body is not known.
+	Content quarantine.Content
 	// Caller identifies who sends, for fair shares between callers.
 	Caller string
 }
@@ -93,6 +96,8 @@
 	b = appendField(b, uint64(max(0, r.Aim.Microseconds())))
 	b = append(b, separator...)
 	b = strconv.AppendInt(b, r.AimLeft.Microseconds(), 10)
+	b = appendKey(b, r.Content.Exact)
+	b = appendKey(b, r.Content.Alike)
 	b = append(b, separator...)
 	b = append(b, url.QueryEscape(r.Class)...)
 	b = append(b, separator...)
@@ -115,6 +120,11 @@
 	return strconv.AppendUint(b, v, 10)
 }
 
+func appendKey(b []byte, k quarantine.Key) []byte {
+	b = append(b, separator...)
+	return strconv.AppendUint(b, uint64(k), 16)
+}
+
 var errHeader = errors.New("malformed " + Header + " header; both nodes must run the same release")
 
 // fields splits a header into exactly n fields; the last keeps separators.
@@ -135,7 +145,7 @@
 	p := parser{}
 	r := Request{ID: p.id(f[1]), Incarnation: p.uint(f[2]), Timeout: time.Duration(p.uint(f[3])) * time.Microsecond,
 		Revision: p.uint(f[5]), Priority: int(p.uint(f[6])), Aim: time.Duration(p.uint(f[7])) * time.Microsecond, AimLeft: p.micros(f[8]),
-		Class: p.text(f[9]), From: f[10], Caller: f[11]}
+		Content: quarantine.Content{Exact: p.key(f[9]), Alike: p.key(f[10])}, Class: p.text(f[11]), From: f[12], Caller: f[13]}
 	flags := p.uint(f[4])
 	r.Movable, r.Bulky, r.Repeatable = flags&flagMovable != 0, flags&flagBulky != 0, flags&flagRepeatable != 0
 	return r, p.err
@@ -158,6 +168,8 @@
 	return time.Duration(v) * time.Microsecond
 }
 
+func (p *parser) key(s string) quarantine.Key { return quarantine.Key(p.base(s, 16)) }
+
 // text reads a name that may hold any character.
 func (p *parser) text(s string) string {
 	v, err := url.QueryUnescape(s)
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"cactuspath/core/gate"
+	"cactuspath/core/quarantine"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -47,7 +48,7 @@
 }
 
 func TestHeadersRoundTrip(t *testing.T) {
-	req := Request{ID: gate.AttemptID{Request: [2]uint64{1 << 63, 42}, Attempt: 3}, Incarnation: 99, Timeout: 1500 * time.Microsecond, Movable: true, Revision: 7, Caller: "10.0.0.1;x"}
+	req := Request{ID: gate.AttemptID{Request: [2]uint64{1 << 63, 42}, Attempt: 3}, Incarnation: 99, Timeout: 1500 * time.Microsecond, Movable: true, Revision: 7, Content: quarantine.Content{Exact: 1 << 63, Alike: 12}, Caller: "10.0.0.1;x"}
 	got, err := ParseRequest(req.Encode())
 	assert.NilError(t, err)
 	assert.Equal(t, got, req)
@@ -55,7 +56,8 @@
 	back, err := ParseReply(reply.Encode())
 	assert.NilError(t, err)
 	assert.Equal(t, back, reply)
-	for _, bad := range []string{"", "1", "1;1-1-1;0;0;0;0;dc;x", "2;1-1;0;0;0;0;0;0;0;r;dc;x", "2;x-1-1;0;0;0;0;0;0;0;r;dc;x", "2;1-1-1;-5;0;0;0;0;0;0;r;dc;x", "2;1-1-1;0;0;0;0;0;0;x;r;dc;x", "2;1-1-1;0;0;0;0;0;0;0;%;dc;x"} {
+	for _, bad := range []string{"", "1", "2;1-1-1;0;0;0;0;0;0;0;r;dc;x", "3;1-1;0;0;0;0;0;0;0;0;0;r;dc;x", "3;x-1-1;0;0;0;0;0;0;0;0;0;r;dc;x",
+		"3;1-1-1;-5;0;0;0;0;0;0;0;0;r;dc;x", "3;1-1-1;0;0;0;0;0;0;x;0;0;r;dc;x", "3;1-1-1;0;0;0;0;0;0;0;g;0;r;dc;x", "3;1-1-1;0;0;0;0;0;0;0;0;g;r;dc;x", "3;1-1-1;0;0;0;0;0;0;0;0;0;%;dc;x"} {
 		_, err := ParseRequest(bad)
 		assert.Assert(t, err != nil, bad)
 	}
--- a/internal/hop/upload.go
+++ b/internal/hop/upload.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
+	"cactuspath/core/quarantine"
 	"cactuspath/internal/logs"
 )
 
@@ -38,6 +39,8 @@
 	// touched: a read was begun, so that what is left may not be the whole body.
 	touched bool
 	ended   bool
+	// digest sums up what was read; nil where nobody asks for it.
+	digest *quarantine.BodyDigest
 }
 
 // NewBody returns a body that is read from source. SetReadDeadline makes a read of
@@ -69,6 +72,23 @@
 	return b.holder != nil
 }
 
+// SumUp has the body summed up as it is read.
+func (b *Body) SumUp() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.digest = quarantine.NewBodyDigest()
+}
+
+// Sum is the sum of the body, if SumUp was called and enough of it was read.
+func (b *Body) Sum() (sum quarantine.BodySum, known bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.digest == nil {
+		return sum, false
+	}
+	return b.digest.Sum(b.ended)
+}
+
 // Stop tells the source that no attempt wants the rest of the body, so that its caller
 // is not asked for it any more.
 func (b *Body) Stop() {
@@ -122,6 +142,9 @@
 	defer b.mu.Unlock()
 	b.reading = false
 	b.ended = b.ended || errors.Is(err, io.EOF)
+	if b.digest != nil {
+		b.digest.Write(p[:n])
+	}
 	if b.holder != h.holder {
 		h.holder.dropped += int64(n)
 		return 0, errTakenBack
--- a/internal/node/announce.go
+++ b/internal/node/announce.go
@@ -94,8 +94,7 @@
 	}
 	n.mu.Unlock()
 	if moved {
-		s.endpoint.SetInstance(a.Instance)
-		s.endpoint.SetBackend(a.Address)
+		s.endpoint.SetOtherServer(a.Instance, a.Address)
 	}
 	if restarted {
 		s.endpoint.SetRestarted(a.Address)
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -12,6 +12,7 @@
 	"cactuspath/api/fault"
 	"cactuspath/core/gate"
 	"cactuspath/core/mechanism"
+	"cactuspath/core/quarantine"
 	"cactuspath/core/retry"
 	"cactuspath/internal/hop"
 	"cactuspath/internal/logs"
@@ -57,6 +58,8 @@
 	hedged bool
 	// asksFirst: the caller waits to be asked for the request's body.
 	asksFirst bool
+	// content identifies what the request asks for; zero where its body is streamed.
+	content quarantine.Content
 
 	last       hop.Reply
 	reached    bool
@@ -188,9 +191,9 @@
 		c.s.done(c.h.now(), to, true)
 		return result{to: to, ended: retry.NotRunAnywhere, reply: hop.Reply{Verdict: hop.Refused, Reason: gate.TooLate}, reached: true}
 	}
-	logs.Decision(false, "Attempt", "request", c.requestID(), "attempt", hop.FormatID(a.id), "service", c.s.name, "to", to.Host, "near", to.Near,
+	logs.Decision(false, "Attempt", "request", c.requestID(), "attempt", hop.FormatID(a.id), "service", c.s.name, "content", c.content.Exact.String(), "to", to.Host, "near", to.Near,
 		"outstanding", to.Outstanding, "left", timeout, "movable", c.movable(), "tried", c.tried, "revision", c.h.options.Revision())
-	req := hop.Request{ID: a.id, Incarnation: a.incarnation, Timeout: timeout, Movable: c.movable(), Revision: c.h.options.Revision(), Caller: c.caller,
+	req := hop.Request{ID: a.id, Incarnation: a.incarnation, Timeout: timeout, Movable: c.movable(), Revision: c.h.options.Revision(), Caller: c.caller, Content: c.content,
 		From: c.h.options.DataCenter, Repeatable: onHint != nil, Bulky: c.out.Stream != nil || len(c.out.Buffered) >= bulkyBody}
 	c.rankRequest(&req, a.sent)
 	out := c.outgoing(a.id)
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -14,6 +14,7 @@
 	"cactuspath/core/balancer"
 	"cactuspath/core/gate"
 	"cactuspath/core/mechanism"
+	"cactuspath/core/quarantine"
 	"cactuspath/internal/endpoint"
 	"cactuspath/internal/hop"
 	"cactuspath/internal/transport"
@@ -270,6 +271,9 @@
 		_ = http.NewResponseController(w).EnableFullDuplex()
 	}
 	c := &call{h: h, w: w, r: r, s: s, rules: rules, out: out, arrived: arrived, deadline: arrived.Add(timeout - deliveryTime(timeout)), caller: h.callerOf(r), route: route, asksFirst: asksFirst}
+	if out.Stream == nil {
+		c.content = quarantine.ContentOf(quarantine.Target{Method: out.Method, Host: out.Host, URI: out.URI, Caller: h.callerService()}, quarantine.SumOf(out.Buffered))
+	}
 	c.id = [2]uint64{h.seed, h.request.Add(1)}
 	c.run()
 	if out.Stream != nil {
