--- a/internal/endpoint/ended.go
+++ b/internal/endpoint/ended.go
@@ -30,7 +30,7 @@
 
 // run is one request that the backend server has.
 type run struct {
-	request string
+	attempt string
 	target  quarantine.Target
 	content quarantine.Content
 	// stream is the body of a request whose content is not known before it was read.
@@ -183,7 +183,7 @@
 	}
 	contents := make([]string, 0, len(ended))
 	for _, r := range ended {
-		contents = append(contents, r.request+"="+r.content.Exact.String()+"/"+r.content.Alike.String())
+		contents = append(contents, r.attempt+"="+r.content.Exact.String()+"/"+r.content.Alike.String())
 	}
-	klog.InfoS("Backend server ended", "host", e.options.Host, "running", len(ended), "requests", contents)
+	klog.InfoS("Backend server ended", "host", e.options.Host, "running", len(ended), "attempts", contents)
 }
--- a/internal/endpoint/forward.go
+++ b/internal/endpoint/forward.go
@@ -97,7 +97,7 @@
 // runOf is what is remembered of a request while the backend server has it. A body
 // that is streamed tells requests apart only as it passes.
 func (e *Endpoint) runOf(req hop.Request, out *hop.Outgoing) *run {
-	r := &run{request: out.ID, content: req.Content}
+	r := &run{attempt: hop.FormatID(req.ID), content: req.Content}
 	if out.Stream != nil && !r.content.Known() {
 		r.target, r.stream = e.target(out), out.Stream
 		out.Stream.SumUp()
