Requests under which servers keep ending are kept away from servers

Callers saw a whole service refuse for seconds, again and again: one request crashed each server that began to run it and came back under a new id through another node. Eleven to fifteen servers ended under one request (three at most are needed to know).

Cause: what a backend server was running is forgotten with the exchange that breaks off, and the only thing that limits repeats is one call's own attempts. Class: a decision for the whole fleet (how often may this be tried) was left to a memory that ends with one call at one node.

Mend: a gate knows what runs on its server and, when the server ends, tells the other nodes. Each node keeps a ledger of ends and of complete answers, spread by gossip between nodes without control: news to a few at random, differences found by comparing with one at random, 16 KB/s at most. A content that stands on three ends, and was answered nowhere around them, is refused at callers' nodes and at gates, at once and as not run, for ten minutes. Harmless company is cleared: by any complete answer within 30 s before the end or later, on whichever host; or since another one on each of its ends stands on more.

Why it holds: every arrival at a server passes its gate, which knows the server's ends by what it sees itself (broken exchanges and a refused connection, or another start announced).

Ruled out by measurement: sending whole ledgers on each difference (nodes were behind after 2 s, budget used up); comparing every 0.5 s (3 of 195 behind with a third of datagrams lost). Bodies of more than 64 KB are known by their first 64 KB and their length.

--- a/api/fault/fault.go
+++ b/api/fault/fault.go
@@ -31,6 +31,9 @@
 	NoEndpoint Kind = "no-endpoint"
 	// DeadlinePassed: the request could not have ended before its deadline. Not run.
 	DeadlinePassed Kind = "deadline-passed"
+	// Quarantined: backend servers have ended under requests with this content, so that no
+	// other one gets it for a while. Not run.
+	Quarantined Kind = "quarantined"
 	// Malformed: the request is not acceptable HTTP. Not run.
 	Malformed Kind = "malformed"
 	// TooLarge: the body exceeds the service's limit.
--- a/core/gate/types.go
+++ b/core/gate/types.go
@@ -30,11 +30,13 @@
 	Duplicate
 	// Canceled: the caller went away.
 	Canceled
+	// Quarantined: servers have ended under requests with this content.
+	Quarantined
 )
 
 // String names the reason.
 func (r Reason) String() string {
-	return [...]string{"none", "queue-full", "too-late", "draining", "down", "fenced", "revoked", "duplicate", "canceled"}[r]
+	return [...]string{"none", "queue-full", "too-late", "draining", "down", "fenced", "revoked", "duplicate", "canceled", "quarantined"}[r]
 }
 
 // EventKind tells what happened to a request.
--- a/core/quarantine/content.go
+++ b/core/quarantine/content.go
@@ -32,8 +32,9 @@
 	// Exact tells requests apart by method, host, path, query, body, and by the service
 	// whose callers sent them.
 	Exact Key
-	// Alike leaves out the query and the callers' service: a caller that comes back may
-	// add another query, or come from elsewhere.
+	// Alike leaves out the query, the callers' service and the length of a long body: a
+	// caller that comes back may add another query, come from elsewhere, or send its body
+	// without a length.
 	Alike Key
 }
 
@@ -47,6 +48,8 @@
 	URI string
 	// Caller is the service whose callers sent it; empty if that is not known.
 	Caller string
+	// Length is that of a body of more than PrefixBytes, if its sender tells it before.
+	Length int64
 }
 
 // PrefixBytes is how much of a body tells contents apart. Longer bodies go through a
@@ -110,7 +113,7 @@
 	path, _, _ := strings.Cut(t.URI, "?")
 	host := strings.ToLower(t.Host)
 	return Content{
-		Exact: keyOf("exact", t.Method, host, t.URI, t.Caller, string(body[:])),
+		Exact: keyOf("exact", t.Method, host, t.URI, t.Caller, strconv.FormatInt(t.Length, 10), string(body[:])),
 		Alike: keyOf("alike", t.Method, host, path, string(body[:])),
 	}
 }
--- a/core/quarantine/content_test.go
+++ b/core/quarantine/content_test.go
@@ -30,6 +30,7 @@
 		{"another method", change(func(t *Target) { t.Method = "PUT" }), body, false, false},
 		{"another path", change(func(t *Target) { t.URI = "/list/8?page=2" }), body, false, false},
 		{"another query", change(func(t *Target) { t.URI = "/list/7?page=3" }), body, false, true},
+		{"another length of a long body", change(func(t *Target) { t.Length = 2 * PrefixBytes }), body, false, true},
 		{"another caller", change(func(t *Target) { t.Caller = "defects" }), body, false, true},
 	} {
 		t.Run(c.desc, func(t *testing.T) {
--- a/internal/e2e/crash_test.go
+++ b/internal/e2e/crash_test.go
@@ -241,7 +241,9 @@
 // and when the first are back they end again. The logs show one content on each server
 // that ended, under an id that no other server has seen. Others must be served
 // meanwhile: the same path with another body, and what is asked for often and only
-// happened to run there.
+// happened to run there. Cause: what a server ran was forgotten with the exchange that
+// broke off, and no node knew what had run beside another one; the logs' keys of
+// contents proved it.
 func TestRequestThatEndsServersIsKeptAway(t *testing.T) {
 	s := newCrashSite(t, 6)
 	long := strings.Repeat("long ", 20_000)
--- a/internal/endpoint/ended.go
+++ b/internal/endpoint/ended.go
@@ -9,6 +9,7 @@
 	"cactuspath/core/gate"
 	"cactuspath/core/quarantine"
 	"cactuspath/internal/hop"
+	"cactuspath/internal/logs"
 )
 
 // What ran on the backend server when it ended. A request may be the cause; that is
@@ -16,13 +17,16 @@
 // part of it.
 
 const (
-	// endTries is how often a backend server that broke off exchanges is looked for, and
-	// endPause the pause between: what ran there breaks off within a few milliseconds.
-	endTries = 3
+	// endTries is how often a backend server that broke off an exchange is looked for, and
+	// endPause the pause between. What ran on one that has ended breaks off within a few
+	// milliseconds; on a busy host it takes longer until all of it is noticed.
+	endTries = 20
 	endPause = 20 * time.Millisecond
-	// breakMemory is how long an exchange that broke off counts as running when the server
-	// is found to have started again. A server that vanished without a word is noticed
-	// by then.
+	// refusals in a row mean that it is gone. One that has too many connections turns some
+	// away as well.
+	refusals = 3
+	// breakMemory is how long an exchange that broke off counts as running: by then a
+	// server that vanished without a word, or was back at once, has announced its new start.
 	breakMemory = 5 * time.Second
 	// mostBroken bounds the exchanges that are remembered.
 	mostBroken = 128
@@ -35,6 +39,7 @@
 	content quarantine.Content
 	// stream is the body of a request whose content is not known before it was read.
 	stream *hop.Body
+	began  time.Time
 	// brokeAt is when the exchange broke off; zero while it goes on.
 	brokeAt time.Time
 }
@@ -56,9 +61,11 @@
 	mu      sync.Mutex
 	running map[gate.Handle]*run
 	broken  []run
-	// over: this start has ended and was accounted for. planned: it is leaving, and its
-	// end is no wonder.
-	over, planned bool
+	// over: this start has ended, at overAt, and was accounted for.
+	over   bool
+	overAt time.Time
+	// planned: it is leaving, and its end is no wonder.
+	planned bool
 	// looking: somebody finds out whether the server is there.
 	looking bool
 }
@@ -68,19 +75,18 @@
 func (w *witness) begin(handle gate.Handle, r *run) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	r.began = time.Now()
 	w.running[handle] = r
 }
 
 // end takes out a run that did not break off. One that was answered shows that the
-// server has started, if it had ended.
+// server is there, whatever was found before.
 func (w *witness) end(handle gate.Handle, answered bool) *run {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	r := w.running[handle]
 	delete(w.running, handle)
-	if answered {
-		w.over = false
-	}
+	w.over = w.over && !answered
 	return r
 }
 
@@ -91,44 +97,52 @@
 	defer w.mu.Unlock()
 	r := w.running[handle]
 	delete(w.running, handle)
-	if r == nil || w.over {
+	if r == nil || w.over && r.began.Before(w.overAt) {
 		return false
 	}
+	// The exchange had a connection, so that the server has started again since.
+	w.over = false
 	r.brokeAt = time.Now()
-	if len(w.broken) < mostBroken {
-		w.broken = append(w.broken, *r)
-	}
+	w.broken = append(w.broken, *r)
+	w.broken = w.broken[max(0, len(w.broken)-mostBroken):]
 	look = !w.looking
 	w.looking = true
 	return look
 }
 
-// looked tells what was found. The server is there if it accepts connections, or if
-// runs go on that began before those that broke off.
-func (w *witness) looked(there bool) (ended []run) {
+// gone tells that the server accepts no connections. It has ended if nothing goes on
+// there that began before something broke off.
+func (w *witness) gone() (ended []run, sure bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.looking = false
-	if there || len(w.running) > 0 {
-		w.broken = nil
-		return nil
+	for _, r := range w.running {
+		if len(w.broken) > 0 && r.began.Before(w.broken[0].brokeAt) {
+			return nil, false
+		}
 	}
-	return w.close()
+	return w.close(), true
+}
+
+func (w *witness) looked() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.looking = false
 }
 
 // restarted tells that the server is another start than the one before.
 func (w *witness) restarted() (ended []run) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.over {
-		ended = w.close()
-	}
+	ended = w.close()
 	w.over, w.planned = false, false
 	return ended
 }
 
-// close ends the account of this start; the caller holds the lock.
+// close ends the account of this start, once; the caller holds the lock.
 func (w *witness) close() []run {
+	if w.over {
+		return nil
+	}
 	var list []run
 	for _, r := range w.broken {
 		if time.Since(r.brokeAt) < breakMemory {
@@ -138,19 +152,13 @@
 	for _, r := range w.running {
 		list = append(list, r.settled())
 	}
-	w.broken, w.over = nil, true
+	w.broken, w.over, w.overAt = nil, true, time.Now()
 	if w.planned {
 		return nil
 	}
 	return list
 }
 
-func (w *witness) busy() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return len(w.running) > 0
-}
-
 func (w *witness) setPlanned(planned bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -160,30 +168,97 @@
 // broke takes in an exchange that broke off, and finds out whether the server is there.
 func (e *Endpoint) broke(handle gate.Handle) {
 	if e.witness.breakOff(handle) {
-		go func() { e.account(e.witness.looked(e.looksThere())) }()
+		go e.look()
 	}
 }
 
-// looksThere tells whether the backend server still accepts connections, or goes on
-// with requests. One that resets some connections since it has too many does both.
-func (e *Endpoint) looksThere() bool {
+// look finds out whether the backend server has ended. If that cannot be told, its next
+// announcement tells.
+func (e *Endpoint) look() {
+	defer e.witness.looked()
+	refused := 0
 	for range endTries {
-		if pool := e.questions.Load(); pool == nil || pool.Reachable() {
-			return true
+		pool := e.questions.Load()
+		if pool == nil || pool.Reachable() {
+			return
+		}
+		if refused++; refused >= refusals {
+			if ended, sure := e.witness.gone(); sure {
+				e.account(ended)
+				return
+			}
 		}
 		time.Sleep(endPause)
 	}
-	return e.witness.busy()
 }
 
-// account tells what ran on a backend server that ended.
+// account tells the other nodes what ran on a backend server that ended.
 func (e *Endpoint) account(ended []run) {
 	if len(ended) == 0 {
 		return
 	}
-	contents := make([]string, 0, len(ended))
+	var contents []quarantine.Content
+	var paths []quarantine.Key
+	told := make([]string, 0, len(ended))
 	for _, r := range ended {
-		contents = append(contents, r.attempt+"="+r.content.Exact.String()+"/"+r.content.Alike.String())
+		told = append(told, r.attempt+"="+r.content.Exact.String()+"/"+r.content.Alike.String())
+		if r.content.Known() {
+			contents = append(contents, r.content)
+		}
+		if r.stream != nil {
+			paths = append(paths, quarantine.PathOf(r.target))
+		}
+	}
+	klog.InfoS("Backend server ended", "host", e.options.Host, "running", len(ended), "attempts", told)
+	e.options.Quarantine.Ended(contents, paths)
+}
+
+// completed takes in a run that was answered in whole.
+func (e *Endpoint) completed(handle gate.Handle) {
+	if r := e.witness.end(handle, true); r != nil {
+		e.options.Quarantine.Completed(r.settled().content)
+	}
+}
+
+// barred tells for how long a request that is about to run is kept away; 0 if it is not.
+// It may have waited since it arrived. Where a server ended under a streamed body with
+// its path, the beginning of the body is read first, since it tells the request apart.
+func (e *Endpoint) barred(r *run, out *hop.Outgoing) time.Duration {
+	if !r.content.Known() && e.options.Quarantine.Suspected(quarantine.PathOf(r.target)) {
+		out.Stream.ReadAhead(quarantine.PrefixBytes+1, out.Deadline)
+		*r = r.settled()
+	}
+	return e.options.Quarantine.Barred(r.content)
+}
+
+// keepAway refuses a request that is kept away. It is as unwelcome everywhere, so that
+// it is not tried elsewhere.
+func (e *Endpoint) keepAway(c quarantine.Content, out *hop.Outgoing, reply hop.Reply, left time.Duration) hop.Reply {
+	e.options.Quarantine.Refused()
+	logs.Decision(true, "Request kept away", "request", out.ID, "attempt", hop.FormatID(reply.ID), "host", e.options.Host, "content", c.Exact.String(), "alike", c.Alike.String(), "for", left)
+	reply.Verdict, reply.Reason, reply.RetryAfter, reply.Everywhere = hop.Refused, gate.Quarantined, left, true
+	return reply
+}
+
+// runOf is what is remembered of a request while the backend server has it. A body
+// that is streamed tells requests apart only as it passes.
+func (e *Endpoint) runOf(req hop.Request, out *hop.Outgoing) *run {
+	r := &run{attempt: hop.FormatID(req.ID), content: req.Content}
+	if out.Stream != nil && !r.content.Known() {
+		r.target, r.stream = e.target(out), out.Stream
+		out.Stream.SumUp()
+	}
+	return r
+}
+
+// target is what a request asks for, as far as it is known without its body.
+func (e *Endpoint) target(out *hop.Outgoing) quarantine.Target {
+	t := quarantine.Target{Method: out.Method, Host: out.Host, URI: out.URI}
+	if field := e.options.Dialect.CallerService; field != "" {
+		t.Caller = out.Header.Get(field)
+	}
+	if out.Length > quarantine.PrefixBytes {
+		t.Length = out.Length
 	}
-	klog.InfoS("Backend server ended", "host", e.options.Host, "running", len(ended), "attempts", contents)
+	return t
 }
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -13,6 +13,7 @@
 	"cactuspath/core/gate"
 	"cactuspath/internal/hop"
 	"cactuspath/internal/logs"
+	"cactuspath/internal/quarantine"
 )
 
 const (
@@ -36,6 +37,8 @@
 	Counters *Counters
 	// Dialect names the header fields of the backend server.
 	Dialect *hop.Dialect
+	// Quarantine knows which requests are kept away from servers; nil to keep none away.
+	Quarantine *quarantine.Keeper
 }
 
 // Endpoint is one backend server's gate with its driver. Safe for concurrent
@@ -234,6 +237,9 @@
 		return nil, reply
 	}
 	arrived := time.Now()
+	if left := e.options.Quarantine.Barred(req.Content); left > 0 {
+		return nil, e.keepAway(req.Content, out, reply, left)
+	}
 	e.refreshFigure(ctx)
 	handle, event := e.admit(ctx, req, onHint)
 	e.logAdmission(req, out, event, time.Since(arrived))
--- a/internal/endpoint/forward.go
+++ b/internal/endpoint/forward.go
@@ -10,7 +10,6 @@
 	"github.com/cockroachdb/errors"
 
 	"cactuspath/core/gate"
-	"cactuspath/core/quarantine"
 	"cactuspath/internal/hop"
 	"cactuspath/internal/logs"
 )
@@ -39,6 +38,11 @@
 			return nil, reply
 		}
 	}
+	run := e.runOf(req, out)
+	if left := e.barred(run, out); left > 0 {
+		e.finish(handle, gate.NeverReached)
+		return nil, e.keepAway(run.content, out, reply, left)
+	}
 	left := time.Until(out.Deadline)
 	if left < time.Millisecond {
 		e.finish(handle, gate.NeverReached)
@@ -46,7 +50,7 @@
 		return nil, reply
 	}
 	started := time.Now()
-	e.witness.begin(handle, e.runOf(req, out))
+	e.witness.begin(handle, run)
 	life := e.Life()
 	exchange, end := within(ctx, life)
 	resp, err := pool.Do(exchange, e.toBackend(out, left))
@@ -79,10 +83,13 @@
 		case cut:
 			outcome = gate.Failed
 		}
-		if cut && ctx.Err() == nil {
+		switch {
+		case cut && ctx.Err() == nil:
 			e.broke(handle)
-		} else {
-			e.witness.end(handle, !cut)
+		case cut:
+			e.witness.end(handle, false)
+		default:
+			e.completed(handle)
 		}
 		e.finish(handle, outcome)
 		e.options.Counters.Ran.Observe(time.Since(started))
@@ -94,26 +101,6 @@
 	return resp, reply
 }
 
-// runOf is what is remembered of a request while the backend server has it. A body
-// that is streamed tells requests apart only as it passes.
-func (e *Endpoint) runOf(req hop.Request, out *hop.Outgoing) *run {
-	r := &run{attempt: hop.FormatID(req.ID), content: req.Content}
-	if out.Stream != nil && !r.content.Known() {
-		r.target, r.stream = e.target(out), out.Stream
-		out.Stream.SumUp()
-	}
-	return r
-}
-
-// target is what a request asks for, as far as it is known without its body.
-func (e *Endpoint) target(out *hop.Outgoing) quarantine.Target {
-	t := quarantine.Target{Method: out.Method, Host: out.Host, URI: out.URI}
-	if field := e.options.Dialect.CallerService; field != "" {
-		t.Caller = out.Header.Get(field)
-	}
-	return t
-}
-
 // within is ctx that ends with life as well; end frees what it holds.
 func within(ctx, life context.Context) (both context.Context, end func()) {
 	both, cancel := context.WithCancel(ctx)
--- a/internal/hop/upload.go
+++ b/internal/hop/upload.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net/http/httputil"
 	"sync"
@@ -72,6 +73,54 @@
 	return b.holder != nil
 }
 
+// ReadAhead reads up to n bytes of the body into memory, until a time at the latest; they
+// are sent first. A body that ends or breaks off before does so again when it is sent.
+func (b *Body) ReadAhead(n int, until time.Time) {
+	reader := &sender{}
+	b.lend(reader)
+	defer b.lend(nil)
+	if b.setReadDeadline != nil {
+		if err := b.setReadDeadline(until); err != nil {
+			return
+		}
+	}
+	ahead := make([]byte, n)
+	read, err := io.ReadFull(held{b, reader}, ahead)
+	next := []io.Reader{bytes.NewReader(ahead[:read])}
+	switch {
+	case err == nil:
+		next = append(next, b.source)
+	case !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
+		next = append(next, failingReader{err})
+	}
+	b.replay(io.MultiReader(next...))
+	if b.setReadDeadline != nil && err == nil {
+		if err := b.setReadDeadline(time.Time{}); err != nil {
+			klog.V(2).InfoS("Deadline of a body stays; its source is closed already", "err", err)
+		}
+	}
+}
+
+// replay puts what was read ahead before the rest, and has it summed up once.
+func (b *Body) replay(source io.Reader) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.source = source
+	if b.digest == nil {
+		return
+	}
+	if _, known := b.digest.Sum(b.ended); !known {
+		// It passes once more.
+		b.digest = quarantine.NewBodyDigest()
+	}
+}
+
+// failingReader is a body that broke off.
+type failingReader struct{ err error }
+
+// Read fails as the body did.
+func (r failingReader) Read([]byte) (int, error) { return 0, r.err }
+
 // SumUp has the body summed up as it is read.
 func (b *Body) SumUp() {
 	b.mu.Lock()
--- a/internal/hop/upload_test.go
+++ b/internal/hop/upload_test.go
@@ -12,9 +12,12 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"cactuspath/core/quarantine"
 )
 
 // stalled is a caller that sends nothing until it is released or stopped, as a
@@ -359,3 +362,36 @@
 		assert.Equal(t, len(got), len(text))
 	}
 }
+
+// A gate reads the beginning of a body before it lets the request run. The server must
+// get the whole body all the same, the sum be that of a body that was not read ahead,
+// and one that broke off look broken.
+func TestBodyIsReadAhead(t *testing.T) {
+	text := strings.Repeat("body ", 50)
+	for _, c := range []struct {
+		desc   string
+		ahead  int
+		source io.Reader
+		err    error
+	}{
+		{"a part of it", 20, strings.NewReader(text), nil},
+		{"all of it and more", 1000, strings.NewReader(text), nil},
+		{"it breaks off", 1000, io.MultiReader(strings.NewReader(text), iotest.ErrReader(io.ErrClosedPipe)), io.ErrClosedPipe},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			b := NewBody(c.source, nil)
+			b.SumUp()
+			b.ReadAhead(c.ahead, far())
+			reader := &sender{}
+			b.lend(reader)
+			got, err := io.ReadAll(held{b, reader})
+			assert.Equal(t, string(got), text)
+			assert.Assert(t, errors.Is(err, c.err), err)
+			sum, known := b.Sum()
+			assert.Equal(t, known, c.err == nil)
+			if known {
+				assert.Equal(t, sum, quarantine.SumOf([]byte(text)))
+			}
+		})
+	}
+}
--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -5,6 +5,7 @@
 
 	"cactuspath/core/directory"
 	"cactuspath/internal/logs"
+	"cactuspath/internal/quarantine"
 )
 
 type counters struct {
@@ -12,6 +13,7 @@
 	exchanges, exchangeFailures, probes                       expvar.Int
 	watches, watchFailures                                    expvar.Int
 	reportsSent, reportsReceived, reportsMalformed            expvar.Int
+	quarantine                                                quarantine.Counters
 	// viewChanged and configurationChanged are when these last changed.
 	viewChanged, configurationChanged expvar.Int
 }
@@ -43,6 +45,11 @@
 		"measure_reports_sent":          &n.counters.reportsSent,
 		"measure_reports_received":      &n.counters.reportsReceived,
 		"measure_reports_malformed":     &n.counters.reportsMalformed,
+		"quarantine_server_ends":        &n.counters.quarantine.Ends,
+		"quarantine_refused":            &n.counters.quarantine.Refused,
+		"quarantine_messages_sent":      &n.counters.quarantine.MessagesSent,
+		"quarantine_malformed":          &n.counters.quarantine.Malformed,
+		"quarantine_contents":           expvar.Func(func() any { return n.quarantine.Contents() }),
 		"directory_heartbeats":          &n.counters.heartbeats,
 		"directory_relay_failures":      &n.counters.relayFailures,
 		"directory_relay_searches":      &n.counters.relaySearches,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"cactuspath/internal/front"
 	"cactuspath/internal/hop"
 	"cactuspath/internal/proxy"
+	"cactuspath/internal/quarantine"
 	"cactuspath/internal/transport"
 )
 
@@ -69,9 +70,11 @@
 	relay    *relay
 	peers    *peerClients
 	reports  *reports
-	watcher  *watcher
-	front    *front.Server
-	callers  *inFlight
+	// quarantine keeps requests under which servers keep ending away from servers.
+	quarantine *quarantine.Keeper
+	watcher    *watcher
+	front      *front.Server
+	callers    *inFlight
 
 	mu      sync.Mutex
 	records *rollout.Records
@@ -108,12 +111,13 @@
 	n.incarnation.Store(uint64(time.Now().UnixMilli()))
 	n.peers = newPeerClients(options.Security)
 	n.reports = newReports(n)
+	n.quarantine = quarantine.New(quarantine.Options{Host: options.Host, Send: n.reports.sendNews, Counters: &n.counters.quarantine})
 	n.relay = newRelay(n)
 	n.member = newMember(n)
 	n.watcher = newWatcher(n)
 	n.proxy = proxy.New(proxy.Options{
 		Host: options.Host, DataCenter: options.DataCenter, Security: options.Security, Local: n, Need: n.need, Heard: n.heard, Revision: n.Revision, Revoke: n.revoke, Counters: n.calls,
-		Dialect: options.Dialect, CallerService: n.service, Shared: options.Retry, Alive: n.alive,
+		Dialect: options.Dialect, CallerService: n.service, Shared: options.Retry, Alive: n.alive, Quarantine: n.quarantine,
 	})
 	n.disabled = options.Disabled
 	n.proxy.Disable(options.Disabled)
@@ -142,7 +146,7 @@
 	defer cancel()
 	servers := n.serve()
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){n.member.run, n.relay.run, n.reports.run, n.watchServer, n.watcher.run, n.watcher.announce, n.findServer} {
+	for _, loop := range []func(context.Context){n.member.run, n.relay.run, n.reports.run, n.quarantine.Run, n.watchServer, n.watcher.run, n.watcher.announce, n.findServer} {
 		loops.Go(func() { loop(background) })
 	}
 	klog.InfoS("Node started", "host", n.options.Host, "callers", n.options.Callers.Addr(), "peer", n.options.PeerAddress, "admin", n.options.Admin.Addr(),
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -10,6 +10,7 @@
 
 	apiv1 "cactuspath/api/cactuspath/v1"
 	"cactuspath/core/gate"
+	"cactuspath/internal/quarantine"
 )
 
 // maxDatagram is the largest report accepted, in bytes.
@@ -20,12 +21,14 @@
 	perMille = 1000
 )
 
-// reports carries load reports between gates, one datagram each. A lost one is
-// made up for by the next. Safe for concurrent use.
+// reports carries load reports between gates, one datagram each, and what nodes tell each
+// other of servers that ended. A lost one is made up for by the next. Safe for concurrent
+// use.
 type reports struct {
 	n *Node
 
-	mu        sync.RWMutex
+	mu sync.RWMutex
+	// addresses are those of the nodes that are known, by host.
 	addresses map[string]*net.UDPAddr
 }
 
@@ -33,23 +36,41 @@
 	return &reports{n: n, addresses: map[string]*net.UDPAddr{}}
 }
 
-// setAddresses tells where the service's other gates are.
-func (r *reports) setAddresses(entries []*apiv1.Entry) {
-	addresses := make(map[string]*net.UDPAddr, len(entries))
-	for _, e := range entries {
-		if a, err := net.ResolveUDPAddr("udp", e.PeerAddress); err == nil {
+// setNodes tells where the other nodes are, and returns their hosts.
+func (r *reports) setNodes(byService map[string][]*apiv1.Entry) (hosts []string) {
+	addresses := map[string]*net.UDPAddr{}
+	for _, entries := range byService {
+		for _, e := range entries {
+			a, err := net.ResolveUDPAddr("udp", e.PeerAddress)
+			if err != nil || e.Host == r.n.options.Host {
+				continue
+			}
 			addresses[e.Host] = a
+			hosts = append(hosts, e.Host)
 		}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.addresses = addresses
+	return hosts
 }
 
-func (r *reports) send(host string, report gate.Report) {
+func (r *reports) addressOf(host string) *net.UDPAddr {
 	r.mu.RLock()
-	address := r.addresses[host]
-	r.mu.RUnlock()
+	defer r.mu.RUnlock()
+	return r.addresses[host]
+}
+
+// sendNews posts what the node tells another one of servers that ended.
+func (r *reports) sendNews(host string, datagram []byte) {
+	if address := r.addressOf(host); address != nil {
+		// One that is lost is made up for by a later comparison.
+		_, _ = r.n.options.Reports.WriteTo(datagram, address)
+	}
+}
+
+func (r *reports) send(host string, report gate.Report) {
+	address := r.addressOf(host)
 	if address == nil {
 		return
 	}
@@ -74,6 +95,10 @@
 		if err != nil {
 			return
 		}
+		if size > 0 && buffer[0] == quarantine.Mark {
+			r.n.quarantine.Receive(buffer[:size])
+			continue
+		}
 		m := &apiv1.GateReport{}
 		if proto.Unmarshal(buffer[:size], m) != nil {
 			r.n.counters.reportsMalformed.Add(1)
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -57,7 +57,7 @@
 		config = n.gateConfig(spec, slots, 1)
 	}
 	e := endpoint.New(endpoint.Options{
-		Host: n.options.Host, Incarnation: n.incarnation.Load, Send: n.reports.send, Revision: n.Revision, Heard: n.heard, Counters: n.gates, Dialect: n.options.Dialect,
+		Host: n.options.Host, Incarnation: n.incarnation.Load, Send: n.reports.send, Revision: n.Revision, Heard: n.heard, Counters: n.gates, Dialect: n.options.Dialect, Quarantine: n.quarantine,
 	}, config)
 	if n.served {
 		e.SetSuccessor()
@@ -184,6 +184,7 @@
 		n.front.SetLimits(frontLimits(limits))
 	}
 	n.proxy.Update(n.candidates(byService))
+	n.quarantine.SetPeers(n.reports.setNodes(byService))
 	if s != nil {
 		n.applyGate(s, byService[s.service])
 	}
@@ -242,7 +243,6 @@
 	s.endpoint.Configure(config)
 	s.endpoint.SetHealthPath(spec.HealthPath)
 	s.endpoint.SetSiblings(n.siblings(entries))
-	n.reports.setAddresses(entries)
 }
 
 // siblings lists the service's other gates.
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -99,6 +99,10 @@
 	c.tried = c.triedBuf[:0]
 	to := c.s.pick(c.h.now(), c.tried)
 	for {
+		if left := c.h.options.Quarantine.Barred(c.content); left > 0 {
+			c.keepAway(to, left)
+			return
+		}
 		if to == nil {
 			c.giveUp(c.rules.GiveUp())
 			return
@@ -341,6 +345,9 @@
 	case action == retry.GiveUpUnknown:
 		f.Fault = fault.OutcomeUnknown
 		f.Message = "the request was sent and its answer was lost: it may have run; find out at the service before you repeat it, unless it is idempotent"
+	case c.last.Verdict == hop.Refused && c.last.Reason == gate.Quarantined:
+		f.Fault = fault.Quarantined
+		f.Message = "backend servers have ended again and again while they ran requests like this one, so it was not run; look in the nodes' logs for \"Backend server ended\", and mend what crashes before it is sent again"
 	case c.attempts == 0:
 		f.Fault, retryAfter = fault.NoEndpoint, noEndpointRetryAfter
 		f.Message = "no endpoint of service " + c.s.name + " is known here; check that its backend servers announce themselves (`cactusctl status`)"
@@ -354,7 +361,7 @@
 		f.Fault = fault.NotRun
 		f.Message = "no endpoint of service " + c.s.name + " took the request and it was not run; come back after the time given"
 	}
-	logs.Decision(true, "Given up", "request", c.requestID(), "service", c.s.name, "route", c.routeName(), "fault", f.Fault, "reason", f.Reason, "attempts", c.attempts,
+	logs.Decision(true, "Given up", "request", c.requestID(), "service", c.s.name, "route", c.routeName(), "fault", f.Fault, "reason", f.Reason, "content", c.content.Exact.String(), "alike", c.content.Alike.String(), "attempts", c.attempts,
 		"tried", c.tried, "took", time.Since(c.arrived), "left", time.Until(c.deadline), "retryAfter", retryAfter, "endpoints", c.s.endpoints(), "revision", c.h.options.Revision())
 	c.h.fail(c.w, c.r, f, retryAfter)
 }
--- a/internal/proxy/ends.go
+++ b/internal/proxy/ends.go
@@ -31,6 +31,16 @@
 	return r
 }
 
+// keepAway ends a call whose content is kept away from servers, as its gate would.
+func (c *call) keepAway(to *picked, left time.Duration) {
+	if to != nil {
+		c.s.done(c.h.now(), to, true)
+	}
+	c.h.options.Quarantine.Refused()
+	c.last, c.reached, c.retryAfter = hop.Reply{Verdict: hop.Refused, Reason: gate.Quarantined}, true, left
+	c.giveUp(c.rules.GiveUp())
+}
+
 // endOf tells what a reply without an answer means.
 func (c *call) endOf(a attempt, reply hop.Reply) retry.Ended {
 	switch reply.Verdict {
--- a/internal/proxy/fault.go
+++ b/internal/proxy/fault.go
@@ -36,6 +36,7 @@
 	fault.OutcomeUnknown: http.StatusBadGateway,
 	fault.NoSuchService:  http.StatusNotFound,
 	fault.DeadlinePassed: http.StatusServiceUnavailable,
+	fault.Quarantined:    http.StatusServiceUnavailable,
 	fault.Malformed:      http.StatusBadRequest,
 	fault.TooLarge:       http.StatusRequestEntityTooLarge,
 }
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -14,9 +14,10 @@
 	"cactuspath/core/balancer"
 	"cactuspath/core/gate"
 	"cactuspath/core/mechanism"
-	"cactuspath/core/quarantine"
+	content "cactuspath/core/quarantine"
 	"cactuspath/internal/endpoint"
 	"cactuspath/internal/hop"
+	"cactuspath/internal/quarantine"
 	"cactuspath/internal/transport"
 
 	apiv1 "cactuspath/api/cactuspath/v1"
@@ -50,6 +51,8 @@
 	Heard func(revision uint64)
 	// Revision is the newest configuration this node holds.
 	Revision func() uint64
+	// Quarantine knows which requests are kept away from servers; nil to keep none away.
+	Quarantine *quarantine.Keeper
 	// Revoke asks a node what became of an attempt.
 	Revoke   func(ctx context.Context, peerAddress string, incarnation uint64, id gate.AttemptID, sentAgo time.Duration) gate.RevokeAnswer
 	Counters *Counters
@@ -272,7 +275,7 @@
 	}
 	c := &call{h: h, w: w, r: r, s: s, rules: rules, out: out, arrived: arrived, deadline: arrived.Add(timeout - deliveryTime(timeout)), caller: h.callerOf(r), route: route, asksFirst: asksFirst}
 	if out.Stream == nil {
-		c.content = quarantine.ContentOf(quarantine.Target{Method: out.Method, Host: out.Host, URI: out.URI, Caller: h.callerService()}, quarantine.SumOf(out.Buffered))
+		c.content = content.ContentOf(content.Target{Method: out.Method, Host: out.Host, URI: out.URI, Caller: h.callerService()}, content.SumOf(out.Buffered))
 	}
 	c.id = [2]uint64{h.seed, h.request.Add(1)}
 	c.run()
--- /dev/null
+++ b/internal/quarantine/wire.go
@@ -0,0 +1,91 @@
+package quarantine
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	apiv1 "cactuspath/api/cactuspath/v1"
+	"cactuspath/core/quarantine"
+)
+
+// Mark is the first byte of a datagram for a Keeper. No load report, which comes on the
+// same socket, begins with it.
+const Mark = 0
+
+var errDatagram = errors.New("malformed datagram of servers that ended; both nodes must run the same release")
+
+// oldest bounds the ages that are believed: nothing is remembered for as long.
+const oldest = 24 * time.Hour
+
+func age(ms uint64) (time.Duration, error) {
+	if ms > uint64(oldest.Milliseconds()) {
+		return 0, errDatagram
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+// encode renders a message as a datagram.
+func encode(from string, m quarantine.Message) []byte {
+	news := &apiv1.QuarantineNews{From: from, Digest: m.Digest, Compare: m.Compare, Asked: m.Asked}
+	for _, e := range m.Ends {
+		out := &apiv1.ServerEnd{Id: uint64(e.ID), AgeMs: uint64(e.Age.Milliseconds())}
+		for _, c := range e.Contents {
+			out.Exact = append(out.Exact, uint64(c.Exact))
+			out.Alike = append(out.Alike, uint64(c.Alike))
+		}
+		for _, p := range e.Paths {
+			out.Paths = append(out.Paths, uint64(p))
+		}
+		news.Ends = append(news.Ends, out)
+	}
+	for _, c := range m.Completions {
+		news.Completions = append(news.Completions, &apiv1.ContentCompletion{Key: uint64(c.Key), AgeMs: uint64(c.Age.Milliseconds())})
+	}
+	if m.Marks != nil {
+		news.Marks = &apiv1.QuarantineMarks{First: m.Marks.First, Last: m.Marks.Last, List: m.Marks.List}
+	}
+	// The message holds nothing that cannot be rendered.
+	data, err := proto.MarshalOptions{}.MarshalAppend([]byte{Mark}, news)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// decode reads a datagram.
+func decode(datagram []byte) (from string, m quarantine.Message, err error) {
+	news := &apiv1.QuarantineNews{}
+	if len(datagram) == 0 || datagram[0] != Mark || proto.Unmarshal(datagram[1:], news) != nil {
+		return "", m, errDatagram
+	}
+	m = quarantine.Message{Digest: news.Digest, Compare: news.Compare, Asked: news.Asked}
+	for _, e := range news.Ends {
+		if len(e.Exact) != len(e.Alike) {
+			return "", m, errDatagram
+		}
+		end := quarantine.End{ID: quarantine.EndID(e.Id)}
+		if end.Age, err = age(e.AgeMs); err != nil {
+			return "", m, err
+		}
+		for i := range e.Exact {
+			end.Contents = append(end.Contents, quarantine.Content{Exact: quarantine.Key(e.Exact[i]), Alike: quarantine.Key(e.Alike[i])})
+		}
+		for _, p := range e.Paths {
+			end.Paths = append(end.Paths, quarantine.Key(p))
+		}
+		m.Ends = append(m.Ends, end)
+	}
+	for _, c := range news.Completions {
+		completion := quarantine.Completion{Key: quarantine.Key(c.Key)}
+		if completion.Age, err = age(c.AgeMs); err != nil {
+			return "", m, err
+		}
+		m.Completions = append(m.Completions, completion)
+	}
+	if news.Marks != nil {
+		m.Marks = &quarantine.Marks{First: news.Marks.First, Last: news.Marks.Last, List: news.Marks.List}
+	}
+	return news.From, m, nil
+}
