--- a/internal/e2e/crash_test.go
+++ b/internal/e2e/crash_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -318,3 +319,72 @@
 	}
 	return []fatal{other, {method: http.MethodGet, path: popularPath}}
 }
+
+// A request has ended three servers and is kept away. Then all nodes lose power at one
+// moment, and the control replica with them or not; no node is left that remembers. The
+// caller goes on sending the request, and it ends servers anew as soon as they are back.
+func TestRequestIsKeptAwayAfterAllNodesEnded(t *testing.T) {
+	for _, c := range []struct {
+		desc    string
+		control bool
+	}{
+		{"the nodes alone", false},
+		{"the nodes and control", true},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			s := newCrashSite(t, 6)
+			f := fatal{method: http.MethodGet, path: "/read/fatal"}
+			s.mu.Lock()
+			s.fatal = f
+			s.mu.Unlock()
+			eventually(t, "the request is kept away everywhere", func() bool {
+				for _, n := range s.nodes {
+					s.send(n, f)
+				}
+				return s.keptAwayAt(t) == len(s.nodes)
+			})
+			ended := s.nodes
+			procs := make([]*proc, 0, len(ended)+1)
+			for _, n := range ended {
+				procs = append(procs, n.proc)
+			}
+			if c.control {
+				procs = append(procs, s.replicas[0])
+			}
+			for _, p := range procs {
+				p.signal(syscall.SIGKILL)
+			}
+			for _, p := range procs {
+				<-p.done
+				p.start(t)
+			}
+			for _, n := range s.nodes {
+				eventually(t, n.host+" serves again", func() bool { return s.send(n, fatal{method: http.MethodGet, path: popularPath}) == http.StatusOK })
+			}
+			time.Sleep(contact)
+			s.mu.Lock()
+			before := len(s.arrivals)
+			s.mu.Unlock()
+			for range 20 {
+				for _, n := range s.nodes {
+					s.send(n, f)
+				}
+			}
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			assert.Assert(t, len(s.arrivals)-before <= mostLater, "the request came to servers %d times more", len(s.arrivals)-before)
+		})
+	}
+}
+
+// keptAwayAt counts the nodes that keep a request away.
+func (s *crashSite) keptAwayAt(t *testing.T) int {
+	t.Helper()
+	count := 0
+	for _, n := range s.nodes {
+		if number(n.vars(t), "quarantine_contents") > 0 {
+			count++
+		}
+	}
+	return count
+}
