Control replicas remember which requests are kept away, and store it

Callers saw a request that was kept away come to servers six more times after all nodes had lost power at once: what the nodes knew was in their memory alone.

A node that reaches control but no other node hears of the others that way too, so that whoever is in touch with control knows.

Found on the way: a store that took the ledger's state at its start for stored never wrote what was learned before; what is stored counts from the load.

With it: comparisons slow down to one a second while nothing changes; the gossip's mutation is held by a test.

--- a/api/cactuspath/v1/apiv1connect/directory.connect.go
+++ b/api/cactuspath/v1/apiv1connect/directory.connect.go
@@ -50,6 +50,9 @@
 	ControlServiceAnnounceProcedure = "/cactuspath.v1.ControlService/Announce"
 	// ControlServiceWatchProcedure is the fully-qualified name of the ControlService's Watch RPC.
 	ControlServiceWatchProcedure = "/cactuspath.v1.ControlService/Watch"
+	// ControlServiceQuarantineProcedure is the fully-qualified name of the ControlService's Quarantine
+	// RPC.
+	ControlServiceQuarantineProcedure = "/cactuspath.v1.ControlService/Quarantine"
 	// ControlServiceFindRelaysProcedure is the fully-qualified name of the ControlService's FindRelays
 	// RPC.
 	ControlServiceFindRelaysProcedure = "/cactuspath.v1.ControlService/FindRelays"
@@ -211,6 +214,8 @@
 	// Announce tells a replica of a node that started or changed.
 	Announce(context.Context, *connect.Request[v1.AnnounceRequest]) (*connect.Response[v1.AnnounceResponse], error)
 	Watch(context.Context, *connect.Request[v1.WatchRequest]) (*connect.Response[v1.WatchResponse], error)
+	// Quarantine exchanges what a node and a replica know of backend servers that ended.
+	Quarantine(context.Context, *connect.Request[v1.QuarantineExchange]) (*connect.Response[v1.QuarantineExchange], error)
 	FindRelays(context.Context, *connect.Request[v1.FindRelaysRequest]) (*connect.Response[v1.FindRelaysResponse], error)
 	RelaySync(context.Context, *connect.Request[v1.RelaySyncRequest]) (*connect.Response[v1.RelaySyncResponse], error)
 }
@@ -238,6 +243,12 @@
 			connect.WithSchema(controlServiceMethods.ByName("Watch")),
 			connect.WithClientOptions(opts...),
 		),
+		quarantine: connect.NewClient[v1.QuarantineExchange, v1.QuarantineExchange](
+			httpClient,
+			baseURL+ControlServiceQuarantineProcedure,
+			connect.WithSchema(controlServiceMethods.ByName("Quarantine")),
+			connect.WithClientOptions(opts...),
+		),
 		findRelays: connect.NewClient[v1.FindRelaysRequest, v1.FindRelaysResponse](
 			httpClient,
 			baseURL+ControlServiceFindRelaysProcedure,
@@ -257,6 +268,7 @@
 type controlServiceClient struct {
 	announce   *connect.Client[v1.AnnounceRequest, v1.AnnounceResponse]
 	watch      *connect.Client[v1.WatchRequest, v1.WatchResponse]
+	quarantine *connect.Client[v1.QuarantineExchange, v1.QuarantineExchange]
 	findRelays *connect.Client[v1.FindRelaysRequest, v1.FindRelaysResponse]
 	relaySync  *connect.Client[v1.RelaySyncRequest, v1.RelaySyncResponse]
 }
@@ -271,6 +283,11 @@
 	return c.watch.CallUnary(ctx, req)
 }
 
+// Quarantine calls cactuspath.v1.ControlService.Quarantine.
+func (c *controlServiceClient) Quarantine(ctx context.Context, req *connect.Request[v1.QuarantineExchange]) (*connect.Response[v1.QuarantineExchange], error) {
+	return c.quarantine.CallUnary(ctx, req)
+}
+
 // FindRelays calls cactuspath.v1.ControlService.FindRelays.
 func (c *controlServiceClient) FindRelays(ctx context.Context, req *connect.Request[v1.FindRelaysRequest]) (*connect.Response[v1.FindRelaysResponse], error) {
 	return c.findRelays.CallUnary(ctx, req)
@@ -286,6 +303,8 @@
 	// Announce tells a replica of a node that started or changed.
 	Announce(context.Context, *connect.Request[v1.AnnounceRequest]) (*connect.Response[v1.AnnounceResponse], error)
 	Watch(context.Context, *connect.Request[v1.WatchRequest]) (*connect.Response[v1.WatchResponse], error)
+	// Quarantine exchanges what a node and a replica know of backend servers that ended.
+	Quarantine(context.Context, *connect.Request[v1.QuarantineExchange]) (*connect.Response[v1.QuarantineExchange], error)
 	FindRelays(context.Context, *connect.Request[v1.FindRelaysRequest]) (*connect.Response[v1.FindRelaysResponse], error)
 	RelaySync(context.Context, *connect.Request[v1.RelaySyncRequest]) (*connect.Response[v1.RelaySyncResponse], error)
 }
@@ -309,6 +328,12 @@
 		connect.WithSchema(controlServiceMethods.ByName("Watch")),
 		connect.WithHandlerOptions(opts...),
 	)
+	controlServiceQuarantineHandler := connect.NewUnaryHandler(
+		ControlServiceQuarantineProcedure,
+		svc.Quarantine,
+		connect.WithSchema(controlServiceMethods.ByName("Quarantine")),
+		connect.WithHandlerOptions(opts...),
+	)
 	controlServiceFindRelaysHandler := connect.NewUnaryHandler(
 		ControlServiceFindRelaysProcedure,
 		svc.FindRelays,
@@ -327,6 +352,8 @@
 			controlServiceAnnounceHandler.ServeHTTP(w, r)
 		case ControlServiceWatchProcedure:
 			controlServiceWatchHandler.ServeHTTP(w, r)
+		case ControlServiceQuarantineProcedure:
+			controlServiceQuarantineHandler.ServeHTTP(w, r)
 		case ControlServiceFindRelaysProcedure:
 			controlServiceFindRelaysHandler.ServeHTTP(w, r)
 		case ControlServiceRelaySyncProcedure:
@@ -348,6 +375,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cactuspath.v1.ControlService.Watch is not implemented"))
 }
 
+func (UnimplementedControlServiceHandler) Quarantine(context.Context, *connect.Request[v1.QuarantineExchange]) (*connect.Response[v1.QuarantineExchange], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cactuspath.v1.ControlService.Quarantine is not implemented"))
+}
+
 func (UnimplementedControlServiceHandler) FindRelays(context.Context, *connect.Request[v1.FindRelaysRequest]) (*connect.Response[v1.FindRelaysResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cactuspath.v1.ControlService.FindRelays is not implemented"))
 }
--- a/core/quarantine/gossip.go
+++ b/core/quarantine/gossip.go
@@ -24,11 +24,15 @@
 	// another end. Most ends are of that kind, nothing follows from them yet, and many may
 	// come at once.
 	fewer = 2
-	// CompareEvery is how often a node compares with another one while there is something
-	// to tell, or while it has just started and may have missed it. With a third of all
-	// datagrams lost, one node in 500 is then two seconds behind.
+	// CompareEvery is how often a node compares with another one while what it holds
+	// changes, or while it has just started and may have missed something. With a third of
+	// all datagrams lost, one node in 500 is then two seconds behind.
 	CompareEvery = 250 * time.Millisecond
-	// quietEvery is how often it does otherwise.
+	// changeFor is how long after a change that goes on.
+	changeFor = 5 * time.Second
+	// CalmEvery is how often a node compares otherwise, so that one that was cut off soon
+	// hears what it missed, and quietEvery where there is nothing to tell.
+	CalmEvery  = time.Second
 	quietEvery = 2 * time.Second
 	// startFor is how long a node counts as just started.
 	startFor = 10 * time.Second
@@ -81,18 +85,22 @@
 	peers  []string
 	budget *measure.Budget
 	start  time.Duration
-	// compared is when this node last compared.
-	compared time.Duration
+	// compared is when this node last compared, changed when what it holds last did.
+	compared, changed time.Duration
+	digest            uint64
 }
 
 // NewGossip returns an empty ledger with its part in telling others.
 func NewGossip(random *rand.Rand, now time.Duration) *Gossip {
-	return &Gossip{Ledger: NewLedger(), random: random, budget: measure.NewBudget(messagesPerSecond, bytesPerSecond), start: now, compared: now - quietEvery}
+	return &Gossip{Ledger: NewLedger(), random: random, budget: measure.NewBudget(messagesPerSecond, bytesPerSecond), start: now, compared: now - quietEvery, changed: now - changeFor}
 }
 
 // SetPeers names the hosts of all other nodes that are known.
 func (g *Gossip) SetPeers(hosts []string) { g.peers = hosts }
 
+// Peers is how many other nodes are known.
+func (g *Gossip) Peers() int { return len(g.peers) }
+
 // Spread tells some others what was found out here.
 func (g *Gossip) Spread(now time.Duration, news News) []Parcel { return g.spread(now, news, "") }
 
@@ -149,15 +157,36 @@
 // Tick is called every CompareEvery.
 func (g *Gossip) Tick(now time.Duration) []Parcel {
 	g.Ledger.Tick(now)
-	quiet := g.Ledger.Digest() == 0 && now-g.start >= startFor
-	if len(g.peers) == 0 || quiet && now-g.compared < quietEvery {
+	if digest := g.Ledger.Digest(); digest != g.digest {
+		g.digest, g.changed = digest, now
+	}
+	if len(g.peers) == 0 || now-g.compared < g.spacing(now) {
 		return nil
 	}
 	g.compared = now
 	peer := g.peers[g.random.IntN(len(g.peers))]
-	return g.send(now, []Parcel{{To: peer, Message: Message{Digest: g.Ledger.Digest(), Compare: true}}})
+	return g.send(now, []Parcel{{To: peer, Message: g.Compare()}})
 }
 
+// Compare is a message that asks for what the receiver holds and this node does not.
+func (g *Gossip) Compare() Message { return Message{Digest: g.Ledger.Digest(), Compare: true} }
+
+// spacing is the time between two comparisons.
+func (g *Gossip) spacing(now time.Duration) time.Duration {
+	switch {
+	case now-g.start < startFor:
+		return CompareEvery
+	case g.digest == 0:
+		return quietEvery
+	case now-g.changed < changeFor:
+		return CompareEvery
+	}
+	return CalmEvery
+}
+
+// Restless tells whether the node has something to tell, or may have missed something.
+func (g *Gossip) Restless(now time.Duration) bool { return g.spacing(now) != quietEvery }
+
 // spread tells news to some others, not to the one that told it.
 func (g *Gossip) spread(now time.Duration, news News, from string) []Parcel {
 	if news.Empty() {
--- a/core/quarantine/gossip_test.go
+++ b/core/quarantine/gossip_test.go
@@ -250,6 +250,21 @@
 	assert.DeepEqual(t, f.unaware(fatal), []string(nil))
 }
 
+// A node that was away for a while sees its server end three times under what is
+// answered all the time elsewhere. Those who know that put it right.
+func TestSuspicionWithoutNeedIsPutRight(t *testing.T) {
+	popular := get("/popular")
+	f := newFleet(2, 0)
+	f.nodes["h0"].Ledger.Learn(0, News{Completions: []Completion{{Key: popular.Exact}, {Key: popular.Alike}}})
+	for range endsToBar {
+		f.ends("h1", popular)
+	}
+	assert.DeepEqual(t, f.unaware(popular), []string{"h0"})
+	f.run(time.Second)
+	assert.DeepEqual(t, f.unaware(popular), []string{"h0", "h1"})
+	assert.Equal(t, f.nodes["h0"].Ledger.Digest(), f.nodes["h1"].Ledger.Digest())
+}
+
 // Messages are cut to fit a datagram, and nothing of them is lost by that.
 func TestNewsIsCutToFit(t *testing.T) {
 	var news News
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -146,7 +146,7 @@
 	defer cancel()
 	servers := n.serve()
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){n.member.run, n.relay.run, n.reports.run, n.quarantine.Run, n.watchServer, n.watcher.run, n.watcher.announce, n.findServer} {
+	for _, loop := range []func(context.Context){n.member.run, n.relay.run, n.reports.run, n.quarantine.Run, n.tellControl, n.watchServer, n.watcher.run, n.watcher.announce, n.findServer} {
 		loops.Go(func() { loop(background) })
 	}
 	klog.InfoS("Node started", "host", n.options.Host, "callers", n.options.Callers.Addr(), "peer", n.options.PeerAddress, "admin", n.options.Admin.Addr(),
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	apiv1 "cactuspath/api/cactuspath/v1"
+	"cactuspath/internal/quarantine"
 )
 
 const (
@@ -245,6 +246,24 @@
 	}
 }
 
+// tellControl exchanges with control replicas what is known of servers that ended.
+func (n *Node) tellControl(ctx context.Context) {
+	n.quarantine.Converse(ctx, func() quarantine.Ask {
+		addresses := n.watcher.addresses()
+		if len(addresses) == 0 {
+			return nil
+		}
+		replica := n.options.Control.At(addresses[rand.IntN(len(addresses))])
+		return func(ctx context.Context, messages []*apiv1.QuarantineNews) ([]*apiv1.QuarantineNews, error) {
+			resp, err := replica.Control.Quarantine(ctx, connect.NewRequest(&apiv1.QuarantineExchange{Messages: messages}))
+			if err != nil {
+				return nil, err
+			}
+			return resp.Msg.Messages, nil
+		}
+	})
+}
+
 func (w *watcher) learn(replicas []string) {
 	if len(replicas) == 0 {
 		return
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -28,7 +28,8 @@
 type Options struct {
 	// Host is this node's.
 	Host string
-	// Send posts a datagram to the node of another host. It may get lost.
+	// Send posts a datagram to the node of another host. It may get lost. A keeper that
+	// is told of no other nodes sends nothing.
 	Send     func(host string, datagram []byte)
 	Counters *Counters
 }
@@ -44,6 +45,10 @@
 
 	mu     sync.Mutex
 	gossip *quarantine.Gossip
+	// stored is the digest of what the disk holds. Load and then Store use it.
+	stored uint64
+	// ended asks for an exchange with a control replica at once.
+	ended chan struct{}
 	// told are the contents of which the log has said that they are kept away.
 	told map[quarantine.Key]bool
 }
@@ -51,7 +56,7 @@
 // New returns a keeper that has heard nothing yet.
 func New(options Options) *Keeper {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return &Keeper{options: options, start: time.Now(), gossip: quarantine.NewGossip(random, 0), told: map[quarantine.Key]bool{}}
+	return &Keeper{options: options, start: time.Now(), gossip: quarantine.NewGossip(random, 0), told: map[quarantine.Key]bool{}, ended: make(chan struct{}, 1)}
 }
 
 func (k *Keeper) now() time.Duration { return time.Since(k.start) }
@@ -131,6 +136,10 @@
 	k.with(func(now time.Duration) []quarantine.Parcel {
 		return k.gossip.Spread(now, k.gossip.Ledger.Ended(now, e))
 	})
+	select {
+	case k.ended <- struct{}{}:
+	default:
+	}
 }
 
 // Completed takes in that a request was answered in whole by the backend server beside
--- a/internal/quarantine/wire.go
+++ b/internal/quarantine/wire.go
@@ -14,7 +14,7 @@
 // same socket, begins with it.
 const Mark = 0
 
-var errDatagram = errors.New("malformed datagram of servers that ended; both nodes must run the same release")
+var errDatagram = errors.New("malformed message of servers that ended; both nodes must run the same release")
 
 // oldest bounds the ages that are believed: nothing is remembered for as long.
 const oldest = 24 * time.Hour
@@ -28,6 +28,24 @@
 
 // encode renders a message as a datagram.
 func encode(from string, m quarantine.Message) []byte {
+	// The message holds nothing that cannot be rendered.
+	data, err := proto.MarshalOptions{}.MarshalAppend([]byte{Mark}, toWire(from, m))
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// decode reads a datagram.
+func decode(datagram []byte) (from string, m quarantine.Message, err error) {
+	news := &apiv1.QuarantineNews{}
+	if len(datagram) == 0 || datagram[0] != Mark || proto.Unmarshal(datagram[1:], news) != nil {
+		return "", m, errDatagram
+	}
+	return fromWire(news)
+}
+
+func toWire(from string, m quarantine.Message) *apiv1.QuarantineNews {
 	news := &apiv1.QuarantineNews{From: from, Digest: m.Digest, Compare: m.Compare, Asked: m.Asked}
 	for _, e := range m.Ends {
 		out := &apiv1.ServerEnd{Id: uint64(e.ID), AgeMs: uint64(e.Age.Milliseconds())}
@@ -46,22 +64,12 @@
 	if m.Marks != nil {
 		news.Marks = &apiv1.QuarantineMarks{First: m.Marks.First, Last: m.Marks.Last, List: m.Marks.List}
 	}
-	// The message holds nothing that cannot be rendered.
-	data, err := proto.MarshalOptions{}.MarshalAppend([]byte{Mark}, news)
-	if err != nil {
-		panic(err)
-	}
-	return data
+	return news
 }
 
-// decode reads a datagram.
-func decode(datagram []byte) (from string, m quarantine.Message, err error) {
-	news := &apiv1.QuarantineNews{}
-	if len(datagram) == 0 || datagram[0] != Mark || proto.Unmarshal(datagram[1:], news) != nil {
-		return "", m, errDatagram
-	}
-	m = quarantine.Message{Digest: news.Digest, Compare: news.Compare, Asked: news.Asked}
-	for _, e := range news.Ends {
+func fromWire(news *apiv1.QuarantineNews) (from string, m quarantine.Message, err error) {
+	m = quarantine.Message{Digest: news.GetDigest(), Compare: news.GetCompare(), Asked: news.GetAsked()}
+	for _, e := range news.GetEnds() {
 		if len(e.Exact) != len(e.Alike) {
 			return "", m, errDatagram
 		}
@@ -77,15 +85,15 @@
 		}
 		m.Ends = append(m.Ends, end)
 	}
-	for _, c := range news.Completions {
+	for _, c := range news.GetCompletions() {
 		completion := quarantine.Completion{Key: quarantine.Key(c.Key)}
 		if completion.Age, err = age(c.AgeMs); err != nil {
 			return "", m, err
 		}
 		m.Completions = append(m.Completions, completion)
 	}
-	if news.Marks != nil {
+	if news.GetMarks() != nil {
 		m.Marks = &quarantine.Marks{First: news.Marks.First, Last: news.Marks.Last, List: news.Marks.List}
 	}
-	return news.From, m, nil
+	return news.GetFrom(), m, nil
 }
--- a/internal/replica/counters.go
+++ b/internal/replica/counters.go
@@ -3,6 +3,7 @@
 import (
 	"expvar"
 
+	"cactuspath/internal/quarantine"
 	"cactuspath/internal/transport"
 )
 
@@ -12,6 +13,7 @@
 	syncs, compactions, diskFailures              expvar.Int
 	changes                                       expvar.Map
 	relaySyncs, findRelays, watches               expvar.Int
+	quarantine                                    quarantine.Counters
 	traffic                                       transport.Traffic
 }
 
@@ -21,21 +23,22 @@
 func (r *Replica) Vars() map[string]expvar.Var {
 	gauge := func(f func() any) expvar.Var { return expvar.Func(f) }
 	return map[string]expvar.Var{
-		"control_messages_sent":    &r.counters.messagesSent,
-		"control_messages_dropped": &r.counters.messagesDropped,
-		"control_messages_failed":  &r.counters.messagesFailed,
-		"control_syncs":            &r.counters.syncs,
-		"control_compactions":      &r.counters.compactions,
-		"control_disk_failures":    &r.counters.diskFailures,
-		"control_changes":          &r.counters.changes,
-		"control_relay_syncs":      &r.counters.relaySyncs,
-		"control_find_relays":      &r.counters.findRelays,
-		"control_watches":          &r.counters.watches,
-		"control_peer_bytes_in":    &r.counters.traffic.In,
-		"control_peer_bytes_out":   &r.counters.traffic.Out,
-		"control_revision":         gauge(func() any { return r.Revision() }),
-		"control_role":             gauge(func() any { return r.Status().Role.String() }),
-		"control_term":             gauge(func() any { return r.Status().Term }),
-		"control_commit":           gauge(func() any { return r.Status().Commit }),
+		"control_messages_sent":       &r.counters.messagesSent,
+		"control_messages_dropped":    &r.counters.messagesDropped,
+		"control_messages_failed":     &r.counters.messagesFailed,
+		"control_syncs":               &r.counters.syncs,
+		"control_compactions":         &r.counters.compactions,
+		"control_disk_failures":       &r.counters.diskFailures,
+		"control_changes":             &r.counters.changes,
+		"control_relay_syncs":         &r.counters.relaySyncs,
+		"control_find_relays":         &r.counters.findRelays,
+		"control_watches":             &r.counters.watches,
+		"control_peer_bytes_in":       &r.counters.traffic.In,
+		"control_peer_bytes_out":      &r.counters.traffic.Out,
+		"control_quarantine_contents": gauge(func() any { return r.quarantine.Contents() }),
+		"control_revision":            gauge(func() any { return r.Revision() }),
+		"control_role":                gauge(func() any { return r.Status().Role.String() }),
+		"control_term":                gauge(func() any { return r.Status().Term }),
+		"control_commit":              gauge(func() any { return r.Status().Commit }),
 	}
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -16,6 +16,7 @@
 	apiv1 "cactuspath/api/cactuspath/v1"
 	"cactuspath/core/consensus"
 	"cactuspath/core/estate"
+	"cactuspath/internal/quarantine"
 	"cactuspath/internal/transport"
 	"cactuspath/internal/wal"
 )
@@ -78,6 +79,8 @@
 	joinState joinReporter
 	watchers  watchers
 	presence  *presence
+	// quarantine remembers for the nodes what they know of servers that ended.
+	quarantine *quarantine.Keeper
 }
 
 type waiter struct {
@@ -109,6 +112,10 @@
 			return nil, err
 		}
 	}
+	r.quarantine = quarantine.New(quarantine.Options{Host: options.Name, Counters: &r.counters.quarantine})
+	if err := r.quarantine.Load(options.DataFolder); err != nil {
+		klog.ErrorS(err, "What was stored of servers that ended is not used", "replica", options.Name)
+	}
 	seed := rand.New(rand.NewPCG(rand.Uint64(), identity.MemberID))
 	r.raft = consensus.New(consensus.Config{ID: identity.MemberID, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, Rand: seed}, restored)
 	r.publish()
@@ -129,6 +136,7 @@
 	background, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go r.runGroup(background)
+	go r.quarantine.Store(background, r.options.DataFolder)
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/replica/serve.go
+++ b/internal/replica/serve.go
@@ -55,6 +55,11 @@
 	return connect.NewResponse(c.r.relays.find(req.Msg)), nil
 }
 
+// Quarantine exchanges what a node and this replica know of servers that ended.
+func (c control) Quarantine(_ context.Context, req *connect.Request[apiv1.QuarantineExchange]) (*connect.Response[apiv1.QuarantineExchange], error) {
+	return connect.NewResponse(&apiv1.QuarantineExchange{Messages: c.r.quarantine.Answer(req.Msg.Messages)}), nil
+}
+
 // RelaySync gives a relay what changed since its revision, confirmed.
 func (c control) RelaySync(ctx context.Context, req *connect.Request[apiv1.RelaySyncRequest]) (*connect.Response[apiv1.RelaySyncResponse], error) {
 	if err := c.r.confirm(ctx); err != nil {
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -75,7 +75,7 @@
 	if err != nil {
 		return err
 	}
-	return writeSynced(folder, identityName, data)
+	return WriteSynced(folder, identityName, data)
 }
 
 // Log is the open data folder. It is not safe for concurrent use.
@@ -341,7 +341,7 @@
 	if err != nil {
 		return err
 	}
-	if err := writeSynced(l.folder, snapshotName, appendRecord(nil, kindBase, payload)); err != nil {
+	if err := WriteSynced(l.folder, snapshotName, appendRecord(nil, kindBase, payload)); err != nil {
 		return err
 	}
 	return l.rewrite(s, entries, hard)
@@ -370,7 +370,7 @@
 		}
 		data = appendRecord(data, kindHardState, payload)
 	}
-	if err := writeSynced(l.folder, logName, data); err != nil {
+	if err := WriteSynced(l.folder, logName, data); err != nil {
 		return err
 	}
 	// What waited in memory is older than the state that was just written.
@@ -389,8 +389,8 @@
 	return l.lock.Close()
 }
 
-// writeSynced replaces a file whole: a reader finds the old or the new one.
-func writeSynced(folder, name string, data []byte) error {
+// WriteSynced replaces a file whole: a reader finds the old or the new one.
+func WriteSynced(folder, name string, data []byte) error {
 	path := filepath.Join(folder, name)
 	f, err := os.OpenFile(path+".new", os.O_CREATE|os.O_TRUNC|os.O_WRONLY, filePerm)
 	if err != nil {
