A node that starts hears at once what is kept away; nodes that come and go in a test

A node that had just started let a fatal request through in its first quarter of a second, before its turn to compare: its server is up a moment after it. It compares with some nodes as soon as it knows any, and with a control replica at its start. A test fails without.

A run that is left over from an earlier start of the server does not count as running when the next one ends.

Test with real processes: two fatal requests through two nodes at once (one with other queries), eight nodes that are killed, started and frozen, control standing still by turns; beside nodes left alone neither comes more often than three times after contact.

--- a/core/quarantine/gossip.go
+++ b/core/quarantine/gossip.go
@@ -95,8 +95,21 @@
 	return &Gossip{Ledger: NewLedger(), random: random, budget: measure.NewBudget(messagesPerSecond, bytesPerSecond), start: now, compared: now - quietEvery, changed: now - changeFor}
 }
 
-// SetPeers names the hosts of all other nodes that are known.
-func (g *Gossip) SetPeers(hosts []string) { g.peers = hosts }
+// SetPeers names the hosts of all other nodes that are known. A node that has just
+// started compares at once with some of the first that it hears of: its server may be
+// up already, and the request that ended others may be the first to come.
+func (g *Gossip) SetPeers(now time.Duration, hosts []string) []Parcel {
+	first := len(g.peers) == 0
+	g.peers = hosts
+	if !first {
+		return nil
+	}
+	var out []Parcel
+	for _, i := range g.random.Perm(len(hosts))[:min(fanout, len(hosts))] {
+		out = append(out, g.send(now, []Parcel{{To: hosts[i], Message: g.Compare()}})...)
+	}
+	return out
+}
 
 // Peers is how many other nodes are known.
 func (g *Gossip) Peers() int { return len(g.peers) }
--- a/core/quarantine/gossip_test.go
+++ b/core/quarantine/gossip_test.go
@@ -67,8 +67,8 @@
 			peers = append(peers, h)
 		}
 	}
-	g.SetPeers(peers)
 	f.nodes[host], f.down[host] = g, false
+	f.send(host, g.SetPeers(f.now, peers))
 }
 
 func (f *fleet) send(from string, parcels []Parcel) {
@@ -250,6 +250,20 @@
 	assert.DeepEqual(t, f.unaware(fatal), []string(nil))
 }
 
+// A node starts while a request that ended three servers comes again and again. It must
+// not wait for its turn to compare: its server is up a moment after it.
+func TestNodeThatStartsHearsAtOnce(t *testing.T) {
+	f := newFleet(20, 0)
+	fatal := get("/fatal")
+	for _, h := range f.hosts[:endsToBar] {
+		f.ends(h, fatal)
+	}
+	f.run(time.Second)
+	f.begin("h19")
+	f.run(CompareEvery / 4)
+	assert.DeepEqual(t, f.unaware(fatal), []string(nil))
+}
+
 // A node that was away for a while sees its server end three times under what is
 // answered all the time elsewhere. Those who know that put it right.
 func TestSuspicionWithoutNeedIsPutRight(t *testing.T) {
--- a/internal/e2e/crash_test.go
+++ b/internal/e2e/crash_test.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"bytes"
+	"flag"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -43,11 +45,36 @@
 	*cluster
 	servers []*crashServer
 
-	mu    sync.Mutex
-	fatal fatal
-	// ends are when the present fatal request ended a server, arrivals when it came to
-	// one.
-	ends, arrivals []time.Time
+	mu     sync.Mutex
+	fatals []*fatalRecord
+}
+
+// fatalRecord is what became of a fatal request.
+type fatalRecord struct {
+	fatal
+	// ends are when it ended a server, arrivals when it came to one.
+	ends     []time.Time
+	arrivals []arrival
+}
+
+type arrival struct {
+	at   time.Time
+	node *nodeProc
+	// calmFor is for how long the node beside the server had been left alone.
+	calmFor time.Duration
+}
+
+// later counts the arrivals beside nodes in touch that came after all could know.
+func (r *fatalRecord) later() (count int) {
+	if len(r.ends) < crashes {
+		return 0
+	}
+	for _, a := range r.arrivals {
+		if a.at.Sub(r.ends[crashes-1]) > contact && a.calmFor > contact {
+			count++
+		}
+	}
+	return count
 }
 
 // crashServer is a backend server that comes back, as another instance, after a crash.
@@ -60,6 +87,22 @@
 	conns map[net.Conn]bool
 	life  int
 	ended bool
+	// leftAlone is since when nothing befell the node beside it.
+	leftAlone time.Time
+}
+
+// calmFor is for how long nothing has befallen the node.
+func (b *crashServer) calmFor() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return time.Since(b.leftAlone)
+}
+
+// disturbed notes that something befalls the node until a time.
+func (b *crashServer) disturbed(until time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.leftAlone = until
 }
 
 const crashEstate = `{"institution": "trial", "terms": {"retryPercent": 20}, "services": {"pay": {"slots": 8, "queue": 20}}, "routes": {
@@ -174,9 +217,9 @@
 		if err != nil {
 			return
 		}
-		if b.site.isFatal(req, body) {
+		if r := b.site.arrived(b, req, body); r != nil {
 			time.Sleep(crashAfter)
-			b.site.note(&b.site.ends)
+			b.site.ended(r)
 			go b.crash()
 			return
 		}
@@ -187,21 +230,35 @@
 	}
 }
 
-// isFatal tells whether a request is the fatal one, and counts it.
-func (s *crashSite) isFatal(req *http.Request, body []byte) bool {
+// arrived tells which fatal request came to a server, if it is one, and counts it.
+func (s *crashSite) arrived(b *crashServer, req *http.Request, body []byte) *fatalRecord {
+	calm := b.calmFor()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if req.Method != s.fatal.method || req.URL.Path != s.fatal.path || string(body) != s.fatal.body {
-		return false
+	for _, r := range s.fatals {
+		if req.Method == r.method && req.URL.Path == r.path && string(body) == r.body {
+			r.arrivals = append(r.arrivals, arrival{time.Now(), b.node, calm})
+			return r
+		}
 	}
-	s.arrivals = append(s.arrivals, time.Now())
-	return true
+	return nil
+}
+
+func (s *crashSite) ended(r *fatalRecord) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r.ends = append(r.ends, time.Now())
 }
 
-func (s *crashSite) note(list *[]time.Time) {
+// begin has requests be fatal from now on, and no others.
+func (s *crashSite) begin(list ...fatal) []*fatalRecord {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	*list = append(*list, time.Now())
+	s.fatals = nil
+	for _, f := range list {
+		s.fatals = append(s.fatals, &fatalRecord{fatal: f})
+	}
+	return s.fatals
 }
 
 // send sends a request through a node and returns its status, 0 without one.
@@ -220,19 +277,12 @@
 	return resp.StatusCode
 }
 
-// later counts the arrivals that came after everybody could know.
-func (s *crashSite) later() (arrivals int, known bool) {
+// seen is how often a fatal request came after all could know, and whether it is past
+// the time in which it may.
+func (s *crashSite) seen(r *fatalRecord) (later int, over bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.ends) < crashes {
-		return 0, false
-	}
-	for _, at := range s.arrivals {
-		if at.Sub(s.ends[crashes-1]) > contact {
-			arrivals++
-		}
-	}
-	return arrivals, time.Since(s.ends[crashes-1]) > contact+2*time.Second
+	return r.later(), len(r.ends) >= crashes && time.Since(r.ends[crashes-1]) > contact+2*time.Second
 }
 
 // The caller sees a service that refuses for seconds, again and again. One request
@@ -263,9 +313,7 @@
 
 // keptAway has callers send a fatal request again and again beside others.
 func (s *crashSite) keptAway(t *testing.T, f fatal) {
-	s.mu.Lock()
-	s.fatal, s.ends, s.arrivals = f, nil, nil
-	s.mu.Unlock()
+	r := s.begin(f)[0]
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
 	defer callers.Wait()
@@ -274,8 +322,8 @@
 	deadline := time.Now().Add(patience)
 	for i := 0; ; i++ {
 		s.send(s.nodes[i%len(s.nodes)], f)
-		arrivals, over := s.later()
-		assert.Assert(t, arrivals <= mostLater, "the request came to servers %d times after all could know", arrivals)
+		later, over := s.seen(r)
+		assert.Assert(t, later <= mostLater, "the request came to servers %d times after all could know", later)
 		if over {
 			break
 		}
@@ -336,9 +384,7 @@
 		t.Run(c.desc, func(t *testing.T) {
 			s := newCrashSite(t, 6)
 			f := fatal{method: http.MethodGet, path: "/read/fatal"}
-			s.mu.Lock()
-			s.fatal = f
-			s.mu.Unlock()
+			r := s.begin(f)[0]
 			eventually(t, "the request is kept away everywhere", func() bool {
 				for _, n := range s.nodes {
 					s.send(n, f)
@@ -365,7 +411,7 @@
 			}
 			time.Sleep(contact)
 			s.mu.Lock()
-			before := len(s.arrivals)
+			before := len(r.arrivals)
 			s.mu.Unlock()
 			for range 20 {
 				for _, n := range s.nodes {
@@ -374,7 +420,7 @@
 			}
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			assert.Assert(t, len(s.arrivals)-before <= mostLater, "the request came to servers %d times more", len(s.arrivals)-before)
+			assert.Assert(t, len(r.arrivals)-before <= mostLater, "the request came to servers %d times more", len(r.arrivals)-before)
 		})
 	}
 }
@@ -390,3 +436,103 @@
 	}
 	return count
 }
+
+var crashSeed = flag.Uint64("crash.seed", 1, "what befalls the nodes while requests crash servers")
+
+// Two fatal requests come at once, through whichever node, one with another query each
+// time. Meanwhile nodes are killed and started, frozen and let go, and all control
+// replicas stand still. Beside any node that was left alone, neither may come to servers
+// more often than it may, once all could know; when all is over both are kept away, and
+// others are served.
+func TestRequestsAreKeptAwayWhileNodesComeAndGo(t *testing.T) {
+	const lasts = 12 * time.Second
+	s := newCrashSite(t, 8)
+	random := rand.New(rand.NewPCG(*crashSeed, 0))
+	list := []fatal{{method: http.MethodGet, path: "/read/fatal"}, {method: http.MethodPost, path: "/write/fatal", body: "kill"}}
+	records := s.begin(list...)
+	stop := make(chan struct{})
+	var callers, faults sync.WaitGroup
+	callers.Go(func() { s.popular(stop) })
+	for i, f := range list {
+		callers.Go(func() { s.insist(stop, i, f) })
+	}
+	for until := time.Now().Add(lasts); time.Now().Before(until); time.Sleep(time.Duration(200+random.IntN(500)) * time.Millisecond) {
+		b := s.servers[random.IntN(len(s.servers))]
+		down := time.Duration(100+random.IntN(1500)) * time.Millisecond
+		switch {
+		case random.IntN(4) == 0:
+			faults.Go(func() { s.withoutControl(down) })
+		case b.calmFor() < 0:
+		case random.IntN(2) == 0:
+			b.disturbed(time.Now().Add(down + restartTime))
+			faults.Go(func() {
+				b.node.kill()
+				time.Sleep(down)
+				b.node.start(t)
+			})
+		default:
+			b.disturbed(time.Now().Add(down))
+			faults.Go(func() {
+				b.node.signal(syscall.SIGSTOP)
+				time.Sleep(down)
+				b.node.signal(syscall.SIGCONT)
+			})
+		}
+	}
+	faults.Wait()
+	time.Sleep(restartTime + contact)
+	close(stop)
+	callers.Wait()
+	for _, r := range records {
+		s.mu.Lock()
+		later, ends := r.later(), len(r.ends)
+		s.mu.Unlock()
+		t.Logf("%s %s ended %d servers, %d times late", r.method, r.path, ends, later)
+		assert.Assert(t, ends >= crashes, "it ended too few servers to tell")
+		assert.Assert(t, later <= mostLater, "%s came to servers %d times after all could know", r.path, later)
+	}
+	for _, other := range append(s.harmless(list[0]), s.harmless(list[1])...) {
+		for _, n := range s.nodes {
+			eventually(t, other.path+" is served through "+n.host, func() bool { return s.send(n, other) == http.StatusOK })
+		}
+	}
+	for _, n := range s.nodes {
+		for _, f := range list {
+			assert.Equal(t, s.send(n, f), http.StatusServiceUnavailable, "%s through %s", f.path, n.host)
+		}
+	}
+}
+
+// restartTime is more than a node takes to be up after its start.
+const restartTime = time.Second
+
+// insist sends a fatal request again and again, through two nodes at once.
+func (s *crashSite) insist(stop <-chan struct{}, first int, f fatal) {
+	for i := first; ; i += 2 {
+		select {
+		case <-stop:
+			return
+		case <-time.After(40 * time.Millisecond):
+		}
+		if f.method == http.MethodGet {
+			f.path, _, _ = strings.Cut(f.path, "?")
+			f.path += fmt.Sprint("?", i)
+		}
+		var both sync.WaitGroup
+		for j := range 2 {
+			both.Go(func() { s.send(s.nodes[(i+j)%len(s.nodes)], f) })
+		}
+		both.Wait()
+	}
+}
+
+// withoutControl has all control replicas stand still for a while.
+func (s *crashSite) withoutControl(d time.Duration) {
+	for _, r := range s.replicas {
+		r.signal(syscall.SIGSTOP)
+	}
+	time.Sleep(d)
+	for _, r := range s.replicas {
+		r.signal(syscall.SIGCONT)
+	}
+}
--- a/internal/endpoint/ended.go
+++ b/internal/endpoint/ended.go
@@ -129,11 +129,13 @@
 	w.looking = false
 }
 
-// restarted tells that the server is another start than the one before.
+// restarted tells that the server is another start than the one before. What still runs
+// was on that one, and must not count as running when the new one ends.
 func (w *witness) restarted() (ended []run) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	ended = w.close()
+	clear(w.running)
 	w.over, w.planned = false, false
 	return ended
 }
--- a/internal/endpoint/ended_test.go
+++ b/internal/endpoint/ended_test.go
@@ -197,6 +197,25 @@
 	}
 }
 
+// A server starts again while a request is left over from its earlier start. It ends once
+// more, under another request: the first one was on one of the two.
+func TestRunOfAnEarlierStartCountsOnce(t *testing.T) {
+	s := newMortalSite(t)
+	s.run("/left")
+	s.endpoint.SetOtherServer("second", s.address)
+	assert.Equal(t, s.ends(), 1)
+	s.breakOff()
+	s.run("/other")
+	s.end()
+	eventually(t, "the second end is seen", func() bool { return s.ends() == 2 })
+	s.begin(s.address)
+	s.run("/other")
+	s.end()
+	eventually(t, "the third end is seen", func() bool { return s.ends() == 3 })
+	assert.Equal(t, s.keeper.Barred(contentAt("/left")), time.Duration(0))
+	assert.Equal(t, s.keeper.Barred(contentAt("/other")), time.Duration(0))
+}
+
 // A server ends three times under one request, beside one that is answered in between.
 // The first is refused from then on, at once and as not run; the other one is served.
 func TestGateKeepsAwayWhatEndsItsServer(t *testing.T) {
--- a/internal/quarantine/converse.go
+++ b/internal/quarantine/converse.go
@@ -31,8 +31,9 @@
 // Converse exchanges with control replicas until ctx ends, each time with the one that
 // choose names; nil for none.
 func (k *Keeper) Converse(ctx context.Context, choose func() Ask) {
-	for {
-		wait, restless := k.untilNext()
+	// The first exchange is at once: a node that has just started may have to refuse the
+	// first request that comes.
+	for wait, restless := time.Duration(0), true; ; wait, restless = k.untilNext() {
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -110,9 +110,7 @@
 
 // SetPeers names the hosts of all other nodes that are known.
 func (k *Keeper) SetPeers(hosts []string) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.gossip.SetPeers(hosts)
+	k.with(func(now time.Duration) []quarantine.Parcel { return k.gossip.SetPeers(now, hosts) })
 }
 
 // Receive takes in a datagram of another node.
