--- a/core/quarantine/ledger.go
+++ b/core/quarantine/ledger.go
@@ -76,10 +76,14 @@
 // order they heard it. Time is a duration since any fixed start and must not go back.
 type Ledger struct {
 	// ends are in the order in which they were heard of.
-	ends      []*end
+	ends []*end
+	// completed is when a request with the key was last known to be answered in whole, by
+	// any server; recent remembers what the server beside this node answered.
 	completed map[Key]time.Duration
 	recent    recent
-	// changed: ends have changed since conclude last worked out what follows from them.
+	// changed: ends have changed since conclude last worked out what follows from them,
+	// which is the rest: on how many ends a key stands, the paths of streamed bodies on
+	// them, until when a key is kept away, and a sum of all ends.
 	changed bool
 	accused map[Key]int
 	paths   map[Key]bool
--- a/internal/e2e/crash_test.go
+++ b/internal/e2e/crash_test.go
@@ -267,6 +267,7 @@
 	if f.body != "" {
 		body = bytes.NewReader([]byte(f.body))
 		if f.chunked {
+			// A reader whose length net/http cannot tell.
 			body = io.MultiReader(body)
 		}
 	}
