A request's content costs its way less

Found on reading the change once more: work on each request that need not be there. The keys of its content were rendered for log lines that mostly are not written, an attempt was named in text for a line that only the end of a server writes, the sum of an empty body was worked out each time, and each key made a hash of its own. Keys are rendered by the log when it writes; the rest is kept as it is or worked out once. The keys are the same as before.

Beside it: SetInstance had one caller left and is part of SetOtherServer.

--- a/core/quarantine/content.go
+++ b/core/quarantine/content.go
@@ -59,8 +59,18 @@
 // BodySum identifies a body by its first PrefixBytes, and by whether there is more.
 type BodySum [sha256.Size]byte
 
+// noBody is the sum of an empty body, which most requests have.
+var noBody = sumOf(nil)
+
 // SumOf is the sum of a body held in memory.
 func SumOf(body []byte) BodySum {
+	if len(body) == 0 {
+		return noBody
+	}
+	return sumOf(body)
+}
+
+func sumOf(body []byte) BodySum {
 	d := NewBodyDigest()
 	d.Write(body)
 	sum, _ := d.Sum(true)
@@ -125,17 +135,17 @@
 	return keyOf("path", t.Method, strings.ToLower(t.Host), path)
 }
 
+// usualTarget is more than most targets take, in bytes, with what frames their parts.
+const usualTarget = 256
+
 // keyOf sums up parts, each with its length before it: two lists of parts that read the
 // same when they are joined differ.
 func keyOf(parts ...string) Key {
-	h := sha256.New()
-	var length [4]byte
+	joined := make([]byte, 0, usualTarget)
 	for _, p := range parts {
-		binary.BigEndian.PutUint32(length[:], uint32(len(p)))
-		h.Write(length[:])
-		h.Write([]byte(p))
+		joined = binary.BigEndian.AppendUint32(joined, uint32(len(p)))
+		joined = append(joined, p...)
 	}
-	var sum [sha256.Size]byte
-	h.Sum(sum[:0])
+	sum := sha256.Sum256(joined)
 	return Key(max(1, binary.BigEndian.Uint64(sum[:8])))
 }
--- a/internal/endpoint/backend.go
+++ b/internal/endpoint/backend.go
@@ -48,17 +48,14 @@
 }
 
 // SetOtherServer tells that another backend server, or another start of it, has taken
-// the place of the one before at this address.
+// the place of the one before at this address. Requests are meant for the instance from
+// now on; it is empty for a backend server that has no instances.
 func (e *Endpoint) SetOtherServer(instance, address string) {
 	e.account(e.witness.restarted())
-	e.SetInstance(instance)
+	e.instance.Store(&instance)
 	e.SetBackend(address)
 }
 
-// SetInstance names the instance of the backend server that requests are meant
-// for; empty for a backend server that has no instances.
-func (e *Endpoint) SetInstance(instance string) { e.instance.Store(&instance) }
-
 // SetDraining starts or ends a drain.
 func (e *Endpoint) SetDraining(draining bool) {
 	e.witness.setPlanned(draining)
--- a/internal/endpoint/ended.go
+++ b/internal/endpoint/ended.go
@@ -34,7 +34,7 @@
 
 // run is one request that the backend server has.
 type run struct {
-	attempt string
+	attempt gate.AttemptID
 	target  quarantine.Target
 	content quarantine.Content
 	// stream is the body of a request whose content is not known before it was read.
@@ -203,7 +203,7 @@
 	var paths []quarantine.Key
 	told := make([]string, 0, len(ended))
 	for _, r := range ended {
-		told = append(told, r.attempt+"="+r.content.Exact.String()+"/"+r.content.Alike.String())
+		told = append(told, hop.FormatID(r.attempt)+"="+r.content.Exact.String()+"/"+r.content.Alike.String())
 		if r.content.Known() {
 			contents = append(contents, r.content)
 		}
@@ -237,7 +237,7 @@
 // it is not tried elsewhere.
 func (e *Endpoint) keepAway(c quarantine.Content, out *hop.Outgoing, reply hop.Reply, left time.Duration) hop.Reply {
 	e.options.Quarantine.Refused()
-	logs.Decision(true, "Request kept away", "request", out.ID, "attempt", hop.FormatID(reply.ID), "host", e.options.Host, "content", c.Exact.String(), "alike", c.Alike.String(), "for", left)
+	logs.Decision(true, "Request kept away", "request", out.ID, "attempt", hop.FormatID(reply.ID), "host", e.options.Host, "content", c.Exact, "alike", c.Alike, "for", left)
 	reply.Verdict, reply.Reason, reply.RetryAfter, reply.Everywhere = hop.Refused, gate.Quarantined, left, true
 	return reply
 }
@@ -245,7 +245,7 @@
 // runOf is what is remembered of a request while the backend server has it. A body
 // that is streamed tells requests apart only as it passes.
 func (e *Endpoint) runOf(req hop.Request, out *hop.Outgoing) *run {
-	r := &run{attempt: hop.FormatID(req.ID), content: req.Content}
+	r := &run{attempt: req.ID, content: req.Content}
 	if out.Stream != nil && !r.content.Known() {
 		r.target, r.stream = e.target(out), out.Stream
 		out.Stream.SumUp()
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -273,7 +273,7 @@
 		e.options.Counters.Waited.Observe(waited)
 	}
 	logs.Decision(failure, "Gate decided", "request", out.ID, "attempt", hop.FormatID(req.ID), "host", e.options.Host,
-		"content", req.Content.Exact.String(), "alike", req.Content.Alike.String(), "outcome", outcome, "reason", event.Reason.String(),
+		"content", req.Content.Exact, "alike", req.Content.Alike, "outcome", outcome, "reason", event.Reason.String(),
 		"to", event.To, "waited", waited, "left", time.Until(out.Deadline), "running", load.Running, "waiting", load.Waiting, "slots", load.Slots,
 		"service", load.Service, "slowdown", speed.Slowdown, "lasting", speed.Lasting, "crowd", speed.Crowd, "usual", speed.Usual, "loadAge", e.now()-time.Duration(e.observed.Load()), "retryAfter", event.RetryAfter, "everywhere", event.Everywhere, "revision", e.options.Revision())
 }
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -195,7 +195,7 @@
 		c.s.done(c.h.now(), to, true)
 		return result{to: to, ended: retry.NotRunAnywhere, reply: hop.Reply{Verdict: hop.Refused, Reason: gate.TooLate}, reached: true}
 	}
-	logs.Decision(false, "Attempt", "request", c.requestID(), "attempt", hop.FormatID(a.id), "service", c.s.name, "content", c.content.Exact.String(), "to", to.Host, "near", to.Near,
+	logs.Decision(false, "Attempt", "request", c.requestID(), "attempt", hop.FormatID(a.id), "service", c.s.name, "content", c.content.Exact, "to", to.Host, "near", to.Near,
 		"outstanding", to.Outstanding, "left", timeout, "movable", c.movable(), "tried", c.tried, "revision", c.h.options.Revision())
 	req := hop.Request{ID: a.id, Incarnation: a.incarnation, Timeout: timeout, Movable: c.movable(), Revision: c.h.options.Revision(), Caller: c.caller, Content: c.content,
 		From: c.h.options.DataCenter, Repeatable: onHint != nil, Bulky: c.out.Stream != nil || len(c.out.Buffered) >= bulkyBody}
@@ -361,7 +361,7 @@
 		f.Fault = fault.NotRun
 		f.Message = "no endpoint of service " + c.s.name + " took the request and it was not run; come back after the time given"
 	}
-	logs.Decision(true, "Given up", "request", c.requestID(), "service", c.s.name, "route", c.routeName(), "fault", f.Fault, "reason", f.Reason, "content", c.content.Exact.String(), "alike", c.content.Alike.String(), "attempts", c.attempts,
+	logs.Decision(true, "Given up", "request", c.requestID(), "service", c.s.name, "route", c.routeName(), "fault", f.Fault, "reason", f.Reason, "content", c.content.Exact, "alike", c.content.Alike, "attempts", c.attempts,
 		"tried", c.tried, "took", time.Since(c.arrived), "left", time.Until(c.deadline), "retryAfter", retryAfter, "endpoints", c.s.endpoints(), "revision", c.h.options.Revision())
 	c.h.fail(c.w, c.r, f, retryAfter)
 }
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -93,16 +93,19 @@
 // tell logs which contents are kept away from now on, and which no longer; the caller
 // holds the lock.
 func (k *Keeper) tell(barred []quarantine.Barred) {
+	if len(barred) == 0 && len(k.told) == 0 {
+		return
+	}
 	now := map[quarantine.Key]bool{}
 	for _, b := range barred {
 		now[b.Key] = true
 		if !k.told[b.Key] {
-			klog.InfoS("Content kept away from servers", "host", k.options.Host, "content", b.Key.String(), "ends", b.Ends, "for", b.Left)
+			klog.InfoS("Content kept away from servers", "host", k.options.Host, "content", b.Key, "ends", b.Ends, "for", b.Left)
 		}
 	}
 	for key := range k.told {
 		if !now[key] {
-			klog.InfoS("Content no longer kept away", "host", k.options.Host, "content", key.String())
+			klog.InfoS("Content no longer kept away", "host", k.options.Host, "content", key)
 		}
 	}
 	k.told = now
