One way to bound the reads of a body

Reading a body ahead repeated what fetching it did: whether its source can wait at all, in five places. readUntil holds that. The mutation's text follows its place; what it takes out is the same.

--- a/internal/hop/upload.go
+++ b/internal/hop/upload.go
@@ -79,10 +79,8 @@
 	reader := &sender{}
 	b.lend(reader)
 	defer b.lend(nil)
-	if b.setReadDeadline != nil {
-		if err := b.setReadDeadline(until); err != nil {
-			return
-		}
+	if err := b.readUntil(until); err != nil {
+		return
 	}
 	ahead := make([]byte, n)
 	read, err := io.ReadFull(held{b, reader}, ahead)
@@ -94,11 +92,20 @@
 		next = append(next, failingReader{err})
 	}
 	b.replay(io.MultiReader(next...))
-	if b.setReadDeadline != nil && err == nil {
-		if err := b.setReadDeadline(time.Time{}); err != nil {
-			klog.V(2).InfoS("Deadline of a body stays; its source is closed already", "err", err)
-		}
+	if err != nil {
+		return
+	}
+	if err := b.readUntil(time.Time{}); err != nil {
+		klog.V(2).InfoS("Deadline of a body stays; its source is closed already", "err", err)
+	}
+}
+
+// readUntil bounds reads of a source that may wait; the zero time lifts the bound.
+func (b *Body) readUntil(t time.Time) error {
+	if b.setReadDeadline == nil {
+		return nil
 	}
+	return b.setReadDeadline(t)
 }
 
 // replay puts what was read ahead before the rest, and has it summed up once.
@@ -143,10 +150,10 @@
 func (b *Body) Stop() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.ended || b.setReadDeadline == nil {
+	if b.ended {
 		return
 	}
-	if err := b.setReadDeadline(longPast); err != nil {
+	if err := b.readUntil(longPast); err != nil {
 		klog.V(2).InfoS("Body not stopped; its source is closed already", "err", err)
 	}
 }
@@ -156,19 +163,14 @@
 	reader := &sender{}
 	b.lend(reader)
 	defer b.lend(nil)
-	if b.setReadDeadline != nil {
-		if err := b.setReadDeadline(until); err != nil {
-			return nil, err
-		}
+	if err := b.readUntil(until); err != nil {
+		return nil, err
 	}
 	body := make([]byte, length)
 	if _, err := io.ReadFull(held{b, reader}, body); err != nil {
 		return nil, err
 	}
-	if b.setReadDeadline == nil {
-		return body, nil
-	}
-	return body, b.setReadDeadline(time.Time{})
+	return body, b.readUntil(time.Time{})
 }
 
 // errTakenBack ends a sender whose exchange is over.
@@ -225,10 +227,10 @@
 	if b.holder == holder {
 		b.holder = nil
 	}
-	if !b.reading || b.setReadDeadline == nil {
+	if !b.reading {
 		return nil
 	}
-	return b.setReadDeadline(longPast)
+	return b.readUntil(longPast)
 }
 
 // sender sends one body on one exchange.
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -79,7 +79,7 @@
 	{"only the sender of the exchange that has a body reads it", "internal/hop/upload.go", "if b.holder != holder {", "if false {", "internal/hop", "BeginsLate|OneSender"},
 	{"the second attempt's body has no hole", "internal/hop/upload.go", "if b.holder != holder {", "if false {", "internal/e2e", "SecondAttemptSendsTheWholeBody"},
 	{"an exchange ends after its sender", "internal/hop/upload.go", "\t<-s.done\n\tlogs", "\tlogs", "internal/hop", "ClosedSource"},
-	{"a sender that waits for its caller is woken", "internal/hop/upload.go", "if !b.reading || b.setReadDeadline == nil {", "if true {", "internal/hop", "EndsAfterItsSender"},
+	{"a sender that waits for its caller is woken", "internal/hop/upload.go", "if !b.reading {", "if true {", "internal/hop", "EndsAfterItsSender"},
 	{"what a sender took after its exchange goes to nobody", "internal/hop/upload.go", "\tif b.holder != h.holder {", "\tif false {", "internal/hop", "TakesGoesToNobody"},
 	{"a body of which a part was read is not sent again", "internal/proxy/call.go", "return c.out.Stream == nil || c.out.Stream.Whole()", "return true", "internal/proxy", "PartlyRead"},
 	{"a body that breaks off is broken, whatever the answer did", "internal/hop/exchange.go", " || x.conn.failed.Load()", "", "internal/hop", "BreaksOffBehind"},
