--- a/internal/e2e/bodies_test.go
+++ b/internal/e2e/bodies_test.go
@@ -253,16 +253,7 @@
 // announce tells a node of a backend server, again and again until the test ends.
 func announce(t *testing.T, n *nodeProc, address string) {
 	t.Helper()
-	put := func() bool {
-		req, err := http.NewRequest(http.MethodPut, "http://"+n.admin+"/v1/server", strings.NewReader(`{"service":"pay","address":"`+address+`"}`))
-		assert.NilError(t, err)
-		resp, err := http.DefaultClient.Do(req)
-		if err != nil {
-			return false
-		}
-		_ = resp.Body.Close()
-		return resp.StatusCode == http.StatusOK
-	}
+	put := func() bool { return n.putServer(`{"service":"pay","address":"` + address + `"}`) }
 	eventually(t, "the node takes the backend server in", put)
 	done := make(chan struct{})
 	t.Cleanup(func() { close(done) })
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -456,6 +456,21 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// putServer announces a backend server to the node and tells whether it was taken in.
+func (n *nodeProc) putServer(announcement string) bool {
+	req, err := http.NewRequest(http.MethodPut, "http://"+n.admin+"/v1/server", strings.NewReader(announcement))
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
 // server is what the node says of its backend server.
 func (n *nodeProc) server(t testing.TB) map[string]any {
 	t.Helper()
--- a/internal/e2e/scale_test.go
+++ b/internal/e2e/scale_test.go
@@ -1,11 +1,8 @@
 package e2e
 
 import (
-	"bytes"
 	"flag"
 	"fmt"
-	"io"
-	"net/http"
 	"os"
 	"sort"
 	"strconv"
@@ -83,21 +80,10 @@
 func announceAll(b *testing.B, c *cluster) (stop func()) {
 	done := make(chan struct{})
 	var wait sync.WaitGroup
-	put := func(i int, n *nodeProc) {
-		body := fmt.Sprintf(`{"service": "service-%d", "address": "127.0.0.1:9"}`, i%scaleServices)
-		req, err := http.NewRequest(http.MethodPut, "http://"+n.admin+"/v1/server", bytes.NewReader([]byte(body)))
-		if err != nil {
-			return
-		}
-		if resp, err := http.DefaultClient.Do(req); err == nil {
-			_, _ = io.Copy(io.Discard, resp.Body)
-			_ = resp.Body.Close()
-		}
-	}
 	for i, n := range c.nodes {
 		wait.Go(func() {
 			for {
-				put(i, n)
+				n.putServer(fmt.Sprintf(`{"service": "service-%d", "address": "127.0.0.1:9"}`, i%scaleServices))
 				select {
 				case <-done:
 					return
