The test of a clock that was set back notices

With the safeguard out a request was kept away for an hour longer, and the test looked only whether it was kept away: the mutation, run for the first time, went unnoticed. The test now holds the time as well; the mutation is noticed.

--- a/internal/quarantine/store_test.go
+++ b/internal/quarantine/store_test.go
@@ -67,7 +67,8 @@
 	} {
 		t.Run(c.desc, func(t *testing.T) {
 			folder := t.TempDir()
-			assert.NilError(t, threeEnds(fatal).write(folder))
+			before := threeEnds(fatal)
+			assert.NilError(t, before.write(folder))
 			file := filepath.Join(folder, fileName)
 			data, err := os.ReadFile(file)
 			assert.NilError(t, err)
@@ -80,6 +81,7 @@
 			k := alone()
 			assert.NilError(t, k.Load(folder))
 			assert.Equal(t, k.Barred(fatal) > 0, c.barred)
+			assert.Assert(t, k.Barred(fatal) <= before.Barred(fatal)+time.Second, "kept away for longer than before")
 		})
 	}
 }
