Failing: servers that lost power together are not crashed again

The emulator gets servers that stay cold after a start and end above a rate of requests, and the load of the shifted deployment (aims of 300 ms, calls two at a time to a small service) at 13, 63 and 195 hosts, all of which lose power at 5 s.

Cause: nothing counts what a cold server gets; each crash brings a server back cold. The bound: no crash, and the value of the same load without the loss, less two standard errors.

--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -83,7 +83,7 @@
 		{"unknown service", `{"dataCenters":1,"duration":1000,` + service + `,"classes":[{"name":"c","service":"b","work":1,"timeout":1}]}`, `names the service "b"`},
 		{"no timeout", `{"dataCenters":1,"duration":1000,` + service + `,"classes":[{"name":"c","service":"a","work":1}]}`, "a timeout above 0"},
 		{"unknown call", `{"dataCenters":1,"duration":1000,` + service + `,"classes":[{"name":"c","service":"a","work":1,"timeout":1,"calls":["d"]}]}`, `calls "d"`},
-		{"unknown event", `{"dataCenters":1,"duration":1000,` + service + `,"classes":[{"name":"c","service":"a","work":1,"timeout":1}],"events":[{"kind":"rain"}]}`, "use burst, slow, cold, reject or stop"},
+		{"unknown event", `{"dataCenters":1,"duration":1000,` + service + `,"classes":[{"name":"c","service":"a","work":1,"timeout":1}],"events":[{"kind":"rain"}]}`, "use burst, slow, cold, reject, stop or restart"},
 	}
 	for _, c := range cases {
 		t.Run(c.desc, func(t *testing.T) {
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -23,6 +23,7 @@
 	// random draws what this backend server does, the same for every policy.
 	random   *rand.Rand
 	requests map[gate.Handle]*attempt
+	life     lifetime
 	next     gate.Handle
 	armed    time.Duration
 	observed time.Duration
@@ -152,6 +153,11 @@
 // execute runs an attempt at the backend server.
 func (n *node) execute(a *attempt) {
 	c := a.call
+	if n.life.down {
+		n.leave(a, gate.NeverReached)
+		n.s.between(n, c.origin, func() { a.ended(retry.Unreached) })
+		return
+	}
 	if n.random.Float64() < n.server.rejects {
 		n.leave(a, gate.NeverReached)
 		n.s.between(n, c.origin, func() { a.ended(retry.Rejected) })
@@ -170,6 +176,10 @@
 	}
 	n.server.start(a.job)
 	n.s.clock.At(c.deadline, func() { n.server.end(a.job, false) })
+	if n.overrun() {
+		n.s.result.crashes++
+		n.crash(n.service.Cold.Down.Duration())
+	}
 }
 
 // job draws the work of a request.
--- a/internal/emulator/result.go
+++ b/internal/emulator/result.go
@@ -23,16 +23,21 @@
 	Served float64 `json:"served"`
 	InAim  float64 `json:"inAim"`
 	// RefusedTwice is the share that came back after a refusal and failed again.
-	RefusedTwice float64       `json:"refusedTwice"`
-	P50          float64       `json:"p50Ms"`
-	P99          float64       `json:"p99Ms"`
-	Attempts     float64       `json:"attemptsPerRequest"`
-	Moves        float64       `json:"movesPerRequest"`
-	Retries      float64       `json:"retriesPerRequest"`
-	Hedges       float64       `json:"hedgesPerRequest"`
-	RunTwice     int           `json:"runTwice"`
-	FalseNotRun  int           `json:"falseNotRun"`
-	Classes      []ClassResult `json:"classes"`
+	RefusedTwice float64 `json:"refusedTwice"`
+	P50          float64 `json:"p50Ms"`
+	P99          float64 `json:"p99Ms"`
+	Attempts     float64 `json:"attemptsPerRequest"`
+	Moves        float64 `json:"movesPerRequest"`
+	Retries      float64 `json:"retriesPerRequest"`
+	Hedges       float64 `json:"hedgesPerRequest"`
+	RunTwice     int     `json:"runTwice"`
+	FalseNotRun  int     `json:"falseNotRun"`
+	// Crashes counts the cold servers that ended under too many requests.
+	Crashes int `json:"crashes"`
+	// WarmAgain is the share of the value that was earned of what was asked from two
+	// seconds after the servers that lost power could be warm again.
+	WarmAgain float64       `json:"warmAgain"`
+	Classes   []ClassResult `json:"classes"`
 }
 
 // ClassResult is the part of one class.
@@ -70,13 +75,17 @@
 	attempts, moves, retries int
 	hedges                   int
 	runTwice, falseNotRun    int
+	crashes                  int
+	// recovered is when all servers are warm, and warm the books from then on.
+	recovered time.Duration
+	warm      []earned
 }
 
 const longestLatency = int64(time.Minute / time.Microsecond)
 
 func newCollector(policy string, scenario *Scenario) *collector {
 	windows := int(scenario.Duration.Duration()/windowLength) + 1
-	return &collector{scenario: scenario, result: Result{Policy: policy}, classes: map[string]*ClassResult{}, values: map[string]*earned{}, windows: make([]earned, windows),
+	return &collector{scenario: scenario, result: Result{Policy: policy}, classes: map[string]*ClassResult{}, values: map[string]*earned{}, windows: make([]earned, windows), warm: make([]earned, int(scenario.Duration.Duration()/time.Second)+1),
 		latency: hdrhistogram.New(1, longestLatency, 3)}
 }
 
@@ -94,7 +103,24 @@
 
 // books are where a request counts.
 func (c *collector) books(r *asked) []*earned {
-	return []*earned{&c.total, c.values[r.class.Name], &c.windows[r.first/windowLength]}
+	return []*earned{&c.total, c.values[r.class.Name], &c.windows[r.first/windowLength], &c.warm[r.first/time.Second]}
+}
+
+// warmAgainAfter is how long a service may take once its servers are warm.
+const warmAgainAfter = 2 * time.Second
+
+// warmAt notes that a server that lost power is cold until then.
+func (c *collector) warmAt(at time.Duration) { c.recovered = max(c.recovered, at+warmAgainAfter) }
+
+// warmAgain is the share of what was asked since all servers are warm.
+func (c *collector) warmAgain() float64 {
+	var sum earned
+	for second, e := range c.warm {
+		if time.Duration(second)*time.Second >= c.recovered {
+			sum.got, sum.could = sum.got+e.got, sum.could+e.could
+		}
+	}
+	return sum.share()
 }
 
 func (c *collector) ended(r *asked, end outcome) {
@@ -143,6 +169,7 @@
 	r.P50, r.P99 = float64(c.latency.ValueAtQuantile(50))/1000, float64(c.latency.ValueAtQuantile(99))/1000
 	r.Attempts, r.Moves, r.Retries, r.Hedges = float64(c.attempts)/asked, float64(c.moves)/asked, float64(c.retries)/asked, float64(c.hedges)/asked
 	r.RunTwice, r.FalseNotRun = c.runTwice, c.falseNotRun
+	r.Crashes, r.WarmAgain = c.crashes, c.warmAgain()
 	return r
 }
 
@@ -167,6 +194,7 @@
 		"value": r.Value, "worstSeconds": r.WorstSeconds, "worstClass": r.WorstClass, "served": r.Served, "inAim": r.InAim, "refusedTwice": r.RefusedTwice,
 		"p50": r.P50, "p99": r.P99, "attempts": r.Attempts, "moves": r.Moves, "retries": r.Retries, "hedges": r.Hedges,
 		"runTwice": float64(r.RunTwice), "falseNotRun": float64(r.FalseNotRun),
+		"crashes": float64(r.Crashes), "warmAgain": r.WarmAgain,
 	}
 }
 
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -170,6 +170,11 @@
 		return
 	}
 	for _, n := range s.struck(e, random) {
+		if e.Kind == restart {
+			s.result.warmAt(s.now() + e.For.Duration() + n.service.Cold.For.Duration())
+			n.crash(e.For.Duration())
+			continue
+		}
 		n.strike(e)
 		s.clock.After(e.For.Duration(), func() { n.recover(e) })
 	}
@@ -179,7 +184,7 @@
 func (s *simulation) struck(e Event, random *rand.Rand) []*node {
 	var list []*node
 	for _, n := range s.nodes {
-		if n.service.Name == e.Service {
+		if e.Service == "" || n.service.Name == e.Service {
 			list = append(list, n)
 		}
 	}
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -65,6 +65,8 @@
 	KeepsPace bool `json:"keepsPace"`
 	// ReportsPerSecond is the measuring budget of the whole service.
 	ReportsPerSecond int `json:"reportsPerSecond"`
+	// Cold is how servers behave after a restart.
+	Cold Cold `json:"cold"`
 }
 
 // Noise is what neighbours on the host take: in each interval, work takes Factor
@@ -103,12 +105,13 @@
 
 // Event is something that happens for a while.
 type Event struct {
-	// Kind is one of burst, slow, cold (slow, and announced as a cold start), reject
-	// and stop.
+	// Kind is one of burst, slow, cold (slow, and announced as a cold start), reject,
+	// stop and restart (the servers end, and are back and cold after For).
 	Kind string `json:"kind"`
 	At   Millis `json:"at"`
 	For  Millis `json:"for"`
-	// Service is whose endpoints it strikes, and Share how many of them.
+	// Service is whose endpoints it strikes, those of all services if it is empty, and
+	// Share how many of them.
 	Service string  `json:"service"`
 	Share   float64 `json:"share"`
 	// Factor is by how much traffic grows or work slows down, or which part of the
@@ -133,6 +136,8 @@
 	cold   = "cold"
 	reject = "reject"
 	stop   = "stop"
+	// restart is a loss of power of the backend servers.
+	restart = "restart"
 )
 
 // Read reads a scenario and checks it.
@@ -175,11 +180,11 @@
 	switch e.Kind {
 	case burst:
 		return nil
-	case slow, cold, reject, stop:
+	case slow, cold, reject, stop, restart:
 	default:
-		return errors.Newf("its kind is %q; use burst, slow, cold, reject or stop", e.Kind)
+		return errors.Newf("its kind is %q; use burst, slow, cold, reject, stop or restart", e.Kind)
 	}
-	if s.service(e.Service) < 0 {
+	if e.Service != "" && s.service(e.Service) < 0 {
 		return errors.Newf("it names the service %q, which the scenario does not have", e.Service)
 	}
 	return nil
