A cold server gets no more requests a second than it bears

Cause: nothing counted what a cold server gets. It ends above a rate, comes back cold, and ends again. Besides, news of coldness was lost: a probe that found the server answering overwrote an announced end, renewals of an announcement were not read for it, and what health answers tell not at all.

Mend: the gate beside a server is the only place that starts work on it. It keeps the newest starts, also while the server is warm, and bounds them in each sliding second while it is cold; they are spread over the second. News of coldness only extends it, but for the server's own health answer, which is asked for five times a second where it tells. A body that comes late is counted when it is sent. A new process leaves room for what the one before it may have started; one without a configuration keeps to a request a second for each slot. Siblings are told what is left. The limit stands in the estate text (coldRequestsPerSecond); how long a server is cold that does not say so is its slowStart. The gate's two notions of a cold server are one.

--- a/core/estate/document.go
+++ b/core/estate/document.go
@@ -47,6 +47,7 @@
 	maxTimeout      = time.Hour
 	maxBudgetRate   = 10_000_000
 	maxConnections  = 1_000_000
+	maxColdRate     = 1_000_000
 	// maxRevision leaves room above any number that an operator gives.
 	maxRevision = 1 << 53
 )
@@ -163,7 +164,10 @@
 		"maxAttempts":  func(n jsonc.Node) { spec.MaxAttempts = uint32(n.Uint(1, maxAttempts)) },
 		"slowStart":    func(n jsonc.Node) { spec.SlowStartMs = millis(n, 0, maxTimeout) },
 		"maxBodyBytes": func(n jsonc.Node) { spec.MaxBodyBytes = n.Uint(0, 1<<50) },
-		"healthPath":   func(n jsonc.Node) { spec.HealthPath = prefix(n) },
+		"coldRequestsPerSecond": func(n jsonc.Node) {
+			spec.ColdRequestsPerSecond = uint32(n.Uint(1, maxColdRate))
+		},
+		"healthPath": func(n jsonc.Node) { spec.HealthPath = prefix(n) },
 		"maxConnections": func(n jsonc.Node) {
 			spec.MaxConnections = uint32(n.Uint(0, maxConnections))
 		},
--- a/core/gate/admit.go
+++ b/core/gate/admit.go
@@ -18,6 +18,11 @@
 // waitBehind estimates the wait behind a number of waiting requests and their
 // work: until the slots have done that, and one of them is free.
 func (g *Gate) waitBehind(now time.Duration, ahead int, work float64) time.Duration {
+	return max(g.coldWait(now, ahead), g.waitForSlots(now, ahead, work))
+}
+
+// waitForSlots is the part of the wait that the slots are the reason for.
+func (g *Gate) waitForSlots(now time.Duration, ahead int, work float64) time.Duration {
 	if g.free(now) > 0 && ahead == 0 {
 		return 0
 	}
--- /dev/null
+++ b/core/gate/cold_test.go
@@ -0,0 +1,192 @@
+package gate
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// coldLimit is what the servers of these tests bear in a second while they are cold.
+const coldLimit = 17
+
+func coldGate(now time.Duration) *Gate {
+	return New("a", Config{Slots: 6, Queue: 128, SlowStart: 3 * time.Second, ColdStarts: coldLimit}, now)
+}
+
+// startsOf lists the handles that events start.
+func startsOf(events []Event) (list []Handle) {
+	for _, e := range events {
+		if e.Kind == Started {
+			list = append(list, e.Handle)
+		}
+	}
+	return list
+}
+
+// Guards against a cold server that ends under what is sent to it: whatever arrives,
+// ends, comes with its body, or is told of coldness, no second has more starts than it
+// bears once its gate knows.
+func TestColdServerGetsNoMoreThanItBears(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Duration(0)
+		g := coldGate(now)
+		var running []Handle
+		sent := map[Handle]time.Duration{}
+		var coldFrom, coldTo time.Duration
+		take := func(events []Event) {
+			for _, h := range startsOf(events) {
+				running = append(running, h)
+				sent[h] = now
+			}
+		}
+		for i := range 400 {
+			now += time.Duration(rapid.IntRange(0, 20).Draw(t, "pause")) * ms
+			switch rapid.IntRange(0, 9).Draw(t, "what") {
+			case 0:
+				if now >= coldTo {
+					coldFrom = now
+				}
+				g.SetCold(now, 2*time.Second)
+				coldTo = now + 2*time.Second
+			case 1:
+				if len(running) > 0 {
+					h := running[len(running)-1]
+					running = running[:len(running)-1]
+					delete(sent, h)
+					take(g.Reconsider(now, h))
+				}
+			case 2, 3:
+				if len(running) > 0 {
+					h := running[0]
+					running = running[1:]
+					take(g.Finish(now, h, Outcome(rapid.IntRange(0, 3).Draw(t, "end"))))
+				}
+			case 4:
+				take(g.Tick(now))
+			default:
+				take(g.Arrive(now, request(Handle(i+1))))
+			}
+			if now < coldFrom || now >= coldTo {
+				continue
+			}
+			begun, known := 0, 0
+			for _, at := range sent {
+				if at > now-time.Second {
+					begun++
+					if at >= coldFrom {
+						known++
+					}
+				}
+			}
+			if known > 0 && begun > coldLimit && known > max(0, coldLimit-(begun-known)) {
+				t.Fatalf("%d starts in the second up to %v, %d of them since it is cold", begun, now, known)
+			}
+		}
+	})
+}
+
+// Guards against a server that turns cold while it is busy: what it got just before
+// counts in the second that follows.
+func TestStartsBeforeTheServerTurnedColdCount(t *testing.T) {
+	g := coldGate(0)
+	h := Handle(0)
+	for now := time.Duration(0); now < 500*ms; now += 20 * ms {
+		h++
+		g.Arrive(now, request(h))
+		g.Finish(now+10*ms, h, Completed)
+	}
+	g.SetCold(500*ms, 3*time.Second)
+	assert.Equal(t, len(startsOf(g.Arrive(500*ms, request(100)))), 0)
+	assert.Equal(t, len(startsOf(g.Tick(1500*ms))), 1)
+}
+
+// Guards against calls that find no start for most of a second since all of it was
+// spent at once.
+func TestStartsAreSpreadOverTheSecond(t *testing.T) {
+	g := coldGate(0)
+	g.SetCold(0, 3*time.Second)
+	started := 0
+	arrive := func(now time.Duration) {
+		for range 6 {
+			h := Handle(started + int(now/ms)*100 + 1)
+			for _, s := range startsOf(g.Arrive(now, request(h))) {
+				g.Finish(now, s, Completed)
+				started++
+			}
+			started++
+		}
+	}
+	for now := time.Duration(0); now < time.Second; now += 100 * ms {
+		before := g.cold.within(now, time.Second)
+		arrive(now)
+		assert.Assert(t, g.cold.within(now, time.Second)-before <= 4, "at %v", now)
+	}
+}
+
+// Guards against news that travelled for long: an earlier end of the cold time, told
+// later, does not open the server to more than it bears.
+func TestLateNewsOfColdnessDoesNotShortenIt(t *testing.T) {
+	g := coldGate(0)
+	g.SetCold(0, 3*time.Second)
+	g.SetCold(100*ms, time.Second)
+	assert.Assert(t, g.isCold(2*time.Second))
+	g.ObserveCold(200*ms, 0)
+	assert.Assert(t, !g.isCold(200*ms), "the server itself says that it is warm")
+}
+
+// Guards against two processes that each start what a cold server bears, one after the
+// other within a second.
+func TestGateOfANewProcessLeavesRoomForTheOneBefore(t *testing.T) {
+	g := coldGate(0)
+	g.AssumeStarts(0)
+	g.SetCold(0, 3*time.Second)
+	started := 0
+	for now := time.Duration(0); now < time.Second; now += 10 * ms {
+		next := startsOf(append(g.Arrive(now, request(Handle(now/ms+1))), g.Tick(now)...))
+		for len(next) > 0 {
+			started++
+			next = append(next[1:], startsOf(g.Finish(now, next[0], Completed))...)
+		}
+	}
+	assert.Equal(t, started, coldLimit/2)
+}
+
+// Guards against requests that wait for a start which comes after their deadline: they
+// are refused as they arrive, and told when there is room.
+func TestRequestThatNoColdStartIsLeftForIsRefusedAtOnce(t *testing.T) {
+	g := coldGate(0)
+	g.SetCold(0, 3*time.Second)
+	var refused []Event
+	for i := range 40 {
+		r := request(Handle(i + 1))
+		r.Deadline = 200 * ms
+		for _, e := range g.Arrive(0, r) {
+			if e.Kind == Refused {
+				refused = append(refused, e)
+			}
+			if e.Kind == Started {
+				g.Finish(0, e.Handle, Completed)
+			}
+		}
+	}
+	assert.Assert(t, len(refused) > 30, "%d refused", len(refused))
+	assert.Equal(t, refused[0].Reason, TooLate)
+	assert.Assert(t, refused[0].RetryAfter > 0)
+}
+
+// Guards against siblings that send a cold server what it has no start for: it has
+// empty slots, and looks idle.
+func TestSiblingsKnowThatAColdServerHasNoStartsLeft(t *testing.T) {
+	g := coldGate(0)
+	g.SetCold(0, 3*time.Second)
+	for i := range 4 {
+		g.Arrive(0, request(Handle(i+1)))
+		g.Finish(0, Handle(i+1), Completed)
+	}
+	l := g.Load(0)
+	assert.Equal(t, l.Running, 0)
+	assert.Assert(t, l.waitIn(0) > 0)
+	assert.Assert(t, l.finishIn(0) > l.Service)
+}
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -56,9 +56,7 @@
 	running  int
 	draining bool
 	down     bool
-	// coldSince is when a cold start began; warm when zero and not cold.
-	coldSince time.Duration
-	cold      bool
+	cold     coldness
 
 	outlier  outlier
 	siblings siblings
@@ -235,6 +233,9 @@
 		Full:      g.queue.size >= g.config.Queue*fullPercent/100 && g.free(now) <= 0,
 		FailRatio: g.outlier.ratio, Failing: g.failing(now), Crowd: g.slow.crowd.own(),
 	}
+	if g.limited(now) {
+		l.ColdStarts, l.StartsLeft = g.config.ColdStarts, g.coldRoom(now)
+	}
 	if g.told(now) {
 		l.Slowdown, l.Wait = g.slow.stretch(), g.wait(now)
 	}
--- a/core/gate/report.go
+++ b/core/gate/report.go
@@ -33,6 +33,9 @@
 	// its speed.
 	Slowdown float64
 	Wait     time.Duration
+	// ColdStarts is how many requests a second the server bears while it is cold, 0 if
+	// it is warm or bears any number; StartsLeft is how many of them may start now.
+	ColdStarts, StartsLeft int
 	// Crowd is how many times longer work was found to take when nearly all slots
 	// are taken; 0 if that is not known.
 	Crowd float64
@@ -41,6 +44,9 @@
 // finishIn estimates how long a request would take that arrives when extra
 // others have arrived since the load was taken.
 func (l Load) finishIn(extra int) time.Duration {
+	if cold := l.coldWaitIn(extra); cold > 0 {
+		return cold + l.Service
+	}
 	ahead := l.Running + l.Waiting + extra
 	if ahead < l.Slots || l.Slots == 0 {
 		return l.Service
@@ -52,6 +58,9 @@
 // waitIn estimates how long a request would wait that arrives when extra others have
 // arrived since the load was taken.
 func (l Load) waitIn(extra int) time.Duration {
+	if cold := l.coldWaitIn(extra); cold > 0 {
+		return cold
+	}
 	taken := l.Running + l.Waiting
 	if taken+extra < l.Slots || l.Slots == 0 {
 		return 0
@@ -60,6 +69,16 @@
 	return l.Wait + time.Duration(float64(more)/float64(l.Slots)*float64(l.Service))
 }
 
+// coldWaitIn is how long the limit of a cold server keeps a request waiting that
+// arrives when extra others have arrived since the load was taken.
+func (l Load) coldWaitIn(extra int) time.Duration {
+	missing := l.Waiting + extra + 1 - l.StartsLeft
+	if l.ColdStarts == 0 || missing <= 0 {
+		return 0
+	}
+	return time.Duration(missing) * coldSpan / time.Duration(l.ColdStarts)
+}
+
 // Report is one gate's load.
 type Report struct {
 	Host string
@@ -111,10 +130,10 @@
 const urgentSpacing = 20 * time.Millisecond
 
 // urgent tells whether a load is worth a report before its turn: the server turned slow
-// or fast, or opened or closed. A queue that grows can wait; what siblings send in the
+// or fast, cold or warm, or opened or closed. A queue that grows can wait; what siblings send in the
 // meantime to a server that turned slow is late, and the budget holds all the same.
 func (l Load) urgent(from Load) bool {
-	return l.open() != from.open() || l.Slowdown > changeRatio*from.Slowdown || from.Slowdown > changeRatio*l.Slowdown
+	return l.open() != from.open() || l.ColdStarts != from.ColdStarts || l.Slowdown > changeRatio*from.Slowdown || from.Slowdown > changeRatio*l.Slowdown
 }
 
 // reportSpacing is the time that the budget leaves between two rounds.
--- a/core/gate/room.go
+++ b/core/gate/room.go
@@ -27,8 +27,16 @@
 // roomFor is how many more requests may run, if the next one is r. Short ones may
 // take the slots that are left empty on a server which slows down in a crowd.
 func (g *Gate) roomFor(now time.Duration, r Request) int {
+	room := g.roomInSlots(now, r)
+	if g.limited(now) {
+		return min(room, g.coldRoom(now))
+	}
+	return room
+}
+
+func (g *Gate) roomInSlots(now time.Duration, r Request) int {
 	switch {
-	case g.cold && !g.slow.known:
+	case g.rampsUp(now):
 	case !g.off(mechanism.KeptSlots) && g.short(now, r):
 		return g.config.Slots - g.running
 	case !g.off(mechanism.KeptSlots) && g.mixed(now) && g.slots(now) == g.config.Slots:
--- a/core/gate/server.go
+++ b/core/gate/server.go
@@ -47,7 +47,7 @@
 	g.outlier = outlier{}
 	g.estimate = estimator{baseline: g.estimate.baseline, seen: g.estimate.seen, running: g.estimate.running, last: now}
 	g.slow.restart(now)
-	g.cold = false // SetCold follows if the new start says so
+	g.cold = coldness{} // SetCold follows if the new start says so
 	g.announce(now)
 	g.fill(now)
 	return g.take()
@@ -58,10 +58,3 @@
 func (g *Gate) ForgetBefore(now time.Duration) {
 	g.memory.forgotten, g.memory.anyForgotten = max(g.memory.forgotten, now), true
 }
-
-// SetCold starts the slow start anew. Left is how long the server says that it stays
-// slow, 0 if it does not say.
-func (g *Gate) SetCold(now, left time.Duration) {
-	g.cold, g.coldSince = true, now
-	g.slow.coldUntil = now + left
-}
--- a/core/gate/start.go
+++ b/core/gate/start.go
@@ -5,27 +5,24 @@
 // Starts: how many requests run, and which of those that wait is next.
 
 // slots is how many requests may run now. A cold server starts with a tenth
-// and gains the rest over the slow-start time, since its first requests are
+// and gains the rest over its cold time, since its first requests are
 // slow and would pile up.
 func (g *Gate) slots(now time.Duration) int {
 	all := g.config.Slots
 	if g.slow.known {
 		all = g.usefulSlots()
 	}
-	if !g.cold || g.slow.known {
-		// A server that tells how slow it is needs no guess: filling it slowly would
-		// refuse what it can do.
+	if !g.rampsUp(now) {
 		return all
 	}
-	age := now - g.coldSince
-	if age >= g.config.SlowStart || g.config.SlowStart == 0 {
-		g.cold = false
-		return all
-	}
-	ramp := 0.1 + 0.9*float64(age)/float64(g.config.SlowStart)
+	ramp := 0.1 + 0.9*float64(now-g.cold.since)/float64(g.cold.until-g.cold.since)
 	return max(1, int(ramp*float64(all)))
 }
 
+// rampsUp tells whether a cold server is filled slowly. One that tells how slow it is
+// needs no guess: filling it slowly would refuse what it can do.
+func (g *Gate) rampsUp(now time.Duration) bool { return g.isCold(now) && !g.slow.known }
+
 // free counts the slots that nothing runs in.
 func (g *Gate) free(now time.Duration) int { return g.slots(now) - g.running }
 
@@ -50,8 +47,9 @@
 	}
 	g.running--
 	g.estimate.abandon(now)
+	g.cold.undo(it.started)
 	it.Movable = false
-	if g.closed() == 0 && g.holds(now, it) {
+	if g.closed() == 0 && (g.holds(now, it) || g.limited(now) && g.coldRoom(now) == 0) {
 		it.state = stateWaiting
 		g.queue.push(it)
 	} else {
@@ -64,6 +62,7 @@
 func (g *Gate) run(now time.Duration, it *item) {
 	it.state, it.started, it.workedAt = stateRunning, now, g.slow.worked
 	it.pace = startPace{factor: g.slow.factor}
+	g.cold.add(now, g.config.ColdStarts)
 	g.running++
 	it.crowding = roomy
 	if isCrowd(g.running, g.config.Slots) {
--- a/core/gate/types.go
+++ b/core/gate/types.go
@@ -97,9 +97,12 @@
 
 // Config is what the estate says of the service.
 type Config struct {
-	Slots     int
-	Queue     int
+	Slots int
+	Queue int
+	// SlowStart is how long a cold server that does not say so stays cold.
 	SlowStart time.Duration
+	// ColdStarts is how many requests a second a cold server bears; 0 for any number.
+	ColdStarts int
 	// Siblings turns late binding on.
 	Siblings bool
 	// ReportsPerSecond and BytesPerSecond are this gate's share of the budget.
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -47,7 +47,7 @@
 
 func (n *node) config() gate.Config {
 	share := measure.GateShare(uint32(n.service.ReportsPerSecond), n.service.Endpoints)
-	return gate.Config{Slots: n.service.Slots, Queue: n.service.Queue, Siblings: n.s.variant.Siblings, ReportsPerSecond: share, BytesPerSecond: share * gate.ReportBytes, Off: n.s.variant.Off}
+	return gate.Config{Slots: n.service.Slots, Queue: n.service.Queue, Siblings: n.s.variant.Siblings, ReportsPerSecond: share, BytesPerSecond: share * gate.ReportBytes, ColdStarts: int(n.service.Cold.PerSecond), Off: n.s.variant.Off}
 }
 
 // loadInterval is how often a node asks its backend server for its load when no
--- a/internal/emulator/result.go
+++ b/internal/emulator/result.go
@@ -34,10 +34,10 @@
 	FalseNotRun  int     `json:"falseNotRun"`
 	// Crashes counts the cold servers that ended under too many requests.
 	Crashes int `json:"crashes"`
-	// WarmAgain is the share of the value that was earned of what was asked from two
-	// seconds after the servers that lost power could be warm again.
-	WarmAgain float64       `json:"warmAgain"`
-	Classes   []ClassResult `json:"classes"`
+	// Afterwards is the share of the value that was earned of what was asked from two
+	// seconds after the last event, when servers that had to start again are warm.
+	Afterwards float64       `json:"afterwards"`
+	Classes    []ClassResult `json:"classes"`
 }
 
 // ClassResult is the part of one class.
@@ -76,16 +76,16 @@
 	hedges                   int
 	runTwice, falseNotRun    int
 	crashes                  int
-	// recovered is when all servers are warm, and warm the books from then on.
+	// recovered is when the last event has passed; seconds are the books of each.
 	recovered time.Duration
-	warm      []earned
+	seconds   []earned
 }
 
 const longestLatency = int64(time.Minute / time.Microsecond)
 
 func newCollector(policy string, scenario *Scenario) *collector {
 	windows := int(scenario.Duration.Duration()/windowLength) + 1
-	return &collector{scenario: scenario, result: Result{Policy: policy}, classes: map[string]*ClassResult{}, values: map[string]*earned{}, windows: make([]earned, windows), warm: make([]earned, int(scenario.Duration.Duration()/time.Second)+1),
+	return &collector{scenario: scenario, result: Result{Policy: policy}, classes: map[string]*ClassResult{}, values: map[string]*earned{}, windows: make([]earned, windows), recovered: recoveredAt(scenario), seconds: make([]earned, int(scenario.Duration.Duration()/time.Second)+1),
 		latency: hdrhistogram.New(1, longestLatency, 3)}
 }
 
@@ -103,19 +103,29 @@
 
 // books are where a request counts.
 func (c *collector) books(r *asked) []*earned {
-	return []*earned{&c.total, c.values[r.class.Name], &c.windows[r.first/windowLength], &c.warm[r.first/time.Second]}
+	return []*earned{&c.total, c.values[r.class.Name], &c.windows[r.first/windowLength], &c.seconds[r.first/time.Second]}
 }
 
-// warmAgainAfter is how long a service may take once its servers are warm.
-const warmAgainAfter = 2 * time.Second
+// recoveryTime is how long a service may take once its servers are warm.
+const recoveryTime = 2 * time.Second
 
-// warmAt notes that a server that lost power is cold until then.
-func (c *collector) warmAt(at time.Duration) { c.recovered = max(c.recovered, at+warmAgainAfter) }
+// recoveredAt is when the last event is over, its servers are warm, and the service had
+// its time to recover.
+func recoveredAt(s *Scenario) (at time.Duration) {
+	cold := time.Duration(0)
+	for _, service := range s.Services {
+		cold = max(cold, service.Cold.For.Duration())
+	}
+	for _, e := range s.Events {
+		at = max(at, e.At.Duration()+e.For.Duration()+cold+recoveryTime)
+	}
+	return at
+}
 
-// warmAgain is the share of what was asked since all servers are warm.
-func (c *collector) warmAgain() float64 {
+// afterwards is the share of what was asked since the service recovered.
+func (c *collector) afterwards() float64 {
 	var sum earned
-	for second, e := range c.warm {
+	for second, e := range c.seconds {
 		if time.Duration(second)*time.Second >= c.recovered {
 			sum.got, sum.could = sum.got+e.got, sum.could+e.could
 		}
@@ -169,7 +179,7 @@
 	r.P50, r.P99 = float64(c.latency.ValueAtQuantile(50))/1000, float64(c.latency.ValueAtQuantile(99))/1000
 	r.Attempts, r.Moves, r.Retries, r.Hedges = float64(c.attempts)/asked, float64(c.moves)/asked, float64(c.retries)/asked, float64(c.hedges)/asked
 	r.RunTwice, r.FalseNotRun = c.runTwice, c.falseNotRun
-	r.Crashes, r.WarmAgain = c.crashes, c.warmAgain()
+	r.Crashes, r.Afterwards = c.crashes, c.afterwards()
 	return r
 }
 
@@ -194,7 +204,7 @@
 		"value": r.Value, "worstSeconds": r.WorstSeconds, "worstClass": r.WorstClass, "served": r.Served, "inAim": r.InAim, "refusedTwice": r.RefusedTwice,
 		"p50": r.P50, "p99": r.P99, "attempts": r.Attempts, "moves": r.Moves, "retries": r.Retries, "hedges": r.Hedges,
 		"runTwice": float64(r.RunTwice), "falseNotRun": float64(r.FalseNotRun),
-		"crashes": float64(r.Crashes), "warmAgain": r.WarmAgain,
+		"crashes": float64(r.Crashes), "afterwards": r.Afterwards,
 	}
 }
 
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -171,7 +171,6 @@
 	}
 	for _, n := range s.struck(e, random) {
 		if e.Kind == restart {
-			s.result.warmAt(s.now() + e.For.Duration() + n.service.Cold.For.Duration())
 			n.crash(e.For.Duration())
 			continue
 		}
--- a/internal/endpoint/backend.go
+++ b/internal/endpoint/backend.go
@@ -62,8 +62,8 @@
 	e.with(func(now time.Duration) []gate.Event { return e.gate.SetDraining(now, draining) })
 }
 
-// SetCold starts the slow start. Left is how long the backend server says that it
-// stays slow, 0 if it does not say.
+// SetCold tells that the backend server is cold. Left is how long it says that it
+// stays so, 0 if it does not say.
 func (e *Endpoint) SetCold(left time.Duration) {
 	e.with(func(now time.Duration) []gate.Event {
 		e.gate.SetCold(now, left)
@@ -71,6 +71,15 @@
 	})
 }
 
+// AssumeStarts tells that the process before this one may have started requests just
+// now.
+func (e *Endpoint) AssumeStarts() {
+	e.with(func(now time.Duration) []gate.Event {
+		e.gate.AssumeStarts(now)
+		return nil
+	})
+}
+
 func (e *Endpoint) setDown(down bool) {
 	if e.down.Swap(down) == down {
 		return
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -72,6 +72,8 @@
 	health    atomic.Pointer[string]
 	// observed is when the backend server last told its load.
 	observed atomic.Int64
+	// coldObserved is when the backend server last told for how long it stays cold.
+	coldObserved atomic.Int64
 	// asking is closed when the question under way has ended; nil without one. It is
 	// guarded by mu.
 	asking chan struct{}
--- a/internal/endpoint/watch.go
+++ b/internal/endpoint/watch.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
+	"cactuspath/core/gate"
 	"cactuspath/internal/hop"
 )
 
@@ -48,12 +49,38 @@
 			return
 		case <-ticker.C:
 		}
-		if e.figureAge() >= loadInterval {
+		if e.figureAge() >= loadInterval || e.coldUnknown() {
 			e.askLoad()
 		}
 	}
 }
 
+// coldInterval is how often a backend server that tells for how long it stays cold is
+// asked, since only answers about health tell it. A busy server gets a dozen requests
+// within it, half of what a cold one bears in a second.
+const coldInterval = 200 * time.Millisecond
+
+// coldUnknown tells whether a server that is known to tell for how long it stays cold
+// has not done so for a while.
+func (e *Endpoint) coldUnknown() bool {
+	heard := e.coldObserved.Load()
+	return heard > 0 && e.now()-time.Duration(heard) >= coldInterval
+}
+
+// observeCold takes in what an answer about health says of coldness.
+func (e *Endpoint) observeCold(h http.Header) {
+	dialect := e.options.Dialect
+	if dialect.Cold == "" || dialect.ParseCold == nil {
+		return
+	}
+	left, ok := dialect.ParseCold(h.Get(dialect.Cold))
+	if !ok {
+		return
+	}
+	e.coldObserved.Store(int64(e.now()))
+	e.with(func(now time.Duration) []gate.Event { return e.gate.ObserveCold(now, left) })
+}
+
 // figureAge is how long ago the backend server last told its load.
 func (e *Endpoint) figureAge() time.Duration { return e.now() - time.Duration(e.observed.Load()) }
 
@@ -156,6 +183,7 @@
 	e.mute.Store(false)
 	e.heard()
 	e.observe(resp.Header)
+	e.observeCold(resp.Header)
 	_, _ = io.Copy(io.Discard, resp.Body)
 	_ = resp.Body.Close()
 }
--- a/internal/hop/dialect.go
+++ b/internal/hop/dialect.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 )
 
 // Dialect names the header fields that callers and backend servers use. A field
@@ -24,6 +25,10 @@
 	// Load holds the backend server's load, read by ParseLoad.
 	Load      string
 	ParseLoad func(string) (ServerLoad, bool)
+	// Cold holds, in answers about health, for how long the backend server stays cold,
+	// read by ParseCold.
+	Cold      string
+	ParseCold func(string) (time.Duration, bool)
 	// FractionalRetryAfter: callers understand fractions of a second in Retry-After.
 	FractionalRetryAfter bool
 }
@@ -49,7 +54,7 @@
 // CleanCaller removes what a caller may not say, and sets whose service calls.
 // Without it a caller could pass for another service, or choose an instance.
 func (d *Dialect) CleanCaller(h http.Header, service string) {
-	for _, name := range []string{d.ExpectInstance, d.Instance, d.NotRun, d.Load} {
+	for _, name := range []string{d.ExpectInstance, d.Instance, d.NotRun, d.Load, d.Cold} {
 		if name != "" {
 			h.Del(name)
 		}
--- a/internal/node/announce.go
+++ b/internal/node/announce.go
@@ -26,10 +26,10 @@
 	// is named, of one address; one that comes late is left out. 0 means that they have
 	// no order.
 	Sequence uint64 `json:"sequence,omitempty"`
-	// ColdFor is how long the server stays slow; the estate's slow start if 0.
+	// ColdFor is how long the server stays cold; the estate's slow start if 0.
 	ColdFor  time.Duration `json:"coldFor,omitempty"`
 	Draining bool          `json:"draining,omitempty"`
-	// Cold asks for a slow start.
+	// Cold: the server is cold now, since it has just started or lost its caches.
 	Cold bool `json:"cold,omitempty"`
 }
 
@@ -99,7 +99,8 @@
 	if restarted {
 		s.endpoint.SetRestarted(a.Address)
 	}
-	if a.Cold && (fresh || moved || restarted) {
+	if a.Cold {
+		// Also in a renewal: a server may turn cold at any moment.
 		s.endpoint.SetCold(a.ColdFor)
 	}
 	if changed {
--- a/internal/node/announce_test.go
+++ b/internal/node/announce_test.go
@@ -13,6 +13,7 @@
 
 	apiv1 "cactuspath/api/cactuspath/v1"
 	"cactuspath/core/gate"
+	"cactuspath/core/rollout"
 	"cactuspath/internal/controlclient"
 	"cactuspath/internal/hop"
 )
@@ -228,3 +229,30 @@
 	id := gate.AttemptID{Request: [2]uint64{1, 2}, Attempt: 1}
 	assert.Equal(t, n.server.endpoint.Revoke(id, 100*time.Millisecond), gate.RevokeUnknown)
 }
+
+// Guards against a cold server that is filled: a server may turn cold at any moment, and
+// says so in a renewal like any other.
+func TestRenewalThatSaysThatTheServerIsColdIsBelieved(t *testing.T) {
+	n := alone(t, "")
+	n.records.Replace("site", rollout.Contents{Services: map[string]*apiv1.ServiceSpec{"pay": {Slots: 4, Queue: 8, ColdRequestsPerSecond: 5}}}, 1)
+	n.noteRevision(0, true, "test")
+	n.start = n.start.Add(-time.Minute)
+	assert.NilError(t, n.Announce(announcement("i-1", 1, false)))
+	n.apply()
+	e := n.currentEndpoint()
+	assert.Equal(t, e.Load().ColdStarts, 0)
+	renewal := announcement("i-1", 2, false)
+	renewal.Cold, renewal.ColdFor = true, time.Minute
+	assert.NilError(t, n.Announce(renewal))
+	assert.Equal(t, e.Load().ColdStarts, 5)
+}
+
+// Guards against a node that has no configuration yet and fills a cold server: others
+// have one, and send requests.
+func TestColdServerIsSparedWhileItsLimitIsNotKnown(t *testing.T) {
+	n := alone(t, "")
+	a := announcement("i-1", 1, false)
+	a.Cold, a.ColdFor = true, time.Minute
+	assert.NilError(t, n.Announce(a))
+	assert.Equal(t, n.currentEndpoint().Load().ColdStarts, int(a.Slots))
+}
--- a/internal/node/find.go
+++ b/internal/node/find.go
@@ -84,5 +84,10 @@
 			a.Slots = uint32(load.Slots)
 		}
 	}
+	if d.ParseCold != nil {
+		if left, ok := d.ParseCold(resp.Header.Get(d.Cold)); ok && left > 0 {
+			a.Cold, a.ColdFor = true, left
+		}
+	}
 	return a, true
 }
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -20,6 +20,9 @@
 	// serverLease is how long an announcement counts without renewal.
 	serverLease = 10 * time.Second
 	leaseCheck  = time.Second
+	// forerunnerTime is how young a process is that may follow one whose last starts
+	// still count on a cold server.
+	forerunnerTime = 2 * time.Second
 )
 
 // server is the announced backend server with its gate.
@@ -62,6 +65,9 @@
 	if n.served {
 		e.SetSuccessor()
 	}
+	if time.Since(n.start) < forerunnerTime {
+		e.AssumeStarts()
+	}
 	n.served = true
 	return &server{service: a.Service, endpoint: e}
 }
@@ -76,8 +82,9 @@
 	}
 	if spec == nil {
 		// Other nodes may have the configuration already and send requests here: the
-		// server's own word is enough to run them.
-		spec = &apiv1.ServiceSpec{Queue: slots}
+		// server's own word is enough to run them. What it bears while it is cold is
+		// not known: one request a second for each slot is less than any server does.
+		spec = &apiv1.ServiceSpec{Queue: slots, ColdRequestsPerSecond: slots}
 	}
 	return spec, slots
 }
@@ -87,7 +94,7 @@
 func (n *Node) gateConfig(spec *apiv1.ServiceSpec, slots uint32, gates int) gate.Config {
 	m := spec.Measure
 	return gate.Config{
-		Slots: int(slots), Queue: int(spec.Queue), SlowStart: time.Duration(spec.SlowStartMs) * time.Millisecond, Siblings: true,
+		Slots: int(slots), Queue: int(spec.Queue), SlowStart: time.Duration(spec.SlowStartMs) * time.Millisecond, ColdStarts: int(spec.ColdRequestsPerSecond), Siblings: true,
 		ReportsPerSecond: max(measure.GateShare(m.GetReportsPerSecond(), gates), int(m.GetReportsPerEndpoint())),
 		BytesPerSecond:   max(measure.GateShare(m.GetBytesPerSecond(), gates), int(m.GetBytesPerEndpoint())),
 		Off:              n.disabled,
