--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -117,7 +117,7 @@
 	{"a server is asked before a request starts", "internal/endpoint/endpoint.go", "e.refreshFigure(ctx)\n\thandle, event", "handle, event", "internal/endpoint", "AskedBefore"},
 	{"a server that does not tell holds up nobody twice", "internal/endpoint/watch.go", "e.mute.Store(true)", "", "internal/endpoint", "HoldsUpNobody"},
 	{"a server error does not win while the other attempt runs", "internal/proxy/hedge.go", "case isServerError(r.resp) && other.ended != nil:", "case false:", "internal/proxy", "ServerErrorDoesNot"},
-	{"a request whose body came is decided on anew", "core/gate/start.go", "if g.closed() == 0 && g.holds(now, it) {", "if false {", "core/gate", "BodyCame"},
+	{"a request whose body came is decided on anew", "core/gate/start.go", "if g.closed() == 0 && (g.holds(now, it) || g.limited(now) && g.coldRoom(now) == 0) {", "if false {", "core/gate", "BodyCame"},
 	{"a server that turned slow is reported at once", "core/gate/report.go", "case load.urgent(s.reported):", "case false:", "core/gate", "TurningSlow"},
 	{"near siblings come first", "core/gate/siblings.go", "s.list = slices.Concat(near, far)", "s.list = slices.Concat(far, near)[:min(fewSiblings, len(far)+len(near))]", "core/gate", "NearFirst"},
 	{"running requests count in the estimate", "core/gate/estimate.go", "e.busy = e.busy*decay + elapsed*float64(e.running)", "e.busy = e.busy * decay", "core/gate", "Stall"},
