Evacuation of a data centre as agreed state of the estate

Operators' evacuation orders were answered 404 at every control replica: never acknowledged, and requests went on to the data centre.

An order is a change that the control replicas agree on, and a stamped record that travels as a configuration does, so that it is in force wherever a configuration is, after any kill and loss that the group is laid out for, and known to a node before that sends anything. It changes no revision of a text: an operator's own number was compared with the stamps of all changes, so that the next number after a drain or an evacuation was refused; it is now compared with the text's own. An order for what holds already is accepted and changes nothing.

Every node leaves the data centre's endpoints out of picks, moves and second attempts, and the gates there start nothing, so that one which hears later than its callers is safe as well: what waits moves or is refused as not run, what runs ends. Where everything is evacuated callers hear so at once. When it ends, servers are taken for cold until they say otherwise. Their health is asked for once a second meanwhile.

--- a/api/cactuspath/v1/apiv1connect/operator.connect.go
+++ b/api/cactuspath/v1/apiv1connect/operator.connect.go
@@ -43,6 +43,9 @@
 	// OperatorCommandServiceDrainProcedure is the fully-qualified name of the OperatorCommandService's
 	// Drain RPC.
 	OperatorCommandServiceDrainProcedure = "/cactuspath.v1.OperatorCommandService/Drain"
+	// OperatorCommandServiceEvacuateProcedure is the fully-qualified name of the
+	// OperatorCommandService's Evacuate RPC.
+	OperatorCommandServiceEvacuateProcedure = "/cactuspath.v1.OperatorCommandService/Evacuate"
 	// OperatorCommandServiceChangeReplicaProcedure is the fully-qualified name of the
 	// OperatorCommandService's ChangeReplica RPC.
 	OperatorCommandServiceChangeReplicaProcedure = "/cactuspath.v1.OperatorCommandService/ChangeReplica"
@@ -64,6 +67,7 @@
 type OperatorCommandServiceClient interface {
 	Submit(context.Context, *connect.Request[v1.SubmitRequest]) (*connect.Response[v1.SubmitResponse], error)
 	Drain(context.Context, *connect.Request[v1.DrainRequest]) (*connect.Response[v1.DrainResponse], error)
+	Evacuate(context.Context, *connect.Request[v1.EvacuateRequest]) (*connect.Response[v1.EvacuateResponse], error)
 	ChangeReplica(context.Context, *connect.Request[v1.ChangeReplicaRequest]) (*connect.Response[v1.ChangeReplicaResponse], error)
 }
 
@@ -90,6 +94,12 @@
 			connect.WithSchema(operatorCommandServiceMethods.ByName("Drain")),
 			connect.WithClientOptions(opts...),
 		),
+		evacuate: connect.NewClient[v1.EvacuateRequest, v1.EvacuateResponse](
+			httpClient,
+			baseURL+OperatorCommandServiceEvacuateProcedure,
+			connect.WithSchema(operatorCommandServiceMethods.ByName("Evacuate")),
+			connect.WithClientOptions(opts...),
+		),
 		changeReplica: connect.NewClient[v1.ChangeReplicaRequest, v1.ChangeReplicaResponse](
 			httpClient,
 			baseURL+OperatorCommandServiceChangeReplicaProcedure,
@@ -103,6 +113,7 @@
 type operatorCommandServiceClient struct {
 	submit        *connect.Client[v1.SubmitRequest, v1.SubmitResponse]
 	drain         *connect.Client[v1.DrainRequest, v1.DrainResponse]
+	evacuate      *connect.Client[v1.EvacuateRequest, v1.EvacuateResponse]
 	changeReplica *connect.Client[v1.ChangeReplicaRequest, v1.ChangeReplicaResponse]
 }
 
@@ -116,6 +127,11 @@
 	return c.drain.CallUnary(ctx, req)
 }
 
+// Evacuate calls cactuspath.v1.OperatorCommandService.Evacuate.
+func (c *operatorCommandServiceClient) Evacuate(ctx context.Context, req *connect.Request[v1.EvacuateRequest]) (*connect.Response[v1.EvacuateResponse], error) {
+	return c.evacuate.CallUnary(ctx, req)
+}
+
 // ChangeReplica calls cactuspath.v1.OperatorCommandService.ChangeReplica.
 func (c *operatorCommandServiceClient) ChangeReplica(ctx context.Context, req *connect.Request[v1.ChangeReplicaRequest]) (*connect.Response[v1.ChangeReplicaResponse], error) {
 	return c.changeReplica.CallUnary(ctx, req)
@@ -126,6 +142,7 @@
 type OperatorCommandServiceHandler interface {
 	Submit(context.Context, *connect.Request[v1.SubmitRequest]) (*connect.Response[v1.SubmitResponse], error)
 	Drain(context.Context, *connect.Request[v1.DrainRequest]) (*connect.Response[v1.DrainResponse], error)
+	Evacuate(context.Context, *connect.Request[v1.EvacuateRequest]) (*connect.Response[v1.EvacuateResponse], error)
 	ChangeReplica(context.Context, *connect.Request[v1.ChangeReplicaRequest]) (*connect.Response[v1.ChangeReplicaResponse], error)
 }
 
@@ -148,6 +165,12 @@
 		connect.WithSchema(operatorCommandServiceMethods.ByName("Drain")),
 		connect.WithHandlerOptions(opts...),
 	)
+	operatorCommandServiceEvacuateHandler := connect.NewUnaryHandler(
+		OperatorCommandServiceEvacuateProcedure,
+		svc.Evacuate,
+		connect.WithSchema(operatorCommandServiceMethods.ByName("Evacuate")),
+		connect.WithHandlerOptions(opts...),
+	)
 	operatorCommandServiceChangeReplicaHandler := connect.NewUnaryHandler(
 		OperatorCommandServiceChangeReplicaProcedure,
 		svc.ChangeReplica,
@@ -160,6 +183,8 @@
 			operatorCommandServiceSubmitHandler.ServeHTTP(w, r)
 		case OperatorCommandServiceDrainProcedure:
 			operatorCommandServiceDrainHandler.ServeHTTP(w, r)
+		case OperatorCommandServiceEvacuateProcedure:
+			operatorCommandServiceEvacuateHandler.ServeHTTP(w, r)
 		case OperatorCommandServiceChangeReplicaProcedure:
 			operatorCommandServiceChangeReplicaHandler.ServeHTTP(w, r)
 		default:
@@ -179,6 +204,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cactuspath.v1.OperatorCommandService.Drain is not implemented"))
 }
 
+func (UnimplementedOperatorCommandServiceHandler) Evacuate(context.Context, *connect.Request[v1.EvacuateRequest]) (*connect.Response[v1.EvacuateResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cactuspath.v1.OperatorCommandService.Evacuate is not implemented"))
+}
+
 func (UnimplementedOperatorCommandServiceHandler) ChangeReplica(context.Context, *connect.Request[v1.ChangeReplicaRequest]) (*connect.Response[v1.ChangeReplicaResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cactuspath.v1.OperatorCommandService.ChangeReplica is not implemented"))
 }
--- a/cmd/cactusctl/status.go
+++ b/cmd/cactusctl/status.go
@@ -31,6 +31,11 @@
 	for _, n := range s.Behind {
 		fmt.Fprintf(out, "  behind: %s at revision %d\n", n.Host, n.Revision)
 	}
+	for _, d := range s.DataCenters {
+		if d.Evacuated {
+			fmt.Fprintf(out, "  evacuated since revision %d: %s\n", d.ChangedAt, d.DataCenter)
+		}
+	}
 	for _, n := range s.Draining {
 		state := fmt.Sprintf("draining, %d in flight", n.InFlight)
 		if n.Drained {
--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -25,6 +25,8 @@
 	// Near: it is in the caller's own data centre.
 	Near     bool
 	Draining bool
+	// Evacuated: the operator has emptied its data centre; no request is sent there.
+	Evacuated bool
 	// Outstanding counts this node's requests there without an answer.
 	Outstanding int
 
@@ -91,7 +93,7 @@
 			fresh := c
 			held = &fresh
 		}
-		held.PeerAddress, held.Slots, held.Draining, held.Near = c.PeerAddress, c.Slots, c.Draining, c.Near
+		held.PeerAddress, held.Slots, held.Draining, held.Evacuated, held.Near = c.PeerAddress, c.Slots, c.Draining, c.Evacuated, c.Near
 		if held.Distance == 0 {
 			held.Distance = c.Distance
 		}
@@ -105,6 +107,16 @@
 // Len counts the candidates.
 func (p *Pool) Len() int { return len(p.all) }
 
+// Evacuated tells whether there are candidates, and all of them are evacuated.
+func (p *Pool) Evacuated() bool {
+	for _, c := range p.all {
+		if !c.Evacuated {
+			return false
+		}
+	}
+	return len(p.all) > 0
+}
+
 // Get returns a candidate by host, or nil.
 func (p *Pool) Get(host string) *Candidate { return p.byHost[host] }
 
@@ -137,7 +149,7 @@
 // Others tells whether a candidate exists that stays and is not in tried.
 func (p *Pool) Others(tried []string) bool {
 	for _, c := range p.all {
-		if !c.Draining && !slices.Contains(tried, c.Host) {
+		if !c.Draining && !c.Evacuated && !slices.Contains(tried, c.Host) {
 			return true
 		}
 	}
@@ -165,7 +177,7 @@
 func (p *Pool) pickAmong(now time.Duration, tried []string, test func(time.Duration, *Candidate) bool) *Candidate {
 	p.eligible = p.eligible[:0]
 	for _, c := range p.all {
-		if test(now, c) && !slices.Contains(tried, c.Host) {
+		if !c.Evacuated && test(now, c) && !slices.Contains(tried, c.Host) {
 			p.eligible = append(p.eligible, c)
 		}
 	}
--- a/core/estate/document.go
+++ b/core/estate/document.go
@@ -133,8 +133,8 @@
 		return
 	}
 	for _, m := range members {
-		if !validName(m.Name) {
-			m.Key.Fail(fmt.Sprintf("%q is not a valid service name", m.Name), nameRemedy)
+		if !ValidName(m.Name) {
+			m.Key.Fail(fmt.Sprintf("%q is not a valid service name", m.Name), NameRemedy)
 			continue
 		}
 		places[m.Name] = m.Value
@@ -182,9 +182,11 @@
 	return uint32(n.Duration(low, high).Milliseconds())
 }
 
-const nameRemedy = "use 1 to 63 lower-case letters, digits, dots and hyphens"
+// NameRemedy tells what ValidName accepts.
+const NameRemedy = "use 1 to 63 lower-case letters, digits, dots and hyphens"
 
-func validName(s string) bool {
+// ValidName tells whether a service, an institution or a data centre may be named so.
+func ValidName(s string) bool {
 	if s == "" || len(s) > 63 {
 		return false
 	}
@@ -198,8 +200,8 @@
 
 func name(n jsonc.Node) string {
 	s := n.String()
-	if !validName(s) {
-		n.Fail(fmt.Sprintf("%q is not a valid name", s), nameRemedy)
+	if !ValidName(s) {
+		n.Fail(fmt.Sprintf("%q is not a valid name", s), NameRemedy)
 	}
 	return s
 }
--- a/core/estate/state.go
+++ b/core/estate/state.go
@@ -83,6 +83,8 @@
 		s.applySubmit(kind.Submit, record)
 	case *apiv1.Change_Host:
 		s.applyHost(kind.Host, record)
+	case *apiv1.Change_DataCenter:
+		s.applyDataCenter(kind.DataCenter, record)
 	default:
 		record.Outcome = apiv1.Outcome_OUTCOME_REFUSED
 	}
@@ -120,14 +122,18 @@
 	}
 	revision := s.records.Revision() + 1
 	if doc.Revision != 0 {
-		if doc.Revision < revision {
-			refuse(record, jsonc.Problem{Line: 1, Column: 1, Field: "revision", Message: fmt.Sprintf("revision %d is not above the current one, %d", doc.Revision, revision-1),
+		if doc.Revision <= current {
+			refuse(record, jsonc.Problem{Line: 1, Column: 1, Field: "revision", Message: fmt.Sprintf("revision %d is not above the current one, %d", doc.Revision, current),
 				Remedy: "choose a higher number"})
 			return
 		}
+		// Drains and evacuations take stamps as well. An operator who numbers texts
+		// does not know of them, and was refused the next number after one.
+		s.records.Replace(doc.Institution, doc.Contents(), max(revision, doc.Revision))
 		revision = doc.Revision
+	} else {
+		s.records.Replace(doc.Institution, doc.Contents(), revision)
 	}
-	s.records.Replace(doc.Institution, doc.Contents(), revision)
 	s.documents[doc.Institution] = &apiv1.Document{Institution: doc.Institution, Revision: revision, TextGzip: change.TextGzip, SourceGzip: change.SourceGzip}
 	record.Outcome = apiv1.Outcome_OUTCOME_ACCEPTED
 	record.Revision = revision
@@ -160,6 +166,20 @@
 	s.records.SetHost(change.Host, change.Draining, record.Revision)
 }
 
+func (s *State) applyDataCenter(change *apiv1.DataCenterChange, record *apiv1.AuditRecord) {
+	record.What = "end evacuation of " + change.DataCenter
+	if change.Evacuated {
+		record.What = "evacuate " + change.DataCenter
+	}
+	record.Outcome = apiv1.Outcome_OUTCOME_ACCEPTED
+	if s.records.Evacuated(change.DataCenter) == change.Evacuated {
+		record.Revision = s.records.Revision()
+		return
+	}
+	record.Revision = s.records.Revision() + 1
+	s.records.SetDataCenter(change.DataCenter, change.Evacuated, record.Revision)
+}
+
 func refuse(record *apiv1.AuditRecord, problems ...jsonc.Problem) {
 	record.Outcome = apiv1.Outcome_OUTCOME_REFUSED
 	record.Problems = Problems(problems)
@@ -208,6 +228,8 @@
 		_, _ = h.Write(text)
 	case *apiv1.Change_Host:
 		fmt.Fprintf(h, "host\x00%s\x00%t", kind.Host.Host, kind.Host.Draining)
+	case *apiv1.Change_DataCenter:
+		fmt.Fprintf(h, "data center\x00%s\x00%t", kind.DataCenter.DataCenter, kind.DataCenter.Evacuated)
 	}
 	return h.Sum64()
 }
--- /dev/null
+++ b/core/gate/evacuated_test.go
@@ -0,0 +1,43 @@
+package gate
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against requests that start in a data centre after the operator emptied it:
+// what waits moves or is refused as not run, what runs ends.
+func TestEvacuatedGateStartsNothing(t *testing.T) {
+	for _, sibling := range []bool{true, false} {
+		g := New("a", Config{Slots: 1, Queue: 8, Siblings: true, ReportsPerSecond: 1000, BytesPerSecond: 1 << 20}, 0)
+		if sibling {
+			siblingAt(g, 0, "b", Load{Slots: 1, Service: time.Minute})
+		}
+		g.Arrive(0, request(1))
+		g.Arrive(0, request(2))
+		waiting, want := g.SetEvacuated(ms, true), Refused
+		if sibling {
+			want = Moved
+		}
+		assert.DeepEqual(t, kinds(waiting), []EventKind{want})
+		assert.DeepEqual(t, kinds(g.Arrive(2*ms, request(3))), []EventKind{want})
+		if !sibling {
+			assert.Equal(t, waiting[0].Reason, Evacuated)
+		}
+		assert.Equal(t, len(kinds(g.Finish(3*ms, 1, Completed))), 0)
+		assert.Assert(t, g.Load(3*ms).Draining)
+	}
+}
+
+// Guards against a data centre that is filled as soon as its evacuation ends: nothing
+// kept its servers warm, and their word of it may not have come yet.
+func TestServersAreTakenForColdAfterAnEvacuation(t *testing.T) {
+	g := coldGate(0)
+	g.SetEvacuated(0, true)
+	g.SetEvacuated(time.Second, false)
+	assert.Equal(t, g.Load(time.Second).ColdStarts, coldLimit)
+	g.ObserveCold(1100*ms, 0)
+	assert.Equal(t, g.Load(1100*ms).ColdStarts, 0)
+}
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -56,7 +56,9 @@
 	running  int
 	draining bool
 	down     bool
-	cold     coldness
+	// evacuated: the operator has emptied the server's data centre.
+	evacuated bool
+	cold      coldness
 
 	outlier  outlier
 	siblings siblings
@@ -156,6 +158,8 @@
 		return Draining
 	case g.down:
 		return Down
+	case g.evacuated:
+		return Evacuated
 	}
 	return 0
 }
@@ -229,7 +233,7 @@
 	g.estimate.advance(now)
 	l := Load{
 		Running: g.running, Waiting: g.queue.size, Slots: g.slots(now),
-		Service: g.service(now), Draining: g.draining || g.down,
+		Service: g.service(now), Draining: g.closed() != 0,
 		Full:      g.queue.size >= g.config.Queue*fullPercent/100 && g.free(now) <= 0,
 		FailRatio: g.outlier.ratio, Failing: g.failing(now), Crowd: g.slow.crowd.own(),
 	}
--- a/core/gate/moves.go
+++ b/core/gate/moves.go
@@ -87,7 +87,7 @@
 	if sib == nil {
 		return false
 	}
-	forced := g.draining || g.down || g.failing(now) && !g.outlier.trial(now)
+	forced := g.closed() != 0 || g.failing(now) && !g.outlier.trial(now)
 	if !forced && g.off(mechanism.Moves) {
 		return false
 	}
--- a/core/gate/server.go
+++ b/core/gate/server.go
@@ -16,6 +16,16 @@
 	return g.closeFor(now, Down, &g.down, down)
 }
 
+// SetEvacuated tells whether the operator has emptied the server's data centre. What
+// runs goes on; what waits moves, or is refused as not run.
+func (g *Gate) SetEvacuated(now time.Duration, evacuated bool) []Event {
+	if g.evacuated && !evacuated && g.config.ColdStarts > 0 {
+		// Nothing kept the server warm meanwhile. It says so itself in a moment.
+		g.SetCold(now, 0)
+	}
+	return g.closeFor(now, Evacuated, &g.evacuated, evacuated)
+}
+
 // closeFor notes whether there is a reason to take no new work; while there is, what
 // waits leaves.
 func (g *Gate) closeFor(now time.Duration, reason Reason, noted *bool, there bool) []Event {
--- a/core/gate/types.go
+++ b/core/gate/types.go
@@ -32,11 +32,13 @@
 	Canceled
 	// Quarantined: servers have ended under requests with this content.
 	Quarantined
+	// Evacuated: the operator has emptied the server's data centre.
+	Evacuated
 )
 
 // String names the reason.
 func (r Reason) String() string {
-	return [...]string{"none", "queue-full", "too-late", "draining", "down", "fenced", "revoked", "duplicate", "canceled", "quarantined"}[r]
+	return [...]string{"none", "queue-full", "too-late", "draining", "down", "fenced", "revoked", "duplicate", "canceled", "quarantined", "evacuated"}[r]
 }
 
 // EventKind tells what happened to a request.
--- a/core/rollout/records.go
+++ b/core/rollout/records.go
@@ -1,5 +1,5 @@
 // Package rollout holds the compiled estate as one record per service, per route,
-// per host and per institution's limits, each stamped with the revision that last changed it. What a receiver
+// per host, per data centre and per institution's limits, each stamped with the revision that last changed it. What a receiver
 // at revision R lacks is every record stamped after R, so no history of deltas
 // is kept and a receiver may be any number of revisions behind.
 //
@@ -24,6 +24,8 @@
 	hosts    map[string]*apiv1.HostRecord
 	routes   map[string]*apiv1.RouteRecord
 	limits   map[string]*apiv1.LimitsRecord
+	// dataCenters are those that were ever evacuated.
+	dataCenters map[string]*apiv1.DataCenterRecord
 }
 
 // Contents is what an institution's text says, compiled.
@@ -36,7 +38,7 @@
 // NewRecords returns the records before the first revision.
 func NewRecords() *Records {
 	return &Records{services: map[string]*apiv1.ServiceRecord{}, hosts: map[string]*apiv1.HostRecord{},
-		routes: map[string]*apiv1.RouteRecord{}, limits: map[string]*apiv1.LimitsRecord{}}
+		routes: map[string]*apiv1.RouteRecord{}, limits: map[string]*apiv1.LimitsRecord{}, dataCenters: map[string]*apiv1.DataCenterRecord{}}
 }
 
 // Revision is the newest revision held.
@@ -60,6 +62,12 @@
 // Draining tells whether an operator announced a planned stop of the host.
 func (r *Records) Draining(host string) bool { return r.hosts[host].GetDraining() }
 
+// Evacuated tells whether an operator evacuated the data centre.
+func (r *Records) Evacuated(dataCenter string) bool { return r.dataCenters[dataCenter].GetEvacuated() }
+
+// DataCenters returns every data centre's record, by name.
+func (r *Records) DataCenters() []*apiv1.DataCenterRecord { return byKey(r.dataCenters) }
+
 // Hosts returns every host record, by name.
 func (r *Records) Hosts() []*apiv1.HostRecord { return byKey(r.hosts) }
 
@@ -147,6 +155,12 @@
 	r.revision = revision
 }
 
+// SetDataCenter records an evacuation, or its end, as of revision.
+func (r *Records) SetDataCenter(dataCenter string, evacuated bool, revision uint64) {
+	r.dataCenters[dataCenter] = &apiv1.DataCenterRecord{DataCenter: dataCenter, ChangedAt: revision, Evacuated: evacuated}
+	r.revision = revision
+}
+
 // Delta returns everything that a receiver at revision since lacks.
 func (r *Records) Delta(since uint64) *apiv1.EstateDelta {
 	delta := &apiv1.EstateDelta{Since: since, Revision: r.revision, Complete: since == 0}
@@ -186,14 +200,14 @@
 	if h := r.hosts[host]; h != nil && h.ChangedAt > since {
 		delta.Hosts = append(delta.Hosts, h)
 	}
-	r.addRoutes(since, delta)
+	r.addCommon(since, delta)
 	return delta
 }
 
-// addRoutes adds the routes and limits that changed. Every node needs all routes:
-// a request for any of them may come to it.
-func (r *Records) addRoutes(since uint64, delta *apiv1.EstateDelta) {
-	delta.Routes, delta.Limits = changed(r.routes, since), changed(r.limits, since)
+// addCommon adds what changed of what every node needs: all routes, since a request
+// for any of them may come to it, limits, and evacuations.
+func (r *Records) addCommon(since uint64, delta *apiv1.EstateDelta) {
+	delta.Routes, delta.Limits, delta.DataCenters = changed(r.routes, since), changed(r.limits, since), changed(r.dataCenters, since)
 }
 
 func routesOnly(s *apiv1.ServiceRecord) *apiv1.ServiceRecord {
@@ -203,7 +217,7 @@
 
 func (r *Records) unfiltered(since uint64, delta *apiv1.EstateDelta) {
 	delta.Services, delta.Hosts = changed(r.services, since), changed(r.hosts, since)
-	r.addRoutes(since, delta)
+	r.addCommon(since, delta)
 }
 
 // Apply takes in a delta and reports whether anything changed.
@@ -243,6 +257,12 @@
 			changed = true
 		}
 	}
+	for _, d := range delta.DataCenters {
+		if held := r.dataCenters[d.DataCenter]; held == nil || held.ChangedAt < d.ChangedAt {
+			r.dataCenters[d.DataCenter] = d
+			changed = true
+		}
+	}
 	r.revision = delta.Revision
 	return changed
 }
@@ -258,7 +278,8 @@
 
 // Snapshot returns all records by name.
 func (r *Records) Snapshot() *apiv1.EstateSnapshot {
-	return &apiv1.EstateSnapshot{Revision: r.revision, Services: byKey(r.services), Hosts: r.Hosts(), Routes: byKey(r.routes), Limits: byKey(r.limits)}
+	return &apiv1.EstateSnapshot{Revision: r.revision, Services: byKey(r.services), Hosts: r.Hosts(), Routes: byKey(r.routes), Limits: byKey(r.limits),
+		DataCenters: r.DataCenters()}
 }
 
 // Restore replaces the records by a snapshot's.
@@ -277,6 +298,9 @@
 	for _, l := range snap.Limits {
 		r.limits[l.Institution] = l
 	}
+	for _, d := range snap.DataCenters {
+		r.dataCenters[d.DataCenter] = d
+	}
 }
 
 // byKey lists the records of one kind, by the key that they are held under.
--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -31,6 +31,8 @@
 type Estate interface {
 	Submit(ctx context.Context, operator string, s replica.Submission) (*apiv1.AuditRecord, error)
 	Accepted(changeID string) bool
+	// Evacuate has a data centre emptied, or that taken back.
+	Evacuate(ctx context.Context, operator string, e replica.Evacuation) (*apiv1.AuditRecord, error)
 	Newest(ctx context.Context, institution string) (replica.Document, error)
 	LeaderAddress() string
 }
--- a/internal/endpoint/backend.go
+++ b/internal/endpoint/backend.go
@@ -62,6 +62,12 @@
 	e.with(func(now time.Duration) []gate.Event { return e.gate.SetDraining(now, draining) })
 }
 
+// SetEvacuated tells whether the operator has emptied this data centre.
+func (e *Endpoint) SetEvacuated(evacuated bool) {
+	e.evacuated.Store(evacuated)
+	e.with(func(now time.Duration) []gate.Event { return e.gate.SetEvacuated(now, evacuated) })
+}
+
 // SetCold tells that the backend server is cold. Left is how long it says that it
 // stays so, 0 if it does not say.
 func (e *Endpoint) SetCold(left time.Duration) {
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -82,6 +82,8 @@
 	// lastHeard is when it last said anything.
 	lastHeard atomic.Int64
 	failures  atomic.Int32
+	// evacuated: the operator has emptied this data centre.
+	evacuated atomic.Bool
 	down      atomic.Bool
 }
 
--- a/internal/endpoint/watch.go
+++ b/internal/endpoint/watch.go
@@ -49,6 +49,9 @@
 			return
 		case <-ticker.C:
 		}
+		if e.evacuated.Load() && e.figureAge() < evacuatedInterval {
+			continue
+		}
 		if e.figureAge() >= loadInterval || e.coldUnknown() {
 			e.askLoad()
 		}
@@ -60,6 +63,10 @@
 // within it, half of what a cold one bears in a second.
 const coldInterval = 200 * time.Millisecond
 
+// evacuatedInterval is how often a backend server is asked that gets no requests: only
+// to see that it is there.
+const evacuatedInterval = time.Second
+
 // coldUnknown tells whether a server that is known to tell for how long it stays cold
 // has not done so for a while.
 func (e *Endpoint) coldUnknown() bool {
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -195,7 +195,7 @@
 	if s != nil {
 		n.applyGate(s, byService[s.service])
 	}
-	n.setGateDraining()
+	n.closeGate()
 }
 
 func frontLimits(l *apiv1.CallerLimits) front.Limits {
@@ -204,18 +204,31 @@
 }
 
 func (n *Node) candidates(byService map[string][]*apiv1.Entry) map[string][]balancer.Candidate {
+	evacuated := n.evacuations()
 	out := make(map[string][]balancer.Candidate, len(byService))
 	for service, entries := range byService {
 		list := make([]balancer.Candidate, 0, len(entries))
 		for _, e := range entries {
 			list = append(list, balancer.Candidate{Host: e.Host, PeerAddress: e.PeerAddress, Incarnation: e.Incarnation, Slots: int(e.Slots),
-				Distance: n.distance(e), Near: e.DataCenter == n.options.DataCenter, Draining: e.State == apiv1.EndpointState_ENDPOINT_STATE_DRAINING})
+				Distance: n.distance(e), Near: e.DataCenter == n.options.DataCenter, Draining: e.State == apiv1.EndpointState_ENDPOINT_STATE_DRAINING,
+				Evacuated: evacuated(e.DataCenter)})
 		}
 		out[service] = list
 	}
 	return out
 }
 
+// evacuations tells which data centres are evacuated, as of now.
+func (n *Node) evacuations() func(dataCenter string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	emptied := map[string]bool{}
+	for _, d := range n.records.DataCenters() {
+		emptied[d.DataCenter] = d.Evacuated
+	}
+	return func(dataCenter string) bool { return emptied[dataCenter] }
+}
+
 // Assumed one-way delays, until a connection was measured.
 const (
 	sameHost   = 50 * time.Microsecond
@@ -252,11 +265,12 @@
 	s.endpoint.SetSiblings(n.siblings(entries))
 }
 
-// siblings lists the service's other gates.
+// siblings lists the service's other gates that may get requests.
 func (n *Node) siblings(entries []*apiv1.Entry) []gate.Sibling {
+	evacuated := n.evacuations()
 	list := make([]gate.Sibling, 0, len(entries))
 	for _, e := range entries {
-		if e.Host != n.options.Host {
+		if e.Host != n.options.Host && !evacuated(e.DataCenter) {
 			list = append(list, gate.Sibling{Host: e.Host, Distance: n.distance(e), DataCenter: e.DataCenter, Near: e.DataCenter == n.options.DataCenter})
 		}
 	}
@@ -267,15 +281,16 @@
 func (n *Node) applyDraining() {
 	n.applying.Lock()
 	defer n.applying.Unlock()
-	n.setGateDraining()
+	n.closeGate()
 }
 
-// setGateDraining is called with applying held.
-func (n *Node) setGateDraining() {
+// closeGate closes or opens the gate; applying is held.
+func (n *Node) closeGate() {
 	n.mu.Lock()
-	draining, s := n.draining(), n.server
+	draining, evacuated, s := n.draining(), n.records.Evacuated(n.options.DataCenter), n.server
 	n.mu.Unlock()
 	if s != nil {
 		s.endpoint.SetDraining(draining)
+		s.endpoint.SetEvacuated(evacuated)
 	}
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -85,6 +85,18 @@
 	})
 }
 
+// Evacuate empties a data centre, or takes that back. It resends as Submit does.
+func (c *Client) Evacuate(ctx context.Context, dataCenter string, evacuated bool, changeID string) (*apiv1.AuditRecord, error) {
+	req := &apiv1.EvacuateRequest{ChangeId: changeID, Operator: c.Name, DataCenter: dataCenter, Evacuated: evacuated}
+	return c.change(ctx, changeID, func(ctx context.Context, r *controlclient.Replica) (*apiv1.AuditRecord, error) {
+		resp, err := r.Command.Evacuate(ctx, connect.NewRequest(req))
+		if err != nil {
+			return nil, err
+		}
+		return resp.Msg.Record, nil
+	})
+}
+
 // change sends a change until it is decided or ctx ends.
 func (c *Client) change(ctx context.Context, changeID string, send func(context.Context, *controlclient.Replica) (*apiv1.AuditRecord, error)) (*apiv1.AuditRecord, error) {
 	var record *apiv1.AuditRecord
--- a/internal/process/group_test.go
+++ b/internal/process/group_test.go
@@ -12,6 +12,8 @@
 	"gotest.tools/v3/assert"
 
 	apiv1 "cactuspath/api/cactuspath/v1"
+	"cactuspath/internal/controlclient"
+	"cactuspath/internal/operator"
 	"cactuspath/internal/replica"
 	"cactuspath/internal/settings"
 )
@@ -163,3 +165,65 @@
 	eventually(t, "the first answer again", 15*time.Second, func() bool { return s.submit(1, 0) })
 	assert.Equal(t, s.newest(), uint64(2))
 }
+
+// evacuate gives an order to every replica in turn until one accepts it.
+func (s *site) evacuate(dataCenter string, evacuated bool) bool {
+	for _, r := range s.running {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		record, err := r.process.Replica.Evacuate(ctx, "op", replica.Evacuation{ID: fmt.Sprint(time.Now().UnixNano()), DataCenter: dataCenter, Evacuated: evacuated})
+		cancel()
+		if err == nil && record.Outcome == apiv1.Outcome_OUTCOME_ACCEPTED {
+			return true
+		}
+	}
+	return false
+}
+
+// evacuated tells whether a confirmed status says that the data centre is evacuated.
+func (s *site) evacuated(dataCenter string) bool {
+	for i := range s.running {
+		client := &operator.Client{Control: controlclient.New(nil, []string{s.addresses[i]}, "")}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		status, err := client.Status(ctx)
+		cancel()
+		if err != nil {
+			continue
+		}
+		for _, d := range status.DataCenters {
+			if d.DataCenter == dataCenter {
+				return d.Evacuated
+			}
+		}
+		return false
+	}
+	return false
+}
+
+// Guards against an acknowledged evacuation that is gone: two disks are lost at once
+// right after it, then every process ends.
+func TestEvacuationOutlivesTwoLostDisksAndARestartOfAll(t *testing.T) {
+	s := newSite(t, 5)
+	for i := range 5 {
+		s.start(i, true)
+	}
+	eventually(t, "accepted", 15*time.Second, func() bool { return s.submit(1, 0) })
+	eventually(t, "evacuated", 5*time.Second, func() bool { return s.evacuate("a", true) })
+	for _, i := range []int{1, 3} {
+		s.stop(i)
+		assert.NilError(t, os.RemoveAll(s.data(i)))
+	}
+	eventually(t, "still in force", 10*time.Second, func() bool { return s.evacuated("a") })
+	s.start(1, false)
+	s.start(3, false)
+	eventually(t, "five voters", 10*time.Second, func() bool { return s.voters() == 5 })
+	for i := range 5 {
+		s.stop(i)
+	}
+	for i := range 5 {
+		s.start(i, false)
+	}
+	eventually(t, "in force after the restart", 15*time.Second, func() bool { return s.evacuated("a") })
+	eventually(t, "taken back", 5*time.Second, func() bool { return s.evacuate("a", false) })
+	assert.Assert(t, !s.evacuated("a"))
+	assert.Equal(t, s.newest(), uint64(1))
+}
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -35,6 +35,8 @@
 	// noEndpointRetryAfter is told where no endpoint is known: about what a node
 	// takes to learn of all endpoints after a restart.
 	noEndpointRetryAfter = 400 * time.Millisecond
+	// evacuatedRetryAfter is told where all endpoints are evacuated, which lasts.
+	evacuatedRetryAfter = time.Second
 )
 
 // call is one request on its way to its final answer.
@@ -348,6 +350,9 @@
 	case c.last.Verdict == hop.Refused && c.last.Reason == gate.Quarantined:
 		f.Fault = fault.Quarantined
 		f.Message = "backend servers have ended again and again while they ran requests like this one, so it was not run; look in the nodes' logs for \"Backend server ended\", and mend what crashes before it is sent again"
+	case c.attempts == 0 && c.s.evacuated():
+		f.Fault, retryAfter = fault.NotRun, evacuatedRetryAfter
+		f.Message = "all endpoints of service " + c.s.name + " are in data centres that the operator has evacuated, so the request was not run; come back later (`cactusctl status` lists evacuations)"
 	case c.attempts == 0:
 		f.Fault, retryAfter = fault.NoEndpoint, noEndpointRetryAfter
 		f.Message = "no endpoint of service " + c.s.name + " is known here; check that its backend servers announce themselves (`cactusctl status`)"
--- a/internal/proxy/ends.go
+++ b/internal/proxy/ends.go
@@ -15,6 +15,10 @@
 
 // What the end of an attempt means for its request and for the endpoint.
 
+// evacuationPause is how long an endpoint is left alone whose gate knows of an
+// evacuation that this node does not: about what both take to hear of it.
+const evacuationPause = 300 * time.Millisecond
+
 // settle takes in an attempt's reply.
 func (c *call) settle(a attempt, resp *http.Response, reply hop.Reply) result {
 	c.h.options.Heard(reply.Revision)
@@ -61,6 +65,10 @@
 	case gate.Draining:
 		c.s.setDraining(a.to)
 		return retry.Leaving
+	case gate.Evacuated:
+		// Its node heard of the evacuation, or of its end, at another moment than this one.
+		c.s.avoid(c.h.now()+evacuationPause, a.to.Host)
+		return retry.Leaving
 	case gate.Down:
 		return retry.Unreached
 	case gate.QueueFull, gate.TooLate:
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -113,7 +113,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	named := s.pool.Get(host)
-	if host != hop.AnyHost && (named == nil || named.Draining) || !s.pool.Others([]string{stuck}) {
+	if host != hop.AnyHost && (named == nil || named.Draining || named.Evacuated) || !s.pool.Others([]string{stuck}) {
 		return nil
 	}
 	s.refill()
@@ -154,9 +154,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.pool.Get(host)
-	if c != nil {
-		s.pool.Start(c)
+	if c == nil || c.Evacuated {
+		return nil
 	}
+	s.pool.Start(c)
 	return pick(c)
 }
 
@@ -197,6 +198,13 @@
 	s.pool.SetIncarnation(to.held, incarnation)
 }
 
+// evacuated tells whether there are endpoints, and all of them are evacuated.
+func (s *service) evacuated() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool.Evacuated()
+}
+
 func (s *service) endpoints() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/replica/adapter.go
+++ b/internal/replica/adapter.go
@@ -19,6 +19,20 @@
 	ContentID bool
 }
 
+// Evacuation is an order that a data centre gets no requests, or the end of one.
+type Evacuation struct {
+	ID         string
+	DataCenter string
+	Evacuated  bool
+}
+
+// Evacuate has an evacuation agreed on, or its end. An order for what is in force
+// already is accepted and changes nothing, so that one whose answer was lost may be
+// given again.
+func (r *Replica) Evacuate(ctx context.Context, operator string, e Evacuation) (*apiv1.AuditRecord, error) {
+	return r.evacuate(ctx, Operator{Name: operator, Hosts: true}, e)
+}
+
 // Document is an institution's newest accepted text.
 type Document struct {
 	Revision     uint64
--- a/internal/replica/commands.go
+++ b/internal/replica/commands.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"time"
 
 	"connectrpc.com/connect"
@@ -70,6 +72,46 @@
 	return connect.NewResponse(&apiv1.DrainResponse{Record: record}), nil
 }
 
+// Evacuate empties a data centre, or takes that back.
+func (c commands) Evacuate(ctx context.Context, req *connect.Request[apiv1.EvacuateRequest]) (*connect.Response[apiv1.EvacuateResponse], error) {
+	who, err := c.r.hostOperator(req.Header(), req.Msg.Operator)
+	if err != nil {
+		return nil, err
+	}
+	record, err := c.r.evacuate(ctx, who, Evacuation{ID: req.Msg.ChangeId, DataCenter: req.Msg.DataCenter, Evacuated: req.Msg.Evacuated})
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&apiv1.EvacuateResponse{Record: record}), nil
+}
+
+func (r *Replica) evacuate(ctx context.Context, who Operator, e Evacuation) (*apiv1.AuditRecord, error) {
+	if err := requireID(e.ID); err != nil {
+		return nil, err
+	}
+	if err := r.checkDataCenter(e.DataCenter); err != nil {
+		return nil, fault.New(fault.Invalid, err)
+	}
+	change := newChange(e.ID, who.Name)
+	change.Kind = &apiv1.Change_DataCenter{DataCenter: &apiv1.DataCenterChange{DataCenter: e.DataCenter, Evacuated: e.Evacuated}}
+	return r.propose(ctx, change)
+}
+
+// checkDataCenter refuses a name that no host has: an order for a misspelt one would be
+// acknowledged, and empty nothing.
+func (r *Replica) checkDataCenter(name string) error {
+	known := r.options.DataCenters
+	switch {
+	case slices.Contains(known, name):
+		return nil
+	case len(known) > 0:
+		return errors.Newf("no data centre is named %q; use one of %s, or add it to dataCenters in the control replicas' settings", name, strings.Join(known, ", "))
+	case !estate.ValidName(name):
+		return errors.Newf("%q is no name of a data centre; %s", name, estate.NameRemedy)
+	}
+	return nil
+}
+
 // ChangeReplica changes the members by one.
 func (c commands) ChangeReplica(ctx context.Context, req *connect.Request[apiv1.ChangeReplicaRequest]) (*connect.Response[apiv1.ChangeReplicaResponse], error) {
 	if _, err := c.r.hostOperator(req.Header(), req.Msg.Operator); err != nil {
--- a/internal/replica/queries.go
+++ b/internal/replica/queries.go
@@ -32,6 +32,7 @@
 	q.r.mu.RLock()
 	resp.Revision = q.r.state.Revision()
 	resp.Hosts = q.r.state.Records().Hosts()
+	resp.DataCenters = q.r.state.Records().DataCenters()
 	q.r.mu.RUnlock()
 	q.r.relays.summary(resp.Revision, resp)
 	return connect.NewResponse(resp), nil
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -38,6 +38,8 @@
 	DataFolder    string
 	Security      *transport.Security
 	Operators     []Operator
+	// DataCenters are those that may be evacuated; any if empty.
+	DataCenters []string
 	// Tick is the length of one tick; 0 means the usual 50 ms.
 	Tick time.Duration
 	// Group, if not nil, has the members chosen by the replicas themselves.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -79,6 +79,8 @@
 	// Founders are the names and addresses of the first members.
 	Founders  map[string]string
 	Operators []Operator
+	// DataCenters are those that operators may evacuate; any if empty.
+	DataCenters []string
 	// Group has the replicas choose their members by themselves; nil leaves them
 	// to operators.
 	Group *Group
@@ -263,8 +265,9 @@
 				c.Founders[m.Name] = address(m.Value)
 			}
 		},
-		"group":     func(n jsonc.Node) { c.Group = readGroup(n) },
-		"operators": func(n jsonc.Node) { c.Operators = jsonc.List(n, readOperator) },
+		"dataCenters": func(n jsonc.Node) { c.DataCenters = n.Strings() },
+		"group":       func(n jsonc.Node) { c.Group = readGroup(n) },
+		"operators":   func(n jsonc.Node) { c.Operators = jsonc.List(n, readOperator) },
 	}, "name", "address", "dataFolder")
 	if c.Listen == "" {
 		c.Listen = c.Address
