Late requests get no starts of a cold server; its starts are not spread

While all servers are cold a start is worth more than a slot: it is spent for a second. Requests that would miss their aim took starts that others, which came later and could be in time, then lacked; spreading the starts over the second left those of a quiet moment unused.

--- a/core/gate/admit.go
+++ b/core/gate/admit.go
@@ -98,7 +98,7 @@
 		g.refuse(now, it, TooLate)
 		return false
 	}
-	if it.rank.late && g.queue.late >= lateRoom(g.slots(now)) {
+	if it.rank.late && g.queue.late >= g.lateRoom(now) {
 		g.refuse(now, it, QueueFull)
 		return false
 	}
@@ -109,8 +109,15 @@
 }
 
 // lateRoom is how many requests may wait that miss their aim. They only use
-// slots that nobody else wants; more of them would be refused after a long wait.
-func lateRoom(slots int) int { return max(1, slots/2) }
+// slots that nobody else wants; more of them would be refused after a long wait. On a
+// cold server there are none: a start is spent for a second, in which one that can be
+// in time would find none left.
+func (g *Gate) lateRoom(now time.Duration) int {
+	if g.limited(now) {
+		return 0
+	}
+	return max(1, g.slots(now)/2)
+}
 
 func (g *Gate) refuse(now time.Duration, it *item, reason Reason) {
 	g.emit(Event{Kind: Refused, Handle: it.Handle, Reason: reason, RetryAfter: g.retryAfter(now), Everywhere: g.fullEverywhere(now)})
--- a/core/gate/aims.go
+++ b/core/gate/aims.go
@@ -14,7 +14,7 @@
 func (g *Gate) demote(now time.Duration, it *item) {
 	g.queue.remove(it)
 	it.rank.late = true
-	if g.queue.late >= lateRoom(g.slots(now)) {
+	if g.queue.late >= g.lateRoom(now) {
 		g.drop(it, QueueFull, g.retryAfter(now))
 		return
 	}
--- a/core/gate/cold.go
+++ b/core/gate/cold.go
@@ -11,13 +11,8 @@
 // fleet that lost power never came back: each server ended under what it was sent,
 // came back cold, and ended again.
 
-const (
-	// coldSpan is the span in which a cold server's starts are counted.
-	coldSpan = time.Second
-	// coldParts spreads the starts over coldSpan. Callers whose calls allow a fraction
-	// of a second would otherwise find none left for most of it.
-	coldParts = 5
-)
+// coldSpan is the span in which a cold server's starts are counted.
+const coldSpan = time.Second
 
 // coldness is what is known of a server's cold time, and of the starts before now.
 type coldness struct {
@@ -88,16 +83,15 @@
 	}
 }
 
-// within counts the starts in the span that ends now.
-func (c *coldness) within(now, span time.Duration) int {
-	i, _ := slices.BinarySearch(c.begun, now-span+1)
+// within counts the starts in the coldSpan that ends now.
+func (c *coldness) within(now time.Duration) int {
+	i, _ := slices.BinarySearch(c.begun, now-coldSpan+1)
 	return len(c.begun) - i
 }
 
 // coldRoom is how many requests may start now on a cold server.
 func (g *Gate) coldRoom(now time.Duration) int {
-	part := (g.config.ColdStarts + coldParts - 1) / coldParts
-	return max(0, min(g.config.ColdStarts-g.cold.within(now, coldSpan), part-g.cold.within(now, coldSpan/coldParts)))
+	return max(0, g.config.ColdStarts-g.cold.within(now))
 }
 
 // coldWait is how long the limit keeps a request waiting behind a number of others.
@@ -109,6 +103,12 @@
 	if missing <= 0 {
 		return 0
 	}
-	each := coldSpan / time.Duration(g.config.ColdStarts)
-	return min(g.cold.until-now, time.Duration(missing)*each)
+	// The oldest starts leave the span first. Those that follow them do so a span later.
+	rounds, place := (missing-1)/g.config.ColdStarts, (missing-1)%g.config.ColdStarts
+	within := g.cold.begun[len(g.cold.begun)-g.cold.within(now):]
+	next := now
+	if place < len(within) {
+		next = within[place]
+	}
+	return min(g.cold.until, next+time.Duration(rounds+1)*coldSpan) - now
 }
--- a/internal/dev/cluster.go
+++ b/internal/dev/cluster.go
@@ -42,6 +42,9 @@
 	failed error
 }
 
+// devDataCenter is where all of the cluster is.
+const devDataCenter = "dev-a"
+
 // Start starts a cluster of the given number of nodes, with a stand-in of the
 // service beside each. Folder holds the control replica's data.
 func Start(folder string, nodes int, service string) (*Cluster, error) {
@@ -75,14 +78,14 @@
 			return err
 		}
 	}
-	return c.run(ctx, &settings.Settings{Host: name, DataCenter: "dev-a", Region: "dev", StopTimeout: stopTimeout, ControlReplicas: []string{c.Control},
+	return c.run(ctx, &settings.Settings{Host: name, DataCenter: devDataCenter, Region: "dev", StopTimeout: stopTimeout, ControlReplicas: []string{c.Control},
 		Control: &settings.Control{Name: name, Address: c.Control, Listen: c.Control, DataFolder: data}}, listener)
 }
 
 func (c *Cluster) startNode(ctx context.Context, i int, service string) error {
 	ctx, stop := context.WithCancel(ctx)
 	c.stopNode = append(c.stopNode, stop)
-	s := &settings.Settings{Host: fmt.Sprintf("host-%d", i+1), DataCenter: "dev-a", Region: "dev", StopTimeout: stopTimeout, ControlReplicas: []string{c.Control},
+	s := &settings.Settings{Host: fmt.Sprintf("host-%d", i+1), DataCenter: devDataCenter, Region: "dev", StopTimeout: stopTimeout, ControlReplicas: []string{c.Control},
 		Node: &settings.Node{Callers: loopbackAny, Peer: loopbackAny, PeerAddress: loopbackAny, Admin: loopbackAny}}
 	if err := c.run(ctx, s, nil); err != nil {
 		return err
--- a/internal/dev/tour.go
+++ b/internal/dev/tour.go
@@ -72,6 +72,7 @@
 		{"Submit a text with three faults", t.faults},
 		{"Submit on top of a revision that is not the newest", t.conflict},
 		{"Send the first change again, as after a lost answer", t.resend},
+		{"Evacuate the only data centre, and take it back", t.evacuate},
 		{"Planned stop of host-1 under load", t.drain},
 		{"A backend server dies without a word", t.kill},
 		{"Stop the process of host-3 under load", t.stop},
@@ -251,6 +252,39 @@
 	return ok.Load(), notOK.Load(), err
 }
 
+func (t *tour) evacuate(ctx context.Context) (string, error) {
+	if err := t.order(ctx, true); err != nil {
+		return "", err
+	}
+	begun := time.Now()
+	status, answer, err := t.get(ctx, 0, "/evacuated")
+	if err != nil || status != http.StatusServiceUnavailable || answer.Header.Get("Retry-After") == "" {
+		return "", errors.Newf("answered %d: %v", status, err)
+	}
+	if took := time.Since(begun); took > time.Second {
+		return "", errors.Newf("the refusal took %v", took)
+	}
+	if err := t.order(ctx, false); err != nil {
+		return "", err
+	}
+	for i := range t.c.Nodes {
+		if status, answer, err := t.get(ctx, i, "/back"); err != nil || status != http.StatusOK {
+			return "", errors.Newf("node %d answered %d (%s) after it: %v", i+1, status, answer.Header.Get(bodyHeader), err)
+		}
+	}
+	return "while it is evacuated: 503 at once, not run, come back in " + answer.Header.Get("Retry-After") + " s\nafter it: answered 200 by all of 3", nil
+}
+
+// order evacuates the tour's data centre, or ends that, and waits until all nodes know.
+func (t *tour) order(ctx context.Context, evacuated bool) error {
+	record, err := t.c.Operator.Evacuate(ctx, devDataCenter, evacuated, operator.NewChangeID())
+	if err != nil {
+		return err
+	}
+	_, err = t.inForce(ctx, record.Revision)
+	return err
+}
+
 func (t *tour) drain(ctx context.Context) (string, error) {
 	answered, bad, err := t.underLoad(ctx, 1, func() error {
 		if _, err := t.c.Operator.Drain(ctx, "host-1", true, operator.NewChangeID()); err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -93,6 +93,8 @@
 	// unready: a planned stop began. stopping: its gate has closed.
 	unready, stopping bool
 	departed          bool
+	// evacuated: the operator has emptied this node's data centre.
+	evacuated bool
 	// needed are services that callers asked for, beside the hosted one and
 	// those it depends on.
 	needed map[string]bool
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -288,7 +288,12 @@
 func (n *Node) closeGate() {
 	n.mu.Lock()
 	draining, evacuated, s := n.draining(), n.records.Evacuated(n.options.DataCenter), n.server
+	changed := evacuated != n.evacuated
+	n.evacuated = evacuated
 	n.mu.Unlock()
+	if changed {
+		klog.InfoS("Evacuation changed", "host", n.options.Host, "dataCenter", n.options.DataCenter, "evacuated", evacuated, "revision", n.Revision())
+	}
 	if s != nil {
 		s.endpoint.SetDraining(draining)
 		s.endpoint.SetEvacuated(evacuated)
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -351,7 +351,7 @@
 		f.Fault = fault.Quarantined
 		f.Message = "backend servers have ended again and again while they ran requests like this one, so it was not run; look in the nodes' logs for \"Backend server ended\", and mend what crashes before it is sent again"
 	case c.attempts == 0 && c.s.evacuated():
-		f.Fault, retryAfter = fault.NotRun, evacuatedRetryAfter
+		f.Fault, f.Reason, retryAfter = fault.NotRun, gate.Evacuated.String(), evacuatedRetryAfter
 		f.Message = "all endpoints of service " + c.s.name + " are in data centres that the operator has evacuated, so the request was not run; come back later (`cactusctl status` lists evacuations)"
 	case c.attempts == 0:
 		f.Fault, retryAfter = fault.NoEndpoint, noEndpointRetryAfter
