--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -59,10 +59,8 @@
 	longestAvoidance = 5 * time.Second
 	// crowdMemory is how long a candidate counts as crowded after its gate passed a
 	// request on or refused it. Room comes and goes within a tenth of a second, and
-	// asking costs a message inside the data centre: callers of 20 requests a second
-	// that kept away for a second sent 57 in 100 of them to other data centres. As long
-	// as three requests of its own was worse for callers of few (10 pairs of days on each
-	// of two sites). Against a second: 0.026 +- 0.007 of a day's worth (35 pairs).
+	// asking costs a message inside the data centre; a caller that keeps away for longer
+	// sends most of its requests to other data centres.
 	crowdMemory = 100 * time.Millisecond
 )
 
--- a/core/gate/aims.go
+++ b/core/gate/aims.go
@@ -30,9 +30,7 @@
 // aimMargin is how many times its usual work a waiting request needs before its
 // aim. What the mean allows just so, half of the requests miss: work varies by a
 // third, and a request calls others or its server turns slow under it. Refused or
-// put behind, they leave the slot to one that makes it. Of callers of busy services
-// (`cactusctl emulate`) up to 6 in 100 more get their answer in time with 2.4 than
-// with 1.0; with 2.8 services of many slots serve fewer.
+// put behind, they leave the slot to one that makes it.
 const aimMargin = 2.4
 
 // missesAim tells whether a waiting request is not likely to be answered within
--- a/core/gate/crowd.go
+++ b/core/gate/crowd.go
@@ -16,15 +16,14 @@
 	// crowdQuantile is which part of the demands is compared. Requests that wait for
 	// calls of their own take longer in any crowd; the shorter ones make none.
 	crowdQuantile = 0.15
-	// crowdWindow is how many of the newest demands of each kind are kept. With 48
-	// the gates of a service together found 1.3 to 1.7 where 1.7 is true, and 1.2 at
-	// most where nothing slows (`cactusctl emulate`, nine runs in ten and all).
+	// crowdWindow is how many of the newest demands of each kind are kept: enough for
+	// the gates of a service together to tell a crowd from work that varies.
 	crowdWindow = 48
 	// crowdSamples is how many demands of each kind are needed for a verdict.
 	crowdSamples = 12
 	// crowdWorth is from which factor on the last slots are left empty. A fifth of the
-	// slots does less than the others lose from 1.25 on; 1.28 lies above all that is
-	// found where nothing slows.
+	// slots does less than the others lose from 1.25 on; the rest is for what is found
+	// by chance where nothing slows.
 	crowdWorth = 1.28
 	// mostCrowded bounds what is believed.
 	mostCrowded = 4
--- a/core/gate/slowdown.go
+++ b/core/gate/slowdown.go
@@ -77,8 +77,7 @@
 
 // lastingFactor is the part of the slowdown that stays. A server that announced how
 // long it stays cold is believed at once: during two seconds of figures that had to be
-// waited for, a fleet that had just started took in what it could not end in time. Days
-// that end with a loss of power earn 0.021 +- 0.010 more of their worth (16 pairs of days).
+// waited for, a fleet that had just started took in what it could not end in time.
 func (s *slowdown) lastingFactor() float64 {
 	if s.off.Has(mechanism.Lasting) {
 		return 1
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -64,8 +64,8 @@
 )
 
 // maxMoves bounds how often gates may move one request. The second move lets a
-// request leave a sibling that turned slow while it travelled; a third gained
-// nothing in the replays.
+// request leave a sibling that turned slow while it travelled; more would let gates
+// pass it round.
 const maxMoves = 2
 
 // leastTries is how many gates a request may be sent to, whatever MaxAttempts
