A body that comes after an evacuation is not sent to the server

A request that waits for its body counts as started at its gate. Its body may come as late as its caller allows, and the gate then sent it on although the data centre had been evacuated meanwhile. It is refused as not run now; its caller's node tries elsewhere if it still has the body. Found by reading; the test failed before.

--- a/core/gate/evacuated_test.go
+++ b/core/gate/evacuated_test.go
@@ -41,3 +41,15 @@
 	g.ObserveCold(1100*ms, 0)
 	assert.Equal(t, g.Load(1100*ms).ColdStarts, 0)
 }
+
+// Guards against an upload whose body comes after its gate was evacuated: it has not
+// reached the server yet, and must not any more.
+func TestBodyThatComesAfterAnEvacuationIsNotSent(t *testing.T) {
+	g := New("a", Config{Slots: 2, Queue: 8}, 0)
+	assert.Equal(t, len(startsOf(g.Arrive(0, request(1)))), 1)
+	g.SetEvacuated(ms, true)
+	events := g.Reconsider(2*ms, 1)
+	assert.DeepEqual(t, kinds(events), []EventKind{Refused})
+	assert.Equal(t, events[0].Reason, Evacuated)
+	assert.Equal(t, g.InFlight(), 0)
+}
--- a/core/gate/start.go
+++ b/core/gate/start.go
@@ -49,6 +49,13 @@
 	g.estimate.abandon(now)
 	g.cold.undo(it.started)
 	it.Movable = false
+	if g.evacuated {
+		// A body may take as long to come as its caller allows, far longer than an
+		// evacuation may take to hold.
+		g.drop(it, Evacuated, 0)
+		g.announce(now)
+		return g.take()
+	}
 	if g.closed() == 0 && (g.holds(now, it) || g.limited(now) && g.coldRoom(now) == 0) {
 		it.state = stateWaiting
 		g.queue.push(it)
