--- a/core/balancer/balancer_test.go
+++ b/core/balancer/balancer_test.go
@@ -158,3 +158,19 @@
 	assert.Assert(t, p.Pick(0, tried) == nil)
 	assert.Assert(t, p.Pick(0, tried[:1]) == p.Get("host-01"))
 }
+
+// Guards against requests to an evacuated data centre when nothing else is left: what is
+// leaving is a last resort, what is evacuated is none.
+func TestEvacuatedCandidatesAreNeverPicked(t *testing.T) {
+	p := balancer.NewPool(roundrobin.New(source()))
+	p.Update([]balancer.Candidate{{Host: "kept"}, {Host: "emptied", Evacuated: true}})
+	assert.Equal(t, p.Pick(0, nil).Host, "kept")
+	assert.Assert(t, p.Pick(0, []string{"kept"}) == nil)
+	assert.Assert(t, !p.Others([]string{"kept"}))
+	assert.Assert(t, !p.Evacuated())
+	p.Update([]balancer.Candidate{{Host: "kept", Evacuated: true}, {Host: "emptied", Evacuated: true}})
+	assert.Assert(t, p.Pick(0, nil) == nil)
+	assert.Assert(t, p.Evacuated())
+	p.Update([]balancer.Candidate{{Host: "kept"}, {Host: "emptied"}})
+	assert.Assert(t, p.Pick(0, []string{"kept"}) != nil, "it is taken back")
+}
