--- a/internal/e2e/evacuate_test.go
+++ b/internal/e2e/evacuate_test.go
@@ -98,3 +98,39 @@
 	assert.Equal(t, code, 3, out)
 	assert.Assert(t, strings.Contains(out, "no name of a data centre"), out)
 }
+
+// Guards against an evacuation that ends with the processes that knew of it: all are
+// killed at once, and come back together.
+func TestEvacuationHoldsAfterAllProcessesWereKilled(t *testing.T) {
+	c := newCluster(t, 3)
+	c.watch = true
+	c.start()
+	kept, emptied := c.addNodeIn("dc-a", "hello"), c.addNodeIn("dc-b", "hello")
+	front := c.addNodeIn("dc-b", "")
+	c.submit(estateText("hello", "hello"))
+	front.serves(t, "hello")
+	code, out := c.ctl("evacuate", "dc-b")
+	assert.Equal(t, code, 0, out)
+	all := append([]*proc{}, c.replicas...)
+	for _, n := range c.nodes {
+		all = append(all, n.proc)
+	}
+	for _, p := range all {
+		p.kill()
+	}
+	for _, p := range all {
+		p.start(t)
+	}
+	eventually(t, "the front runs again", func() bool { return answers(front) && answers(emptied) && answers(kept) })
+	front.serves(t, "hello")
+	for range 100 {
+		resp, _, err := front.request(http.MethodGet, "hello", "/", nil)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+	}
+	assert.Equal(t, emptied.started(t), 0.0)
+	assert.Assert(t, kept.started(t) > 0)
+	code, out = c.ctl("status")
+	assert.Equal(t, code, 0, out)
+	assert.Assert(t, strings.Contains(out, "evacuated since revision"), out)
+}
