--- a/cmd/cactusctl/main.go
+++ b/cmd/cactusctl/main.go
@@ -82,7 +82,7 @@
 	p.StringVar(&f.tls.Certificate, "tls-certificate", "", "certificate, where the replicas use TLS")
 	p.StringVar(&f.tls.Key, "tls-key", "", "key of the certificate")
 	p.StringVar(&f.tls.Authority, "tls-authority", "", "authority that signed the replicas' certificates")
-	root.AddCommand(submitCommand(f), drainCommand(f, true), drainCommand(f, false), evacuateCommand(f, true), evacuateCommand(f, false), replicaCommand(f))
+	root.AddCommand(submitCommand(f), drainCommand(f), undrainCommand(f), evacuateCommand(f), unevacuateCommand(f), replicaCommand(f))
 	root.AddCommand(checkCommand(f), statusCommand(f), showCommand(f), diffCommand(f), auditCommand(f))
 	root.AddCommand(replayCommand(f), emulateCommand(f), versionCommand())
 	return root
