The soak evacuates data centres beside its faults

Nodes in two data centres; one or the other is emptied for four seconds at a time while processes are killed, paused and stopped, links cut, disks lost and changes submitted. A request that reaches a server there two seconds after the acknowledgement is a failure, if nothing befell its node since.

--- a/internal/soak/backend_test.go
+++ b/internal/soak/backend_test.go
@@ -36,7 +36,12 @@
 	mu       sync.Mutex
 	draining bool
 	drained  time.Time
-	conns    map[net.Conn]bool
+	// host is the node beside it, for what is expected of one that nothing befalls.
+	host *process
+	// evacuated is when an evacuation of its data centre was acknowledged; zero while
+	// there is none, or its end may be on the way.
+	evacuated time.Time
+	conns     map[net.Conn]bool
 }
 
 const (
@@ -112,6 +117,7 @@
 			return
 		}
 		last = id
+		b.seen.countEvacuated(b, id)
 		x := &exchange{backend: b, conn: c, asked: asked, body: &bodyCheck{source: req.Body, asked: asked}}
 		if !x.run(attempt) {
 			return
--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -26,11 +26,14 @@
 }
 
 // rest waits between two requests; false means that the soak is over.
-func (s *soak) rest() bool {
+func (s *soak) rest() bool { return s.goesOn(s.pause()) }
+
+// goesOn waits; false means that the soak is over.
+func (s *soak) goesOn(d time.Duration) bool {
 	select {
 	case <-s.stop:
 		return false
-	case <-time.After(s.pause()):
+	case <-time.After(d):
 		return true
 	}
 }
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -154,7 +154,8 @@
 	return path
 }
 
-func newSite(t *testing.T) *site {
+// newSite starts a site whose nodes are spread over the data centres.
+func newSite(t *testing.T, dataCenters ...string) *site {
 	binary, folder := buildBinary(t), t.TempDir()
 	s := &site{seen: newRuns()}
 	var listens, addresses []string
@@ -167,12 +168,13 @@
 	for i := range replicas {
 		name := fmt.Sprint("control-", i+1)
 		p := &process{name: name, binary: binary, folder: filepath.Join(folder, name), links: links[i : i+1]}
-		p.settings = s.write(t, folder, name, map[string]any{"host": name, "dataCenter": "dc", "region": "r", "controlReplicas": addresses[:3], "control": map[string]any{
-			"name": name, "address": addresses[i], "listen": listens[i], "dataFolder": p.folder, "group": map[string]any{"tolerate": tolerate, "found": true}}})
+		p.settings = s.write(t, folder, name, map[string]any{"host": name, "dataCenter": dataCenters[0], "region": "r", "controlReplicas": addresses[:3], "control": map[string]any{
+			"dataCenters": dataCenters,
+			"name":        name, "address": addresses[i], "listen": listens[i], "dataFolder": p.folder, "group": map[string]any{"tolerate": tolerate, "found": true}}})
 		s.replicas = append(s.replicas, p)
 	}
 	for i := range *nodeCount {
-		s.addNode(t, binary, folder, fmt.Sprint("node-", i+1), addresses[:3])
+		s.addNode(t, binary, folder, fmt.Sprint("node-", i+1), dataCenters[i%len(dataCenters)], addresses[:3])
 	}
 	for _, p := range append(append([]*process{}, s.replicas...), s.nodes...) {
 		p.start(t)
@@ -186,11 +188,11 @@
 	return s
 }
 
-func (s *site) addNode(t *testing.T, binary, folder, name string, control []string) {
+func (s *site) addNode(t *testing.T, binary, folder, name, dataCenter string, control []string) {
 	peer, callers, admin := testport.Address(t), testport.Address(t), testport.Address(t)
 	k := newLink(t, peer)
 	p := &process{name: name, binary: binary, links: []*link{k}}
-	p.settings = s.write(t, folder, name, map[string]any{"host": name, "dataCenter": "dc", "region": "r", "controlReplicas": control, "stopTimeout": stopLimit.String(), "adapter": map[string]any{"name": platform.Name},
+	p.settings = s.write(t, folder, name, map[string]any{"host": name, "dataCenter": dataCenter, "region": "r", "controlReplicas": control, "stopTimeout": stopLimit.String(), "adapter": map[string]any{"name": platform.Name},
 		"node": map[string]any{"callers": callers, "peer": peer, "peerAddress": k.address, "admin": admin, "watchControl": true}})
 	s.nodes, s.callers = append(s.nodes, p), append(s.callers, callers)
 	s.backends = append(s.backends, startBackend(t, admin, len(s.backends), s.seen))
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -57,7 +57,7 @@
 			t.Parallel()
 			lanes <- struct{}{}
 			defer func() { <-lanes }()
-			run(t, n)
+			run(t, n, usualCenter)
 		})
 	}
 }
@@ -80,8 +80,11 @@
 	uploading []atomic.Int64
 }
 
-func run(t *testing.T, n uint64) {
-	s := &soak{site: newSite(t), t: t, seed: n, random: rand.New(rand.NewPCG(n, n)), stop: make(chan struct{})}
+// usualCenter is where all of a site is, unless a data centre is evacuated.
+const usualCenter = "dc"
+
+func run(t *testing.T, n uint64, dataCenters ...string) {
+	s := &soak{site: newSite(t, dataCenters...), t: t, seed: n, random: rand.New(rand.NewPCG(n, n)), stop: make(chan struct{})}
 	s.uploading = make([]atomic.Int64, len(s.nodes))
 	defer s.keepLogs()
 	s.eventually("the first change is accepted", func() bool { return s.submit(context.Background()) })
@@ -95,6 +98,9 @@
 		}
 	}
 	s.wait.Go(s.operate)
+	if len(dataCenters) > 1 {
+		s.wait.Go(func() { s.evacuate(dataCenters) })
+	}
 	var series sync.WaitGroup
 	series.Go(func() { s.series(*duration) })
 	s.trouble(*duration)
