--- a/cmd/cactusctl/drain.go
+++ b/cmd/cactusctl/drain.go
@@ -16,8 +16,8 @@
 		wait: func(ctx context.Context, c *operator.Client, host string, _ *apiv1.AuditRecord) error {
 			return c.WaitDrained(ctx, host)
 		},
-		done: func(host string) string { return host + " is safe to stop" },
-		what: "it is safe to stop",
+		done:  func(host string) string { return host + " is safe to stop" },
+		until: "it is safe to stop",
 	})
 }
 
--- a/cmd/cactusctl/evacuate.go
+++ b/cmd/cactusctl/evacuate.go
@@ -27,7 +27,7 @@
 			_, err := c.WaitInForce(ctx, record.Revision, 0)
 			return err
 		},
-		done: func(string) string { return "in force on all nodes" },
-		what: "all nodes know",
+		done:  func(string) string { return "in force on all nodes" },
+		until: "all nodes know",
 	}
 }
--- a/cmd/cactusctl/order.go
+++ b/cmd/cactusctl/order.go
@@ -16,11 +16,12 @@
 	use, short string
 	// send has the change agreed on.
 	send func(ctx context.Context, c *operator.Client, name, changeID string) (*apiv1.AuditRecord, error)
-	// wait, if not nil, waits until the change is carried out, unless the operator asks
-	// not to; done is then printed, and what tells the operator of the flag against it.
+	// wait, if not nil, waits until the change is carried out. With --announce-only it
+	// is left out.
 	wait func(ctx context.Context, c *operator.Client, name string, record *apiv1.AuditRecord) error
-	done func(name string) string
-	what string
+	// done is printed once wait has ended, and until describes it in the help.
+	done  func(name string) string
+	until string
 }
 
 // orderCommand is the command of an order.
@@ -55,7 +56,7 @@
 	}
 	cmd.Flags().StringVar(&changeID, "change-id", "", "id of the change; made up if empty")
 	if o.wait != nil {
-		cmd.Flags().BoolVar(&announceOnly, "announce-only", false, "do not wait until "+o.what)
+		cmd.Flags().BoolVar(&announceOnly, "announce-only", false, "do not wait until "+o.until)
 	}
 	return cmd
 }
--- a/core/gate/report.go
+++ b/core/gate/report.go
@@ -130,8 +130,9 @@
 const urgentSpacing = 20 * time.Millisecond
 
 // urgent tells whether a load is worth a report before its turn: the server turned slow
-// or fast, cold or warm, or opened or closed. A queue that grows can wait; what siblings send in the
-// meantime to a server that turned slow is late, and the budget holds all the same.
+// or fast, cold or warm, or opened or closed. A queue that grows can wait; what siblings
+// send in the meantime to a server that turned slow is late, and the budget holds all the
+// same.
 func (l Load) urgent(from Load) bool {
 	return l.open() != from.open() || l.ColdStarts != from.ColdStarts || l.Slowdown > changeRatio*from.Slowdown || from.Slowdown > changeRatio*l.Slowdown
 }
