--- a/scripts/scripts_test.go
+++ b/scripts/scripts_test.go
@@ -40,3 +40,28 @@
 		})
 	}
 }
+
+// A site whose gate fails, or that says nothing, must not pass for one that is scored:
+// the table has both, and the exit code tells.
+func TestScoreTable(t *testing.T) {
+	folder := t.TempDir()
+	bench := filepath.Join(folder, "bench")
+	text := `#!/bin/sh
+case "$2" in
+*shifted*) echo "GATE failed: trouble-1: R broken" ;;
+*large*) exit 1 ;;
+*) echo "GATE passed" ;;
+esac
+echo "quiet-1   14/0   0.70  0.900  0.951   0.001  0.002  worst windows 0.83"
+echo "trouble-1 14/0   0.78  0.500  0.822   0.070  0.022  worst windows 0.29  BROKEN: R 3 (else 0.41)"
+echo "scale-2   14/0   0.78  0.700  0.822   0.070  0.022  worst windows 0.29"
+`
+	assert.NilError(t, os.WriteFile(bench, []byte(text), 0o700))
+	cmd := exec.Command("bash", "../deploy/score.sh", bench, folder, "a test")
+	cmd.Env = append(os.Environ(), "SCORE_LOGS="+folder)
+	out, err := cmd.Output()
+	assert.ErrorContains(t, err, "exit status 1")
+	for _, want := range []string{"vdm-renew                          passed   0.600  0.500   trouble-1 R 3", "saokhue-bookings-now-grown         failed   0.600", "saokhue-bookings-large             none         -      -  -"} {
+		assert.Assert(t, strings.Contains(string(out), want), "%q in\n%s", want, out)
+	}
+}
