--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -76,7 +76,7 @@
 	{"an overloaded process refuses requests", "internal/proxy/handler.go", "if !h.options.Overload.Admit(coreoverload.FromCaller, target.rank()) {", "if false {", "internal/e2e", "ThrottledNode"},
 	{"requests of disconnected callers are not served", "internal/proxy/handler.go", "if r.Context().Err() != nil {", "if false {", "internal/proxy", "DisconnectedCaller"},
 	{"an overload is detected although some timers fire on time", "core/overload/detector.go", "d.delayIntegral += delay.Seconds() * delay.Seconds() / 2", "d.delayIntegral = 0", "core/overload", "Detector"},
-	{"the refused share grows with the backlog", "core/overload/shedder.go", "s.integral+proportional", "s.integral", "core/overload", "OverloadedProcess"},
+	{"the refused share grows with the backlog", "core/overload/shedder.go", "s.integral+proportional", "s.integral+0*proportional", "core/overload", "OverloadedProcess"},
 	{"within a priority, requests with longer aims are refused first", "core/overload/shedder.go", "return cmp.Or(cmp.Compare(r.Priority, other.Priority), cmp.Compare(r.Aim, other.Aim))", "return cmp.Compare(r.Priority, other.Priority)", "core/overload", "RefusedLast"},
 	{"the GC percentage is raised during an overload", "internal/overload/heap.go", "g.normal = debug.SetGCPercent(raisedGCPercent)", "g.normal = debug.SetGCPercent(30)", "internal/overload", "HeapGrows"},
 	{"a request that ended three servers is kept away", "core/quarantine/conclude.go", "l.barred[k] = until", "_ = until", "internal/e2e", "RequestThatEndsServers"},
