Log requests refused due to processor overload

Operators who looked up a refused request by its ID found no log line for it on the node that refused it, only the per-second count of refusals. The new lines are subject to the existing per-second limit on log lines about failed requests, so that what is written does not add to an overload without bound.

--- a/internal/endpoint/serve.go
+++ b/internal/endpoint/serve.go
@@ -13,6 +13,7 @@
 	"cactuspath/core/gate"
 	coreoverload "cactuspath/core/overload"
 	"cactuspath/internal/hop"
+	"cactuspath/internal/logs"
 	"cactuspath/internal/overload"
 )
 
@@ -73,7 +74,9 @@
 	if e.options.Overload.Admit(coreoverload.FromNode, coreoverload.Rank{Priority: req.Priority, Aim: req.Aim}) {
 		return e.Attempt(ctx, req, out, onHint)
 	}
-	return nil, hop.Reply{ID: req.ID, Incarnation: e.options.Incarnation(), Revision: e.options.Revision(), Verdict: hop.Refused, Reason: gate.Overloaded, RetryAfter: overload.RetryAfter()}
+	retryAfter := overload.RetryAfter()
+	logs.Decision(true, "Request from another node refused: process overloaded", "request", out.ID, "attempt", hop.FormatID(req.ID), "delay", e.options.Overload.Delay(), "retryAfter", retryAfter)
+	return nil, hop.Reply{ID: req.ID, Incarnation: e.options.Incarnation(), Revision: e.options.Revision(), Verdict: hop.Refused, Reason: gate.Overloaded, RetryAfter: retryAfter}
 }
 
 // lingerTime is how long the rest of an unread body is read and dropped behind the
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -257,6 +257,7 @@
 // refuseOverloaded refuses a request because this process is short of processor time.
 func (h *Handler) refuseOverloaded(w http.ResponseWriter, r *http.Request) {
 	retryAfter := overload.RetryAfter()
+	logs.Decision(true, "Request refused: process overloaded", "request", r.Header.Get(h.options.Dialect.RequestID), "delay", h.options.Overload.Delay(), "share", h.options.Overload.Share(), "retryAfter", retryAfter)
 	h.fail(w, r, Fault{Fault: fault.Overloaded, Reason: gate.Overloaded.String(), Message: "this node is short of processor time and did not run the request; come back after the time given, or ask another node"}, retryAfter)
 }
 
