Cover the full cold period in the cold-server test

TestServerThatTurnsColdUnderLoadGetsNoMoreThanItBears failed when other processes kept the machine busy: it counted 11 to 13 requests in one second against a limit of 10, in 5 of 20 traced runs. In each of these 5 runs, the requests over the limit arrived 1.499 to 1.5 s after the server turned cold, at the end of its 1.5 s cold period. The test server truncated both the deadline and the remaining time to whole milliseconds, so it reported itself warm up to 2 ms before the test stopped counting.

The check was wrong at that point: the gate enforced the limit for as long as the server had told it to. The server now reports a cold period 2 ms longer. The check, its bound and its time window are unchanged.

--- a/internal/endpoint/cold_test.go
+++ b/internal/endpoint/cold_test.go
@@ -75,12 +75,14 @@
 	e.SetBackend(s.Listener.Addr().String())
 	eventually(t, "the server told whether it is cold", func() bool { return e.coldObserved.Load() > 0 })
 	const pause, coldFor = 40 * time.Millisecond, 1500 * time.Millisecond
+	// Offsets the truncation of both the deadline and the remaining time to whole milliseconds.
+	const truncationMargin = 2 * time.Millisecond
 	var callers sync.WaitGroup
 	var from time.Time
 	for begun := time.Now(); time.Since(begun) < 3*time.Second; time.Sleep(pause) {
 		if from.IsZero() && time.Since(begun) > time.Second {
 			from = time.Now()
-			s.coldUntil.Store(from.Add(coldFor).UnixMilli())
+			s.coldUntil.Store(from.Add(coldFor + truncationMargin).UnixMilli())
 		}
 		callers.Go(func() { attempt(e) })
 	}
