Send no implied 200 for a request that was given up

Cause: a handler that returns without a status stands for 200, and whether that was still written hung on which of two ready channels was chosen.

Change: where the connection has ended and the handler set no status, nothing is written, at the one place where answers end.

Evidence: TestHalfClosedCallerGetsNoFalseSuccess failed before and passes.

--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -256,6 +256,12 @@
 	if w.broken.Load() {
 		return
 	}
+	if w.status == 0 && w.c.ctx.Err() != nil {
+		// The handler gave up because the caller is gone. The implied 200 would be a false
+		// success for a caller that closed only its sending side.
+		w.broken.Store(true)
+		return
+	}
 	w.WriteHeader(http.StatusOK)
 	if !w.started && w.start(true) != nil {
 		return
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -73,6 +73,7 @@
 	{"late news of coldness does not shorten it", "core/gate/cold.go", "max(g.cold.until, now+left)", "now + left", "core/gate", "LateNewsOfColdness"},
 	{"a cold server is not crowded to find out", "core/gate/crowd.go", "!(g.slow.isCold() && !g.slow.crowd.known())", "true", "core/gate", "ColdServer"},
 	{"a restart forgets the failures of the earlier start", "core/gate/server.go", "g.outlier = outlier{}", "", "core/gate", "RestartForgets"},
+	{"a request that is given up has no implied success", "internal/front/response.go", "if w.status == 0 && w.c.ctx.Err() != nil {", "if false {", "internal/front", "HalfClosed"},
 	{"an overloaded process refuses requests", "internal/proxy/handler.go", "if !h.options.Overload.Admit(coreoverload.FromCaller, target.rank()) {", "if false {", "internal/e2e", "ThrottledNode"},
 	{"requests of disconnected callers are not served", "internal/proxy/handler.go", "if r.Context().Err() != nil {", "if false {", "internal/proxy", "DisconnectedCaller"},
 	{"an overload is detected although some timers fire on time", "core/overload/detector.go", "d.delayIntegral += delay.Seconds() * delay.Seconds() / 2", "d.delayIntegral = 0", "core/overload", "Detector"},
