One conversion of a route's aim, one beginning of a reply, one test handler

Read once more: the aim in milliseconds was turned into a duration in three places, a refusal for overload built its reply beside Attempt's, a new test set up the handler that frontOf sets up, a condition on the zero time and a dialer in a test did nothing, and heap.go held the GC percentage.

--- a/internal/e2e/processor_test.go
+++ b/internal/e2e/processor_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -45,7 +44,7 @@
 // call sends requests sequentially, each on a new connection, until stop is closed. After
 // a refusal it waits for the time that the response gives.
 func (c *requestCounts) call(n *nodeProc, stop <-chan struct{}) {
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{}).DialContext}}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	for {
 		select {
 		case <-stop:
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -239,7 +239,7 @@
 // with the host of a sibling that would end it sooner.
 func (e *Endpoint) Attempt(ctx context.Context, req hop.Request, out *hop.Outgoing, onHint func(to string)) (*http.Response, hop.Reply) {
 	e.options.Heard(req.Revision)
-	reply := hop.Reply{ID: req.ID, Incarnation: e.options.Incarnation(), Revision: e.options.Revision()}
+	reply := e.replyTo(req)
 	if req.Incarnation != reply.Incarnation {
 		reply.Verdict = hop.Restarted
 		return nil, reply
@@ -266,6 +266,11 @@
 	return nil, reply
 }
 
+// replyTo is a reply without a verdict.
+func (e *Endpoint) replyTo(req hop.Request) hop.Reply {
+	return hop.Reply{ID: req.ID, Incarnation: e.options.Incarnation(), Revision: e.options.Revision()}
+}
+
 // logAdmission tells what the gate decided and what it knew.
 func (e *Endpoint) logAdmission(req hop.Request, out *hop.Outgoing, event gate.Event, waited time.Duration) {
 	e.mu.Lock()
--- a/internal/endpoint/serve.go
+++ b/internal/endpoint/serve.go
@@ -74,9 +74,10 @@
 	if e.options.Overload.Admit(coreoverload.FromNode, coreoverload.Rank{Priority: req.Priority, Aim: req.Aim}) {
 		return e.Attempt(ctx, req, out, onHint)
 	}
-	retryAfter := overload.RetryAfter()
-	logs.Decision(true, "Request from another node refused: process overloaded", "request", out.ID, "attempt", hop.FormatID(req.ID), "delay", e.options.Overload.Delay(), "retryAfter", retryAfter)
-	return nil, hop.Reply{ID: req.ID, Incarnation: e.options.Incarnation(), Revision: e.options.Revision(), Verdict: hop.Refused, Reason: gate.Overloaded, RetryAfter: retryAfter}
+	reply := e.replyTo(req)
+	reply.Verdict, reply.Reason, reply.RetryAfter = hop.Refused, gate.Overloaded, overload.RetryAfter()
+	logs.Decision(true, "Request from another node refused: process overloaded", "request", out.ID, "attempt", hop.FormatID(req.ID), "delay", e.options.Overload.Delay(), "retryAfter", reply.RetryAfter)
+	return nil, reply
 }
 
 // lingerTime is how long the rest of an unread body is read and dropped behind the
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -79,7 +79,7 @@
 	{"an overload is detected although some timers fire on time", "core/overload/detector.go", "d.delayIntegral += delay.Seconds() * delay.Seconds() / 2", "d.delayIntegral = 0", "core/overload", "Detector"},
 	{"the refused share grows with the backlog", "core/overload/shedder.go", "s.integral+proportional", "s.integral+0*proportional", "core/overload", "OverloadedProcess"},
 	{"within a priority, requests with longer aims are refused first", "core/overload/shedder.go", "return cmp.Or(cmp.Compare(r.Priority, other.Priority), cmp.Compare(r.Aim, other.Aim))", "return cmp.Compare(r.Priority, other.Priority)", "core/overload", "RefusedLast"},
-	{"the GC percentage is raised during an overload", "internal/overload/heap.go", "g.normal = debug.SetGCPercent(raisedGCPercent)", "g.normal = debug.SetGCPercent(30)", "internal/overload", "HeapGrows"},
+	{"the GC percentage is raised during an overload", "internal/overload/gc.go", "g.normal = debug.SetGCPercent(raisedGCPercent)", "g.normal = debug.SetGCPercent(30)", "internal/overload", "HeapGrows"},
 	{"a request that ended three servers is kept away", "core/quarantine/conclude.go", "l.barred[k] = until", "_ = until", "internal/e2e", "RequestThatEndsServers"},
 	{"what is answered all the time is cleared of ends", "core/quarantine/ledger.go", "if at, ok := l.recent.last(k); ok && end <= at+clearedBy {", "if false {\n\t\tat := end", "core/quarantine", "PopularRequest"},
 	{"a later answer clears", "core/quarantine/ledger.go", "if l.accused[k] > 0 && l.clear(k, now) {", "if false {", "core/quarantine", "LaterAnswer"},
--- a/internal/overload/monitor.go
+++ b/internal/overload/monitor.go
@@ -82,7 +82,7 @@
 	if m.shedder.Delay() > raiseGCDelay {
 		m.lastDelayed = now
 	}
-	m.raiseGC(!m.lastDelayed.IsZero() && now.Sub(m.lastDelayed) < raiseGCTime)
+	m.raiseGC(now.Sub(m.lastDelayed) < raiseGCTime)
 	m.report(now)
 }
 
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -220,12 +220,10 @@
 	if c.route == nil {
 		return
 	}
-	spec := c.route.Spec
-	req.Class, req.Priority = c.route.Name, int(spec.Priority)
-	if spec.AimMs == 0 {
+	req.Class, req.Priority = c.route.Name, int(c.route.Spec.Priority)
+	if req.Aim = c.route.aim(); req.Aim == 0 {
 		return
 	}
-	req.Aim = time.Duration(spec.AimMs) * time.Millisecond
 	req.AimLeft = c.deadline.Add(req.Aim - c.route.timeout()).Sub(now)
 }
 
--- a/internal/proxy/fakenode_test.go
+++ b/internal/proxy/fakenode_test.go
@@ -76,6 +76,13 @@
 // frontOf is front for nodes that are reached at other addresses.
 func frontOf(t *testing.T, revoke gate.RevokeAnswer, addresses ...string) *httptest.Server {
 	t.Helper()
+	s := httptest.NewServer(handlerOf(revoke, addresses...))
+	t.Cleanup(s.Close)
+	return s
+}
+
+// handlerOf is the handler of frontOf.
+func handlerOf(revoke gate.RevokeAnswer, addresses ...string) *Handler {
 	h := New(Options{Host: "front", Local: noLocal{}, Counters: NewCounters(), Heard: func(uint64) {}, Revision: func() uint64 { return 1 },
 		Need: func(context.Context, string) error { return nil },
 		Revoke: func(context.Context, string, uint64, gate.AttemptID, time.Duration) gate.RevokeAnswer {
@@ -88,9 +95,7 @@
 		list = append(list, balancer.Candidate{Host: string(rune('a' + i)), PeerAddress: address, Incarnation: 1, Slots: 4})
 	}
 	h.Update(map[string][]balancer.Candidate{"pay": list})
-	s := httptest.NewServer(h)
-	t.Cleanup(s.Close)
-	return s
+	return h
 }
 
 func send(t *testing.T, s *httptest.Server, method, path, body string) (*http.Response, string) {
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -211,10 +211,10 @@
 // time for the request itself; a caller that would wait for longer does better
 // to come back.
 func needTime(route *Route) time.Duration {
-	if route == nil || route.Spec.AimMs == 0 {
+	if route == nil || route.aim() == 0 {
 		return needTimeout
 	}
-	return min(needTimeout, time.Duration(route.Spec.AimMs)*time.Millisecond/2)
+	return min(needTimeout, route.aim()/2)
 }
 
 // ServeHTTP serves one caller's request.
--- a/internal/proxy/route.go
+++ b/internal/proxy/route.go
@@ -25,7 +25,7 @@
 	if t.Route == nil {
 		return coreoverload.Rank{Priority: math.MaxInt32}
 	}
-	return coreoverload.Rank{Priority: int(t.Route.Spec.Priority), Aim: time.Duration(t.Route.Spec.AimMs) * time.Millisecond}
+	return coreoverload.Rank{Priority: int(t.Route.Spec.Priority), Aim: t.Route.aim()}
 }
 
 // Route is a compiled route. Safe for concurrent use.
@@ -77,4 +77,7 @@
 	return retry.Request{Idempotent: r.Spec.Kind == apiv1.RouteKind_ROUTE_KIND_SAFE, MaxAttempts: int(max(1, r.Spec.MaxAttempts))}
 }
 
+// aim is 0 without one.
+func (r *Route) aim() time.Duration { return time.Duration(r.Spec.AimMs) * time.Millisecond }
+
 func (r *Route) timeout() time.Duration { return time.Duration(r.Spec.TimeoutMs) * time.Millisecond }
