Fix log-line race in TestCallerIsNotAskedOnceTheAttemptEnded

The test is meant to release the held GET answer only after the node has logged the POST's answer, but it accepted any new "Answered" line. The node writes its log in batches, up to 100 ms late, so the line for the previous connection's GET is usually still pending when the test takes its count. If the POST was answered after that batch was written, the GET was released while the POST's exchange was still in progress, and asking for the body was correct.

The check was wrong at that point. Before each connection the test now waits until the number of logged "Answered" lines equals the node's calls_answered counter. It also counts the quoted message instead of the bare word, so that no other line can match. The checks on what callers read are unchanged.

--- a/internal/e2e/body_sender_test.go
+++ b/internal/e2e/body_sender_test.go
@@ -344,9 +344,14 @@
 func TestCallerIsNotAskedOnceTheAttemptEnded(t *testing.T) {
 	const connections = 20
 	p := newPipelined(t, func(int) []byte { return []byte(shortAnswer) })
-	answered := func() int { return strings.Count(p.front.log.String(), "Answered") }
+	answered := func() int { return strings.Count(p.front.log.String(), `"Answered"`) }
 	var faults []string
 	for id := 1; id <= connections; id++ {
+		// The node buffers its log: without this wait, a delayed line of an earlier
+		// request could be taken for this POST's.
+		eventually(t, "all earlier answers are logged", func() bool {
+			return float64(answered()) == number(p.front.vars(t), "calls_answered")
+		})
 		before := answered()
 		c := p.begin(t, id)
 		eventually(t, "the caller's node has the POST's answer", func() bool { return answered() > before })
