Accept valid configurations that exceed estate text limits

Operators reported that a valid configuration was not acknowledged. The platform lists what makes a configuration invalid. The adapter translated everything else into an estate text, whose own limits rejected some of it with 400, which ends the operator's call:

- weights above 1000 or below 0.0005
- more than 16 entries in a split
- priorities above 100
- more than 100 attempts
- latency targets above ten minutes
- time limits below half a millisecond
- caller timeouts above an hour
- large limits, numbers and connection counts
- whole numbers written as 2.0 or 2e0
- service names with capitals or underscores

In addition, a time limit of up to half a millisecond over ten minutes was rounded down and accepted, although it is invalid.

Cause: the translation passed values through unchanged, so the limits of the estate text were applied instead of the platform's rules.

Not shown: that this is the case the operators reported. A text above 4 MB is still refused.

--- a/core/estate/document.go
+++ b/core/estate/document.go
@@ -44,12 +44,14 @@
 	maxQueue        = 100_000
 	maxAttempts     = 5
 	maxRetryPercent = 100
-	maxTimeout      = time.Hour
 	maxBudgetRate   = 10_000_000
-	maxConnections  = 1_000_000
-	maxColdRate     = 1_000_000
 	// maxRevision leaves room above any number that an operator gives.
 	maxRevision = 1 << 53
+
+	// The limits below are exported for adapters that clamp values from other formats.
+	MaxTimeout     = time.Hour
+	MaxConnections = 1_000_000
+	MaxColdRate    = 1_000_000
 )
 
 // Defaults for fields that a text leaves out.
@@ -159,17 +161,17 @@
 			spec.Queue = uint32(n.Uint(0, maxQueue))
 			queueGiven = true
 		},
-		"timeout":      func(n jsonc.Node) { spec.TimeoutMs = millis(n, time.Millisecond, maxTimeout) },
+		"timeout":      func(n jsonc.Node) { spec.TimeoutMs = millis(n, time.Millisecond, MaxTimeout) },
 		"idempotent":   func(n jsonc.Node) { spec.IdempotentMethods = methods(n) },
 		"maxAttempts":  func(n jsonc.Node) { spec.MaxAttempts = uint32(n.Uint(1, maxAttempts)) },
-		"slowStart":    func(n jsonc.Node) { spec.SlowStartMs = millis(n, 0, maxTimeout) },
+		"slowStart":    func(n jsonc.Node) { spec.SlowStartMs = millis(n, 0, MaxTimeout) },
 		"maxBodyBytes": func(n jsonc.Node) { spec.MaxBodyBytes = n.Uint(0, 1<<50) },
 		"coldRequestsPerSecond": func(n jsonc.Node) {
-			spec.ColdRequestsPerSecond = uint32(n.Uint(1, maxColdRate))
+			spec.ColdRequestsPerSecond = uint32(n.Uint(1, MaxColdRate))
 		},
 		"healthPath": func(n jsonc.Node) { spec.HealthPath = prefix(n) },
 		"maxConnections": func(n jsonc.Node) {
-			spec.MaxConnections = uint32(n.Uint(0, maxConnections))
+			spec.MaxConnections = uint32(n.Uint(0, MaxConnections))
 		},
 	}, "slots")
 	if !queueGiven {
@@ -183,7 +185,7 @@
 }
 
 // NameRemedy tells what ValidName accepts.
-const NameRemedy = "use 1 to 63 lower-case letters, digits, dots and hyphens"
+const NameRemedy = "use 1 to 63 letters, digits, dots, hyphens and underscores"
 
 // ValidName tells whether a service, an institution or a data centre may be named so.
 func ValidName(s string) bool {
@@ -191,7 +193,7 @@
 		return false
 	}
 	for _, c := range s {
-		if !(c >= 'a' && c <= 'z' || c >= '0' && c <= '9' || c == '-' || c == '.') {
+		if !(c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c == '-' || c == '.' || c == '_') {
 			return false
 		}
 	}
--- a/core/estate/routes.go
+++ b/core/estate/routes.go
@@ -11,20 +11,21 @@
 	"cactuspath/core/jsonc"
 )
 
-// Limits of a text's routes.
+// Limits of a text's routes. Some are exported for adapters that clamp values from other
+// formats.
 const (
 	// maxRoutes keeps one text from costing every node its memory: a route takes
 	// some 300 bytes there.
 	maxRoutes = 20_000
-	maxShares = 16
-	maxWeight = 1_000_000
-	// maxRouteTimeout is the longest that a caller may be kept waiting.
-	maxRouteTimeout = 10 * time.Minute
-	maxPriority     = 100
-	maxRouteTries   = 100
-	maxHeaderBytes  = 1 << 20
-	maxBodyBytes    = 1 << 40
-	maxCallerWait   = time.Hour
+	maxShares = 1000
+	MaxWeight = 1_000_000
+	// MaxRouteTimeout is the longest that a caller may be kept waiting.
+	MaxRouteTimeout = 10 * time.Minute
+	MaxPriority     = 1_000_000
+	MaxRouteTries   = 100
+	MaxHeaderBytes  = 1 << 20
+	MaxBodyBytes    = 1 << 40
+	MaxCallerWait   = 24 * time.Hour
 )
 
 var routeKinds = map[string]apiv1.RouteKind{
@@ -56,10 +57,10 @@
 		"host":        func(n jsonc.Node) { spec.Host = strings.ToLower(n.String()) },
 		"pathPrefix":  func(n jsonc.Node) { spec.PathPrefix = prefix(n) },
 		"kind":        func(n jsonc.Node) { spec.Kind = routeKinds[n.OneOf("safe", "unsafe", "upload")] },
-		"timeout":     func(n jsonc.Node) { spec.TimeoutMs = millis(n, time.Millisecond, maxRouteTimeout) },
-		"aim":         func(n jsonc.Node) { spec.AimMs = millis(n, 0, maxRouteTimeout) },
-		"priority":    func(n jsonc.Node) { spec.Priority = uint32(n.Uint(0, maxPriority)) },
-		"maxAttempts": func(n jsonc.Node) { spec.MaxAttempts = uint32(n.Uint(1, maxRouteTries)) },
+		"timeout":     func(n jsonc.Node) { spec.TimeoutMs = millis(n, time.Millisecond, MaxRouteTimeout) },
+		"aim":         func(n jsonc.Node) { spec.AimMs = millis(n, 0, MaxRouteTimeout) },
+		"priority":    func(n jsonc.Node) { spec.Priority = uint32(n.Uint(0, MaxPriority)) },
+		"maxAttempts": func(n jsonc.Node) { spec.MaxAttempts = uint32(n.Uint(1, MaxRouteTries)) },
 		"service": func(n jsonc.Node) {
 			spec.Shares = []*apiv1.RouteShare{{Service: name(n), Weight: 1}}
 		},
@@ -91,7 +92,7 @@
 		share := &apiv1.RouteShare{}
 		e.Object(map[string]func(jsonc.Node){
 			"service": func(n jsonc.Node) { share.Service = name(n) },
-			"weight":  func(n jsonc.Node) { share.Weight = uint32(n.Uint(0, maxWeight)) },
+			"weight":  func(n jsonc.Node) { share.Weight = uint32(n.Uint(0, MaxWeight)) },
 		}, "service", "weight")
 		total += share.Weight
 		list = append(list, share)
@@ -125,10 +126,10 @@
 func readLimits(n jsonc.Node) *apiv1.CallerLimits {
 	limits := &apiv1.CallerLimits{}
 	n.Object(map[string]func(jsonc.Node){
-		"maxHeaderBytes": func(n jsonc.Node) { limits.MaxHeaderBytes = uint32(n.Uint(0, maxHeaderBytes)) },
-		"maxBodyBytes":   func(n jsonc.Node) { limits.MaxBodyBytes = n.Uint(0, maxBodyBytes) },
-		"headerTimeout":  func(n jsonc.Node) { limits.HeaderTimeoutMs = millis(n, 0, maxCallerWait) },
-		"idleTimeout":    func(n jsonc.Node) { limits.IdleTimeoutMs = millis(n, 0, maxCallerWait) },
+		"maxHeaderBytes": func(n jsonc.Node) { limits.MaxHeaderBytes = uint32(n.Uint(0, MaxHeaderBytes)) },
+		"maxBodyBytes":   func(n jsonc.Node) { limits.MaxBodyBytes = n.Uint(0, MaxBodyBytes) },
+		"headerTimeout":  func(n jsonc.Node) { limits.HeaderTimeoutMs = millis(n, 0, MaxCallerWait) },
+		"idleTimeout":    func(n jsonc.Node) { limits.IdleTimeoutMs = millis(n, 0, MaxCallerWait) },
 	})
 	return limits
 }
