replica: check group completeness only on the leader

A control replica that had just joined, or that did not yet know that a membership change was committed, answered an operator's change with 503 although the leader would have accepted it. The operator had to find another replica, with a longer pause before each retry, so the change took longer than necessary.

Before proposing a change, each replica checked whether the group had all its voters, using its own view and outside the run loop. A follower learns that a membership change is committed only with the next heartbeat.

Only the leader now makes this check, in the run loop and immediately before it proposes, so no membership change can happen between the check and the proposal. Any other replica returns a not-leader error with the leader's address, if it knows the leader.

TestFollowerInIncompleteGroupReturnsLeaderAddress failed before this change (unavailable instead of not-leader) and now passes. TestLeaderAcceptsChangesOnlyInCompleteGroup covers the completeness condition, and TestLeaderOfIncompleteGroupRefusesChanges covers its use in propose. The tests detect both mutations added to internal/mutation.

--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -170,6 +170,8 @@
 	{"a body is whole before the backend server sees it", "internal/endpoint/forward.go", "if out.Stream == nil || out.Length <= 0 || out.Length > maxBuffered {", "if true {", "internal/endpoint", "BodyThatBreaksOff"},
 	{"a cursor of an earlier process hides nothing", "internal/replica/presence.go", "if heard.GetProcess() == p.process {", "if true {", "internal/replica", "EarlierProcess"},
 	{"a waiting node hears of each change once", "internal/replica/presence.go", "return c.version > after && ", "return ", "internal/replica", "EachChangeOnce"},
+	{"an incomplete group accepts no changes", "internal/replica/group.go", "return voters > g.voters() || voters == g.voters() && s.ConfigCommitted", "return voters > 0", "internal/replica", "CompleteGroup"},
+	{"a leader checks that its group is complete before it proposes a change", "internal/replica/propose.go", "if s.Role == consensus.Leader && !r.options.Group.complete(s) {", "if false && s.Role == consensus.Leader {", "internal/replica", "LeaderOfIncompleteGroup"},
 	{"a renewed certificate is taken in", "internal/transport/transport.go", "if !info.ModTime().After(s.modified) {", "if true {", "internal/transport", "RenewedCertificates"},
 	{"a folder has one process", "internal/wal/wal.go", "return ErrLocked", "", "internal/wal", "Locked"},
 	{"a connection with bytes waiting is not used again", "internal/hop/conn.go", "if time.Since(c.since) < p.keep && c.quiet() {", "if time.Since(c.since) < p.keep {", "internal/hop", "SecondAnswer|ClosedIdle"},
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -52,21 +52,16 @@
 
 var errGroupForming = errors.New("the control group is not complete yet: it has too few voters to bear the losses that the settings name; ask again in a second")
 
-// complete refuses changes that could be lost: before the group has all its
-// voters, an agreed entry may stand on fewer disks than may be lost.
-func (r *Replica) complete() error {
-	g := r.options.Group
+// complete reports whether a leader with status s may accept changes. Until the
+// group has all its voters, a committed entry may be stored on too few disks to
+// survive the loss of Tolerate members. A membership change affects at most one
+// voter, so with an extra voter the latest one need not be committed yet.
+func (g *Group) complete(s consensus.Status) bool {
 	if g == nil {
-		return nil
-	}
-	s := r.Status()
-	if s.Voters() >= g.voters() && s.ConfigCommitted {
-		return nil
-	}
-	if s.Role == consensus.Leader && s.Voters() > g.voters() {
-		return nil
+		return true
 	}
-	return fault.New(fault.Unavailable, errGroupForming)
+	voters := s.Voters()
+	return voters > g.voters() || voters == g.voters() && s.ConfigCommitted
 }
 
 // runGroup asks to join while this replica is no member, and keeps the members
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -17,9 +17,6 @@
 
 // propose has the replicas agree on a change and returns its record.
 func (r *Replica) propose(ctx context.Context, change *apiv1.Change) (*apiv1.AuditRecord, error) {
-	if err := r.complete(); err != nil {
-		return nil, err
-	}
 	data, err := proto.Marshal(change)
 	if err != nil {
 		return nil, fault.New(fault.Invalid, err)
@@ -27,6 +24,13 @@
 	answer := make(chan *apiv1.AuditRecord, 1)
 	var proposeErr error
 	err = r.inLoop(ctx, func() {
+		s := r.raft.Status()
+		// Only the leader checks completeness: a follower may not know yet that a
+		// membership change is committed. On other replicas, Propose returns ErrNotLeader.
+		if s.Role == consensus.Leader && !r.options.Group.complete(s) {
+			proposeErr = errGroupForming
+			return
+		}
 		var index, term uint64
 		index, term, proposeErr = r.raft.Propose(data)
 		if proposeErr == nil {
