platform: return configurations above 4 MB without truncation

A configuration whose uninterpreted fields made it larger than 4 MB was accepted, but was truncated to 4,194,305 bytes when read back. Every later change of named items on top of it was then refused, because the truncated text could not be parsed.

Cause: decompression stopped at the maximum size of an estate text without returning an error. The source of an estate text is not itself an estate text and may be larger.

Change: decompression allows 32 MB, the maximum body size of an operator's call, and returns an error beyond that.

--- a/core/estate/state.go
+++ b/core/estate/state.go
@@ -251,13 +251,22 @@
 	return b.Bytes()
 }
 
-// Gunzip unpacks a text, refusing one that unpacks past the allowed size.
+// MaxSourceBytes is the maximum uncompressed size, in bytes, of the document that
+// an estate text was translated from.
+const MaxSourceBytes = 32 << 20
+
+// Gunzip decompresses a text or its source. It returns an error if the result
+// exceeds MaxSourceBytes.
 func Gunzip(packed []byte) ([]byte, error) {
 	r, err := gzip.NewReader(bytes.NewReader(packed))
 	if err != nil {
 		return nil, err
 	}
-	return io.ReadAll(io.LimitReader(r, jsonc.MaxBytes+1))
+	text, err := io.ReadAll(io.LimitReader(r, MaxSourceBytes+1))
+	if err == nil && len(text) > MaxSourceBytes {
+		return nil, fmt.Errorf("it unpacks to more than %d bytes", MaxSourceBytes)
+	}
+	return text, err
 }
 
 // Marshal renders a snapshot as bytes.
