rollout: share one function for storing newer records

Both now call applyNewer, as does restoring services. Services in a delta keep their own loop, because a complete record may also replace a partial one with the same ChangedAt.

A nil entry other than a route, or a service in a delta, no longer panics.

The tests of core/rollout and core/estate pass.

--- a/core/rollout/records.go
+++ b/core/rollout/records.go
@@ -116,6 +116,8 @@
 // routeKey keeps the routes of two institutions apart that have the same name.
 func routeKey(institution, name string) string { return institution + "\x00" + name }
 
+func routeRecordKey(r *apiv1.RouteRecord) string { return routeKey(r.Institution, r.Name) }
+
 // Routes returns the routes that are not removed, by institution and name.
 func (r *Records) Routes() []*apiv1.RouteRecord {
 	var list []*apiv1.RouteRecord
@@ -238,32 +240,25 @@
 			changed = true
 		}
 	}
-	for _, h := range delta.Hosts {
-		if held := r.hosts[h.Host]; held == nil || held.ChangedAt < h.ChangedAt {
-			r.hosts[h.Host] = h
-			changed = true
-		}
-	}
-	for _, route := range delta.Routes {
-		key := routeKey(route.Institution, route.Name)
-		if held := r.routes[key]; held == nil || held.ChangedAt < route.ChangedAt {
-			r.routes[key] = route
-			changed = true
-		}
-	}
-	for _, l := range delta.Limits {
-		if held := r.limits[l.Institution]; held == nil || held.ChangedAt < l.ChangedAt {
-			r.limits[l.Institution] = l
-			changed = true
-		}
-	}
-	for _, d := range delta.DataCenters {
-		if held := r.dataCenters[d.DataCenter]; held == nil || held.ChangedAt < d.ChangedAt {
-			r.dataCenters[d.DataCenter] = d
+	changed = applyNewer(r.hosts, delta.Hosts, (*apiv1.HostRecord).GetHost) || changed
+	changed = applyNewer(r.routes, delta.Routes, routeRecordKey) || changed
+	changed = applyNewer(r.limits, delta.Limits, (*apiv1.LimitsRecord).GetInstitution) || changed
+	changed = applyNewer(r.dataCenters, delta.DataCenters, (*apiv1.DataCenterRecord).GetDataCenter) || changed
+	r.revision = delta.Revision
+	return changed
+}
+
+// applyNewer stores each record whose key is not held yet or is held with an older
+// ChangedAt, and reports whether it stored any.
+func applyNewer[R interface{ GetChangedAt() uint64 }](held map[string]R, records []R, key func(R) string) bool {
+	changed := false
+	for _, record := range records {
+		k := key(record)
+		if old, ok := held[k]; !ok || old.GetChangedAt() < record.GetChangedAt() {
+			held[k] = record
 			changed = true
 		}
 	}
-	r.revision = delta.Revision
 	return changed
 }
 
@@ -286,21 +281,11 @@
 func (r *Records) Restore(snap *apiv1.EstateSnapshot) {
 	*r = *NewRecords()
 	r.revision = snap.Revision
-	for _, s := range snap.Services {
-		r.services[s.Name] = s
-	}
-	for _, h := range snap.Hosts {
-		r.hosts[h.Host] = h
-	}
-	for _, route := range snap.Routes {
-		r.routes[routeKey(route.Institution, route.Name)] = route
-	}
-	for _, l := range snap.Limits {
-		r.limits[l.Institution] = l
-	}
-	for _, d := range snap.DataCenters {
-		r.dataCenters[d.DataCenter] = d
-	}
+	applyNewer(r.services, snap.Services, (*apiv1.ServiceRecord).GetName)
+	applyNewer(r.hosts, snap.Hosts, (*apiv1.HostRecord).GetHost)
+	applyNewer(r.routes, snap.Routes, routeRecordKey)
+	applyNewer(r.limits, snap.Limits, (*apiv1.LimitsRecord).GetInstitution)
+	applyNewer(r.dataCenters, snap.DataCenters, (*apiv1.DataCenterRecord).GetDataCenter)
 }
 
 // byKey lists the records of one kind, by the key that they are held under.
