soak: crash backend servers and restart them as the same instance

Backend servers in the soak could drain, but none terminated while requests were in progress and came back at the same address as the same instance.

All backend servers in the soak now announce an instance and a start time, and listen on ports outside the range used for outgoing connections.

--- a/internal/soak/backend_test.go
+++ b/internal/soak/backend_test.go
@@ -16,6 +16,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"cactuspath/internal/testport"
 	"cactuspath/platform"
 )
 
@@ -26,7 +27,6 @@
 // backend is a backend server in this process, announced to the node beside it. It
 // reads connections by itself: net/http would hide what is wrong on them.
 type backend struct {
-	net.Listener
 	address string
 	admin   string
 	// node is the number of the node beside it.
@@ -34,8 +34,13 @@
 	seen *runs
 
 	mu       sync.Mutex
-	draining bool
-	drained  time.Time
+	listener net.Listener
+	// down is true between a crash and the restart.
+	down bool
+	// startedAt is the time of the latest start, as announced to the node.
+	startedAt time.Time
+	draining  bool
+	drained   time.Time
 	// host is the node beside it, for what is expected of one that nothing befalls.
 	host *process
 	// evacuated is when an evacuation of its data centre was acknowledged; zero while
@@ -55,17 +60,17 @@
 )
 
 func startBackend(t *testing.T, admin string, node int, seen *runs) *backend {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", testport.Address(t))
 	assert.NilError(t, err)
-	b := &backend{Listener: l, address: l.Addr().String(), admin: admin, node: node, seen: seen, conns: map[net.Conn]bool{}}
-	go b.accept()
+	b := &backend{listener: l, address: l.Addr().String(), admin: admin, node: node, seen: seen, conns: map[net.Conn]bool{}, startedAt: time.Now()}
+	go b.accept(l)
 	ctx, cancel := context.WithCancel(context.Background())
 	go b.announce(ctx)
 	t.Cleanup(func() {
 		cancel()
-		_ = l.Close()
 		b.mu.Lock()
 		defer b.mu.Unlock()
+		_ = b.listener.Close()
 		for c := range b.conns {
 			_ = c.Close()
 		}
@@ -73,13 +78,19 @@
 	return b
 }
 
-func (b *backend) accept() {
+func (b *backend) accept(l net.Listener) {
 	for {
-		c, err := b.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
 		b.mu.Lock()
+		// The server may have crashed, or restarted with a new listener, since Accept returned.
+		if b.listener != l || b.down {
+			b.mu.Unlock()
+			_ = c.Close()
+			return
+		}
 		b.conns[c] = true
 		b.mu.Unlock()
 		go func() {
@@ -224,11 +235,11 @@
 func (b *backend) announce(ctx context.Context) {
 	for ctx.Err() == nil {
 		b.mu.Lock()
-		draining := b.draining
+		draining, startedAt, down := b.draining, b.startedAt, b.down
 		b.mu.Unlock()
-		if b.put(draining) && draining {
+		if !down && b.put(draining, startedAt) && draining {
 			b.mu.Lock()
-			if b.draining && b.drained.IsZero() {
+			if b.draining && b.startedAt.Equal(startedAt) && b.drained.IsZero() {
 				b.drained = time.Now()
 			}
 			b.mu.Unlock()
@@ -240,10 +251,10 @@
 	}
 }
 
-func (b *backend) put(draining bool) bool {
+func (b *backend) put(draining bool, startedAt time.Time) bool {
 	// A node that was paused takes in an announcement that was given up long ago
 	// beside the one that came after it; the sequence tells which is which.
-	body, err := json.Marshal(map[string]any{"service": service, "address": b.address, "draining": draining, "sequence": time.Now().UnixNano()})
+	body, err := json.Marshal(map[string]any{"service": service, "address": b.address, "instance": b.address, "startedAt": startedAt.UnixMilli(), "draining": draining, "sequence": time.Now().UnixNano()})
 	if err != nil {
 		return false
 	}
--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -5,8 +5,8 @@
 //
 // Control replicas and nodes run as processes on loopback, joined by proxies that
 // can delay, reset, cut and silence them; processes are stopped, paused, killed
-// and started again, and disks are lost. Such faults come singly and in series,
-// and overlap. Meanwhile callers and operators work, some callers with uploads on
+// and started again, disks are lost, and backend servers crash and restart. Such
+// faults come singly and in series, and overlap. Meanwhile callers and operators work, some callers with uploads on
 // connections that they keep, and what they and the backend servers see is checked
 // against the promises. At the end nodes are stopped as planned, one after the
 // other, with nothing else near.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -83,7 +83,14 @@
 // usualCenter is where all of a site is, unless a data centre is evacuated.
 const usualCenter = "dc"
 
+// extraFaults selects faults that are off by default.
+type extraFaults struct{ serverRestarts bool }
+
 func run(t *testing.T, n uint64, dataCenters ...string) {
+	runWithFaults(t, n, extraFaults{}, dataCenters...)
+}
+
+func runWithFaults(t *testing.T, n uint64, extra extraFaults, dataCenters ...string) {
 	s := &soak{site: newSite(t, dataCenters...), t: t, seed: n, random: rand.New(rand.NewPCG(n, n)), stop: make(chan struct{})}
 	s.uploading = make([]atomic.Int64, len(s.nodes))
 	defer s.keepLogs()
@@ -103,6 +110,9 @@
 	}
 	var series sync.WaitGroup
 	series.Go(func() { s.series(*duration) })
+	if extra.serverRestarts {
+		series.Go(func() { s.crashServers(*duration) })
+	}
 	s.trouble(*duration)
 	series.Wait()
 	s.heal()
