cactusctl: add explain, which shows the outcome of a request from logs

On-call engineers had to find the cause of a failed request by running grep over the output of all nodes (docs/OPERATIONS.md). It ends with a sentence on the cause: the fault and its reason, the state of the backend server as known to the gate that refused last, or the call that failed.

--- /dev/null
+++ b/cmd/cactusctl/explain.go
@@ -0,0 +1,32 @@
+package main
+
+import (
+	"github.com/spf13/cobra"
+
+	"cactuspath/internal/explain"
+)
+
+func explainCommand() *cobra.Command {
+	var request string
+	cmd := &cobra.Command{
+		Use: "explain --request ID FILE...", GroupID: toolGroup, Short: "Show the course and outcome of a request from the logs of many processes",
+		Long: "Show the course and outcome of a request from the logs of many processes: its log lines and those of the calls made for it, ordered by time, and the cause of the outcome.\n" +
+			"Pass one file of output for each process. Lines are ordered by their timestamps.",
+		Args: func(cmd *cobra.Command, args []string) error {
+			if err := cobra.MinimumNArgs(1)(cmd, args); err != nil {
+				return &usageError{err}
+			}
+			return nil
+		},
+		RunE: func(cmd *cobra.Command, files []string) error {
+			timeline, err := explain.Read(request, files)
+			if err != nil {
+				return err
+			}
+			return timeline.Write(cmd.OutOrStdout())
+		},
+	}
+	cmd.Flags().StringVar(&request, "request", "", "request ID that the caller sent or received")
+	_ = cmd.MarkFlagRequired("request")
+	return cmd
+}
--- a/cmd/cactusctl/main.go
+++ b/cmd/cactusctl/main.go
@@ -84,7 +84,7 @@
 	p.StringVar(&f.tls.Authority, "tls-authority", "", "authority that signed the replicas' certificates")
 	root.AddCommand(submitCommand(f), drainCommand(f), undrainCommand(f), evacuateCommand(f), unevacuateCommand(f), replicaCommand(f))
 	root.AddCommand(checkCommand(f), statusCommand(f), showCommand(f), diffCommand(f), auditCommand(f))
-	root.AddCommand(replayCommand(f), emulateCommand(f), versionCommand())
+	root.AddCommand(replayCommand(f), emulateCommand(f), explainCommand(), versionCommand())
 	return root
 }
 
