soak: drop an alias of the backend servers in crashServers

Read once more: the slice was copied into a second variable only to be used in the goroutine. Faults and checks are the same: the same draws from the same stream.

--- a/internal/soak/restart_test.go
+++ b/internal/soak/restart_test.go
@@ -27,14 +27,14 @@
 	var crashes sync.WaitGroup
 	defer crashes.Wait()
 	for until := time.Now().Add(d); time.Now().Before(until); {
-		node, backends := random.IntN(len(s.backends)), s.backends
+		node := random.IntN(len(s.backends))
 		downtime := time.Duration(50+random.IntN(1500)) * time.Millisecond
 		crashes.Go(func() {
 			s.nodes[node].strike(1)
 			defer s.nodes[node].strike(-1)
-			if backends[node].crash() {
+			if b := s.backends[node]; b.crash() {
 				time.Sleep(downtime)
-				backends[node].restart(s.t)
+				b.restart(s.t)
 			}
 		})
 		time.Sleep(time.Duration(100+random.IntN(900)) * time.Millisecond)
