Deduct the time that a request lay unread from the time it has left

Cause: nodes have no common clock, so a request names the time it has left, and the endpoint's node counted that from when it read the request. After a large configuration a node had no processor time for half a second; the requests that it read then had all of their time again. Where the caller's node stands still as well, it has not closed its connection yet, and the look at the connection finds nothing.

Change: a request carries when it was sent, by its sender's clock (a field of its own, which earlier releases ignore). core/transit keeps the smallest recent difference of the two clocks for each sender; what a request exceeds it by was spent unread or on the way, and is deducted from its time left and from its target.

Ruled out: the process's own scheduling delay (it tells nothing of a connection that is full), synchronized clocks (the platform steps them).

TestRequestThatLayUnreadKeepsItsDeadline: without the deduction the late request runs.

--- a/internal/endpoint/counters.go
+++ b/internal/endpoint/counters.go
@@ -11,7 +11,8 @@
 type Counters struct {
 	// Waited is the time from a request's arrival until the gate lets it run, Ran the time
 	// from sending it to the backend server to the end of the response.
-	Waited, Ran *latency.Histogram
+	// Transit is how long requests of other nodes were held up on their way here.
+	Waited, Ran, Transit *latency.Histogram
 
 	// Started, Moved and Refused count the gate's decisions, Refused by reason. Probes counts
 	// the load queries, LoadMalformed the load reports that could not be parsed.
@@ -24,7 +25,7 @@
 
 // NewCounters returns counters at zero.
 func NewCounters() *Counters {
-	return &Counters{Waited: latency.New(), Ran: latency.New()}
+	return &Counters{Waited: latency.New(), Ran: latency.New(), Transit: latency.New()}
 }
 
 func (c *Counters) count(e gate.Event) {
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"cactuspath/core/gate"
+	"cactuspath/core/transit"
 	"cactuspath/internal/hop"
 	"cactuspath/internal/logs"
 	"cactuspath/internal/overload"
@@ -60,9 +61,11 @@
 	// request sooner.
 	hints      map[gate.Handle]func(to string)
 	lastHandle gate.Handle
-	timer      *time.Timer
-	tickAt     time.Duration
-	closed     bool
+	// transit estimates how long requests of other nodes were held up on their way here.
+	transit *transit.Estimator
+	timer   *time.Timer
+	tickAt  time.Duration
+	closed  bool
 
 	tracker *runTracker
 
@@ -101,7 +104,7 @@
 	if options.Dialect == nil {
 		options.Dialect = &hop.Dialect{}
 	}
-	e := &Endpoint{options: options, start: time.Now(), waiters: map[gate.Handle]chan gate.Event{}, hints: map[gate.Handle]func(string){}, tracker: newRunTracker()}
+	e := &Endpoint{options: options, start: time.Now(), waiters: map[gate.Handle]chan gate.Event{}, hints: map[gate.Handle]func(string){}, tracker: newRunTracker(), transit: transit.NewEstimator()}
 	e.gate = gate.New(options.Host, config, 0)
 	var ctx context.Context
 	ctx, e.stopWatch = context.WithCancel(context.Background())
--- a/internal/endpoint/forward.go
+++ b/internal/endpoint/forward.go
@@ -160,7 +160,7 @@
 	request := *out
 	dialect := e.options.Dialect
 	request.SkipContinue = true
-	request.Extra = []hop.Field{{Name: dialect.TimeoutField(), Value: strconv.FormatInt(left.Milliseconds(), 10)}, {Name: hop.ServiceHeader}}
+	request.Extra = []hop.Field{{Name: dialect.TimeoutField(), Value: strconv.FormatInt(left.Milliseconds(), 10)}, {Name: hop.ServiceHeader}, {Name: hop.SentHeader}}
 	if instance := e.instance.Load(); dialect.ExpectInstance != "" && instance != nil {
 		request.Extra = append(request.Extra, hop.Field{Name: dialect.ExpectInstance, Value: *instance})
 	}
--- a/internal/endpoint/gone_test.go
+++ b/internal/endpoint/gone_test.go
@@ -1,7 +1,9 @@
 package endpoint
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -107,3 +109,35 @@
 	assert.Equal(t, requests.Load(), int64(1))
 	assert.Equal(t, e.options.Counters.SenderGone.Value(), int64(uploads))
 }
+
+// TestRequestThatLayUnreadKeepsItsDeadline guards against running a request for a caller whose
+// deadline has passed while the request lay unread: the time left that it names was counted
+// anew from when it was read.
+func TestRequestThatLayUnreadKeepsItsDeadline(t *testing.T) {
+	e, requests := startGatedServer(t)
+	peer := httptest.NewServer(http.HandlerFunc(e.ServeHop))
+	t.Cleanup(peer.Close)
+	c, err := net.Dial("tcp", peer.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	exchange := func(sequence uint64, sent time.Duration) hop.Reply {
+		_, err := c.Write([]byte(hopRequest(sequence, fmt.Sprintf("%s: %d\r\n", hop.SentHeader, sent.Microseconds()))))
+		assert.NilError(t, err)
+		resp, err := http.ReadResponse(reader, nil)
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		assert.NilError(t, err)
+		reply, err := hop.ParseReply(resp.Header.Get(hop.Header))
+		assert.NilError(t, err)
+		return reply
+	}
+	// The sender's clock shows an hour; the second request looks as if it had been sent ten
+	// seconds before the first one.
+	assert.Equal(t, exchange(1, time.Hour).Verdict, hop.Ran)
+	late := exchange(2, time.Hour-10*time.Second)
+	assert.Equal(t, late.Verdict, hop.Refused)
+	assert.Equal(t, late.Reason, gate.TooLate)
+	assert.Equal(t, exchange(3, time.Hour).Verdict, hop.Ran)
+	assert.Equal(t, requests.Load(), int64(2))
+}
--- a/internal/endpoint/serve.go
+++ b/internal/endpoint/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -36,6 +37,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	e.deductTransit(&req, r.Header.Get(hop.SentHeader))
 	bufferLimit := maxBuffered
 	if hop.ExpectsContinue(r.Header) {
 		// The sender waits for 100 Continue before it sends the body. It is sent when the
@@ -78,6 +80,22 @@
 	}
 }
 
+// deductTransit deducts from a request's remaining time how long it was held up on its way
+// here, which includes the time that it lay unread while this process had no processor time.
+// Sent is the value of hop.SentHeader; nodes of earlier releases do not send it.
+func (e *Endpoint) deductTransit(req *hop.Request, sent string) {
+	sentAt, err := strconv.ParseInt(sent, 10, 64)
+	if err != nil {
+		return
+	}
+	e.mu.Lock()
+	held := e.transit.Observe(req.ID.Request[0], time.Duration(sentAt)*time.Microsecond, e.now())
+	e.mu.Unlock()
+	e.options.Counters.Transit.Observe(held)
+	req.Timeout -= held
+	req.AimLeft -= held
+}
+
 // admitAndAttempt calls Attempt for a request of another node, or refuses the request
 // if this process is short of processor time.
 func (e *Endpoint) admitAndAttempt(ctx context.Context, req hop.Request, out *hop.Outgoing, onHint func(to string)) (*http.Response, hop.Reply) {
--- a/internal/hop/header.go
+++ b/internal/hop/header.go
@@ -29,6 +29,9 @@
 	// HintHeader is sent in an interim response (102) and names the host that would complete
 	// the request sooner.
 	HintHeader = "Cactus-Hint"
+	// SentHeader carries the time at which a request was sent to another node, in
+	// microseconds by the sender's own clock. It reveals how long the request lay unread.
+	SentHeader = "Cactus-Sent-Us"
 	// AnyHost is the value of a hint that names no particular host, because any other
 	// endpoint is suitable.
 	AnyHost = "*"
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -254,7 +255,8 @@
 func (c *call) tryRemote(a attempt, req hop.Request, out *hop.Outgoing) result {
 	// hop.Header carries the remaining time. The empty timeout field prevents the
 	// caller's own from being forwarded as well.
-	out.Extra = []hop.Field{{Name: hop.Header, Value: req.Encode()}, {Name: hop.ServiceHeader, Value: c.s.name}, {Name: c.h.options.Dialect.TimeoutField()}}
+	out.Extra = []hop.Field{{Name: hop.Header, Value: req.Encode()}, {Name: hop.ServiceHeader, Value: c.s.name}, {Name: c.h.options.Dialect.TimeoutField()},
+		{Name: hop.SentHeader, Value: strconv.FormatInt(c.h.now().Microseconds(), 10)}}
 	if a.onHint != nil {
 		out.OnInterim = func(h http.Header) {
 			if to := h.Get(hop.HintHeader); to != "" {
