Keep to the limit that a backend server names in its answers

Cause: nothing read the field. The gate starts what its slots allow.

Change: the gate beside a server is the only way to it, so it keeps the limit for all nodes together. core/gate keeps one log of request starts for this limit and for that of a cold server; each counts them in a sliding window of its own (as many starts as the limit's next whole number, in the time that the limit gives for them). What exceeds the limit moves to a sibling that has room, or is refused at once with a time to come back, spread over the next starts; nothing waits for it, also not for a body that arrives late. Siblings do not move requests to a server with half of its limit used. Errors, rejections and health answers are read like any other; a limit ends when the newest answer of the kind that named it no longer does. A new gate assumes that the one before it has used the limit up, and starts one request at a time until the server's first answer (300 ms at most). A replaced server starts without a limit, and a late answer of the one before it counts for nothing.

Ruled out: a limit that each node keeps for its own requests (it would be divided by a number of nodes that nobody knows), waiting for the limit as for a cold server's (it has no known end).

--- a/cmd/cactuspath/backend.go
+++ b/cmd/cactuspath/backend.go
@@ -13,18 +13,20 @@
 )
 
 func backendCommand() *cobra.Command {
-	var service, address, admin string
+	var service, address, admin, limit string
 	var delay time.Duration
 	var slots int
 	cmd := &cobra.Command{
 		Use:   "backend --service NAME --admin ADDRESS",
 		Short: "Run a stand-in backend server for trials",
 		Long: "Run a stand-in backend server for trials. It announces itself to the node at the given admin address.\n\n" +
-			"Query parameters of a request control its response: sleep=DURATION, status=CODE, bytes=N, reset=N.",
+			"Query parameters of a request control its response: sleep=DURATION, status=CODE, bytes=N, reset=N. " +
+			"limit=N sets the limit that all responses name from then on.",
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			s := &standin.Server{Service: service, Node: admin, Slots: slots}
 			s.SetDelay(delay)
+			s.SetLimit(limit)
 			if err := s.Listen(address); err != nil {
 				return err
 			}
@@ -39,6 +41,7 @@
 	cmd.Flags().StringVar(&admin, "admin", "", "admin address of the node on the same host; not announced if empty")
 	cmd.Flags().DurationVar(&delay, "delay", 0, "processing time of each request")
 	cmd.Flags().IntVar(&slots, "slots", 0, "number of slots to announce; the number in the estate if 0")
+	cmd.Flags().StringVar(&limit, "limit", "", "limit that the responses name, in requests per second; none if empty")
 	_ = cmd.MarkFlagRequired("service")
 	return cmd
 }
--- a/core/gate/admit.go
+++ b/core/gate/admit.go
@@ -19,7 +19,7 @@
 // the time until these have been served and a slot is free. work is the sum of their
 // mean demands, in nanoseconds.
 func (g *Gate) estimateWaitBehind(now time.Duration, ahead int, work float64) time.Duration {
-	return max(g.estimateColdWait(now, ahead), g.estimateSlotWait(now, ahead, work))
+	return max(g.estimateColdWait(now, ahead), g.estimateLimitWait(now, ahead), g.estimateSlotWait(now, ahead, work))
 }
 
 // estimateSlotWait is the part of the wait caused by busy slots, as opposed to the
@@ -163,6 +163,12 @@
 	if g.isShort(now, it.Request) {
 		g.lastShortAt = max(1, now)
 	}
+	if g.limitReached(now) {
+		if !g.tryMove(now, it, 0) {
+			g.emit(Event{Kind: Refused, Handle: it.Handle, Reason: Limited, RetryAfter: g.limitRetryAfter(now), SiblingsFull: g.fullEverywhere(now)})
+		}
+		return
+	}
 	canStart := g.canStart(now, it)
 	gain := g.waitingMoveGain(now)
 	if canStart {
--- a/core/gate/cold.go
+++ b/core/gate/cold.go
@@ -1,9 +1,6 @@
 package gate
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // A server that has just started, or has lost its caches, is cold: it is slow, and
 // crashes under more than a certain number of requests per second. Only the gate beside
@@ -15,15 +12,8 @@
 // counted.
 const coldWindow = time.Second
 
-// coldState holds the server's current cold period and the times of recent request
-// starts.
-type coldState struct {
-	since, until time.Duration
-	// starts holds the times of the newest request starts, oldest first, at most as
-	// many as the cold-start limit. Request starts are also recorded while the server
-	// is warm, since it may turn cold at any moment.
-	starts []time.Duration
-}
+// coldState holds the server's current cold period.
+type coldState struct{ since, until time.Duration }
 
 // SetCold marks the server as cold from now on for the time left; if left is 0, the
 // server did not report for how long, and Config.SlowStart applies. The server's report
@@ -53,50 +43,14 @@
 	return g.takeEvents()
 }
 
-// AssumeEarlierStarts counts half of the cold-start limit as used. It is called in a
-// new gate process if the preceding one ended less than coldWindow ago: that process
-// may have started requests on the server of which this gate has no record.
-func (g *Gate) AssumeEarlierStarts(now time.Duration) {
-	for range (g.config.ColdStarts + 1) / 2 {
-		g.cold.recordStart(now, g.config.ColdStarts)
-	}
-}
-
 func (g *Gate) isCold(now time.Duration) bool { return now < g.cold.until }
 
 // startsLimited reports whether the cold-start limit applies now.
 func (g *Gate) startsLimited(now time.Duration) bool { return g.config.ColdStarts > 0 && g.isCold(now) }
 
-// recordStart records the time of a request start and discards the oldest ones, so that
-// at most the given number remain.
-func (c *coldState) recordStart(at time.Duration, most int) {
-	if most == 0 {
-		return
-	}
-	if len(c.starts) >= most {
-		c.starts = slices.Delete(c.starts, 0, len(c.starts)-most+1)
-	}
-	c.starts = append(c.starts, at)
-}
-
-// removeStart removes the recorded start of a request that has not been sent to the
-// server.
-func (c *coldState) removeStart(at time.Duration) {
-	if i := slices.Index(c.starts, at); i >= 0 {
-		c.starts = slices.Delete(c.starts, i, i+1)
-	}
-}
-
-// recentStarts counts the requests started in the sliding window of length coldWindow
-// that ends now.
-func (c *coldState) recentStarts(now time.Duration) int {
-	i, _ := slices.BinarySearch(c.starts, now-coldWindow+1)
-	return len(c.starts) - i
-}
-
 // coldStartsLeft is how many requests may start now on a cold server.
 func (g *Gate) coldStartsLeft(now time.Duration) int {
-	return max(0, g.config.ColdStarts-g.cold.recentStarts(now))
+	return max(0, g.config.ColdStarts-g.starts.within(now, coldWindow))
 }
 
 // estimateColdWait is how long the cold-start limit delays a request behind the given
@@ -109,13 +63,5 @@
 	if missing <= 0 {
 		return 0
 	}
-	// The oldest request starts leave the sliding window first. Those that replace them
-	// leave it one window length later.
-	rounds, place := (missing-1)/g.config.ColdStarts, (missing-1)%g.config.ColdStarts
-	recentStarts := g.cold.starts[len(g.cold.starts)-g.cold.recentStarts(now):]
-	next := now
-	if place < len(recentStarts) {
-		next = recentStarts[place]
-	}
-	return min(g.cold.until, next+time.Duration(rounds+1)*coldWindow) - now
+	return min(g.cold.until-now, g.starts.waitFor(now, missing, g.config.ColdStarts, coldWindow))
 }
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -65,6 +65,11 @@
 	// evacuated: the operator has evacuated the server's data centre.
 	evacuated bool
 	cold      coldState
+	limit     namedLimit
+	starts    startLog
+	// earlierStartsAt is when this gate assumed that another one had just started requests;
+	// 0 if it has not. Until unheardUntil, the gate waits for the server's first answer.
+	earlierStartsAt, unheardUntil time.Duration
 
 	outlier    outlier
 	siblings   siblings
@@ -244,7 +249,7 @@
 	l := Load{
 		Running: g.running, Waiting: g.queue.size, Slots: g.slots(now),
 		Service: g.meanServiceTime(now), Draining: g.closedReason() != 0,
-		Full:      g.queue.size >= g.config.Queue*queueFullPercent/100 && g.freeSlots(now) <= 0,
+		Full:      g.queue.size >= g.config.Queue*queueFullPercent/100 && g.freeSlots(now) <= 0 || g.nearLimit(now),
 		FailRatio: g.outlier.ratio, Failing: g.failing(now), Contention: g.speed.contention.localFactor(),
 	}
 	if g.startsLimited(now) {
--- a/core/gate/moves.go
+++ b/core/gate/moves.go
@@ -83,7 +83,8 @@
 }
 
 // tryMove moves a request if a sibling is expected to finish it gain times sooner. A
-// gate that accepts no new requests moves all of them; a server that fails while its
+// gate that accepts no new requests, or whose server's named limit is reached, moves all
+// of them; a server that fails while its
 // siblings do not keeps only an occasional request as a trial, to detect its recovery.
 func (g *Gate) tryMove(now time.Duration, it *item, gain float64) bool {
 	if !g.config.Siblings || !it.Movable {
@@ -93,7 +94,7 @@
 	if sib == nil {
 		return false
 	}
-	forced := g.closedReason() != 0 || g.failing(now) && !g.outlier.allowTrial(now)
+	forced := g.closedReason() != 0 || g.limitReached(now) || g.failing(now) && !g.outlier.allowTrial(now)
 	if !forced && g.disabled(mechanism.Moves) {
 		return false
 	}
--- a/core/gate/server.go
+++ b/core/gate/server.go
@@ -59,11 +59,21 @@
 	g.estimate = estimator{baseline: g.estimate.baseline, seen: g.estimate.seen, running: g.estimate.running, last: now}
 	g.speed.restart(now)
 	g.cold = coldState{} // SetCold follows if the restarted server says that it is cold
+	g.limit, g.starts, g.earlierStartsAt, g.unheardUntil = namedLimit{}, startLog{}, 0, 0
 	g.announce(now)
 	g.startWaiting(now)
 	return g.takeEvents()
 }
 
+// ServerReplaced discards the limit that the previous server at this gate named.
+func (g *Gate) ServerReplaced(now time.Duration) []Event {
+	g.beginEvents(now)
+	g.limit = namedLimit{}
+	g.startWaiting(now)
+	g.announce(now)
+	return g.takeEvents()
+}
+
 // StartHistoryAt records that another gate served this backend server until now. For
 // attempts sent to that gate, this one cannot tell whether they ran.
 func (g *Gate) StartHistoryAt(now time.Duration) {
--- a/core/gate/slots.go
+++ b/core/gate/slots.go
@@ -31,7 +31,13 @@
 func (g *Gate) startsAvailable(now time.Duration, r Request) int {
 	available := g.slotsAvailable(now, r)
 	if g.startsLimited(now) {
-		return min(available, g.coldStartsLeft(now))
+		available = min(available, g.coldStartsLeft(now))
+	}
+	if g.limit.inForce() {
+		available = min(available, g.limitStartsLeft(now))
+	}
+	if g.awaitsFirstAnswer(now) {
+		available = min(available, 1-g.running)
 	}
 	return available
 }
--- a/core/gate/start.go
+++ b/core/gate/start.go
@@ -41,8 +41,8 @@
 // driver has not yet sent to the server, because its body had to arrive first. The
 // request runs, or waits if a slow period has begun or the cold-start limit has been
 // reached while the body arrived: how long the request takes depends on the server's
-// speed when the work begins. If the gate has been evacuated meanwhile, the request is
-// refused. The request no longer moves to a sibling, since its body would have to be
+// speed when the work begins. If the gate has been evacuated or the server's named limit
+// reached meanwhile, the request is refused. The request no longer moves to a sibling, since its body would have to be
 // sent a second time.
 func (g *Gate) ReconsiderAfterBody(now time.Duration, h Handle) []Event {
 	g.beginEvents(now)
@@ -52,7 +52,7 @@
 	}
 	g.running--
 	g.estimate.abandon(now)
-	g.cold.removeStart(it.started)
+	g.starts.remove(it.started)
 	it.Movable = false
 	if g.evacuated {
 		// A body may take as long to arrive as its caller allows, far longer than the
@@ -61,6 +61,11 @@
 		g.announce(now)
 		return g.takeEvents()
 	}
+	if g.limitReached(now) {
+		g.drop(it, Limited, g.limitRetryAfter(now))
+		g.announce(now)
+		return g.takeEvents()
+	}
 	if g.closedReason() == 0 && (g.shouldHold(now, it) || g.startsLimited(now) && g.coldStartsLeft(now) == 0) {
 		it.state = stateWaiting
 		g.queue.push(it)
@@ -74,7 +79,7 @@
 func (g *Gate) run(now time.Duration, it *item) {
 	it.state, it.started, it.workClockAtStart = stateRunning, now, g.speed.workClock
 	it.startSpeed = speedAtStart{factor: g.speed.factor}
-	g.cold.recordStart(now, g.config.ColdStarts)
+	g.recordStart(now)
 	g.running++
 	it.occupancy = lowOccupancy
 	if isHighOccupancy(g.running, g.config.Slots) {
@@ -98,6 +103,10 @@
 // startWaiting starts waiting requests while slots are free.
 func (g *Gate) startWaiting(now time.Duration) {
 	for {
+		if g.queue.size > 0 && g.limitReached(now) {
+			g.rejectOverLimit(now)
+			return
+		}
 		it := g.nextToRun(now)
 		if it == nil || g.startsAvailable(now, it.Request) <= 0 {
 			return
--- a/core/gate/types.go
+++ b/core/gate/types.go
@@ -38,11 +38,13 @@
 	Evacuated
 	// Overloaded: the gate's process is short of processor time.
 	Overloaded
+	// Limited: the backend server has got as many requests as the limit that it names.
+	Limited
 )
 
 // String returns the name of the reason.
 func (r Reason) String() string {
-	return [...]string{"none", "queue-full", "too-late", "draining", "down", "fenced", "revoked", "duplicate", "canceled", "quarantined", "evacuated", "short-of-processor-time"}[r]
+	return [...]string{"none", "queue-full", "too-late", "draining", "down", "fenced", "revoked", "duplicate", "canceled", "quarantined", "evacuated", "short-of-processor-time", "limited"}[r]
 }
 
 // EventKind is the kind of an Event.
--- a/internal/endpoint/backend.go
+++ b/internal/endpoint/backend.go
@@ -57,6 +57,7 @@
 	e.reportExit(e.tracker.reset())
 	e.instance.Store(&instance)
 	e.SetBackend(address)
+	e.runGate(func(now time.Duration) []gate.Event { return e.gate.ServerReplaced(now) })
 }
 
 // SetDraining starts or ends a drain of the backend server. While the server drains, its exit
@@ -81,8 +82,8 @@
 	})
 }
 
-// AssumeEarlierStarts makes the gate assume that this node's previous process started
-// requests on the backend server just before this process took over.
+// AssumeEarlierStarts makes the gate assume that another one started requests on the backend
+// server just before this one took over.
 func (e *Endpoint) AssumeEarlierStarts() {
 	e.runGate(func(now time.Duration) []gate.Event {
 		e.gate.AssumeEarlierStarts(now)
@@ -131,6 +132,7 @@
 	if err != nil {
 		return false
 	}
+	e.observeAnswer(pool, resp.Header, true)
 	_, _ = io.Copy(io.Discard, resp.Body)
 	_ = resp.Body.Close()
 	return true
--- a/internal/endpoint/counters.go
+++ b/internal/endpoint/counters.go
@@ -17,7 +17,10 @@
 	// Started, Moved and Refused count the gate's decisions, Refused by reason. Probes counts
 	// the load queries, LoadMalformed the load reports that could not be parsed.
 	Started, Moved, Probes, LoadMalformed expvar.Int
-	Refused                               expvar.Map
+	// LimitChanges counts how often the backend server named another limit or withdrew it,
+	// LimitMalformed the limits that could not be parsed.
+	LimitChanges, LimitMalformed expvar.Int
+	Refused                      expvar.Map
 	// SenderGone counts the requests that were not sent to the backend server because their
 	// senders had disconnected.
 	SenderGone expvar.Int
--- a/internal/endpoint/forward.go
+++ b/internal/endpoint/forward.go
@@ -69,6 +69,9 @@
 	e.dialFailures.Store(0)
 	e.markResponsive()
 	e.observeLoad(resp.Header)
+	if !e.options.Dialect.OtherInstance(resp) {
+		e.observeAnswer(pool, resp.Header, false)
+	}
 	if e.options.Dialect.ReportsNotRun(resp) {
 		reply = e.handleRejection(handle, resp, reply)
 		end()
--- a/internal/endpoint/watch.go
+++ b/internal/endpoint/watch.go
@@ -194,6 +194,7 @@
 	e.markResponsive()
 	e.observeLoad(resp.Header)
 	e.observeCold(resp.Header)
+	e.observeAnswer(pool, resp.Header, true)
 	_, _ = io.Copy(io.Discard, resp.Body)
 	_ = resp.Body.Close()
 }
--- a/internal/hop/dialect.go
+++ b/internal/hop/dialect.go
@@ -1,7 +1,10 @@
 package hop
 
 import (
+	"math"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 )
 
@@ -30,6 +33,10 @@
 	// server's cold start, parsed by ParseCold.
 	Cold      string
 	ParseCold func(string) (time.Duration, bool)
+	// Limit holds, in any response, the number of requests per second that the backend
+	// server accepts from all nodes together, as a decimal number. If it is empty,
+	// LimitHeader is used.
+	Limit string
 	// FractionalRetryAfter means that callers accept fractions of a second in Retry-After.
 	FractionalRetryAfter bool
 }
@@ -45,16 +52,34 @@
 
 // timeoutHeader returns the name of the field with the remaining time.
 func (d *Dialect) timeoutHeader() string {
-	if d.Timeout == "" {
-		return TimeoutHeader
-	}
-	return d.Timeout
+	return orDefault(d.Timeout, TimeoutHeader)
 }
 
 // TimeoutField returns the name of the field with the remaining time, which is TimeoutHeader
 // unless Timeout is set.
 func (d *Dialect) TimeoutField() string { return d.timeoutHeader() }
 
+// ServerLimit returns the limit that a response names. Ok is false if the response has a
+// malformed limit, which neither names nor withdraws one.
+func (d *Dialect) ServerLimit(h http.Header) (perSecond float64, named, ok bool) {
+	value := h.Get(orDefault(d.Limit, LimitHeader))
+	if value == "" {
+		return 0, false, true
+	}
+	perSecond, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+	if err != nil || !(perSecond >= 0) || math.IsInf(perSecond, 0) {
+		return 0, false, false
+	}
+	return perSecond, true, true
+}
+
+func orDefault(name, standard string) string {
+	if name == "" {
+		return standard
+	}
+	return name
+}
+
 // SanitizeRequest removes the fields that callers may not set, and sets the calling
 // service. Otherwise a caller could impersonate another service or choose an instance.
 func (d *Dialect) SanitizeRequest(h http.Header, service string) {
--- a/internal/hop/header.go
+++ b/internal/hop/header.go
@@ -26,6 +26,9 @@
 	// TimeoutHeader tells the next hop the remaining time in milliseconds. A caller may set
 	// it to specify a deadline.
 	TimeoutHeader = "Cactus-Timeout-Ms"
+	// LimitHeader is the field in which a backend server names its limit, unless the Dialect
+	// has another name.
+	LimitHeader = "Cactus-Rate-Limit"
 	// HintHeader is sent in an interim response (102) and names the host that would complete
 	// the request sooner.
 	HintHeader = "Cactus-Hint"
@@ -36,6 +39,10 @@
 	// endpoint is suitable.
 	AnyHost = "*"
 
+	// limitedByServer is the last field of a reply that refuses a request for the limit that
+	// the backend server names.
+	limitedByServer = "limited"
+
 	version   = "3"
 	separator = ";"
 
@@ -262,13 +269,19 @@
 	b = append(b, version+separator...)
 	b = appendID(b, r.ID)
 	b = appendField(b, uint64(r.Verdict))
-	b = appendField(b, uint64(r.Reason))
+	reason, last := r.Reason, r.To
+	if r.Verdict == Refused && reason == gate.Limited {
+		// Releases that do not know this reason take the request for one refused by a
+		// full queue, and ignore the last field.
+		reason, last = gate.QueueFull, limitedByServer
+	}
+	b = appendField(b, uint64(reason))
 	b = appendField(b, uint64(max(0, r.RetryAfter.Milliseconds())))
 	b = appendField(b, siblingsFull)
 	b = appendField(b, r.Incarnation)
 	b = appendField(b, r.Revision)
 	b = append(b, separator...)
-	b = append(b, r.To...)
+	b = append(b, last...)
 	return string(b)
 }
 
@@ -282,5 +295,8 @@
 	r := Reply{ID: p.id(f[1]), Verdict: Verdict(p.uint(f[2])), Reason: gate.Reason(p.uint(f[3])),
 		RetryAfter: time.Duration(p.uint(f[4])) * time.Millisecond, SiblingsFull: f[5] == "1",
 		Incarnation: p.uint(f[6]), Revision: p.uint(f[7]), To: f[8]}
+	if r.Verdict == Refused && r.To == limitedByServer {
+		r.Reason, r.To = gate.Limited, ""
+	}
 	return r, p.err
 }
--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -43,6 +43,8 @@
 		"gate_run_microseconds":         expvar.Func(n.gates.Ran.Summary),
 		"gate_transit_microseconds":     expvar.Func(n.gates.Transit.Summary),
 		"gate_load_probes":              &n.gates.Probes,
+		"gate_limit_changes":            &n.gates.LimitChanges,
+		"gate_limit_malformed":          &n.gates.LimitMalformed,
 		"gate_load_malformed":           &n.gates.LoadMalformed,
 		"log_lines_skipped":             expvar.Func(func() any { return logs.Skipped() }),
 		"measure_reports_sent":          &n.counters.reportsSent,
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -23,7 +23,7 @@
 	leaseCheckInterval = time.Second
 	// If a backend server is registered within predecessorWindow after the start of
 	// this process, the gate assumes that the previous process of the node has just
-	// sent requests to the server. They count towards the limit of a cold server.
+	// sent requests to the server. They count towards the server's limits.
 	predecessorWindow = 2 * time.Second
 )
 
@@ -67,7 +67,7 @@
 	if n.hadServer {
 		e.SetReplacesEarlierEndpoint()
 	}
-	if time.Since(n.start) < predecessorWindow {
+	if n.hadServer || time.Since(n.start) < predecessorWindow {
 		e.AssumeEarlierStarts()
 	}
 	n.hadServer = true
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -373,6 +373,9 @@
 	case c.lastReply.Verdict == hop.Refused && c.lastReply.Reason == gate.Overloaded:
 		f.Fault = fault.Overloaded
 		f.Message = "the endpoint's node is short of processor time and the request was not run; come back after the time given"
+	case c.lastReply.Verdict == hop.Refused && c.lastReply.Reason == gate.Limited:
+		f.Fault = fault.Overloaded
+		f.Message = "the backend server names a limit to the requests that it accepts, and the request, which exceeds it, was not run; come back after the time given"
 	case c.lastReply.Verdict == hop.Refused && c.lastReply.Reason == gate.QueueFull:
 		f.Fault = fault.Overloaded
 		f.Message = "the service is full and the request was not run; come back after the time given"
--- a/internal/proxy/outcome.go
+++ b/internal/proxy/outcome.go
@@ -77,7 +77,7 @@
 		return retry.Draining
 	case gate.Down:
 		return retry.Unreachable
-	case gate.QueueFull, gate.TooLate, gate.Overloaded:
+	case gate.QueueFull, gate.TooLate, gate.Overloaded, gate.Limited:
 		c.s.setRecentlyFull(c.h.now(), a.to)
 	}
 	if reply.SiblingsFull {
--- a/internal/replay/node.go
+++ b/internal/replay/node.go
@@ -160,6 +160,9 @@
 			return
 		}
 		delete(n.requests, h)
+		if outcome != jobKilled {
+			n.observeAnswer()
+		}
 		n.handleEvents(n.gate.Finish(n.sim.Now(), h, gateOutcome(outcome)))
 		n.scheduleTimer()
 		if n.sim.random.Float64() < n.loseAnswers {
@@ -170,6 +173,12 @@
 	})
 }
 
+// observeAnswer passes the limit that the server names in an answer to the gate.
+func (n *node) observeAnswer() {
+	_, events := n.gate.ObserveAnswer(n.sim.Now(), gate.Answer{LimitNamed: n.server.limit >= 0, Limit: max(0, n.server.limit)})
+	n.handleEvents(events)
+}
+
 func gateOutcome(o jobOutcome) gate.Outcome {
 	if o == jobCompleted {
 		return gate.Completed
@@ -226,6 +235,7 @@
 	lost := n.requests
 	n.requests = map[gate.Handle]*attempt{}
 	n.startGate()
+	n.gate.AssumeEarlierStarts(n.sim.Now())
 	for h := gate.Handle(1); h <= n.lastHandle; h++ {
 		if a := lost[h]; a != nil {
 			n.sim.After(n.sim.distance(), func() { n.sim.onLost(a) })
--- a/internal/replay/result.go
+++ b/internal/replay/result.go
@@ -52,6 +52,9 @@
 	// TailP99 is the 99th percentile of the latency of calls that arrive in the last fifth
 	// of the trace, for traces that test recovery.
 	TailP99 float64 `json:"tailP99Ms"`
+	// OverLimit is how many requests more than one and a half times the limit that it named,
+	// plus 5, a server got in any sliding window of four seconds.
+	OverLimit float64 `json:"overLimit"`
 }
 
 // collector accumulates the results of a run.
@@ -161,7 +164,7 @@
 		"p50": r.P50, "p99": r.P99, "p999": r.P999, "max": r.Max, "refusedP99": r.RefusedP99, "quietP99": r.QuietP99, "tailP99": r.TailP99,
 		"goodputShare": r.GoodputShare, "attempts": r.Attempts, "moves": r.Moves, "reports": r.Reports,
 		"worstReports": float64(r.WorstReports), "worstBytes": float64(r.WorstBytes),
-		"failedShare": float64(r.Failed) / float64(max(1, r.Arrived)),
+		"overLimit": r.OverLimit, "failedShare": float64(r.Failed) / float64(max(1, r.Arrived)),
 	}
 }
 
--- a/internal/replay/run.go
+++ b/internal/replay/run.go
@@ -71,6 +71,9 @@
 	}
 	last := trace.Header.Duration.Duration() + completionGrace
 	sim.RunUntil(func() bool { return sim.Now() > last || sim.result.calls == len(trace.Arrivals) })
+	for _, n := range sim.nodes {
+		sim.result.OverLimit = max(sim.result.OverLimit, n.server.overLimit())
+	}
 	return sim.result.finish()
 }
 
@@ -302,6 +305,9 @@
 	if e.ReportFrozen != nil {
 		n.reportFrozen = *e.ReportFrozen
 	}
+	if e.Limit != nil {
+		n.server.setLimit(*e.Limit)
+	}
 	if e.LoseAnswers != nil {
 		n.loseAnswers = *e.LoseAnswers
 	}
--- a/internal/replay/server.go
+++ b/internal/replay/server.go
@@ -1,6 +1,7 @@
 package replay
 
 import (
+	"slices"
 	"time"
 
 	"cactuspath/internal/virtual"
@@ -13,6 +14,17 @@
 	speed    float64
 	failFast bool
 	jobs     *virtual.Jobs[*job]
+	// limit is the limit that the server names in its answers; negative for none.
+	limit float64
+	// limits are the limits so far, starts the times of all requests that it got.
+	limits []limitChange
+	starts []time.Duration
+}
+
+// limitChange is a limit that a server named, or withdrew if it is negative, at a time.
+type limitChange struct {
+	at    time.Duration
+	limit float64
 }
 
 type job struct{ done func(outcome jobOutcome) }
@@ -30,13 +42,66 @@
 const failFastLatency = 100 * time.Microsecond
 
 func newServer(c *virtual.Clock) *server {
-	s := &server{clock: c, speed: 1}
+	s := &server{clock: c, speed: 1, limit: noLimit}
 	s.jobs = virtual.NewJobs(c, func() float64 { return s.speed }, func(j *job) { s.finish(j, jobCompleted) })
 	return s
 }
 
+const noLimit = -1
+
+func (s *server) setLimit(limit float64) {
+	s.limit = limit
+	s.limits = append(s.limits, limitChange{s.clock.Now(), limit})
+}
+
+const (
+	// limitSpan is the length of the sliding window in which the requests of a server with
+	// a limit are counted, and limitContact the time after its first naming from which.
+	limitSpan    = 4 * time.Second
+	limitContact = time.Second
+	// limitOverage and limitSlack are how many times the limit, and how many requests
+	// more, a window may contain.
+	limitOverage = 1.5
+	limitSlack   = 5
+)
+
+// overLimit returns how many requests more than allowed the server got in the worst window in
+// which it had a limit all the time; 0 if it never got more.
+func (s *server) overLimit() float64 {
+	worst := 0.0
+	for first, from := range s.starts {
+		limit, ok := s.highestLimit(from, from+limitSpan)
+		if !ok {
+			continue
+		}
+		end, _ := slices.BinarySearch(s.starts, from+limitSpan)
+		worst = max(worst, float64(end-first)-limitOverage*limit*limitSpan.Seconds()-limitSlack)
+	}
+	return worst
+}
+
+// highestLimit returns the highest limit in force between two times; ok is false if there was
+// none at some moment.
+func (s *server) highestLimit(from, to time.Duration) (highest float64, ok bool) {
+	if len(s.limits) == 0 || from < s.limits[0].at+limitContact {
+		return 0, false
+	}
+	for i, c := range s.limits {
+		ended := i+1 < len(s.limits) && s.limits[i+1].at <= from
+		if ended || c.at >= to {
+			continue
+		}
+		if c.limit < 0 {
+			return 0, false
+		}
+		highest = max(highest, c.limit)
+	}
+	return highest, true
+}
+
 func (s *server) start(demand time.Duration, done func(jobOutcome)) *job {
 	s.jobs.Advance()
+	s.starts = append(s.starts, s.clock.Now())
 	j := &job{done}
 	s.jobs.Add(j, demand)
 	if s.failFast {
--- a/internal/replay/trace.go
+++ b/internal/replay/trace.go
@@ -89,6 +89,9 @@
 	// RestartNode restarts the node process, so that the state of its gate and all
 	// connections are lost. The backend server continues to run.
 	RestartNode bool `json:"restartNode,omitempty"`
+	// Limit is the number of requests per second that the server names in its answers from
+	// now on; a negative number withdraws the limit.
+	Limit *float64 `json:"limit,omitempty"`
 	// ReportDelay, ReportIdle and ReportFrozen falsify the load reports that the gate
 	// attaches to responses. They contain the load of ReportDelay ago, no running or waiting
 	// requests, or always the same load.
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -10,11 +10,14 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"cactuspath/internal/hop"
 )
 
 // Server is a stand-in backend server. It is safe for concurrent use.
@@ -31,7 +34,9 @@
 	http     *http.Server
 	delay    atomic.Int64
 	draining atomic.Bool
-	running  chan struct{}
+	// limit is the named limit, as the text of its header field; nil or empty for none.
+	limit   atomic.Pointer[string]
+	running chan struct{}
 }
 
 const (
@@ -60,6 +65,10 @@
 // SetDelay sets the default processing time of a request.
 func (s *Server) SetDelay(d time.Duration) { s.delay.Store(int64(d)) }
 
+// SetLimit sets the limit that all answers name, in requests per second as a decimal number;
+// empty for none.
+func (s *Server) SetLimit(perSecond string) { s.limit.Store(&perSecond) }
+
 // Run serves requests until ctx is done. It announces the server to the node at the start
 // and then periodically.
 func (s *Server) Run(ctx context.Context) error {
@@ -116,11 +125,13 @@
 
 // serve handles one request. Its query parameters control the response: sleep=DURATION,
 // status=CODE, bytes=N (size of the body), reset=N (close the connection after N bytes of a
-// longer body).
+// longer body). limit=N controls all responses from then on, as SetLimit does; an empty
+// limit withdraws it.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	s.running <- struct{}{}
 	defer func() { <-s.running }()
 	q := r.URL.Query()
+	s.describe(w.Header(), q)
 	received, err := io.Copy(io.Discard, r.Body)
 	if err != nil {
 		return
@@ -144,6 +155,17 @@
 	fmt.Fprintf(w, "%s %s %s\n", s.Service, r.Method, r.URL.RequestURI())
 }
 
+// describe applies the parameters that concern all responses, and writes the fields with which
+// the server describes itself.
+func (s *Server) describe(h http.Header, q url.Values) {
+	if q.Has("limit") {
+		s.SetLimit(q.Get("limit"))
+	}
+	if limit := s.limit.Load(); limit != nil && *limit != "" {
+		h.Set(hop.LimitHeader, *limit)
+	}
+}
+
 // wait waits for the duration in query or, if there is none, for the default delay.
 func (s *Server) wait(ctx context.Context, query string) {
 	d := time.Duration(s.delay.Load())
--- a/scripts/boundary.sh
+++ b/scripts/boundary.sh
@@ -4,7 +4,7 @@
 # only requires another such folder.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-names=$(grep -ohE '"(Cactuspath-[A-Za-z-]+|/cactuspath/[a-z]+)' platform/*.go | tr -d '"' | sort -u)
+names=$(grep -ohE '"(Cactuspath-[A-Za-z-]+|Server-[A-Z][a-z]+|/cactuspath/[a-z]+)' platform/*.go | tr -d '"' | sort -u)
 if [ -z "$names" ]; then
   echo "no platform names found in platform/; update the pattern of this check" >&2
   exit 1
