scripts: internal/hangup is a product package

TestLayerImportRules failed since the package came: each package must be in one of its two lists. It holds no experiment and imports nothing of ours.

--- a/scripts/imports_test.go
+++ b/scripts/imports_test.go
@@ -27,7 +27,7 @@
 	experimentPackages = []string{"internal/capacity", "internal/dev", "internal/e2e", "internal/emulator", "internal/loadgen", "internal/mutation", "internal/replay", "internal/soak",
 		"internal/standin", "internal/testcert", "internal/testport", "internal/virtual"}
 	// productPackages lists the packages that must not import experimentPackages.
-	productPackages = []string{"api", "core", "platform", "internal/adapter", "internal/controlclient", "internal/diff", "internal/endpoint", "internal/explain", "internal/front", "internal/hop", "internal/latency",
+	productPackages = []string{"api", "core", "platform", "internal/adapter", "internal/controlclient", "internal/diff", "internal/endpoint", "internal/explain", "internal/front", "internal/hangup", "internal/hop", "internal/latency",
 		"internal/logs", "internal/node", "internal/operator", "internal/overload", "internal/process", "internal/proxy", "internal/quarantine", "internal/replica", "internal/settings",
 		"internal/transport", "internal/version", "internal/wal"}
 )
