Drain a backend server that says in its answers that it leaves

An endpoint that leaves may say so in its answers before, or instead of, a heartbeat that says so.

Cause: nothing read the field, so that the gate went on until a heartbeat or the end of the server.

Change: the endpoint reads it in every answer, errors, rejections and health answers too, closes the gate before anything else starts, and has the node tell the directory: a drain like any other. A heartbeat that still calls the server ready does not end it; a start of the server, another server, or a health answer where one had said so does. An answer to a request cannot end it: it may have been on its way since before.

The mutant that lets announcements end the drain is detected.

--- a/cmd/cactuspath/backend.go
+++ b/cmd/cactuspath/backend.go
@@ -21,7 +21,7 @@
 		Short: "Run a stand-in backend server for trials",
 		Long: "Run a stand-in backend server for trials. It announces itself to the node at the given admin address.\n\n" +
 			"Query parameters of a request control its response: sleep=DURATION, status=CODE, bytes=N, reset=N. " +
-			"limit=N sets the limit that all responses name from then on.",
+			"limit=N and leaving=BOOL set what all responses say of the server from then on.",
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			s := &standin.Server{Service: service, Node: admin, Slots: slots}
--- a/internal/endpoint/answer.go
+++ b/internal/endpoint/answer.go
@@ -11,7 +11,7 @@
 )
 
 // Applies what the backend server says of itself in the header of an answer: the limit to the
-// requests that it accepts.
+// requests that it accepts, and that it is shutting down.
 
 // observeAnswer applies the header of an answer that was received from pool. Health is set
 // for an answer to a health query.
@@ -20,6 +20,11 @@
 		// The answer comes from a server, or a process of it, that has been replaced since.
 		return
 	}
+	e.observeLeaving(e.options.Dialect.ServerLeaving(h), health)
+	if !e.isCurrent(pool) {
+		e.clearLeaving()
+		return
+	}
 	limit, named, ok := e.options.Dialect.ServerLimit(h)
 	if !ok {
 		e.options.Counters.LimitMalformed.Add(1)
@@ -46,6 +51,39 @@
 	return pool == e.backend.Load() || pool == e.healthPool.Load()
 }
 
+// observeLeaving starts a drain when an answer says that the server is shutting down. Only
+// health queries can end it: they follow one another, whereas an answer to a request may have
+// been on its way since before the server began to shut down.
+func (e *Endpoint) observeLeaving(leaving, health bool) {
+	switch {
+	case leaving:
+		if health {
+			e.leavingInHealth.Store(true)
+		}
+		if e.leaving.Swap(true) {
+			return
+		}
+	case !health || !e.leavingInHealth.Load() || !e.leaving.Swap(false):
+		return
+	}
+	klog.InfoS("Backend server leaving", "host", e.options.Host, "leaving", leaving, "health", health)
+	if leaving {
+		e.SetDraining(true)
+	}
+	if e.options.LeavingChanged != nil {
+		e.options.LeavingChanged()
+	}
+}
+
+// clearLeaving forgets what the previous server, or process of it, said in its answers.
+func (e *Endpoint) clearLeaving() {
+	e.leaving.Store(false)
+	e.leavingInHealth.Store(false)
+}
+
+// Leaving reports whether the backend server says in its answers that it is shutting down.
+func (e *Endpoint) Leaving() bool { return e.leaving.Load() }
+
 // NamedLimit returns the limit that the backend server names in its answers.
 func (e *Endpoint) NamedLimit() gate.Limit {
 	e.mu.Lock()
--- a/internal/endpoint/answer_test.go
+++ b/internal/endpoint/answer_test.go
@@ -43,9 +43,9 @@
 
 // describedEndpoint returns an endpoint in front of the server. Unless queried, it sends the
 // server nothing by itself.
-func describedEndpoint(t *testing.T, s *describingServer) *Endpoint {
+func describedEndpoint(t *testing.T, s *describingServer, leavingChanged func()) *Endpoint {
 	e := New(Options{Host: "h", Incarnation: func() uint64 { return 1 }, Revision: func() uint64 { return 1 }, ObserveRevision: func(uint64) {}, SendReport: func(string, gate.Report) {},
-		Counters: NewCounters(), Dialect: &hop.Dialect{NotRun: "X-Not-Run", ExpectInstance: "X-Expect"}}, gate.Config{Slots: 1000, Queue: 1000})
+		Counters: NewCounters(), LeavingChanged: leavingChanged, Dialect: &hop.Dialect{NotRun: "X-Not-Run", ExpectInstance: "X-Expect"}}, gate.Config{Slots: 1000, Queue: 1000})
 	t.Cleanup(e.Close)
 	e.SetBackend(s.Listener.Addr().String())
 	return e
@@ -85,7 +85,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newDescribingServer(t)
-			e := describedEndpoint(t, s)
+			e := describedEndpoint(t, s, nil)
 			if test.health {
 				s.set("/health", test.answer)
 				e.queryLoad(e.healthPool.Load(), "/health")
@@ -102,7 +102,7 @@
 // garbled.
 func TestMalformedLimitChangesNothing(t *testing.T) {
 	s := newDescribingServer(t)
-	e := describedEndpoint(t, s)
+	e := describedEndpoint(t, s, nil)
 	s.set("/work", answer{http.StatusOK, map[string]string{hop.LimitHeader: "7"}})
 	e.call(t, 1)
 	s.set("/work", answer{http.StatusOK, map[string]string{hop.LimitHeader: "7 or so"}})
@@ -112,12 +112,53 @@
 }
 
 // TestLateAnswerOfReplacedServerIsIgnored guards against holding a new server to the limit of
-// the one before it, because of an answer that was on its way.
+// the one before it, or draining it, because of an answer that was on its way.
 func TestLateAnswerOfReplacedServerIsIgnored(t *testing.T) {
 	s := newDescribingServer(t)
-	e := describedEndpoint(t, s)
+	e := describedEndpoint(t, s, nil)
 	before := e.backend.Load()
 	e.ReplaceServer("next", s.Listener.Addr().String())
-	e.observeAnswer(before, http.Header{http.CanonicalHeaderKey(hop.LimitHeader): {"1"}}, false)
+	e.observeAnswer(before, http.Header{http.CanonicalHeaderKey(hop.LimitHeader): {"1"}, http.CanonicalHeaderKey(hop.LeavingHeader): {hop.LeavingValue}}, false)
 	assert.Equal(t, e.NamedLimit(), gate.Limit{})
+	assert.Assert(t, !e.Leaving())
+}
+
+// TestServerThatSaysItLeavesGetsNothingMore guards against sending requests to a server that
+// announces its shutdown in its answers only: heartbeats that still call it ready do not end the
+// drain.
+func TestServerThatSaysItLeavesGetsNothingMore(t *testing.T) {
+	leaving := answer{http.StatusOK, map[string]string{hop.LeavingHeader: hop.LeavingValue}}
+	for name, health := range map[string]bool{"answer": false, "health answer": true} {
+		t.Run(name, func(t *testing.T) {
+			s := newDescribingServer(t)
+			var changes atomic.Int64
+			e := describedEndpoint(t, s, func() { changes.Add(1) })
+			say := func(a answer, sequence uint64) {
+				if health {
+					s.set("/health", a)
+					e.queryLoad(e.healthPool.Load(), "/health")
+					return
+				}
+				s.set("/work", a)
+				e.call(t, sequence)
+			}
+			say(leaving, 1)
+			assert.Equal(t, changes.Load(), int64(1))
+			reply := e.call(t, 2)
+			assert.Equal(t, reply.Verdict, hop.Refused)
+			assert.Equal(t, reply.Reason, gate.Draining)
+			e.SetDraining(false)
+			assert.Equal(t, e.call(t, 3).Verdict, hop.Refused)
+			if health {
+				say(answer{}, 0)
+				assert.Equal(t, changes.Load(), int64(2))
+				e.SetDraining(false) // as LeavingChanged does
+				assert.Equal(t, e.call(t, 4).Verdict, hop.Ran)
+				return
+			}
+			e.ServerRestarted(s.Listener.Addr().String())
+			e.SetDraining(false)
+			assert.Equal(t, e.call(t, 4).Verdict, hop.Ran)
+		})
+	}
 }
--- a/internal/endpoint/backend.go
+++ b/internal/endpoint/backend.go
@@ -39,6 +39,7 @@
 	e.serverCtx, e.cancelServerCtx = next, cancel
 	e.mu.Unlock()
 	cancelPrevious()
+	e.clearLeaving()
 	e.runGate(func(now time.Duration) []gate.Event { return e.gate.ServerRestarted(now) })
 }
 
@@ -57,14 +58,19 @@
 	e.reportExit(e.tracker.reset())
 	e.instance.Store(&instance)
 	e.SetBackend(address)
+	e.clearLeaving()
 	e.runGate(func(now time.Duration) []gate.Event { return e.gate.ServerReplaced(now) })
 }
 
 // SetDraining starts or ends a drain of the backend server. While the server drains, its exit
-// is expected and is not recorded as a crash.
+// is expected and is not recorded as a crash. A server that says in its answers that it is
+// shutting down drains in any case.
 func (e *Endpoint) SetDraining(draining bool) {
-	e.tracker.setPlanned(draining)
-	e.runGate(func(now time.Duration) []gate.Event { return e.gate.SetDraining(now, draining) })
+	e.runGate(func(now time.Duration) []gate.Event {
+		draining := draining || e.leaving.Load()
+		e.tracker.setPlanned(draining)
+		return e.gate.SetDraining(now, draining)
+	})
 }
 
 // SetEvacuated records whether the operator has evacuated this data centre.
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -37,7 +37,10 @@
 	// ObserveRevision is called with the revision that a caller's node sent.
 	Revision        func() uint64
 	ObserveRevision func(revision uint64)
-	Counters        *Counters
+	// LeavingChanged is called when the backend server says in an answer that it is
+	// shutting down, or no longer says so. It may be nil.
+	LeavingChanged func()
+	Counters       *Counters
 	// Dialect defines the header fields of the backend server.
 	Dialect *hop.Dialect
 	// Quarantine decides which requests are refused because servers crashed while
@@ -94,6 +97,9 @@
 	// lastResponse is when the backend server last sent any response.
 	lastResponse atomic.Int64
 	dialFailures atomic.Int32
+	// leaving is set once the backend server has said in an answer that it is shutting
+	// down; leavingInHealth once an answer to a health query has said so.
+	leaving, leavingInHealth atomic.Bool
 	// evacuated is set while this data centre is evacuated by the operator.
 	evacuated atomic.Bool
 	down      atomic.Bool
--- a/internal/hop/dialect.go
+++ b/internal/hop/dialect.go
@@ -34,9 +34,10 @@
 	Cold      string
 	ParseCold func(string) (time.Duration, bool)
 	// Limit holds, in any response, the number of requests per second that the backend
-	// server accepts from all nodes together, as a decimal number. If it is empty,
-	// LimitHeader is used.
-	Limit string
+	// server accepts from all nodes together, as a decimal number. Leaving is LeavingValue
+	// in all responses of a backend server that is shutting down. If they are empty,
+	// LimitHeader and LeavingHeader are used.
+	Limit, Leaving string
 	// FractionalRetryAfter means that callers accept fractions of a second in Retry-After.
 	FractionalRetryAfter bool
 }
@@ -59,6 +60,10 @@
 // unless Timeout is set.
 func (d *Dialect) TimeoutField() string { return d.timeoutHeader() }
 
+// LeavingValue is the value of the field with which a backend server says that it is shutting
+// down.
+const LeavingValue = "1"
+
 // ServerLimit returns the limit that a response names. Ok is false if the response has a
 // malformed limit, which neither names nor withdraws one.
 func (d *Dialect) ServerLimit(h http.Header) (perSecond float64, named, ok bool) {
@@ -73,6 +78,11 @@
 	return perSecond, true, true
 }
 
+// ServerLeaving reports whether a response states that the backend server is shutting down.
+func (d *Dialect) ServerLeaving(h http.Header) bool {
+	return strings.TrimSpace(h.Get(orDefault(d.Leaving, LeavingHeader))) == LeavingValue
+}
+
 func orDefault(name, standard string) string {
 	if name == "" {
 		return standard
--- a/internal/hop/header.go
+++ b/internal/hop/header.go
@@ -26,9 +26,10 @@
 	// TimeoutHeader tells the next hop the remaining time in milliseconds. A caller may set
 	// it to specify a deadline.
 	TimeoutHeader = "Cactus-Timeout-Ms"
-	// LimitHeader is the field in which a backend server names its limit, unless the Dialect
-	// has another name.
-	LimitHeader = "Cactus-Rate-Limit"
+	// LimitHeader and LeavingHeader are the fields in which a backend server names its limit
+	// and says that it is shutting down, unless the Dialect has other names.
+	LimitHeader   = "Cactus-Rate-Limit"
+	LeavingHeader = "Cactus-Leaving"
 	// HintHeader is sent in an interim response (102) and names the host that would complete
 	// the request sooner.
 	HintHeader = "Cactus-Hint"
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -77,6 +77,7 @@
 	{"requests over a named limit do not wait for a slot", "core/gate/start.go", "if g.queue.size > 0 && g.limitReached(now) {", "if false {", "core/gate", "RefusedAtOnce"},
 	{"a new process takes a named limit as used up", "core/gate/limit.go", "if g.earlierStartsAt > 0 && now-g.earlierStartsAt < g.limit.window {", "if false {", "core/gate", "NewGateProcess"},
 	{"a new process starts one request before the first answer", "core/gate/slots.go", "if g.awaitsFirstAnswer(now) {", "if false {", "core/gate", "NewGateProcess"},
+	{"an announcement does not end the drain of a server that says that it leaves", "internal/endpoint/backend.go", "draining := draining || e.leaving.Load()", "draining := draining", "internal/endpoint", "SaysItLeaves"},
 	{"the limit of another instance is ignored", "internal/endpoint/forward.go", "if !e.options.Dialect.OtherInstance(resp) {", "if true {", "internal/endpoint", "LimitIsRead"},
 	{"answers of a replaced server are ignored", "internal/endpoint/answer.go", "return pool == e.backend.Load() || pool == e.healthPool.Load()", "return true", "internal/endpoint", "LateAnswer"},
 	{"a delayed cold report does not shorten the known cold period", "core/gate/cold.go", "max(g.cold.until, now+left)", "now + left", "core/gate", "DelayedColdReport"},
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -43,5 +43,5 @@
 // draining reports whether a planned stop was announced by the operator, by the backend
 // server or by the shutdown of this process.
 func (n *Node) draining() bool {
-	return n.stopping || n.records.Draining(n.options.Host) || n.server != nil && n.server.draining
+	return n.stopping || n.records.Draining(n.options.Host) || n.server != nil && (n.server.draining || n.server.endpoint.Leaving())
 }
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -62,7 +62,7 @@
 		config = n.gateConfig(spec, slots, 1)
 	}
 	e := endpoint.New(endpoint.Options{
-		Host: n.options.Host, Incarnation: n.incarnation.Load, SendReport: n.reports.send, Revision: n.Revision, ObserveRevision: n.observeRevision, Counters: n.gates, Dialect: n.options.Dialect, Quarantine: n.quarantine, Overload: n.overload,
+		Host: n.options.Host, Incarnation: n.incarnation.Load, SendReport: n.reports.send, Revision: n.Revision, ObserveRevision: n.observeRevision, LeavingChanged: n.applyLeaving, Counters: n.gates, Dialect: n.options.Dialect, Quarantine: n.quarantine, Overload: n.overload,
 	}, config)
 	if n.hadServer {
 		e.SetReplacesEarlierEndpoint()
@@ -260,6 +260,16 @@
 	return otherRegionDelay
 }
 
+// applyLeaving tells the directory that the backend server has said in an answer that it
+// is shutting down, or no longer says so.
+func (n *Node) applyLeaving() {
+	n.mu.Lock()
+	n.sequence++
+	n.mu.Unlock()
+	n.apply()
+	n.member.requestSync()
+}
+
 func (n *Node) configureGate(s *server, entries []*apiv1.Entry) {
 	n.mu.Lock()
 	spec, slots := n.specAndSlots(s.service, s.slots)
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -34,6 +34,7 @@
 	http     *http.Server
 	delay    atomic.Int64
 	draining atomic.Bool
+	leaving  atomic.Bool
 	// limit is the named limit, as the text of its header field; nil or empty for none.
 	limit   atomic.Pointer[string]
 	running chan struct{}
@@ -69,6 +70,9 @@
 // empty for none.
 func (s *Server) SetLimit(perSecond string) { s.limit.Store(&perSecond) }
 
+// SetLeaving sets whether all answers say that the server is shutting down.
+func (s *Server) SetLeaving(leaving bool) { s.leaving.Store(leaving) }
+
 // Run serves requests until ctx is done. It announces the server to the node at the start
 // and then periodically.
 func (s *Server) Run(ctx context.Context) error {
@@ -125,8 +129,8 @@
 
 // serve handles one request. Its query parameters control the response: sleep=DURATION,
 // status=CODE, bytes=N (size of the body), reset=N (close the connection after N bytes of a
-// longer body). limit=N controls all responses from then on, as SetLimit does; an empty
-// limit withdraws it.
+// longer body). limit=N and leaving=BOOL control all responses from then on, as SetLimit and
+// SetLeaving do; an empty limit withdraws it.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	s.running <- struct{}{}
 	defer func() { <-s.running }()
@@ -161,9 +165,15 @@
 	if q.Has("limit") {
 		s.SetLimit(q.Get("limit"))
 	}
+	if leaving, err := strconv.ParseBool(q.Get("leaving")); err == nil {
+		s.SetLeaving(leaving)
+	}
 	if limit := s.limit.Load(); limit != nil && *limit != "" {
 		h.Set(hop.LimitHeader, *limit)
 	}
+	if s.leaving.Load() {
+		h.Set(hop.LeavingHeader, hop.LeavingValue)
+	}
 }
 
 // wait waits for the duration in query or, if there is none, for the default delay.
