Build the routing table only when the configuration changes

Cause: each news of another node (its start, its server, its drain, its end) made every node that heard of it sort its records and build the routing table of the whole configuration anew.

Change: rollout.Records counts its changes, and a node applies them to its proxy and its front only when there are some. Entries are applied as before.

--- a/core/rollout/records.go
+++ b/core/rollout/records.go
@@ -20,11 +20,12 @@
 
 // Records is the compiled estate at a given revision.
 type Records struct {
-	revision uint64
-	services map[string]*apiv1.ServiceRecord
-	hosts    map[string]*apiv1.HostRecord
-	routes   map[string]*apiv1.RouteRecord
-	limits   map[string]*apiv1.LimitsRecord
+	revision   uint64
+	generation uint64
+	services   map[string]*apiv1.ServiceRecord
+	hosts      map[string]*apiv1.HostRecord
+	routes     map[string]*apiv1.RouteRecord
+	limits     map[string]*apiv1.LimitsRecord
 	// dataCenters has a record for each data centre that was ever evacuated.
 	dataCenters map[string]*apiv1.DataCenterRecord
 }
@@ -256,9 +257,15 @@
 	changed = applyNewer(r.limits, delta.Limits, (*apiv1.LimitsRecord).GetInstitution) || changed
 	changed = applyNewer(r.dataCenters, delta.DataCenters, (*apiv1.DataCenterRecord).GetDataCenter) || changed
 	r.revision = delta.Revision
+	if changed {
+		r.generation++
+	}
 	return changed
 }
 
+// Generation returns a number that grows whenever Apply changes the records.
+func (r *Records) Generation() uint64 { return r.generation }
+
 // applyNewer stores each record in current whose key is missing there or has an
 // older ChangedAt, and reports whether it stored any.
 func applyNewer[R interface{ GetChangedAt() uint64 }](current map[string]R, records []R, key func(R) string) bool {
--- a/internal/node/announce_test.go
+++ b/internal/node/announce_test.go
@@ -23,7 +23,7 @@
 }}
 
 // newTestNode returns a node that is not running and cannot reach a control replica.
-func newTestNode(t *testing.T, backend string) *Node {
+func newTestNode(t testing.TB, backend string) *Node {
 	t.Helper()
 	listen := func() net.Listener {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/node/apply_test.go
+++ b/internal/node/apply_test.go
@@ -75,3 +75,18 @@
 		})
 	}
 }
+
+// BenchmarkEntryChangeWithManyRoutes measures what the news of another node costs a node with a
+// large configuration.
+func BenchmarkEntryChangeWithManyRoutes(b *testing.B) {
+	n := newTestNode(b, "")
+	delta := routeDelta(1, "/a/")
+	for i := range 1500 {
+		delta.Routes = append(delta.Routes, &apiv1.RouteRecord{Name: fmt.Sprint("r-", i), ChangedAt: 1, Spec: &apiv1.RouteSpec{PathPrefix: fmt.Sprintf("/p%d/", i), TimeoutMs: 1000, MaxAttempts: 1,
+			Shares: []*apiv1.RouteShare{{Service: "pay", Weight: 1}}}})
+	}
+	n.applyDelta(delta, true, "test")
+	for i := range b.N {
+		n.applyProvisional([]*apiv1.Entry{{Host: fmt.Sprint("other-", i%10), Service: "pay", PeerAddress: "127.0.0.1:1", Sequence: uint64(i)}})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -103,6 +103,9 @@
 	// state could apply it last: an older configuration or drain state would then stay
 	// in effect until the next change. applyMu is locked before mu.
 	applyMu sync.Mutex
+	// configuredGeneration is the generation of the records that the proxy uses; guarded by
+	// applyMu.
+	configuredGeneration uint64
 	// unready is set when a planned stop begins: callers should use another node.
 	// stopping is set later in the stop, when the gate closes.
 	unready, stopping bool
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -185,16 +185,19 @@
 	n.applyMu.Lock()
 	defer n.applyMu.Unlock()
 	n.mu.Lock()
-	revision := n.records.Revision()
-	records, routes, limits := n.records.Services(), n.records.Routes(), n.records.Limits()
+	revision, generation := n.records.Revision(), n.records.Generation()
+	// Most changes concern entries only. The routing table of a large configuration takes
+	// milliseconds to build, of which a small host has few.
+	var configure func()
+	if revision > 0 && generation != n.configuredGeneration {
+		configure = n.configuration()
+	}
 	byService := n.view.ByService()
 	s := n.server
 	n.mu.Unlock()
-	if revision > 0 {
-		// An empty configuration is not applied: every request would be answered with
-		// "no route", after which callers do not retry.
-		n.proxy.Configure(records, routes)
-		n.front.SetLimits(frontLimits(limits))
+	if configure != nil {
+		configure()
+		n.configuredGeneration = generation
 	}
 	n.proxy.Update(n.candidates(byService))
 	n.quarantine.SetPeers(n.reports.setPeers(byService))
@@ -204,6 +207,17 @@
 	n.updateGateState()
 }
 
+// configuration returns a function that applies the current records to the proxy and the
+// front. An empty configuration must not be applied: every request would be answered with "no
+// route", after which callers do not retry. The caller holds the lock.
+func (n *Node) configuration() func() {
+	services, routes, limits := n.records.Services(), n.records.Routes(), n.records.Limits()
+	return func() {
+		n.proxy.Configure(services, routes)
+		n.front.SetLimits(frontLimits(limits))
+	}
+}
+
 func frontLimits(l *apiv1.CallerLimits) front.Limits {
 	return front.Limits{MaxHeaderBytes: int(l.MaxHeaderBytes), MaxBodyBytes: int64(l.MaxBodyBytes),
 		HeaderTimeout: time.Duration(l.HeaderTimeoutMs) * time.Millisecond, IdleTimeout: time.Duration(l.IdleTimeoutMs) * time.Millisecond}
