Deduct the time that a request lay unread from its deadline only

A request that is taken for late is refused first, and while nodes are short of processor time most requests look late.

The deadline must be deducted: it is what keeps a request from running for a caller that has left, and the time that the server is told. The target stays.

--- a/internal/endpoint/serve.go
+++ b/internal/endpoint/serve.go
@@ -82,7 +82,9 @@
 
 // deductTransit deducts from a request's remaining time how long it was held up on its way
 // here, which includes the time that it lay unread while this process had no processor time.
-// Sent is the value of hop.SentHeader; nodes of earlier releases do not send it.
+// Sent is the value of hop.SentHeader; nodes of earlier releases do not send it. The latency
+// target is left as it is: a request that misses it is refused first, and while requests are
+// held up, too many would be.
 func (e *Endpoint) deductTransit(req *hop.Request, sent string) {
 	sentAt, err := strconv.ParseInt(sent, 10, 64)
 	if err != nil {
@@ -93,7 +95,6 @@
 	e.mu.Unlock()
 	e.options.Counters.Transit.Observe(held)
 	req.Timeout -= held
-	req.AimLeft -= held
 }
 
 // admitAndAttempt calls Attempt for a request of another node, or refuses the request
