A server at its named limit is asked less, and the logs say why it is spared

A gate asked its server for its load before each decision, also for requests that exceed the limit the server names and will not run there: up to fifty questions a second to a server in need.

--- a/core/gate/limit.go
+++ b/core/gate/limit.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strconv"
 	"time"
 )
 
@@ -101,6 +102,14 @@
 	InForce   bool
 }
 
+// String returns the limit in requests per second, or "none".
+func (l Limit) String() string {
+	if !l.InForce {
+		return "none"
+	}
+	return strconv.FormatFloat(l.PerSecond, 'g', -1, 64)
+}
+
 // NamedLimit returns the limit that the server names now.
 func (g *Gate) NamedLimit() Limit {
 	if !g.limit.inForce() {
@@ -117,6 +126,9 @@
 	return max(0, g.limit.count-g.starts.within(now, g.limit.window))
 }
 
+// LimitReached reports whether a request that arrives now exceeds the server's named limit.
+func (g *Gate) LimitReached(now time.Duration) bool { return g.limitReached(now) }
+
 // limitReached reports whether the server has got as many requests as it accepts.
 func (g *Gate) limitReached(now time.Duration) bool {
 	return g.limit.inForce() && g.limitStartsLeft(now) == 0
--- a/internal/endpoint/answer.go
+++ b/internal/endpoint/answer.go
@@ -84,6 +84,13 @@
 // Leaving reports whether the backend server says in its answers that it is shutting down.
 func (e *Endpoint) Leaving() bool { return e.leaving.Load() }
 
+// limitReached reports whether a request that arrives now exceeds the server's named limit.
+func (e *Endpoint) limitReached() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.gate.LimitReached(e.now())
+}
+
 // NamedLimit returns the limit that the backend server names in its answers.
 func (e *Endpoint) NamedLimit() gate.Limit {
 	e.mu.Lock()
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -306,7 +306,7 @@
 	logs.Decision(failure, "Gate decided", "request", out.ID, "attempt", hop.FormatID(req.ID), "host", e.options.Host,
 		"content", req.Content.Exact, "alike", req.Content.Alike, "outcome", outcome, "reason", event.Reason.String(),
 		"to", event.To, "waited", waited, "left", time.Until(out.Deadline), "running", load.Running, "waiting", load.Waiting, "slots", load.Slots,
-		"service", load.Service, "slowdown", speed.Slowdown, "lasting", speed.Persistent, "crowd", speed.Contention, "usual", speed.MeanServiceTime, "loadAge", e.now()-time.Duration(e.loadReportedAt.Load()), "retryAfter", event.RetryAfter, "everywhere", event.SiblingsFull, "limit", limit, "revision", e.options.Revision())
+		"service", load.Service, "slowdown", speed.Slowdown, "lasting", speed.Persistent, "crowd", speed.Contention, "usual", speed.MeanServiceTime, "loadAge", e.now()-time.Duration(e.loadReportedAt.Load()), "retryAfter", event.RetryAfter, "everywhere", event.SiblingsFull, "limit", limit.String(), "revision", e.options.Revision())
 }
 
 func (e *Endpoint) removeHint(handle gate.Handle) {
--- a/internal/endpoint/watch.go
+++ b/internal/endpoint/watch.go
@@ -106,9 +106,10 @@
 
 // refreshLoad queries the load before the gate decides on a request, unless the last report
 // is younger than maxLoadAge. It does not wait for a server that did not respond to the last
-// query in time.
+// query in time, nor does it trouble one whose named limit is reached: the request will not
+// run there.
 func (e *Endpoint) refreshLoad(ctx context.Context) {
-	if e.options.Dialect.Load == "" || e.loadOverdue.Load() || e.loadAge() < maxLoadAge {
+	if e.options.Dialect.Load == "" || e.loadOverdue.Load() || e.loadAge() < maxLoadAge || e.limitReached() {
 		return
 	}
 	done := e.startLoadQuery()
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -52,6 +52,7 @@
 	"down":                    "the backend server accepted no connection",
 	"canceled":                "the caller had disconnected",
 	"quarantined":             "backend servers ended while running requests like this one; look for \"Content kept away from servers\"",
+	"limited":                 "the backend server had got as many requests as the limit that it names",
 	"evacuated":               "an operator has evacuated the endpoint's data centre; see `cactusctl audit`",
 	"short-of-processor-time": "the endpoint's node was short of processor time",
 	"restarted":               "the endpoint's node had restarted",
