A body that was cut off while it was read ahead stays cut off

What callers saw: nothing known. Found while looking for places where a request waits. Where servers have crashed under requests with the same path, the beginning of a streamed body is read before the request runs. A body that broke off in there with io.ErrUnexpectedEOF, as one sent in chunks does when its caller's connection ends, was taken for one that had come to its end: the server could get half of a body as a whole one.

Cause: io.ReadFull returns io.ErrUnexpectedEOF itself for a body that is shorter than what is asked for, so that the two could not be told apart.

Change: the bytes are read with the reader's own error. ReadAhead returns the error of a body that failed.

Evidence: the new case of TestBodyReadAhead, "body that was cut off", failed before (no error); the others as before.

--- a/internal/endpoint/ended.go
+++ b/internal/endpoint/ended.go
@@ -238,7 +238,8 @@
 // a streamed body, the beginning of the body is read first, to identify the content.
 func (e *Endpoint) quarantinedFor(r *run, out *hop.Outgoing) time.Duration {
 	if !r.content.Known() && e.options.Quarantine.Suspected(quarantine.PathOf(r.target)) {
-		out.Stream.ReadAhead(quarantine.PrefixBytes+1, out.Deadline)
+		// Later reads of a body that fails here fail as well.
+		_ = out.Stream.ReadAhead(quarantine.PrefixBytes+1, out.Deadline)
 		*r = r.withContent()
 	}
 	return e.options.Quarantine.QuarantinedFor(r.content)
--- a/internal/hop/upload.go
+++ b/internal/hop/upload.go
@@ -74,30 +74,48 @@
 
 // ReadAhead reads up to n bytes of the body into memory, until the given time at the latest.
 // Later reads return these bytes first. If the body ends or fails within these bytes, later
-// reads end or fail at the same place.
-func (b *Body) ReadAhead(n int, until time.Time) {
+// reads end or fail at the same place. The error is that of a body that failed.
+func (b *Body) ReadAhead(n int, until time.Time) error {
 	reader := &sender{}
 	b.setOwner(reader)
 	defer b.setOwner(nil)
 	if err := b.setSourceDeadline(until); err != nil {
-		return
+		return err
 	}
 	prefix := make([]byte, n)
-	read, err := io.ReadFull(ownerReader{b, reader}, prefix)
+	read, err := fill(ownerReader{b, reader}, prefix)
 	parts := []io.Reader{bytes.NewReader(prefix[:read])}
 	switch {
 	case err == nil:
 		parts = append(parts, b.source)
-	case !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
+	case !errors.Is(err, io.EOF):
 		parts = append(parts, errReader{err})
 	}
 	b.replaceSource(io.MultiReader(parts...))
-	if err != nil {
-		return
+	switch {
+	case errors.Is(err, io.EOF):
+		return nil
+	case err != nil:
+		return err
 	}
 	if err := b.setSourceDeadline(time.Time{}); err != nil {
 		klog.V(2).InfoS("Read deadline of a body not removed: its source is already closed", "err", err)
 	}
+	return nil
+}
+
+// fill reads until p is full or an error occurs. Unlike io.ReadFull, it returns the reader's own
+// error: io.EOF at the end of a body, and io.ErrUnexpectedEOF for a body that was cut off.
+func fill(r io.Reader, p []byte) (n int, err error) {
+	for n < len(p) && err == nil {
+		var m int
+		m, err = r.Read(p[n:])
+		n += m
+	}
+	if n == len(p) {
+		err = nil
+	}
+	return n, err
 }
 
 // setSourceDeadline limits reads of a source that may block; the zero time removes the limit.
--- a/internal/hop/upload_test.go
+++ b/internal/hop/upload_test.go
@@ -373,12 +373,13 @@
 	}{
 		{"part of the body", 20, strings.NewReader(text), nil},
 		{"more than the body", 1000, strings.NewReader(text), nil},
+		{"body that was cut off", 1000, io.MultiReader(strings.NewReader(text), iotest.ErrReader(io.ErrUnexpectedEOF)), io.ErrUnexpectedEOF},
 		{"failed body", 1000, io.MultiReader(strings.NewReader(text), iotest.ErrReader(io.ErrClosedPipe)), io.ErrClosedPipe},
 	} {
 		t.Run(c.desc, func(t *testing.T) {
 			b := NewBody(c.source, nil)
 			b.EnableDigest()
-			b.ReadAhead(c.ahead, farDeadline())
+			_ = b.ReadAhead(c.ahead, farDeadline())
 			reader := &sender{}
 			b.setOwner(reader)
 			got, err := io.ReadAll(ownerReader{b, reader})
