Wait for the beginning of an upload before its server hears of it

An upload waits in a gate's queue while its caller's node has not read the body. If the caller has sent all of it and leaves, nobody reads that connection: the callers' node goes on, and the endpoint's node sent the head to the server at once when a slot became free, and asked for the body after that.

Change: the callers' node looks at its caller's connection before it answers the gate's request for the body, and the endpoint's node waits for the first byte of a body of known length before it sends the head, as it waits for all of a shorter one. Bodies of unknown length are sent on as they come, since their callers may wait for an answer first.

Evidence: TestUploadsWhoseCallersLeaveWhileTheyWaitAreNotSent, real processes: before, all five uploads reached the server (two of two runs), also with the first part of the change alone (three of three); now none (three of three).

--- a/internal/e2e/gone_test.go
+++ b/internal/e2e/gone_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -16,16 +17,20 @@
 )
 
 // countingServer starts a backend server that counts its payments and announces it to the node.
-func countingServer(t *testing.T, n *nodeProcess) *atomic.Int64 {
+// A payment takes until release is closed, if that is not nil.
+func countingServer(t *testing.T, n *nodeProcess, slots int, release <-chan struct{}) *atomic.Int64 {
 	t.Helper()
 	var payments atomic.Int64
 	s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodPost {
 			payments.Add(1)
+			if release != nil {
+				<-release
+			}
 		}
 	}))
 	t.Cleanup(s.Close)
-	announcement := fmt.Sprintf(`{"service": "pay", "address": %q, "slots": 500}`, s.Listener.Addr())
+	announcement := fmt.Sprintf(`{"service": "pay", "address": %q, "slots": %d}`, s.Listener.Addr(), slots)
 	eventually(t, "the node accepts the server", func() bool { return n.announceServer(announcement) })
 	return &payments
 }
@@ -64,7 +69,7 @@
 	c := newCluster(t, 1).start()
 	front, far := c.addNode(""), c.addNode("")
 	c.submit(estateText("leaving callers", "pay"))
-	payments := countingServer(t, far)
+	payments := countingServer(t, far, 500, nil)
 	front.waitServing(t, "pay")
 	far.freeze(t)
 	leave := leavingCallers(t, front, leaving)
@@ -85,7 +90,7 @@
 	c := newCluster(t, 1).start()
 	front, far := c.addNode(""), c.addNode("")
 	c.submit(estateText("leaving callers", "pay"))
-	payments := countingServer(t, far)
+	payments := countingServer(t, far, 500, nil)
 	front.waitServing(t, "pay")
 	front.freeze(t)
 	leave := leavingCallers(t, front, leaving)
@@ -98,6 +103,40 @@
 	assert.Equal(t, payments.Load(), int64(0))
 }
 
+// TestUploadsWhoseCallersLeaveWhileTheyWaitAreNotSent guards against running an upload whose
+// caller has sent all of it and left while it waited for a slot. The callers' node does not read
+// the connection meanwhile, since the body is requested only once the upload may run.
+func TestUploadsWhoseCallersLeaveWhileTheyWaitAreNotSent(t *testing.T) {
+	// uploadBytes is more than a node holds in memory, and little enough for the kernel to take
+	// in before the node reads it.
+	const uploads, uploadBytes = 5, 100_000
+	c := newCluster(t, 1).start()
+	front, far := c.addNode(""), c.addNode("")
+	c.submit(estateText("leaving uploads", "pay"))
+	release := make(chan struct{})
+	endPayments := sync.OnceFunc(func() { close(release) })
+	payments := countingServer(t, far, 1, release)
+	t.Cleanup(endPayments)
+	front.waitServing(t, "pay")
+	leave := leavingCallers(t, front, 1)
+	eventually(t, "the slot is in use", func() bool { return payments.Load() == 1 })
+	for i := range uploads {
+		conn, err := net.Dial("tcp", front.callers)
+		assert.NilError(t, err)
+		_, err = fmt.Fprintf(conn, "POST /upload HTTP/1.1\r\nHost: pay.example\r\nCactus-Timeout-Ms: 60000\r\nContent-Length: %d\r\n\r\n%s", uploadBytes, strings.Repeat("x", uploadBytes))
+		assert.NilError(t, err)
+		eventually(t, "the upload waits", func() bool {
+			load, _ := far.metrics(t)["gate_load"].(map[string]any)
+			return load != nil && metric(load, "Waiting") == float64(i+1)
+		})
+		assert.NilError(t, conn.Close())
+	}
+	endPayments()
+	leave()
+	far.waitIdle(t)
+	assert.Equal(t, payments.Load(), int64(1))
+}
+
 // waitIdle waits until the node has answered a request that was sent to it after all others,
 // and has none in progress.
 func (n *nodeProcess) waitIdle(t *testing.T) {
--- a/internal/endpoint/forward.go
+++ b/internal/endpoint/forward.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"cactuspath/core/gate"
+	"cactuspath/internal/hangup"
 	"cactuspath/internal/hop"
 	"cactuspath/internal/logs"
 )
@@ -27,9 +28,14 @@
 	}
 	buffered, err := e.bufferBody(out)
 	if err != nil {
-		e.finish(handle, gate.NeverReached)
+		gone, outcome := hangup.Gone(ctx), gate.NeverReached
+		if gone {
+			outcome = gate.Abandoned
+			e.options.Counters.SenderGone.Add(1)
+		}
+		e.finish(handle, outcome)
 		reply.Verdict = hop.Unreachable
-		logs.Decision(true, "Body did not come", "request", out.ID, "attempt", hop.FormatID(reply.ID), "host", e.options.Host, "length", out.Length, "callerGone", ctx.Err() != nil, "err", err)
+		logs.Decision(true, "Body did not come", "request", out.ID, "attempt", hop.FormatID(reply.ID), "host", e.options.Host, "length", out.Length, "callerGone", gone, "err", err)
 		return nil, reply
 	}
 	if buffered != out {
@@ -122,12 +128,16 @@
 }
 
 // bufferBody returns the request with its body read into memory, if the body is of moderate
-// length. Until then the backend server has received nothing of the request. If the sender
-// fails within the body, it is therefore certain that the request has not run.
+// length. Of a longer one, it waits for the beginning: a caller that has left does not send it.
+// Until then the backend server has received nothing of the request. If the sender fails within
+// what is read, it is therefore certain that the request has not run.
 func (e *Endpoint) bufferBody(out *hop.Outgoing) (*hop.Outgoing, error) {
-	if out.Stream == nil || out.Length <= 0 || out.Length > maxBuffered {
+	if out.Stream == nil || out.Length <= 0 {
 		return out, nil
 	}
+	if out.Length > maxBuffered {
+		return out, out.Stream.ReadAhead(1, out.Deadline)
+	}
 	body, err := out.Stream.ReadFull(out.Length, out.Deadline)
 	if err != nil {
 		return out, err
--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -147,6 +147,10 @@
 			return nil, err
 		}
 		if resp.StatusCode == http.StatusContinue && out.Stream != nil && x.sender == nil {
+			if hangup.Gone(x.ctx) {
+				// The source may hold a whole body whose caller has left since.
+				return nil, ErrCallerGone
+			}
 			x.sendBody(out)
 			continue
 		}
