A request whose caller left before it was sent has not run

Ending them as never reached would count against the server.

Change: an outcome of its own. The request leaves no record: it may run under the same attempt elsewhere, and says nothing of the server.

--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -199,10 +199,10 @@
 	} else {
 		g.estimate.abandon(now)
 	}
-	if outcome != Abandoned {
+	if outcome != Abandoned && outcome != NotSent {
 		g.outlier.record(outcome != Completed)
 	}
-	if outcome != NeverReached {
+	if outcome != NeverReached && outcome != NotSent {
 		g.history.finish(it.ID, it.arrived)
 	}
 	g.startWaiting(now)
--- a/core/gate/gate_test.go
+++ b/core/gate/gate_test.go
@@ -341,3 +341,15 @@
 	answer, _ := g.Revoke(11*time.Millisecond, AttemptID{Attempt: 3}, time.Millisecond)
 	assert.Equal(t, answer, RevokeFinished)
 }
+
+// Guards against taking a request whose caller left before it was sent for one that ran, or for
+// a failure of the server.
+func TestRequestThatWasNotSentLeavesNoTrace(t *testing.T) {
+	g := New("a", Config{Slots: 1, Queue: 1}, 0)
+	id := AttemptID{Request: [2]uint64{1, 1}, Attempt: 1}
+	g.Arrive(0, Request{Handle: 1, ID: id, Caller: "c", Deadline: time.Second})
+	g.Finish(0, 1, NotSent)
+	assert.Equal(t, g.Load(0).FailRatio, 0.0)
+	answer, _ := g.Revoke(0, id, 0)
+	assert.Equal(t, answer, RevokeNeverStarted)
+}
--- a/core/gate/types.go
+++ b/core/gate/types.go
@@ -144,4 +144,7 @@
 	// NeverReached: no connection to the backend server could be made, so the request
 	// did not run.
 	NeverReached
+	// NotSent: the caller disconnected before the request was sent to the backend server, so
+	// the request did not run, which says nothing about the server.
+	NotSent
 )
--- a/internal/endpoint/forward.go
+++ b/internal/endpoint/forward.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		gone, outcome := hangup.Gone(ctx), gate.NeverReached
 		if gone {
-			outcome = gate.Abandoned
+			outcome = gate.NotSent
 			e.options.Counters.SenderGone.Add(1)
 		}
 		e.finish(handle, outcome)
@@ -198,7 +198,7 @@
 func (e *Endpoint) dropUnsent(handle gate.Handle, out *hop.Outgoing, reply hop.Reply) hop.Reply {
 	e.options.Counters.SenderGone.Add(1)
 	e.tracker.remove(handle, false)
-	e.finish(handle, gate.Abandoned)
+	e.finish(handle, gate.NotSent)
 	logs.Decision(false, "Sender disconnected before its request was sent to the backend server", "request", out.ID, "attempt", hop.FormatID(reply.ID), "host", e.options.Host)
 	reply.Verdict, reply.Reason = hop.Refused, gate.Canceled
 	return reply
