A named limit of almost nothing is a limit of nothing

A limit far below one request in a quarter of an hour overflowed the length of its window, which then counted no starts: the server would have got all. Found by reading; TestLimitOfZeroLeavesATrial has the smallest and the largest number there is, and failed for neither before only because it had neither.

--- a/core/gate/limit.go
+++ b/core/gate/limit.go
@@ -18,6 +18,9 @@
 	// minTrialRate replaces a lower limit that only answers to requests name: without any
 	// request, the gate would never learn that the server has withdrawn it.
 	minTrialRate = 0.1
+	// minRate is the lowest limit that is not taken for 0; it allows a request in a quarter
+	// of an hour.
+	minRate = 0.001
 	// firstAnswerTimeout is how long a new gate process waits for the first answer of a
 	// server, which may name a limit that the preceding process knew.
 	firstAnswerTimeout = 300 * time.Millisecond
@@ -88,9 +91,9 @@
 	if !l.healthNames {
 		rate = max(rate, minTrialRate)
 	}
-	l.count = int(math.Ceil(min(rate, maxLimitCount)))
-	l.window = 0
-	if l.count > 0 {
+	l.count, l.window = 0, 0
+	if rate >= minRate {
+		l.count = int(math.Ceil(min(rate, maxLimitCount)))
 		l.window = time.Duration(float64(l.count) / rate * float64(time.Second))
 	}
 }
--- a/core/gate/limit_test.go
+++ b/core/gate/limit_test.go
@@ -178,8 +178,12 @@
 		}
 	}
 	assert.Equal(t, starts, 3)
-	g.observeForTest(31*time.Second, Answer{Health: true, LimitNamed: true})
-	assert.Equal(t, len(startsOf(g.Arrive(time.Minute, limitRequest(1, time.Minute)))), 0, "health answers can withdraw it")
+	for i, limit := range []float64{0, math.SmallestNonzeroFloat64} {
+		g.observeForTest(31*time.Second, Answer{Health: true, LimitNamed: true, Limit: limit})
+		assert.Equal(t, len(startsOf(g.Arrive(time.Minute, limitRequest(Handle(i+1), time.Minute)))), 0, "health answers can withdraw it")
+	}
+	g.observeForTest(time.Minute, Answer{Health: true, LimitNamed: true, Limit: math.MaxFloat64})
+	assert.Equal(t, len(startsOf(g.Arrive(time.Minute, limitRequest(3, time.Minute)))), 1, "a limit that is never reached")
 }
 
 // Guards against a node that restarts and does not know the limit yet: it must not start a
