Look at HTTP/2 callers' connections before a request is sent on, too

The connections that begin with an HTTP/2 preface go to the server of net/http, which had no look at them: a caller whose connection had ended, unread, was served. TestHTTP2CallerThatLeftIsNoticed.

--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"cactuspath/internal/hangup"
 )
 
 // serve starts a server for the handler and closes it when the test ends.
@@ -405,3 +407,35 @@
 	assert.Assert(t, c.finishRequest())
 	assert.Assert(t, !c.armIdleDeadline(s.limits.Load()))
 }
+
+// TestHTTP2CallerThatLeftIsNoticed guards against sending requests on for callers whose HTTP/2
+// connection has ended, which the server has not read yet.
+func TestHTTP2CallerThatLeftIsNoticed(t *testing.T) {
+	entered, left := make(chan bool, 1), make(chan struct{})
+	result := make(chan bool, 1)
+	_, address := serve(t, func(_ http.ResponseWriter, r *http.Request) {
+		entered <- r.ProtoMajor == 2
+		<-left
+		result <- hangup.Gone(r.Context())
+	})
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	var conn atomic.Pointer[net.TCPConn]
+	transport := &http.Transport{Protocols: protocols, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if err == nil {
+			conn.Store(c.(*net.TCPConn))
+		}
+		return c, err
+	}}
+	go func() {
+		if resp, err := (&http.Client{Transport: transport}).Get("http://" + address + "/"); err == nil {
+			_ = resp.Body.Close()
+		}
+	}()
+	assert.Assert(t, <-entered, "the request came over HTTP/2")
+	assert.NilError(t, conn.Load().SetLinger(0))
+	assert.NilError(t, conn.Load().Close())
+	close(left)
+	assert.Assert(t, <-result)
+}
--- a/internal/front/handoff.go
+++ b/internal/front/handoff.go
@@ -56,5 +56,8 @@
 	reader *bufio.Reader
 }
 
+// NetConn returns the connection without the buffer.
+func (c bufferedConn) NetConn() net.Conn { return c.Conn }
+
 // Read returns the buffered bytes before those of the connection.
 func (c bufferedConn) Read(p []byte) (int, error) { return c.reader.Read(p) }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -71,7 +71,7 @@
 func New(handler http.Handler) *Server {
 	s := &Server{handler: handler, conns: map[*conn]bool{}, h2Listener: newHandoffListener()}
 	s.SetLimits(Limits{})
-	s.h2 = &http.Server{Handler: handler, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: defaultHeaderBytes}
+	s.h2 = &http.Server{Handler: handler, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: defaultHeaderBytes, ConnContext: hangup.Watch}
 	s.h2.Protocols = new(http.Protocols)
 	s.h2.Protocols.SetUnencryptedHTTP2(true)
 	return s
--- a/internal/hangup/hangup.go
+++ b/internal/hangup/hangup.go
@@ -10,7 +10,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 	"syscall"
 
@@ -26,10 +25,11 @@
 }
 
 // Watch returns a context for the requests of a connection. Gone cancels it once the other
-// end has closed the connection. Its signature is that of http.Server.ConnContext.
+// end has closed the connection. A connection that wraps another one, such as a *tls.Conn,
+// must have the method NetConn. The signature is that of http.Server.ConnContext.
 func Watch(ctx context.Context, conn net.Conn) context.Context {
-	if t, ok := conn.(*tls.Conn); ok {
-		conn = t.NetConn()
+	if wrapped, ok := conn.(interface{ NetConn() net.Conn }); ok {
+		conn = wrapped.NetConn()
 	}
 	s, ok := conn.(syscall.Conn)
 	if !ok {
