Uploads: look at the caller while its body waits, not at the body's first byte

A caller behind an earlier answer may not be asked for its body until that answer is sent.

Change: the head is sent at once again. Instead the front looks at the connection of an upload each 50 ms until its body is read, and cancels the request if the caller has left; the exchange with the endpoint's node ends, and that node's look before it writes to the server finds it.

Evidence: TestAnswerHoldsNoQuestionForTheBody failed before (90 s without an answer) and passes; TestUploadsWhoseCallersLeaveWhileTheyWaitAreNotSent waits for the callers' node to have noticed, which it now does, and passes.

--- a/internal/e2e/gone_test.go
+++ b/internal/e2e/gone_test.go
@@ -131,6 +131,7 @@
 		})
 		assert.NilError(t, conn.Close())
 	}
+	eventually(t, "the callers' node has noticed", func() bool { return metric(front.metrics(t), "calls_in_flight") == 1 })
 	endPayments()
 	leave()
 	far.waitIdle(t)
--- a/internal/endpoint/forward.go
+++ b/internal/endpoint/forward.go
@@ -128,16 +128,12 @@
 }
 
 // bufferBody returns the request with its body read into memory, if the body is of moderate
-// length. Of a longer one, it waits for the beginning: a caller that has left does not send it.
-// Until then the backend server has received nothing of the request. If the sender fails within
-// what is read, it is therefore certain that the request has not run.
+// length. Until then the backend server has received nothing of the request. If the sender
+// fails within the body, it is therefore certain that the request has not run.
 func (e *Endpoint) bufferBody(out *hop.Outgoing) (*hop.Outgoing, error) {
-	if out.Stream == nil || out.Length <= 0 {
+	if out.Stream == nil || out.Length <= 0 || out.Length > maxBuffered {
 		return out, nil
 	}
-	if out.Length > maxBuffered {
-		return out, out.Stream.ReadAhead(1, out.Deadline)
-	}
 	body, err := out.Stream.ReadFull(out.Length, out.Deadline)
 	if err != nil {
 		return out, err
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
+	"cactuspath/internal/hangup"
 	"cactuspath/internal/hop"
 )
 
@@ -322,10 +323,7 @@
 		return !w.mustClose || c.watchHangup()
 	}
 	// The handler reads the body. The next request can be read only after it.
-	select {
-	case <-bodyFinished:
-	case <-w.done:
-	}
+	c.waitForBody(bodyFinished, w.done)
 	if w.bodyUnread() {
 		// The response announced that the connection closes; the caller may still be
 		// sending.
@@ -335,6 +333,24 @@
 	return !w.mustClose || c.watchHangup()
 }
 
+// waitForBody waits until the handler has read the body or has responded. The handler may wait
+// long before it reads, and nothing else reads the connection meanwhile, so the request is
+// canceled here if the caller disconnects.
+func (c *conn) waitForBody(bodyFinished, responded <-chan struct{}) {
+	ticker := time.NewTicker(hangupPollInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-bodyFinished:
+			return
+		case <-responded:
+			return
+		case <-ticker.C:
+			hangup.Gone(c.ctx)
+		}
+	}
+}
+
 // watchHangup watches a connection on which no further request is read, so that the running
 // requests are canceled if the caller disconnects. It always returns false.
 func (c *conn) watchHangup() bool {
@@ -353,7 +369,8 @@
 	return false
 }
 
-// hangupPollInterval is how often watchHangup checks whether all responses have been sent.
+// hangupPollInterval is how often watchHangup checks whether all responses have been sent, and
+// waitForBody whether the caller has disconnected.
 const hangupPollInterval = 50 * time.Millisecond
 
 func wantsClose(r *http.Request) bool {
