Tell the server the time left, and leave the gate's decision as it was

Deducting the time that a request lay unread from the gate's deadline made it refuse requests that can still be served: its estimates are on the safe side.

Change: a request whose time has passed while it lay unread is refused at once; any other is decided by the time that its sender gave, as before. What the server is told, and the moment after which it gets nothing, follow the time that is left. So nothing runs for a caller whose deadline has passed.

Evidence: TestRequestThatLayUnreadKeepsItsDeadline, now also that the server is told of two seconds of five where three were lost; the mutant is detected.

--- a/internal/endpoint/serve.go
+++ b/internal/endpoint/serve.go
@@ -30,7 +30,11 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	e.deductTransit(r.Context(), &req, r.Header.Get(hop.SentHeader))
+	held := e.observeTransit(r.Context(), req, r.Header.Get(hop.SentHeader))
+	if held >= req.Timeout {
+		// The gate refuses a request without time left.
+		req.Timeout, held = 0, 0
+	}
 	if hangup.Gone(r.Context()) {
 		// The request waited unread until its sender gave up. Skip the work to keep
 		// processor time for other requests.
@@ -48,7 +52,10 @@
 	if bufferLimit == 0 {
 		r.Body = &continueBody{ReadCloser: r.Body, interim: interim}
 	}
-	out, err := outgoing(w, r, e.options.Dialect, req.Timeout, bufferLimit)
+	// The gate decides by the time that the sender gave: its estimates are on the safe side,
+	// and it would refuse requests that can still be served. The backend server is told what
+	// is left, and gets nothing after that.
+	out, err := outgoing(w, r, e.options.Dialect, req.Timeout-held, bufferLimit)
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
@@ -80,26 +87,24 @@
 	}
 }
 
-// deductTransit deducts from a request's remaining time how long it was held up on its way
-// here, which includes the time that it lay unread while this process had no processor time.
-// Sent is the value of hop.SentHeader; nodes of earlier releases do not send it. The latency
-// target is left as it is: a request that misses it is refused first, and while requests are
-// held up, too many would be. The sender looked at its own caller when it sent the request, so
-// one that was not held up needs no further look.
-func (e *Endpoint) deductTransit(ctx context.Context, req *hop.Request, sent string) {
+// observeTransit returns how long a request was held up on its way here, which includes the
+// time that it lay unread while this process had no processor time. Sent is the value of
+// hop.SentHeader; nodes of earlier releases do not send it. The sender looked at its own caller
+// when it sent the request, so one that was not held up needs no further look.
+func (e *Endpoint) observeTransit(ctx context.Context, req hop.Request, sent string) time.Duration {
 	sentAt, err := strconv.ParseInt(sent, 10, 64)
 	if err != nil {
-		return
+		return 0
 	}
 	e.mu.Lock()
 	held, known := e.transit.Observe(req.ID.Request[0], time.Duration(sentAt)*time.Microsecond, e.now())
 	e.mu.Unlock()
 	if !known {
-		return
+		return 0
 	}
 	hangup.ConfirmOpen(ctx, time.Now().Add(-held))
 	e.options.Counters.Transit.Observe(held)
-	req.Timeout -= held
+	return held
 }
 
 // admitAndAttempt calls Attempt for a request of another node, or refuses the request
