Estate: client accounts, public routes and the route kind download

What callers saw: a configuration with client accounts or a route of kind download was refused as a whole, so nothing was served.

The estate text gains accounts (digests of keys, requests a second, burst, priority), routes that need no key, and downloads, which are idempotent. Accounts are records like routes: a change sends what changed, and a removed account reaches nodes that were away.

--- a/core/estate/document.go
+++ b/core/estate/document.go
@@ -27,6 +27,8 @@
 	Revision uint64
 	Services map[string]*apiv1.ServiceSpec
 	Routes   map[string]*apiv1.RouteSpec
+	// Accounts holds the client accounts by name. If there are none, requests need no key.
+	Accounts map[string]*apiv1.AccountSpec
 	// Limits are the limits on the size and timeouts of callers' requests, or nil if the
 	// text sets none.
 	Limits *apiv1.CallerLimits
@@ -34,7 +36,7 @@
 
 // Contents returns the compiled form of the document.
 func (d *Document) Contents() rollout.Contents {
-	return rollout.Contents{Services: d.Services, Routes: d.Routes, Limits: d.Limits}
+	return rollout.Contents{Services: d.Services, Routes: d.Routes, Accounts: d.Accounts, Limits: d.Limits}
 }
 
 // Limits on the values of a text. They prevent a mistake of one institution from
@@ -89,7 +91,7 @@
 	if len(reader.Problems()) > 0 {
 		return nil, reader.Problems()
 	}
-	doc := &Document{Services: map[string]*apiv1.ServiceSpec{}, Routes: map[string]*apiv1.RouteSpec{}}
+	doc := &Document{Services: map[string]*apiv1.ServiceSpec{}, Routes: map[string]*apiv1.RouteSpec{}, Accounts: map[string]*apiv1.AccountSpec{}}
 	contract := terms{
 		measure: &apiv1.MeasureBudget{ReportsPerSecond: defaultReportsPerSecond, BytesPerSecond: defaultBytesPerSecond,
 			ReportsPerEndpoint: defaultReportsPerEndpoint, BytesPerEndpoint: defaultBytesPerEndpoint},
@@ -102,6 +104,7 @@
 		"revision":    func(n jsonc.Node) { doc.Revision = n.Uint(1, maxRevision) },
 		"services":    func(n jsonc.Node) { readServices(n, doc, serviceNodes) },
 		"routes":      func(n jsonc.Node) { readRoutes(n, doc, routeNodes) },
+		"accounts":    func(n jsonc.Node) { readAccounts(n, doc) },
 		"limits":      func(n jsonc.Node) { doc.Limits = readLimits(n) },
 	}, "institution", "services")
 	checkDependencies(doc, serviceNodes)
--- a/core/estate/routes.go
+++ b/core/estate/routes.go
@@ -32,6 +32,8 @@
 	"safe":   apiv1.RouteKind_ROUTE_KIND_SAFE,
 	"unsafe": apiv1.RouteKind_ROUTE_KIND_UNSAFE,
 	"upload": apiv1.RouteKind_ROUTE_KIND_UPLOAD,
+	// A download is idempotent and has a large response.
+	"download": apiv1.RouteKind_ROUTE_KIND_DOWNLOAD,
 }
 
 // readRoutes reads the routes into doc and stores the JSON node of each in routeNodes,
@@ -57,7 +59,7 @@
 	n.Object(map[string]func(jsonc.Node){
 		"host":        func(n jsonc.Node) { spec.Host = strings.ToLower(n.String()) },
 		"pathPrefix":  func(n jsonc.Node) { spec.PathPrefix = readPathPrefix(n) },
-		"kind":        func(n jsonc.Node) { spec.Kind = routeKinds[n.OneOf("safe", "unsafe", "upload")] },
+		"kind":        func(n jsonc.Node) { spec.Kind = routeKinds[n.OneOf("safe", "unsafe", "upload", "download")] },
 		"timeout":     func(n jsonc.Node) { spec.TimeoutMs = readMillis(n, time.Millisecond, MaxRouteTimeout) },
 		"aim":         func(n jsonc.Node) { spec.AimMs = readMillis(n, 0, MaxRouteTimeout) },
 		"priority":    func(n jsonc.Node) { spec.Priority = uint32(n.Uint(0, MaxPriority)) },
@@ -65,7 +67,8 @@
 		"service": func(n jsonc.Node) {
 			spec.Shares = []*apiv1.RouteShare{{Service: readName(n), Weight: 1}}
 		},
-		"split": func(n jsonc.Node) { spec.Shares = readShares(n) },
+		"split":  func(n jsonc.Node) { spec.Shares = readShares(n) },
+		"public": func(n jsonc.Node) { spec.Public = n.Bool() },
 	}, "pathPrefix", "kind")
 	if len(spec.Shares) == 0 {
 		n.Fail("the route leads to no service", `add "service": "…" or "split": […]`)
--- a/core/jsonc/jsonc.go
+++ b/core/jsonc/jsonc.go
@@ -364,6 +364,25 @@
 	return v
 }
 
+// Float decodes a number between low and high. It returns low if the value is invalid.
+func (n Node) Float(low, high float64) float64 {
+	if n.value == nil {
+		return low
+	}
+	l, ok := n.value.Value.(hujson.Literal)
+	remedy := fmt.Sprintf("write a number from %g to %g", low, high)
+	if !ok || l.Kind() != '0' {
+		n.Fail("expected a number", remedy)
+		return low
+	}
+	v := l.Float()
+	if !(v >= low && v <= high) {
+		n.Fail(fmt.Sprintf("%s is out of range", string(l)), remedy)
+		return low
+	}
+	return v
+}
+
 // Duration decodes a duration string such as "250ms" between low and high. It
 // returns low if the value is invalid.
 func (n Node) Duration(low, high time.Duration) time.Duration {
--- a/core/rollout/records.go
+++ b/core/rollout/records.go
@@ -1,5 +1,5 @@
 // Package rollout stores the compiled estate and computes the deltas that distribute it.
-// It keeps one record for each service, route, host and data centre, and one for the
+// It keeps one record for each service, route, client account, host and data centre, and one for the
 // limits of each institution. A record's ChangedAt is the revision that last changed
 // it. A receiver at revision R lacks exactly the records with ChangedAt above R, so no
 // history of deltas is kept and a receiver may be any number of revisions behind.
@@ -25,6 +25,7 @@
 	services   map[string]*apiv1.ServiceRecord
 	hosts      map[string]*apiv1.HostRecord
 	routes     map[string]*apiv1.RouteRecord
+	accounts   map[string]*apiv1.AccountRecord
 	limits     map[string]*apiv1.LimitsRecord
 	// dataCenters has a record for each data centre that was ever evacuated.
 	dataCenters map[string]*apiv1.DataCenterRecord
@@ -34,13 +35,14 @@
 type Contents struct {
 	Services map[string]*apiv1.ServiceSpec
 	Routes   map[string]*apiv1.RouteSpec
+	Accounts map[string]*apiv1.AccountSpec
 	Limits   *apiv1.CallerLimits
 }
 
 // NewRecords returns empty Records at revision 0.
 func NewRecords() *Records {
 	return &Records{services: map[string]*apiv1.ServiceRecord{}, hosts: map[string]*apiv1.HostRecord{},
-		routes: map[string]*apiv1.RouteRecord{}, limits: map[string]*apiv1.LimitsRecord{}, dataCenters: map[string]*apiv1.DataCenterRecord{}}
+		routes: map[string]*apiv1.RouteRecord{}, accounts: map[string]*apiv1.AccountRecord{}, limits: map[string]*apiv1.LimitsRecord{}, dataCenters: map[string]*apiv1.DataCenterRecord{}}
 }
 
 // Revision returns the newest revision that was applied.
@@ -74,11 +76,12 @@
 // Hosts returns all host records, sorted by name.
 func (r *Records) Hosts() []*apiv1.HostRecord { return sortedByKey(r.hosts) }
 
-// Replace replaces the services, routes and limits of an institution at the given
+// Replace replaces the services, routes, client accounts and limits of an institution at the given
 // revision. Unchanged records keep their ChangedAt, so they are not sent again.
 func (r *Records) Replace(institution string, contents Contents, revision uint64) {
 	r.replaceServices(institution, contents.Services, revision)
 	r.replaceRoutes(institution, contents.Routes, revision)
+	r.replaceAccounts(institution, contents.Accounts, revision)
 	if current := r.limits[institution]; (current != nil || contents.Limits != nil) && !proto.Equal(current.GetLimits(), contents.Limits) {
 		r.limits[institution] = &apiv1.LimitsRecord{Institution: institution, ChangedAt: revision, Limits: contents.Limits}
 	}
@@ -107,7 +110,7 @@
 		}
 	}
 	for name, spec := range specs {
-		key := routeKey(institution, name)
+		key := qualifiedName(institution, name)
 		current := r.routes[key]
 		if current != nil && !current.Removed && proto.Equal(current.Spec, spec) {
 			continue
@@ -116,11 +119,41 @@
 	}
 }
 
-// routeKey returns the key of a route. It includes the institution because two
-// institutions may have routes of the same name.
-func routeKey(institution, name string) string { return institution + "\x00" + name }
+func (r *Records) replaceAccounts(institution string, specs map[string]*apiv1.AccountSpec, revision uint64) {
+	for key, current := range r.accounts {
+		if _, kept := specs[current.Name]; !kept && current.Institution == institution && !current.Removed {
+			r.accounts[key] = &apiv1.AccountRecord{Name: current.Name, Institution: institution, ChangedAt: revision, Removed: true}
+		}
+	}
+	for name, spec := range specs {
+		key := qualifiedName(institution, name)
+		current := r.accounts[key]
+		if current != nil && !current.Removed && proto.Equal(current.Spec, spec) {
+			continue
+		}
+		r.accounts[key] = &apiv1.AccountRecord{Name: name, Institution: institution, ChangedAt: revision, Spec: spec}
+	}
+}
+
+// Accounts returns the client accounts that are not removed, sorted by institution and
+// name.
+func (r *Records) Accounts() []*apiv1.AccountRecord {
+	var list []*apiv1.AccountRecord
+	for _, account := range sortedByKey(r.accounts) {
+		if !account.Removed {
+			list = append(list, account)
+		}
+	}
+	return list
+}
+
+// qualifiedName returns the key of a route or client account. It includes the institution
+// because two institutions may use the same name.
+func qualifiedName(institution, name string) string { return institution + "\x00" + name }
+
+func routeRecordKey(r *apiv1.RouteRecord) string { return qualifiedName(r.Institution, r.Name) }
 
-func routeRecordKey(r *apiv1.RouteRecord) string { return routeKey(r.Institution, r.Name) }
+func accountRecordKey(r *apiv1.AccountRecord) string { return qualifiedName(r.Institution, r.Name) }
 
 // Routes returns the routes that are not removed, sorted by institution and name.
 func (r *Records) Routes() []*apiv1.RouteRecord {
@@ -215,10 +248,11 @@
 }
 
 // addCommon adds the records that every node needs, as far as they changed after
-// revision since: limits, evacuations, and all routes, since a request for any route may
-// reach any node.
+// revision since: limits, evacuations, and all routes and client accounts, since a request
+// for any route and of any account may reach any node.
 func (r *Records) addCommon(since uint64, delta *apiv1.EstateDelta) {
 	delta.Routes, delta.Limits, delta.DataCenters = changedSince(r.routes, since), changedSince(r.limits, since), changedSince(r.dataCenters, since)
+	delta.Accounts = changedSince(r.accounts, since)
 }
 
 // routesOnly returns a partial record that contains only the hosts and path
@@ -254,6 +288,7 @@
 	}
 	changed = applyNewer(r.hosts, delta.Hosts, (*apiv1.HostRecord).GetHost) || changed
 	changed = applyNewer(r.routes, delta.Routes, routeRecordKey) || changed
+	changed = applyNewer(r.accounts, delta.Accounts, accountRecordKey) || changed
 	changed = applyNewer(r.limits, delta.Limits, (*apiv1.LimitsRecord).GetInstitution) || changed
 	changed = applyNewer(r.dataCenters, delta.DataCenters, (*apiv1.DataCenterRecord).GetDataCenter) || changed
 	r.revision = delta.Revision
@@ -292,7 +327,7 @@
 // Snapshot returns all records, sorted by key.
 func (r *Records) Snapshot() *apiv1.EstateSnapshot {
 	return &apiv1.EstateSnapshot{Revision: r.revision, Services: sortedByKey(r.services), Hosts: r.Hosts(), Routes: sortedByKey(r.routes), Limits: sortedByKey(r.limits),
-		DataCenters: r.DataCenters()}
+		Accounts: sortedByKey(r.accounts), DataCenters: r.DataCenters()}
 }
 
 // Restore replaces all records with those of a snapshot.
@@ -302,6 +337,7 @@
 	applyNewer(r.services, snap.Services, (*apiv1.ServiceRecord).GetName)
 	applyNewer(r.hosts, snap.Hosts, (*apiv1.HostRecord).GetHost)
 	applyNewer(r.routes, snap.Routes, routeRecordKey)
+	applyNewer(r.accounts, snap.Accounts, accountRecordKey)
 	applyNewer(r.limits, snap.Limits, (*apiv1.LimitsRecord).GetInstitution)
 	applyNewer(r.dataCenters, snap.DataCenters, (*apiv1.DataCenterRecord).GetDataCenter)
 }
