core/usage: usage caps over all nodes, by keepers that hold portions

Each cap is split among three to five keepers, nodes chosen by rendezvous hashing, one in each data centre where possible. Nodes admit on credit while their keeper has tokens to spare and need grants afterwards; keepers pass each other tokens. A token exists at one keeper only, so a cut, a restart or a new member cannot multiply a cap, and no request waits for a remote answer.

--- /dev/null
+++ b/core/usage/keeper.go
@@ -0,0 +1,289 @@
+package usage
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// demandTime is the time constant of the measured demand.
+	demandTime = 500 * time.Millisecond
+	// noticeDelay is about how long it takes until all nodes have heard that a keeper is
+	// short of tokens. The keeper reserves the tokens that are charged in the meantime.
+	noticeDelay = 100 * time.Millisecond
+	// noticeInterval is the time between two notices that an account is still short of
+	// tokens.
+	noticeInterval = 500 * time.Millisecond
+	// minTransferInterval and maxTransferInterval bound the time between two requests for
+	// tokens of other keepers.
+	minTransferInterval = 50 * time.Millisecond
+	maxTransferInterval = 400 * time.Millisecond
+	// idleSpenderTime is how long a keeper remembers a node that reports nothing.
+	idleSpenderTime = 30 * time.Second
+	// minWait is the shortest wait that a keeper announces.
+	minWait = 50 * time.Millisecond
+)
+
+// Keeper holds this node's portions of the usage caps of the accounts that it is a keeper
+// of.
+type Keeper struct {
+	host, dataCenter string
+	tolerance        Tolerance
+	caps             map[string]Cap
+	members          []Member
+	membersSince     time.Duration
+	portions         map[string]*portion
+}
+
+// portion is this keeper's part of an account's cap.
+type portion struct {
+	others     []string
+	perSecond  float64
+	capacity   float64
+	level      float64
+	refilledAt time.Duration
+	// demand is the recent number of requests per second, refused ones included.
+	demand   float64
+	open     bool
+	noticeAt time.Duration
+	spenders map[string]*spender
+	// nextOther is the index of the keeper to ask for tokens next.
+	nextOther        int
+	transferAt       time.Duration
+	transferInterval time.Duration
+}
+
+// spender is what a keeper knows of a node.
+type spender struct {
+	incarnation uint64
+	spent       uint64
+	// reserved is the number of granted tokens that the node has not reported as spent.
+	reserved     uint64
+	reservedTill time.Duration
+	heardAt      time.Duration
+}
+
+// NewKeeper returns a Keeper without any accounts. Now is the current time.
+func NewKeeper(host, dataCenter string, tolerance Tolerance, now time.Duration) *Keeper {
+	return &Keeper{host: host, dataCenter: dataCenter, tolerance: tolerance, portions: map[string]*portion{}, membersSince: now}
+}
+
+// SetMembers replaces the nodes among which keepers are selected.
+func (k *Keeper) SetMembers(now time.Duration, members []Member) {
+	k.members, k.membersSince = members, now
+	for account := range k.portions {
+		k.updatePortion(now, account)
+	}
+}
+
+// SetCaps replaces the usage caps by account.
+func (k *Keeper) SetCaps(now time.Duration, caps map[string]Cap) {
+	k.caps = caps
+	for account := range k.portions {
+		k.updatePortion(now, account)
+	}
+}
+
+// updatePortion applies the current caps and members to a portion, or removes it if this
+// node is no longer a keeper of the account.
+func (k *Keeper) updatePortion(now time.Duration, account string) {
+	p := k.portions[account]
+	others, perSecond, capacity, ok := k.shareOf(account)
+	if !ok {
+		delete(k.portions, account)
+		return
+	}
+	p.refill(now)
+	p.others, p.perSecond, p.capacity = others, perSecond, capacity
+	p.level = min(p.level, capacity)
+}
+
+// shareOf returns the other keepers of an account and this keeper's share of the cap. Ok is
+// false if the account has no cap or this node is not one of its keepers.
+func (k *Keeper) shareOf(account string) (others []string, perSecond, capacity float64, ok bool) {
+	c := k.caps[account]
+	if c.PerSecond == 0 {
+		return nil, 0, 0, false
+	}
+	keepers := Keepers(account, k.members, k.dataCenter)
+	i := slices.Index(keepers, k.host)
+	if i < 0 {
+		return nil, 0, 0, false
+	}
+	n := float64(len(keepers))
+	// Half of the slack covers what is charged before all nodes know that the tokens are
+	// used up. The other half is added to the burst: without it, the portion of a small cap
+	// would often hold less than the one token that a request needs.
+	return slices.Delete(keepers, i, i+1), c.PerSecond / n, max(1, (c.Burst+k.tolerance.Slack/2)/n), true
+}
+
+// portion returns the portion of an account, or nil if this node is not its keeper.
+func (k *Keeper) portion(now time.Duration, account string) *portion {
+	if p := k.portions[account]; p != nil {
+		p.refill(now)
+		return p
+	}
+	others, perSecond, capacity, ok := k.shareOf(account)
+	if !ok {
+		return nil
+	}
+	// A new keeper does not know what was spent before. It starts with half of its burst and
+	// the tokens of the time since the members last changed.
+	level := min(capacity, capacity/2+perSecond*(now-k.membersSince).Seconds())
+	p := &portion{others: others, perSecond: perSecond, capacity: capacity, level: level, refilledAt: now, open: true,
+		spenders: map[string]*spender{}, transferInterval: minTransferInterval, noticeAt: -noticeInterval, transferAt: -maxTransferInterval}
+	k.portions[account] = p
+	return p
+}
+
+func (p *portion) refill(now time.Duration) {
+	elapsed := (now - p.refilledAt).Seconds()
+	if elapsed <= 0 {
+		return
+	}
+	p.refilledAt = now
+	p.demand *= math.Exp(-elapsed / demandTime.Seconds())
+	for _, s := range p.spenders {
+		if s.reserved > 0 && now >= s.reservedTill {
+			p.level += float64(s.reserved)
+			s.reserved = 0
+		}
+	}
+	p.level = min(p.capacity, p.level+elapsed*p.perSecond)
+}
+
+// reserve is the level below which nodes may no longer admit on credit.
+func (p *portion) reserve() float64 {
+	return min(p.capacity/2, p.demand*noticeDelay.Seconds())
+}
+
+// HandleReport applies a report of a node and returns the messages to send.
+func (k *Keeper) HandleReport(now time.Duration, from string, incarnation uint64, r Report) []Envelope {
+	p := k.portion(now, r.Account)
+	if p == nil {
+		return nil
+	}
+	s := p.spenders[from]
+	if s == nil || s.incarnation != incarnation {
+		s = &spender{incarnation: incarnation, spent: r.Spent - r.Unacknowledged}
+		p.spenders[from] = s
+	}
+	s.heardAt = now
+	p.charge(s, int64(r.Spent-s.spent))
+	s.spent = r.Spent
+	p.demand += float64(r.Refused) / demandTime.Seconds()
+	out := p.updateOpen(now, k, r.Account, from)
+	if !p.open && r.Refused > 0 {
+		p.grant(now, s, r.Refused)
+	}
+	reply := Grant{Account: r.Account, Spent: s.spent, Limit: s.spent + s.reserved, Open: p.open, Wait: p.wait()}
+	out = append(out, Envelope{from, Message{Grants: []Grant{reply}}})
+	return append(out, p.askForTokens(now, r.Account)...)
+}
+
+// charge deducts requests that a node admitted, first from what it was granted. A negative
+// number is given back.
+func (p *portion) charge(s *spender, requests int64) {
+	if requests > 0 {
+		p.demand += float64(requests) / demandTime.Seconds()
+		granted := min(uint64(requests), s.reserved)
+		s.reserved -= granted
+		requests -= int64(granted)
+	}
+	p.level = min(p.capacity, p.level-float64(requests))
+}
+
+// grant reserves tokens for a node that has refused requests.
+func (p *portion) grant(now time.Duration, s *spender, refused uint32) {
+	tokens := min(uint64(refused), uint64(max(0, p.level)))
+	if tokens <= s.reserved {
+		return
+	}
+	p.level -= float64(tokens - s.reserved)
+	s.reserved, s.reservedTill = tokens, now+keeperGrantLifetime
+}
+
+// wait returns the time until this keeper expects to have a token again.
+func (p *portion) wait() time.Duration {
+	if p.level >= 1 {
+		return 0
+	}
+	return max(minWait, time.Duration((1-p.level)/p.perSecond*float64(time.Second)))
+}
+
+// updateOpen decides whether nodes may admit on credit. When this changes, and from time to
+// time while they may not, it tells all nodes that charge their requests here.
+func (p *portion) updateOpen(now time.Duration, k *Keeper, account, except string) []Envelope {
+	reserve, wasOpen := p.reserve(), p.open
+	switch {
+	case p.level < reserve, p.level <= 0:
+		p.open = false
+	case p.level >= min(p.capacity, 2*reserve+1):
+		p.open = true
+	}
+	if p.open && wasOpen || p.open == wasOpen && now-p.noticeAt < noticeInterval {
+		return nil
+	}
+	p.noticeAt = now
+	notice := Message{Grants: []Grant{{Account: account, Notice: true, Open: p.open, Wait: p.wait()}}}
+	var out []Envelope
+	for _, host := range p.constituency(now, k) {
+		if host != except {
+			out = append(out, Envelope{host, notice})
+		}
+	}
+	return out
+}
+
+// constituency returns the nodes that may charge requests to this keeper: those of its data
+// centre, and others that have done so recently.
+func (p *portion) constituency(now time.Duration, k *Keeper) []string {
+	hosts := map[string]bool{}
+	for _, m := range k.members {
+		if m.DataCenter == k.dataCenter {
+			hosts[m.Host] = true
+		}
+	}
+	for host, s := range p.spenders {
+		if now-s.heardAt > idleSpenderTime {
+			delete(p.spenders, host)
+			continue
+		}
+		hosts[host] = true
+	}
+	return slices.Sorted(maps.Keys(hosts))
+}
+
+// askForTokens asks another keeper for tokens if the level is low.
+func (p *portion) askForTokens(now time.Duration, account string) []Envelope {
+	if len(p.others) == 0 || p.level >= p.capacity/2 || now-p.transferAt < p.transferInterval {
+		return nil
+	}
+	p.transferAt = now
+	p.transferInterval = min(2*p.transferInterval, maxTransferInterval)
+	to := p.others[p.nextOther%len(p.others)]
+	p.nextOther++
+	wanted := max(1, p.capacity/2-p.level+p.reserve())
+	return []Envelope{{to, Message{Transfers: []Transfer{{Account: account, Wanted: wanted}}}}}
+}
+
+// HandleTransfer applies another keeper's request for tokens, or the tokens that it gives.
+func (k *Keeper) HandleTransfer(now time.Duration, from string, t Transfer) []Envelope {
+	p := k.portion(now, t.Account)
+	if p == nil {
+		return nil
+	}
+	if t.Given > 0 {
+		p.level = min(p.capacity, p.level+t.Given)
+		p.transferInterval = minTransferInterval
+		return nil
+	}
+	given := min(t.Wanted, p.level-max(p.reserve(), p.capacity/4))
+	if given <= 0 {
+		return nil
+	}
+	p.level -= given
+	return []Envelope{{from, Message{Transfers: []Transfer{{Account: t.Account, Given: given}}}}}
+}
--- /dev/null
+++ b/core/usage/spender.go
@@ -0,0 +1,292 @@
+package usage
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// reportInterval is the minimum time between two reports of one account while its keeper
+	// is open, and closedReportInterval while it is short of tokens.
+	reportInterval       = 25 * time.Millisecond
+	closedReportInterval = 100 * time.Millisecond
+	// replyTimeout is how long a node waits for a keeper's answer until it reports again,
+	// and silentAfter until it turns to the next keeper, for silentTime.
+	replyTimeout = 100 * time.Millisecond
+	silentAfter  = 300 * time.Millisecond
+	silentTime   = 2 * time.Second
+	// openLifetime is how long a node believes that its keeper is open.
+	openLifetime = 2 * time.Second
+	// closedLifetime is how long a node believes that its keeper is short of tokens, if it
+	// hears nothing else.
+	closedLifetime = time.Second
+	// firstCredit is the number of requests that a node may admit before a keeper has
+	// answered, and minCredit what it may admit at least between two answers of an open one.
+	firstCredit = 3
+	minCredit   = 8
+	// creditTime is the time for which the credit lasts at four times the node's even share
+	// of the cap.
+	creditTime = 100 * time.Millisecond
+)
+
+// Spender decides at a node which requests of client accounts are within the usage cap.
+type Spender struct {
+	dataCenter string
+	caps       map[string]Cap
+	members    []Member
+	accounts   map[string]*spending
+}
+
+// spending is a node's state of one account.
+type spending struct {
+	// keepers are in order of preference.
+	keepers []string
+	charges map[string]*charge
+	// isolated is the token bucket that is used while no keeper answers.
+	isolated    float64
+	isolatedAt  time.Duration
+	isolatedSet bool
+}
+
+// charge is what a node has charged to one keeper.
+type charge struct {
+	spent, acknowledged uint64
+	refused             uint32
+	limit               uint64
+	limitTill           time.Duration
+	openTill            time.Duration
+	closedTill          time.Duration
+	// wait is the time until the keeper expects to have a token again.
+	wait       time.Duration
+	silentTill time.Duration
+	// reportedAt is when the last report was sent, unansweredSince when the oldest one
+	// without an answer was.
+	reportedAt      time.Duration
+	unansweredSince time.Duration
+	awaitsReply     bool
+	reported        bool
+}
+
+// Decision is the result of Admit.
+type Decision struct {
+	Admitted bool
+	// Keeper is charged for the request; "" if none is.
+	Keeper string
+	// RetryAfter is when a refused request is likely to be admitted.
+	RetryAfter time.Duration
+	// Reason says in logs how the decision was made.
+	Reason string
+}
+
+// Reasons of decisions.
+const (
+	ReasonNoCap    = "no-cap"
+	ReasonGranted  = "granted"
+	ReasonCredit   = "credit"
+	ReasonIsolated = "isolated"
+	ReasonClosed   = "cap-reached"
+	ReasonNoCredit = "no-credit"
+)
+
+// NewSpender returns a Spender without any accounts.
+func NewSpender(dataCenter string) *Spender {
+	return &Spender{dataCenter: dataCenter, accounts: map[string]*spending{}}
+}
+
+// SetCaps replaces the usage caps by account.
+func (s *Spender) SetCaps(caps map[string]Cap) {
+	s.caps = caps
+	maps.DeleteFunc(s.accounts, func(account string, _ *spending) bool { return caps[account].PerSecond == 0 })
+}
+
+// SetMembers replaces the nodes among which keepers are selected.
+func (s *Spender) SetMembers(members []Member) {
+	s.members = members
+	for account, a := range s.accounts {
+		a.keepers = Keepers(account, members, s.dataCenter)
+		maps.DeleteFunc(a.charges, func(keeper string, _ *charge) bool { return !slices.Contains(a.keepers, keeper) })
+	}
+}
+
+func (s *Spender) spendingOf(account string) *spending {
+	a := s.accounts[account]
+	if a == nil {
+		a = &spending{keepers: Keepers(account, s.members, s.dataCenter), charges: map[string]*charge{}}
+		s.accounts[account] = a
+	}
+	return a
+}
+
+// Admit decides on a request of an account and charges it if it is admitted.
+func (s *Spender) Admit(now time.Duration, account string) Decision {
+	limit := s.caps[account]
+	if limit.PerSecond == 0 {
+		return Decision{Admitted: true, Reason: ReasonNoCap}
+	}
+	a := s.spendingOf(account)
+	for _, keeper := range a.keepers {
+		c := a.charges[keeper]
+		if c == nil {
+			c = &charge{}
+			a.charges[keeper] = c
+		}
+		if now < c.silentTill {
+			continue
+		}
+		return c.admit(now, keeper, s.credit(limit))
+	}
+	return a.admitIsolated(now, limit, len(s.members))
+}
+
+// credit returns how many requests a node may admit between two answers of an open keeper.
+func (s *Spender) credit(limit Cap) uint64 {
+	share := limit.PerSecond / float64(max(1, len(s.members)))
+	return minCredit + uint64(math.Ceil(4*share*creditTime.Seconds()))
+}
+
+func (c *charge) admit(now time.Duration, keeper string, credit uint64) Decision {
+	if c.spent < c.limit && now < c.limitTill {
+		c.spent++
+		return Decision{Admitted: true, Keeper: keeper, Reason: ReasonGranted}
+	}
+	if now < c.closedTill {
+		c.refused++
+		return Decision{Keeper: keeper, RetryAfter: max(minWait, c.wait), Reason: ReasonClosed}
+	}
+	if now >= c.openTill {
+		credit = firstCredit
+	}
+	if c.unacknowledged() >= credit {
+		c.refused++
+		return Decision{Keeper: keeper, RetryAfter: replyTimeout, Reason: ReasonNoCredit}
+	}
+	c.spent++
+	return Decision{Admitted: true, Keeper: keeper, Reason: ReasonCredit}
+}
+
+// unacknowledged returns the number of charged requests that the keeper has not
+// acknowledged. Requests that were given back can make it negative, which counts as 0.
+func (c *charge) unacknowledged() uint64 {
+	return uint64(max(0, int64(c.spent-c.acknowledged)))
+}
+
+// admitIsolated admits requests up to the node's even share of the cap while no keeper
+// answers.
+func (a *spending) admitIsolated(now time.Duration, limit Cap, nodes int) Decision {
+	n := float64(max(1, nodes))
+	if !a.isolatedSet {
+		a.isolatedAt, a.isolatedSet = now, true
+	}
+	a.isolated = min(max(1, limit.Burst/n), a.isolated+(now-a.isolatedAt).Seconds()*limit.PerSecond/n)
+	a.isolatedAt = now
+	if a.isolated < 1 {
+		return Decision{RetryAfter: silentAfter, Reason: ReasonIsolated}
+	}
+	a.isolated--
+	return Decision{Admitted: true, Reason: ReasonIsolated}
+}
+
+// Refund gives back the charge for a request that was admitted but not run.
+func (s *Spender) Refund(account, keeper string) {
+	if a := s.accounts[account]; a != nil && a.charges[keeper] != nil {
+		a.charges[keeper].spent--
+	}
+}
+
+// pending reports whether there is something to report.
+func (c *charge) pending() bool { return c.spent != c.acknowledged || c.refused > 0 }
+
+// dueAt returns when the next report to the keeper is due.
+func (c *charge) dueAt(now time.Duration) time.Duration {
+	switch {
+	case c.awaitsReply:
+		return c.reportedAt + replyTimeout
+	case !c.reported:
+		return now
+	case now < c.closedTill:
+		return c.reportedAt + closedReportInterval
+	}
+	return c.reportedAt + reportInterval
+}
+
+// Flush returns the reports that are due, and the time at which the next one is. Ok is
+// false if there is nothing more to report.
+func (s *Spender) Flush(now time.Duration) (out []Envelope, next time.Duration, ok bool) {
+	byKeeper := map[string][]Report{}
+	for account, a := range s.accounts {
+		for keeper, c := range a.charges {
+			if !c.pending() || now < c.silentTill {
+				continue
+			}
+			if due := c.dueAt(now); due > now {
+				if !ok || due < next {
+					next, ok = due, true
+				}
+				continue
+			}
+			if r, send := c.report(now, account); send {
+				byKeeper[keeper] = append(byKeeper[keeper], r)
+				if due := now + replyTimeout; !ok || due < next {
+					next, ok = due, true
+				}
+			}
+		}
+	}
+	for _, keeper := range slices.Sorted(maps.Keys(byKeeper)) {
+		reports := byKeeper[keeper]
+		slices.SortFunc(reports, func(a, b Report) int { return cmp.Compare(a.Account, b.Account) })
+		out = append(out, Envelope{keeper, Message{Reports: reports}})
+	}
+	return out, next, ok
+}
+
+// report returns the report that is due. It returns false if the keeper has been silent for
+// too long, after which the node turns to another keeper.
+func (c *charge) report(now time.Duration, account string) (Report, bool) {
+	if c.awaitsReply && now-c.unansweredSince >= silentAfter {
+		// The keeper deducts what it was not told when it answers again.
+		c.silentTill, c.awaitsReply, c.refused = now+silentTime, false, 0
+		c.openTill, c.limit = 0, 0
+		return Report{}, false
+	}
+	if !c.awaitsReply {
+		c.awaitsReply, c.unansweredSince = true, now
+	}
+	c.reportedAt, c.reported = now, true
+	r := Report{Account: account, Spent: c.spent, Unacknowledged: c.spent - c.acknowledged, Refused: c.refused}
+	c.refused = 0
+	return r, true
+}
+
+// HandleGrant applies a keeper's answer or notice.
+func (s *Spender) HandleGrant(now time.Duration, keeper string, g Grant) {
+	a := s.accounts[g.Account]
+	if a == nil {
+		if !g.Notice || s.caps[g.Account].PerSecond == 0 {
+			return
+		}
+		a = s.spendingOf(g.Account)
+	}
+	c := a.charges[keeper]
+	if c == nil {
+		if !slices.Contains(a.keepers, keeper) {
+			return
+		}
+		c = &charge{}
+		a.charges[keeper] = c
+	}
+	if g.Open {
+		c.openTill, c.closedTill = now+openLifetime, 0
+	} else {
+		c.openTill, c.closedTill, c.wait = 0, now+closedLifetime, g.Wait
+	}
+	if g.Notice {
+		return
+	}
+	c.awaitsReply, c.silentTill = false, 0
+	c.acknowledged = g.Spent
+	c.limit, c.limitTill = g.Limit, now+grantLifetime
+}
