--- a/cmd/cactusctl/main.go
+++ b/cmd/cactusctl/main.go
@@ -86,7 +86,7 @@
 	p.StringVar(&f.tls.Authority, "tls-authority", "", "CA certificate file for the control replicas' certificates")
 	root.AddCommand(submitCommand(f), drainCommand(f), undrainCommand(f), evacuateCommand(f), unevacuateCommand(f), replicaCommand(f))
 	root.AddCommand(checkCommand(f), statusCommand(f), showCommand(f), diffCommand(f), auditCommand(f))
-	root.AddCommand(replayCommand(f), emulateCommand(f), explainCommand(), versionCommand())
+	root.AddCommand(replayCommand(f), emulateCommand(f), explainCommand(), keyDigestCommand(), versionCommand())
 	return root
 }
 
--- a/core/usage/bound_test.go
+++ b/core/usage/bound_test.go
@@ -128,3 +128,23 @@
 	}
 	f.runUntil(7 * time.Second)
 }
+
+// Guards against tokens that a node holds for later: by then the keeper has taken them
+// back and given them to others.
+func TestGrantsExpire(t *testing.T) {
+	f := newFleet(1, []int{3}, map[string]Cap{"club": {PerSecond: 1, Burst: 1}})
+	spender, keeper := f.nodes[0].spender, Keepers("club", f.members, "dc0")[0]
+	assert.Assert(t, spender.Admit(0, "club").Admitted)
+	spender.HandleGrant(0, keeper, Grant{Account: "club", Spent: 1, Limit: 3})
+	assert.Equal(t, spender.Admit(grantLifetime/2, "club").Reason, ReasonGranted)
+	spender.HandleGrant(grantLifetime/2, keeper, Grant{Account: "club", Notice: true})
+	assert.Equal(t, spender.Admit(grantLifetime, "club").Reason, ReasonClosed)
+}
+
+// Guards against a keeper that multiplies the burst each time it starts.
+func TestKeeperStartsWithHalfOfItsBurst(t *testing.T) {
+	f := newFleet(1, []int{1, 1, 1}, map[string]Cap{"club": {PerSecond: 3, Burst: 300}})
+	k := f.nodes[0].keeper
+	begin := k.portion(0, "club").level
+	assert.Equal(t, begin, k.portions["club"].capacity/2)
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -156,7 +156,16 @@
 		return
 	}
 	w.WriteHeader(status)
-	fmt.Fprintf(w, "%s %s %s\n", s.Service, r.Method, r.URL.RequestURI())
+	fmt.Fprintf(w, "%s %s %s%s\n", s.Service, r.Method, r.URL.RequestURI(), accountSuffix(r))
+}
+
+// accountSuffix names the client account that the server was told, if any.
+func accountSuffix(r *http.Request) string {
+	account := r.Header.Get(hop.AccountHeader)
+	if account == "" {
+		return ""
+	}
+	return " for account " + account
 }
 
 // describe applies the parameters that concern all responses, and writes the fields with which
--- a/scripts/imports_test.go
+++ b/scripts/imports_test.go
@@ -29,7 +29,7 @@
 	// productPackages lists the packages that must not import experimentPackages.
 	productPackages = []string{"api", "core", "platform", "internal/adapter", "internal/controlclient", "internal/diff", "internal/endpoint", "internal/explain", "internal/front", "internal/hangup", "internal/hop", "internal/latency",
 		"internal/logs", "internal/node", "internal/operator", "internal/overload", "internal/process", "internal/proxy", "internal/quarantine", "internal/replica", "internal/settings",
-		"internal/transport", "internal/version", "internal/wal"}
+		"internal/transport", "internal/usage", "internal/version", "internal/wal"}
 )
 
 var importRules = []importRule{
