node: a change of one entry costs little in a large fleet

Each change of any entry made a node parse the addresses of all others, hash and sort all siblings and copy all candidates. Now only services that changed are applied, addresses are parsed once, siblings are selected anew when their hosts change, and candidates are updated in place.

--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -88,14 +88,19 @@
 	return &Pool{policy: policy, byHost: map[string]*Candidate{}}
 }
 
-// Update replaces the candidates; those that remain keep their state.
+// Update replaces the candidates; those that remain keep their state. The list may be reused
+// afterwards.
 func (p *Pool) Update(list []Candidate) {
-	byHost := make(map[string]*Candidate, len(list))
-	all := make([]*Candidate, 0, len(list))
-	for _, c := range list {
+	byHost, all := p.byHost, p.all[:0]
+	if !p.hasHosts(list) {
+		byHost, all = make(map[string]*Candidate, len(list)), make([]*Candidate, 0, len(list))
+		p.eligible = make([]*Candidate, 0, len(list))
+	}
+	for i := range list {
+		c := &list[i]
 		known := p.byHost[c.Host]
 		if known == nil || known.Incarnation < c.Incarnation {
-			fresh := c
+			fresh := *c
 			known = &fresh
 		}
 		known.PeerAddress, known.Slots, known.Draining, known.Evacuated, known.Near = c.PeerAddress, c.Slots, c.Draining, c.Evacuated, c.Near
@@ -106,7 +111,27 @@
 		all = append(all, known)
 	}
 	p.all, p.byHost = all, byHost
-	p.eligible = make([]*Candidate, 0, len(all))
+}
+
+// hasHosts reports whether the candidates are on exactly the hosts of the list, each of which
+// is in it once. Most changes concern the state of a candidate only.
+func (p *Pool) hasHosts(list []Candidate) bool {
+	if len(list) != len(p.all) {
+		return false
+	}
+	for i := range list {
+		if p.byHost[list[i].Host] == nil {
+			return false
+		}
+	}
+	return true
+}
+
+// Each calls visit for every candidate.
+func (p *Pool) Each(visit func(*Candidate)) {
+	for _, c := range p.all {
+		visit(c)
+	}
 }
 
 // Len returns the number of candidates.
--- a/core/gate/siblings.go
+++ b/core/gate/siblings.go
@@ -1,8 +1,8 @@
 package gate
 
 import (
+	"cmp"
 	"slices"
-	"sort"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -93,7 +93,7 @@
 // siblings kept are mostly those that report to this gate.
 func (g *Gate) SetSiblings(list []Sibling) {
 	s := &g.siblings
-	var near, far []*sibling
+	var near, far []weightedSibling
 	for _, info := range list {
 		if info.Host == s.self {
 			continue
@@ -101,11 +101,7 @@
 		if info.Distance == 0 {
 			info.Distance = defaultDistance
 		}
-		entry := s.byHost[info.Host]
-		if entry == nil {
-			entry = &sibling{}
-		}
-		entry.Sibling = info
+		entry := weightedSibling{info, pairWeight(s.self, info.Host)}
 		if info.Near {
 			near = append(near, entry)
 		} else {
@@ -113,29 +109,51 @@
 		}
 	}
 	s.selectSiblings(near, far)
-	s.byHost = map[string]*sibling{}
-	for _, sib := range s.list {
-		s.byHost[sib.Host] = sib
-	}
 	g.updateContention()
 }
 
+// weightedSibling is a gate that may become a known sibling, with its pair weight.
+type weightedSibling struct {
+	Sibling
+	weight uint64
+}
+
 // selectSiblings selects the near and far siblings to keep, and those to report to.
-func (s *siblings) selectSiblings(near, far []*sibling) {
-	s.sortByWeight(near)
-	s.sortByWeight(far)
-	near = near[:min(maxNear, len(near))]
-	far = far[:min(max(maxFar, minKnownSiblings-len(near)), len(far))]
-	s.list = slices.Concat(near, far)
+func (s *siblings) selectSiblings(near, far []weightedSibling) {
+	near = heaviest(near, maxNear)
+	far = heaviest(far, max(maxFar, minKnownSiblings-len(near)))
+	kept := slices.Concat(near, far)
+	byHost := make(map[string]*sibling, len(kept))
+	s.list = make([]*sibling, 0, len(kept))
+	for _, info := range kept {
+		entry := s.byHost[info.Host]
+		if entry == nil {
+			entry = &sibling{}
+		}
+		entry.Sibling = info.Sibling
+		byHost[info.Host] = entry
+		s.list = append(s.list, entry)
+	}
+	s.byHost = byHost
 	recipients := min(max(minFarFanout, minFanout-len(near)), len(far))
-	s.fanout = slices.Concat(near, far[:recipients])
+	s.fanout = s.list[:len(near)+recipients]
 }
 
-func (s *siblings) sortByWeight(list []*sibling) {
-	sort.Slice(list, func(i, j int) bool { return pairWeight(s.self, list[i].Host) > pairWeight(s.self, list[j].Host) })
+// heaviest returns the siblings with the largest weights, at most n of them, the largest
+// first.
+func heaviest(list []weightedSibling, n int) []weightedSibling {
+	slices.SortFunc(list, func(a, b weightedSibling) int { return cmp.Compare(b.weight, a.weight) })
+	return list[:min(n, len(list))]
 }
 
-func pairWeight(a, b string) uint64 { return xxhash.Sum64String(min(a, b) + "\x00" + max(a, b)) }
+func pairWeight(a, b string) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(min(a, b))
+	_, _ = digest.WriteString("\x00")
+	_, _ = digest.WriteString(max(a, b))
+	return digest.Sum64()
+}
 
 // ApplyReport applies a sibling's report, unless a newer one is known.
 func (g *Gate) ApplyReport(now time.Duration, r Report) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
+	"cactuspath/core/balancer"
 	"cactuspath/core/directory"
 	"cactuspath/core/mechanism"
 	"cactuspath/core/rollout"
@@ -112,6 +113,10 @@
 	// configuredGeneration is the generation of the records that the proxy uses; guarded by
 	// applyMu.
 	configuredGeneration uint64
+	// applied are the entries that were applied last; guarded by applyMu.
+	applied appliedEntries
+	// candidateLists are the buffers of candidates, by service; guarded by applyMu.
+	candidateLists map[string][]balancer.Candidate
 	// unready is set when a planned stop begins: callers should use another node.
 	// stopping is set later in the stop, when the gate closes.
 	unready, stopping bool
@@ -132,7 +137,7 @@
 func New(options Options) *Node {
 	n := &Node{
 		options: options, start: time.Now(), calls: proxy.NewCounters(), gates: endpoint.NewCounters(),
-		records: rollout.NewRecords(), view: directory.NewView(), requested: map[string]bool{}, changed: make(chan struct{}), callers: &requestCounter{},
+		records: rollout.NewRecords(), view: directory.NewView(), requested: map[string]bool{}, candidateLists: map[string][]balancer.Candidate{}, changed: make(chan struct{}), callers: &requestCounter{},
 	}
 	n.incarnation.Store(uint64(time.Now().UnixMilli()))
 	n.peers = newPeerClients(options.Security)
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -30,36 +31,73 @@
 
 	mu sync.RWMutex
 	// addresses holds the addresses of the known nodes, by host.
-	addresses map[string]*net.UDPAddr
+	addresses map[string]peerSocket
+	// hosts are the hosts with an address.
+	hosts []string
+}
+
+// peerSocket is the address of a node, as text and parsed.
+type peerSocket struct {
+	text    string
+	address *net.UDPAddr
 }
 
 func newReports(n *Node) *reports {
-	return &reports{n: n, addresses: map[string]*net.UDPAddr{}}
+	return &reports{n: n, addresses: map[string]peerSocket{}}
 }
 
-// setPeers stores the addresses of the other nodes and returns their hosts.
+// setPeers stores the addresses of the other nodes and returns their hosts. Only one
+// goroutine may call it at a time.
 func (r *reports) setPeers(byService map[string][]*apiv1.Entry) (hosts []string) {
-	addresses := map[string]*net.UDPAddr{}
+	if r.hasPeers(byService) {
+		return r.hosts
+	}
+	addresses := map[string]peerSocket{}
 	for _, entries := range byService {
 		for _, e := range entries {
-			a, err := net.ResolveUDPAddr("udp", e.PeerAddress)
-			if err != nil || e.Host == r.n.options.Host {
+			if e.Host == r.n.options.Host {
 				continue
 			}
-			addresses[e.Host] = a
+			socket := r.addresses[e.Host]
+			if socket.text != e.PeerAddress {
+				address, err := netip.ParseAddrPort(e.PeerAddress)
+				if err != nil {
+					continue
+				}
+				socket = peerSocket{e.PeerAddress, net.UDPAddrFromAddrPort(address)}
+			}
+			addresses[e.Host] = socket
 			hosts = append(hosts, e.Host)
 		}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.addresses = addresses
+	r.addresses, r.hosts = addresses, hosts
 	return hosts
 }
 
+// hasPeers reports whether the other nodes are exactly those that are known, at the same
+// addresses. Most changes concern the state of an entry only.
+func (r *reports) hasPeers(byService map[string][]*apiv1.Entry) bool {
+	others := 0
+	for _, entries := range byService {
+		for _, e := range entries {
+			if e.Host == r.n.options.Host {
+				continue
+			}
+			if r.addresses[e.Host].text != e.PeerAddress {
+				return false
+			}
+			others++
+		}
+	}
+	return others == len(r.hosts)
+}
+
 func (r *reports) addressOf(host string) *net.UDPAddr {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	return r.addresses[host]
+	return r.addresses[host].address
 }
 
 // sendDatagram sends another node a message about servers that crashed or about the usage
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -40,6 +41,11 @@
 	sequence  uint64
 	expires   time.Time
 	endpoint  *endpoint.Endpoint
+	// siblingsSetAt is when the gate was given its siblings, those of siblingEntries with
+	// the evacuations of siblingsGeneration; guarded by applyMu.
+	siblingsSetAt      time.Time
+	siblingEntries     []*apiv1.Entry
+	siblingsGeneration uint64
 }
 
 var errServiceMismatch = errors.New("this node serves a backend server of another service; withdraw that one first, or run one node for each")
@@ -199,15 +205,55 @@
 		configure()
 		n.configuredGeneration = generation
 	}
-	n.proxy.Update(n.candidates(byService))
-	n.quarantine.SetPeers(n.reports.setPeers(byService))
-	n.usage.SetMembers(usageMembers(byService))
+	if n.usage.HasCaps() {
+		n.usage.SetMembers(usageMembers(byService))
+	}
+	changed := n.changedServices(byService)
+	if len(changed) > 0 {
+		n.proxy.UpdateServices(n.candidates(changed))
+		n.quarantine.SetPeers(n.reports.setPeers(byService))
+	}
 	if s != nil {
 		n.configureGate(s, byService[s.service])
 	}
 	n.updateGateState()
 }
 
+// changedServices returns the services whose entries or evacuations differ from those of the
+// last call, with their entries. In a large fleet, a change of one entry must not cost as
+// much as one of all. The caller holds applyMu.
+func (n *Node) changedServices(byService map[string][]*apiv1.Entry) map[string][]*apiv1.Entry {
+	n.mu.Lock()
+	generation := n.records.Generation()
+	n.mu.Unlock()
+	before := n.applied
+	n.applied = appliedEntries{byService, generation}
+	changed := map[string][]*apiv1.Entry{}
+	for service, entries := range byService {
+		if generation != before.generation || !sameEntries(entries, before.byService[service]) {
+			changed[service] = entries
+		}
+	}
+	for service := range before.byService {
+		if _, present := byService[service]; !present {
+			changed[service] = nil
+		}
+	}
+	return changed
+}
+
+// appliedEntries are the entries that the proxy, the gate and the reports use, and the
+// generation of the records whose evacuations were applied to them.
+type appliedEntries struct {
+	byService  map[string][]*apiv1.Entry
+	generation uint64
+}
+
+// sameEntries reports whether two lists are the same slice.
+func sameEntries(a, b []*apiv1.Entry) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
 // configuration returns a function that applies the current records to the proxy and the
 // front. An empty configuration must not be applied: every request would be answered with "no
 // route", after which callers do not retry. The caller holds the lock.
@@ -225,17 +271,20 @@
 		HeaderTimeout: time.Duration(l.HeaderTimeoutMs) * time.Millisecond, IdleTimeout: time.Duration(l.IdleTimeoutMs) * time.Millisecond}
 }
 
+// candidates returns the candidates of the given services, in lists that the next call
+// reuses. The caller holds applyMu.
 func (n *Node) candidates(byService map[string][]*apiv1.Entry) map[string][]balancer.Candidate {
 	evacuated := n.evacuatedDataCenters()
 	out := make(map[string][]balancer.Candidate, len(byService))
 	for service, entries := range byService {
-		list := make([]balancer.Candidate, 0, len(entries))
+		list := n.candidateLists[service][:0]
 		for _, e := range entries {
 			list = append(list, balancer.Candidate{Host: e.Host, PeerAddress: e.PeerAddress, Incarnation: e.Incarnation, Slots: int(e.Slots),
 				Distance: n.distance(e), Near: e.DataCenter == n.options.DataCenter, Draining: e.State == apiv1.EndpointState_ENDPOINT_STATE_DRAINING,
 				Evacuated: evacuated(e.DataCenter)})
 		}
 		out[service] = list
+		n.candidateLists[service] = list
 	}
 	return out
 }
@@ -259,6 +308,9 @@
 	sameDataCenterDelay = 250 * time.Microsecond
 	sameRegionDelay     = 1500 * time.Microsecond
 	otherRegionDelay    = 20 * time.Millisecond
+	// distanceRefresh is the age from which the siblings' distances are updated with the next
+	// change of an entry.
+	distanceRefresh = 5 * time.Second
 )
 
 func (n *Node) distance(e *apiv1.Entry) time.Duration {
@@ -286,6 +338,8 @@
 	n.member.requestSync()
 }
 
+// configureGate applies the configuration and the entries of the service. The caller holds
+// applyMu.
 func (n *Node) configureGate(s *server, entries []*apiv1.Entry) {
 	n.mu.Lock()
 	spec, slots := n.specAndSlots(s.service, s.slots)
@@ -296,7 +350,16 @@
 	}
 	s.endpoint.Configure(config)
 	s.endpoint.SetHealthPath(spec.HealthPath)
-	s.endpoint.SetSiblings(n.siblings(entries))
+	// Siblings are selected by their hosts, whatever the state of their entries is.
+	if generation := n.applied.generation; time.Since(s.siblingsSetAt) > distanceRefresh || s.siblingsGeneration != generation || !sameHosts(s.siblingEntries, entries) {
+		s.endpoint.SetSiblings(n.siblings(entries))
+		s.siblingsSetAt, s.siblingsGeneration, s.siblingEntries = time.Now(), generation, entries
+	}
+}
+
+// sameHosts reports whether two lists, ordered by host, have the same hosts.
+func sameHosts(a, b []*apiv1.Entry) bool {
+	return slices.EqualFunc(a, b, func(a, b *apiv1.Entry) bool { return a.Host == b.Host })
 }
 
 // siblings returns the gates of other hosts for the same service to which requests may
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -135,44 +137,64 @@
 
 // Update replaces the endpoints of every service.
 func (h *Handler) Update(endpoints map[string][]balancer.Candidate) {
+	changed := maps.Clone(endpoints)
+	if changed == nil {
+		changed = map[string][]balancer.Candidate{}
+	}
 	h.mu.RLock()
-	var absent []*service
-	for name, s := range h.services {
+	for name := range h.services {
 		if _, ok := endpoints[name]; !ok {
-			absent = append(absent, s)
+			changed[name] = nil
 		}
 	}
 	h.mu.RUnlock()
-	for _, s := range absent {
-		s.update(nil)
+	h.UpdateServices(changed)
+}
+
+// UpdateServices replaces the endpoints of the given services; the others keep theirs. The
+// lists may be reused afterwards. Only one goroutine may call it at a time.
+func (h *Handler) UpdateServices(changed map[string][]balancer.Candidate) {
+	for name, list := range changed {
+		h.service(name).update(list)
 	}
-	inUse := map[string]bool{}
+	services := h.allServices()
 	nodes := 0
-	for _, list := range endpoints {
-		nodes += len(list)
+	for _, s := range services {
+		nodes += s.endpointCount()
 	}
 	h.maxNodesSeen = max(h.maxNodesSeen, nodes)
-	for name, list := range endpoints {
-		for _, c := range list {
-			inUse[c.PeerAddress] = true
-		}
-		s := h.service(name)
+	for _, s := range services {
 		s.setBudgetShare(h.options.SharedRetryBudget, h.maxNodesSeen)
-		s.update(list)
 	}
-	h.closeUnusedPeers(inUse)
+	h.closeUnusedPeers(services)
+}
+
+func (h *Handler) allServices() []*service {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return slices.Collect(maps.Values(h.services))
 }
 
 // closeUnusedPeers closes the connection pools of nodes that no longer have an endpoint.
-func (h *Handler) closeUnusedPeers(inUse map[string]bool) {
+func (h *Handler) closeUnusedPeers(services []*service) {
+	h.mu.RLock()
+	unused := make(map[string]bool, len(h.peers))
+	for address := range h.peers {
+		unused[address] = true
+	}
+	h.mu.RUnlock()
+	for _, s := range services {
+		s.visitPeers(func(peerAddress string) { delete(unused, peerAddress) })
+	}
+	if len(unused) == 0 {
+		return
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for address, pool := range h.peers {
-		if !inUse[address] {
-			pool.Close()
-			delete(h.peers, address)
-			delete(h.pending, address)
-		}
+	for address := range unused {
+		h.peers[address].Close()
+		delete(h.peers, address)
+		delete(h.pending, address)
 	}
 }
 
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -134,6 +134,13 @@
 	return snapshotCandidate(candidate)
 }
 
+// visitPeers calls visit with the peer address of each endpoint.
+func (s *service) visitPeers(visit func(peerAddress string)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool.Each(func(c *balancer.Candidate) { visit(c.PeerAddress) })
+}
+
 func (s *service) update(candidates []balancer.Candidate) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/usage/accountant.go
+++ b/internal/usage/accountant.go
@@ -37,6 +37,7 @@
 	spender *usage.Spender
 	keeper  *usage.Keeper
 	members []usage.Member
+	hasCaps bool
 	timer   *time.Timer
 	flushAt time.Duration
 	closed  bool
@@ -66,10 +67,18 @@
 func (a *Accountant) SetCaps(caps map[string]usage.Cap) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.hasCaps = len(caps) > 0
 	a.spender.SetCaps(caps)
 	a.keeper.SetCaps(caps)
 }
 
+// HasCaps reports whether any account has a usage cap.
+func (a *Accountant) HasCaps() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.hasCaps
+}
+
 // SetMembers replaces the nodes that may be keepers, sorted by host.
 func (a *Accountant) SetMembers(members []usage.Member) {
 	a.mu.Lock()
