replica: nodes without a relay get entries in batches, and relays grow in steps

What callers saw: in a fleet of 985 nodes that start together each node polled two control replicas every 50 ms until a relay answered it, each poll looked through all entries, and relays were added one in three seconds, so that 197 nodes of a data centre shared two relays for most of 20 s.

A replica now holds the poll of such a node until entries have changed, and sends what changed in a batch of 50 ms to 0.5 s, longer the more entries there are; a poll without news looks through nothing. The leader asks for the missing relays at once, at most as many as there are (2, 4, 8 ...).

--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -34,9 +34,8 @@
 	// second.
 	minWatchBackoff = 100 * time.Millisecond
 	maxWatchBackoff = 400 * time.Millisecond
-	// noRelayHold replaces watchHold while no relay responds to the node. The hold is
-	// short because the node gets the entries of other nodes from these responses, and
-	// a new entry does not end the hold.
+	// noRelayHold replaces watchHold while no relay responds to the node and the replica
+	// is of an earlier release, which does not respond when entries change.
 	noRelayHold = 50 * time.Millisecond
 	// announceCheckInterval is how often a node checks whether it has something to
 	// announce, and announceInterval how often it repeats its announcement.
@@ -201,7 +200,7 @@
 	if noRelay {
 		hold = noRelayHold
 	}
-	return &apiv1.WatchRequest{Host: n.options.Host, Revision: n.Revision(), HoldMs: uint32(hold.Milliseconds()), Entry: n.entry(""), WantEntries: noRelay, Heard: w.cursorFor(address, noRelay)}
+	return &apiv1.WatchRequest{Host: n.options.Host, Revision: n.Revision(), HoldMs: uint32(hold.Milliseconds()), Entry: n.entry(""), WantEntries: noRelay, EntriesHoldMs: uint32(watchHold.Milliseconds()), Heard: w.cursorFor(address, noRelay)}
 }
 
 // announce sends this node's entry to every control replica at startup, after each
--- a/internal/replica/presence.go
+++ b/internal/replica/presence.go
@@ -21,9 +21,9 @@
 // entries are neither stored on disk nor replicated to other replicas. An outdated entry costs the
 // node that uses it one refused attempt. presence is safe for concurrent use.
 //
-// A node that waits for a relay polls many times per second. It receives only the changes since its
-// last poll. If each poll returned all entries, 300 nodes that start together would receive 1.6 MB
-// per second from each replica.
+// A node that waits for a relay receives only the changes since its last poll, and they are sent in
+// batches: when a fleet starts, each of its nodes hears of each, and with a response for every
+// change the replicas would spend their processor time on it.
 type presence struct {
 	// process identifies this process of the replica. A cursor from an earlier process is ignored,
 	// because its versions belong to other changes.
@@ -33,6 +33,8 @@
 	entries expiringMap[string, versionedEntry]
 	// version counts the changes of entries.
 	version uint64
+	// changed is closed and replaced when entries change.
+	changed chan struct{}
 }
 
 type versionedEntry struct {
@@ -51,7 +53,7 @@
 )
 
 func newPresence() *presence {
-	return &presence{process: rand.Uint64(), entries: newExpiringMap[string, versionedEntry](presenceTTL)}
+	return &presence{process: rand.Uint64(), entries: newExpiringMap[string, versionedEntry](presenceTTL), changed: make(chan struct{})}
 }
 
 func (p *presence) put(e *apiv1.Entry) {
@@ -70,6 +72,52 @@
 	}
 	p.version++
 	p.entries.put(e.Host, versionedEntry{entry: e, version: p.version})
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+const (
+	// minEntryBatch and maxEntryBatch bound the time between two responses with entries to a
+	// node. It grows by entryBatchPerEntry with each entry, so that the entries that all nodes
+	// of a fleet receive while it starts cost the replicas about the same at any size.
+	minEntryBatch      = 50 * time.Millisecond
+	maxEntryBatch      = 500 * time.Millisecond
+	entryBatchPerEntry = 500 * time.Microsecond
+)
+
+// awaitChange waits until entries have changed after the cursor and a batch is due, or ctx ends. It
+// does not wait for a node that has received nothing from this process yet.
+func (p *presence) awaitChange(ctx context.Context, cursor *apiv1.ClaimCursor) {
+	begin := time.Now()
+	for cursor.GetProcess() == p.process {
+		p.mu.Lock()
+		news, changed := p.version > cursor.GetVersion(), p.changed
+		batch := min(maxEntryBatch, max(minEntryBatch, time.Duration(len(p.entries.byKey))*entryBatchPerEntry))
+		p.mu.Unlock()
+		if news {
+			changed = nil
+		}
+		if news && time.Since(begin) >= batch {
+			return
+		}
+		timer := time.NewTimer(max(0, batch-time.Since(begin)))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-changed:
+		case <-timer.C:
+			if !news {
+				// Nothing has changed within a batch: the next change is sent at once.
+				select {
+				case <-ctx.Done():
+					return
+				case <-changed:
+				}
+			}
+		}
+		timer.Stop()
+	}
 }
 
 // changedSince returns the entries that changed after the cursor, sorted by host, and the new
@@ -81,6 +129,9 @@
 	after := uint64(0)
 	if cursor.GetProcess() == p.process {
 		after = cursor.GetVersion()
+		if after == p.version {
+			return nil, cursor
+		}
 	}
 	include := func(c versionedEntry) bool {
 		return c.version > after && (after > 0 || !directory.IsTombstone(c.entry))
--- a/internal/replica/presence_test.go
+++ b/internal/replica/presence_test.go
@@ -1,8 +1,10 @@
 package replica
 
 import (
+	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -59,3 +61,45 @@
 	list, _ := after.changedSince(cursor)
 	assert.DeepEqual(t, hosts(list), []string{"a"})
 }
+
+// Guards against a response for every change while a fleet starts. A node that waits for entries
+// must get those that change within a batch together, without waiting for the end of the hold, and
+// nothing while nothing changes.
+func TestEntriesAreSentInBatches(t *testing.T) {
+	p := newPresence()
+	for i := range 1000 {
+		p.put(newEntry(fmt.Sprint("host-", i), 1, serving))
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	begin := time.Now()
+	p.awaitChange(ctx, nil)
+	list, cursor := p.changedSince(nil)
+	assert.Equal(t, len(list), 1000)
+	assert.Assert(t, time.Since(begin) < maxEntryBatch/2, "the first response waited")
+
+	begin = time.Now()
+	go func() {
+		for i := range 20 {
+			time.Sleep(5 * time.Millisecond)
+			p.put(newEntry(fmt.Sprint("host-", i), 2, serving))
+		}
+	}()
+	p.awaitChange(ctx, cursor)
+	list, cursor = p.changedSince(cursor)
+	assert.Equal(t, len(list), 20, "the changes came in several responses")
+	assert.Assert(t, time.Since(begin) >= maxEntryBatch)
+
+	quiet, stop := context.WithTimeout(ctx, 2*maxEntryBatch)
+	defer stop()
+	begin = time.Now()
+	p.awaitChange(quiet, cursor)
+	assert.Assert(t, time.Since(begin) >= 2*maxEntryBatch)
+	go func() {
+		time.Sleep(2 * maxEntryBatch)
+		p.put(newEntry("host-1", 3, serving))
+	}()
+	begin = time.Now()
+	p.awaitChange(ctx, cursor)
+	assert.Assert(t, time.Since(begin) >= 2*maxEntryBatch && time.Since(begin) < 4*time.Second, "a change after a quiet time was not sent at once")
+}
--- a/internal/replica/relays.go
+++ b/internal/replica/relays.go
@@ -17,7 +17,7 @@
 	// It limits the bytes and processor time of a relay.
 	nodesPerRelay = 32
 	minRelays     = 2
-	// growthInterval is the minimum time between two requests for another relay in a data centre.
+	// growthInterval is the minimum time between two requests for more relays in a data centre.
 	// It is as long as a new relay takes to send its first report, so that the leader does not
 	// request the same relay twice.
 	growthInterval = 3 * time.Second
@@ -137,7 +137,9 @@
 // advise returns the advice for a relay that keeps the number of relays close to the wanted number.
 // If there are at least two too many, the last relay by host name is told to step down; with only
 // one too many, nothing changes, so that the number does not oscillate. If there are too few, the
-// first relay by host name is told to add one, at most once per growthInterval.
+// first relay by host name is told to add the missing ones, at most as many as there are, once per
+// growthInterval: with one at a time, the nodes of a large data centre would share two relays for
+// most of a minute after a start.
 func (t *relayTable) advise(relay *apiv1.RelayInfo) advice {
 	peers := t.inDataCenter(relay.DataCenter)
 	wantedRelays := t.wantedRelays(relay.DataCenter)
@@ -147,7 +149,7 @@
 		return advice{stepDown: true}
 	case len(peers) < wantedRelays && first == relay.Host && t.now().Sub(t.lastGrowth[relay.DataCenter]) > growthInterval:
 		t.lastGrowth[relay.DataCenter] = t.now()
-		return advice{moreRelays: 1}
+		return advice{moreRelays: uint32(min(wantedRelays-len(peers), len(peers)))}
 	}
 	return advice{}
 }
--- a/internal/replica/watch.go
+++ b/internal/replica/watch.go
@@ -38,7 +38,7 @@
 	if r.watchers.active.Add(1) > maxWatchers {
 		resp.Full = true
 	} else {
-		r.waitForRevision(ctx, req.Msg)
+		r.waitForNews(ctx, req.Msg)
 	}
 	r.watchers.active.Add(-1)
 	r.counters.watches.Add(1)
@@ -55,6 +55,21 @@
 	return connect.NewResponse(resp), nil
 }
 
+// waitForNews waits for a newer revision or, if the node wants them, for entries.
+func (r *Replica) waitForNews(ctx context.Context, req *apiv1.WatchRequest) {
+	if !req.WantEntries || req.EntriesHoldMs == 0 {
+		r.waitForRevision(ctx, req)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(time.Duration(req.EntriesHoldMs)*time.Millisecond, maxHold))
+	defer cancel()
+	go func() {
+		defer cancel()
+		r.presence.awaitChange(ctx, req.Heard)
+	}()
+	r.waitForRevision(ctx, &apiv1.WatchRequest{Revision: req.Revision, HoldMs: req.EntriesHoldMs})
+}
+
 // waitForRevision waits for a newer revision, the end of the hold time or the loss of the leader.
 func (r *Replica) waitForRevision(ctx context.Context, req *apiv1.WatchRequest) {
 	ctx, cancel := context.WithTimeout(ctx, min(time.Duration(req.HoldMs)*time.Millisecond, maxHold))
