gate: load reports in proportion to the requests that arrive

In a fleet where each gate gets a request a second, each told 26 siblings of every change of its server's speed: 59 reports a second and node at 200 nodes (BenchmarkRest), for one decision a second that may use one.

A gate reports to five siblings for each request a second that arrives at it, five at least; that it stops or begins to accept requests it tells all.

--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -73,6 +73,7 @@
 
 	outlier    outlier
 	siblings   siblings
+	arrivals   arrivalRate
 	events     []Event
 	lastRescan time.Duration
 	// lastShortAt is when the last short request arrived.
@@ -127,6 +128,7 @@
 // refused.
 func (g *Gate) Arrive(now time.Duration, r Request) []Event {
 	g.beginEvents(now)
+	g.arrivals.record(now)
 	if g.disabled(mechanism.FairShares) {
 		r.Caller = ""
 	}
--- a/core/gate/report.go
+++ b/core/gate/report.go
@@ -1,6 +1,9 @@
 package gate
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Load reports: what a gate reports to its siblings about its load, and when.
 
@@ -115,15 +118,16 @@
 		return
 	}
 	load := g.Load(now)
+	recipients := g.reportRecipients(now, load)
 	switch {
 	case load.urgentChangeFrom(s.reported):
-	case since < g.reportSpacing():
+	case since < g.reportSpacing(len(recipients)):
 		return
 	case since < refreshInterval && !load.differsFrom(s.reported):
 		return
 	}
 	s.reported, s.reportedAt = load, now
-	for _, sib := range s.fanout {
+	for _, sib := range recipients {
 		if !s.budget.Allow(now, ReportBytes) {
 			return
 		}
@@ -146,9 +150,26 @@
 }
 
 // reportSpacing is the time between two rounds of reports that the budget allows.
-func (g *Gate) reportSpacing() time.Duration {
+func (g *Gate) reportSpacing(recipients int) time.Duration {
 	perSecond := min(g.config.ReportsPerSecond, g.config.BytesPerSecond/ReportBytes)
-	return time.Second * time.Duration(len(g.siblings.fanout)) / time.Duration(max(1, perSecond))
+	return time.Second * time.Duration(recipients) / time.Duration(max(1, perSecond))
+}
+
+// recipientsPerArrival is the number of siblings that a gate reports to for each request a
+// second that arrives at it.
+const recipientsPerArrival = 5
+
+// reportRecipients returns the siblings to report a load to: in proportion to the requests
+// that arrive here, since a sibling uses a report only when it has a request to move, and
+// requests are spread over the gates of a service. Whether the gate accepts requests is
+// reported to all.
+func (g *Gate) reportRecipients(now time.Duration, load Load) []*sibling {
+	s := &g.siblings
+	if load.acceptsRequests() != s.reported.acceptsRequests() {
+		return s.fanout
+	}
+	n := max(minFanout, int(math.Ceil(recipientsPerArrival*g.arrivals.perSecond(now))))
+	return s.fanout[:min(n, len(s.fanout))]
 }
 
 // differsFrom reports whether a load differs enough from another one to be reported.
--- a/core/gate/rescan.go
+++ b/core/gate/rescan.go
@@ -52,7 +52,7 @@
 	if !g.config.Siblings || len(g.siblings.list) == 0 {
 		return g.lastRescan + g.rescanSpacing(), g.queue.size > 0
 	}
-	refresh := g.siblings.reportedAt + max(refreshInterval, g.reportSpacing())
+	refresh := g.siblings.reportedAt + max(refreshInterval, g.reportSpacing(len(g.siblings.fanout)))
 	if g.queue.size > 0 {
 		return min(refresh, g.lastRescan+g.rescanSpacing()), true
 	}
--- a/core/gate/siblings_test.go
+++ b/core/gate/siblings_test.go
@@ -126,3 +126,43 @@
 	}
 	return list
 }
+
+// Models a service of hundreds of endpoints of which each gets a request a second, and whose
+// servers change their speed every half second. Guards against reports that cost more than
+// the requests: every gate told two dozen siblings of every change.
+func TestIdleGatesReportLittle(t *testing.T) {
+	// A busy gate tells all its siblings at least once in reportTTL.
+	const all = maxNear + minFarFanout
+	for _, c := range []struct {
+		requestsPerSecond, low, high int
+	}{{0, 1, all}, {1, 1, all}, {10, all, 8 * all}} {
+		t.Run(fmt.Sprint(c.requestsPerSecond), func(t *testing.T) {
+			g := New("self", Config{Slots: 16, Queue: 10, Siblings: true, ReportsPerSecond: 100, BytesPerSecond: 1 << 20}, 0)
+			g.SetSiblings(makeSiblings(200, 300))
+			const seconds = 20
+			sent, handle := 0, Handle(0)
+			for now := time.Duration(0); now < seconds*time.Second; now += 10 * time.Millisecond {
+				slowdown := 1.0
+				if now/(500*time.Millisecond)%4 == 3 {
+					slowdown = 7
+				}
+				sent += len(reports(g.ObserveSlowdown(now, slowdown)))
+				if c.requestsPerSecond > 0 && now%(time.Second/time.Duration(c.requestsPerSecond)) == 0 {
+					handle++
+					sent += len(reports(g.Arrive(now, Request{Handle: handle, ID: AttemptID{Request: [2]uint64{1, uint64(handle)}}, Deadline: now + 4*time.Second})))
+					sent += len(reports(g.Finish(now+5*time.Millisecond, handle, Completed)))
+				}
+			}
+			assert.Assert(t, sent >= c.low*seconds && sent <= c.high*seconds, "%d reports a second", sent/seconds)
+		})
+	}
+}
+
+// A gate that stops accepting requests must tell all siblings that it reports to, also when
+// it gets few requests: they would move requests to it.
+func TestIdleGateTellsAllSiblingsThatItDrains(t *testing.T) {
+	g := New("self", Config{Slots: 4, Queue: 10, Siblings: true, ReportsPerSecond: 100, BytesPerSecond: 1 << 20}, 0)
+	g.SetSiblings(makeSiblings(40, 0))
+	assert.Equal(t, len(reports(g.ObserveSlowdown(time.Second, 1))), minFanout)
+	assert.Equal(t, len(reports(g.SetDraining(2*time.Second, true))), maxNear)
+}
