node: watches spread over the control replicas, a near one first

Cause: all 985 nodes know the same three replicas at their start and stay with the two that they took first; each of these replicas had 656 watchers (512 are accepted) and sent each of them all 985 entries.

Nodes now prefer replicas by rendezvous hashing, the first of their two watches one in their own data centre (replicas tell theirs when a node announces itself), and move once they know better ones. One watched replica supplies the entries, not two. A replica that is full is left for a minute in favour of others. Announcements are sent when what others use of an entry changes, to each replica until it has taken them, and no longer looked for 20 times a second.

--- a/internal/node/member.go
+++ b/internal/node/member.go
@@ -39,6 +39,7 @@
 
 // requestSync requests an immediate sync without waiting for it.
 func (m *member) requestSync() {
+	m.n.watcher.announceSoon()
 	select {
 	case m.syncRequests <- struct{}{}:
 	default:
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -11,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	apiv1 "cactuspath/api/cactuspath/v1"
+	"cactuspath/core/directory"
 	"cactuspath/internal/quarantine"
 )
 
@@ -37,10 +39,11 @@
 	// noRelayHold replaces watchHold while no relay responds to the node and the replica
 	// is of an earlier release, which does not respond when entries change.
 	noRelayHold = 50 * time.Millisecond
-	// announceCheckInterval is how often a node checks whether it has something to
-	// announce, and announceInterval how often it repeats its announcement.
-	announceCheckInterval = 50 * time.Millisecond
-	announceInterval      = 30 * time.Second
+	// takeoverHold replaces watchHold at the other watched replica meanwhile, so that it soon
+	// supplies the entries if the first one fails.
+	takeoverHold = 250 * time.Millisecond
+	// failureMemory is how long a replica that failed is watched only if no other one is left.
+	failureMemory = 30 * time.Second
 	// fullReplicaPause is how long a node does not watch replicas that have reached
 	// their limit of watchers; meanwhile its relay provides the updates.
 	fullReplicaPause = time.Minute
@@ -60,14 +63,25 @@
 	// cursors holds, by replica address, the position up to which this node has
 	// received the replica's entries of other nodes.
 	cursors map[string]*apiv1.ClaimCursor
-	// lastFailure is when each replica was last found unusable.
-	lastFailure map[string]time.Time
+	// lastFailure is when each replica was last found unusable, and fullUntil until when it is
+	// not watched because it reached its limit of watchers.
+	lastFailure, fullUntil map[string]time.Time
+	// dataCenters holds the data centres of the replicas that have told theirs.
+	dataCenters map[string]string
+	// entrySource is the watched replica that supplies the entries of other nodes while no
+	// relay responds.
+	entrySource string
+	// announced holds, by replica address, what the replica was told of this node.
+	announced map[string]*announcementState
+	// wake makes the announcing goroutine check at once whether it has something to tell.
+	wake chan struct{}
 	// disconnected is set while no replica is usable.
 	disconnected bool
 }
 
 func newWatcher(n *Node) *watcher {
-	return &watcher{n: n, watched: map[string]bool{}, cursors: map[string]*apiv1.ClaimCursor{}, lastFailure: map[string]time.Time{}}
+	return &watcher{n: n, watched: map[string]bool{}, cursors: map[string]*apiv1.ClaimCursor{}, lastFailure: map[string]time.Time{}, fullUntil: map[string]time.Time{},
+		dataCenters: map[string]string{}, announced: map[string]*announcementState{}, wake: make(chan struct{}, 1)}
 }
 
 // run keeps the watches running until ctx is canceled.
@@ -76,22 +90,29 @@
 		return
 	}
 	var wait sync.WaitGroup
-	for range watchedReplicas {
-		wait.Go(func() { w.watchLoop(ctx) })
+	// One watched replica is near, where possible: it supplies the entries of other nodes. The
+	// other one is any, so that a data centre that is cut off with its replicas is not told
+	// old news by both.
+	for i := range watchedReplicas {
+		wait.Go(func() { w.watchLoop(ctx, i == 0) })
 	}
 	wait.Wait()
 }
 
-// watchLoop watches one replica after another.
-func (w *watcher) watchLoop(ctx context.Context) {
+// watchLoop watches one replica after another, near ones first if preferNear is set.
+func (w *watcher) watchLoop(ctx context.Context, preferNear bool) {
 	backoff := minWatchBackoff
 	for ctx.Err() == nil {
-		address := w.pickReplica()
+		address := w.pickReplica(preferNear)
 		if address != "" {
-			if w.watchReplica(ctx, address) {
+			result := w.watchReplica(ctx, address, preferNear)
+			w.release(address, result, time.Now())
+			if result == movedOn {
+				continue
+			}
+			if result == wasUsable {
 				backoff = minWatchBackoff
 			}
-			w.release(address, time.Now())
 		}
 		select {
 		case <-ctx.Done():
@@ -101,41 +122,117 @@
 	}
 }
 
-// pickReplica picks a replica that is not watched yet: a random one of those that never
-// failed or, if there is none, the one that failed longest ago. Choosing at random each
-// time could return to a replica that responds but is not usable, because a partition
-// separates it from the majority.
-func (w *watcher) pickReplica() string {
-	candidates := w.addresses()
-	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+// watchResult is why a node stopped watching a replica.
+type watchResult int
+
+const (
+	// neverUsable: no poll succeeded. wasUsable: a poll failed, or the replica lost the leader.
+	neverUsable watchResult = iota
+	wasUsable
+	// movedOn: another replica is preferred.
+	movedOn
+	// wasFull: the replica has reached its limit of watchers.
+	wasFull
+)
+
+// pickReplica picks the preferred replica that is not watched yet, and marks it as watched.
+func (w *watcher) pickReplica(preferNear bool) string {
+	candidates := w.rankReplicas(preferNear, time.Now())
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, address := range candidates {
+		if !w.watched[address] {
+			w.watched[address] = true
+			return address
+		}
+	}
+	return ""
+}
+
+// rankReplicas returns the replicas that are not full in the order in which this node prefers
+// them: first those that have not failed recently, then the one that failed longest ago, since
+// a replica may respond and not be usable, because a partition separates it from the
+// majority. Among those that have not failed, rendezvous hashing gives each node its own
+// order, which spreads the nodes over the replicas: they all know the same few at their
+// start.
+func (w *watcher) rankReplicas(preferNear bool, now time.Time) []string {
+	ranked := directory.Rendezvous(w.n.options.Host, w.addresses())
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	ranked = slices.DeleteFunc(ranked, func(a string) bool { return now.Before(w.fullUntil[a]) })
+	slices.SortStableFunc(ranked, func(a, b string) int {
+		if byFailure := w.recentFailure(a, now).Compare(w.recentFailure(b, now)); byFailure != 0 {
+			return byFailure
+		}
+		if preferNear {
+			return cmp.Compare(w.farness(a), w.farness(b))
+		}
+		return 0
+	})
+	return ranked
+}
+
+// recentFailure returns when the replica failed, or the zero time if it has not done so
+// recently. The caller holds the lock.
+func (w *watcher) recentFailure(address string, now time.Time) time.Time {
+	if at := w.lastFailure[address]; now.Sub(at) < failureMemory {
+		return at
+	}
+	return time.Time{}
+}
+
+// farness returns 0 for a replica in this node's data centre and 1 for others. The caller
+// holds the lock.
+func (w *watcher) farness(address string) int {
+	if w.dataCenters[address] == w.n.options.DataCenter {
+		return 0
+	}
+	return 1
+}
+
+// prefersOther reports whether this node would rather watch another replica than the given
+// one, which it watches.
+func (w *watcher) prefersOther(address string, preferNear bool) bool {
+	ranked := w.rankReplicas(preferNear, time.Now())
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	candidates = slices.DeleteFunc(candidates, func(a string) bool { return w.watched[a] })
-	if len(candidates) == 0 {
-		return ""
+	for _, other := range ranked {
+		if other == address {
+			return false
+		}
+		if !w.watched[other] && w.recentFailure(other, time.Now()).IsZero() {
+			return true
+		}
 	}
-	oldest := slices.MinFunc(candidates, func(a, b string) int { return w.lastFailure[a].Compare(w.lastFailure[b]) })
-	w.watched[oldest] = true
-	return oldest
+	return false
 }
 
-// release marks a replica as no longer watched and records the time of its failure.
-func (w *watcher) release(address string, now time.Time) {
+// release marks a replica as no longer watched and records a failure.
+func (w *watcher) release(address string, result watchResult, now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	delete(w.watched, address)
-	w.lastFailure[address] = now
+	switch result {
+	case wasFull:
+		w.fullUntil[address] = now.Add(fullReplicaPause)
+	case neverUsable, wasUsable:
+		w.lastFailure[address] = now
+	}
+	if w.entrySource == address {
+		w.entrySource = ""
+	}
 }
 
-// watchReplica polls a replica until a call fails or the replica reports that it has
-// lost contact with the leader. It reports whether the replica was usable before.
-func (w *watcher) watchReplica(ctx context.Context, address string) (useful bool) {
+// watchReplica polls a replica until a call fails, the replica reports that it has lost
+// contact with the leader or is full, or another one is preferred.
+func (w *watcher) watchReplica(ctx context.Context, address string, preferNear bool) watchResult {
+	result := neverUsable
 	for ctx.Err() == nil {
 		resp, err := w.poll(ctx, address)
 		if err != nil {
 			w.n.counters.watchFailures.Add(1)
 			w.logStatus(address, false, err)
-			return useful
+			return result
 		}
 		w.n.counters.watches.Add(1)
 		w.setReplicas(resp.Replicas)
@@ -144,18 +241,18 @@
 		w.n.applyDelta(resp.Delta, !resp.Detached, "watch of "+address)
 		if resp.Detached {
 			w.logStatus(address, false, nil)
-			return useful
+			return result
 		}
 		w.logStatus(address, true, nil)
-		useful = true
+		result = wasUsable
 		if resp.Full {
-			select {
-			case <-ctx.Done():
-			case <-time.After(fullReplicaPause):
-			}
+			return wasFull
+		}
+		if w.prefersOther(address, preferNear) {
+			return movedOn
 		}
 	}
-	return useful
+	return result
 }
 
 func (w *watcher) poll(ctx context.Context, address string) (*apiv1.WatchResponse, error) {
@@ -196,43 +293,25 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	noRelay := !n.view.FollowsRelay()
-	hold := watchHold
+	hold, wantEntries := watchHold, false
 	if noRelay {
+		hold, wantEntries = takeoverHold, w.becomeEntrySource(address)
+	}
+	if wantEntries {
 		hold = noRelayHold
 	}
-	return &apiv1.WatchRequest{Host: n.options.Host, Revision: n.Revision(), HoldMs: uint32(hold.Milliseconds()), Entry: n.entry(""), WantEntries: noRelay, EntriesHoldMs: uint32(watchHold.Milliseconds()), Heard: w.cursorFor(address, noRelay)}
+	return &apiv1.WatchRequest{Host: n.options.Host, Revision: n.Revision(), HoldMs: uint32(hold.Milliseconds()), Entry: n.entry(""), WantEntries: wantEntries, EntriesHoldMs: uint32(watchHold.Milliseconds()), Heard: w.cursorFor(address, noRelay)}
 }
 
-// announce sends this node's entry to every control replica at startup, after each
-// change of the entry and every announceInterval. A node that starts at the same time
-// and has no relay yet then receives the entry from any replica that it watches.
-func (w *watcher) announce(ctx context.Context) {
-	if !w.n.options.WatchControl {
-		return
-	}
-	ticker := time.NewTicker(announceCheckInterval)
-	defer ticker.Stop()
-	var sent entryVersion
-	var sentAt time.Time
-	for {
-		w.n.mu.Lock()
-		now := w.n.entryVersion()
-		due := now != sent || time.Since(sentAt) > announceInterval
-		var entry *apiv1.Entry
-		if due {
-			entry = w.n.entry("")
-		}
-		w.n.mu.Unlock()
-		if due {
-			sent, sentAt = now, time.Now()
-			w.announceTo(ctx, w.addresses(), entry)
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+// becomeEntrySource reports whether the replica supplies the entries of other nodes: it does
+// if no other watched one does. Two would send each of a thousand entries twice.
+func (w *watcher) becomeEntrySource(address string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.watched[w.entrySource] {
+		w.entrySource = address
 	}
+	return w.entrySource == address
 }
 
 // addresses returns all known replica addresses without duplicates.
@@ -244,18 +323,6 @@
 	return slices.Compact(all)
 }
 
-func (w *watcher) announceTo(ctx context.Context, addresses []string, entry *apiv1.Entry) {
-	for _, address := range addresses {
-		go func() {
-			ctx, cancel := context.WithTimeout(ctx, watchTimeoutMargin)
-			defer cancel()
-			// The error is ignored: the next announcement is sent to all replicas
-			// again.
-			_, _ = w.n.options.Control.At(address).Control.Announce(ctx, connect.NewRequest(&apiv1.AnnounceRequest{Entry: entry}))
-		}()
-	}
-}
-
 // exchangeQuarantine exchanges information about servers that crashed with the control
 // replicas.
 func (n *Node) exchangeQuarantine(ctx context.Context) {
@@ -280,8 +347,12 @@
 		return
 	}
 	w.mu.Lock()
+	changed := !slices.Equal(w.replicas, replicas)
 	w.replicas = replicas
 	w.mu.Unlock()
+	if changed {
+		w.announceSoon()
+	}
 	w.n.options.Control.SetDiscovered(replicas)
 }
 
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -78,7 +78,7 @@
 func (p *Process) openControl() error {
 	c := p.Settings.Control
 	p.initDataFolderWithRetry()
-	options := replica.Options{Name: c.Name, Address: c.Address, DataFolder: c.DataFolder, Security: p.security, Operators: operators(c), DataCenters: c.DataCenters}
+	options := replica.Options{Name: c.Name, Address: c.Address, DataFolder: c.DataFolder, Security: p.security, Operators: operators(c), DataCenter: p.Settings.DataCenter, DataCenters: c.DataCenters}
 	if c.Group != nil {
 		options.Group = &replica.Group{Tolerate: c.Group.Tolerate, Control: p.client}
 	}
--- a/internal/replica/presence.go
+++ b/internal/replica/presence.go
@@ -149,5 +149,5 @@
 		return nil, fault.New(fault.Invalid, errors.New("the announcement has no entry; both processes must run the same release"))
 	}
 	c.r.presence.put(req.Msg.Entry)
-	return connect.NewResponse(&apiv1.AnnounceResponse{}), nil
+	return connect.NewResponse(&apiv1.AnnounceResponse{DataCenter: c.r.options.DataCenter}), nil
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -37,6 +37,8 @@
 	DataFolder    string
 	Security      *transport.Security
 	Operators     []Operator
+	// DataCenter is this replica's own data centre.
+	DataCenter string
 	// DataCenters lists the data centres that may be evacuated. If it is empty, any name is
 	// accepted.
 	DataCenters []string
