node: an idle process wakes up less often

The scheduling delay is sampled every 160 ms while at most one request came between two samples and timers are on time, every 40 ms otherwise. The load of a server that gets less than four requests a second, reports no cold start and has no queue is asked for every 250 ms (100 before), and as before when a request arrives.

Evidence: TestIdleProcessIsMeasuredLessOften, TestIdleServerIsAskedLessOften.

--- a/core/gate/arrivals.go
+++ b/core/gate/arrivals.go
@@ -14,6 +14,9 @@
 	at   time.Duration
 }
 
+// ArrivalRate returns the recent number of requests per second that have arrived.
+func (g *Gate) ArrivalRate(now time.Duration) float64 { return g.arrivals.perSecond(now) }
+
 func (r *arrivalRate) record(now time.Duration) {
 	r.rate = r.perSecond(now) + 1/arrivalTime.Seconds()
 	r.at = now
--- a/internal/endpoint/load_test.go
+++ b/internal/endpoint/load_test.go
@@ -129,3 +129,29 @@
 	s.slowdown.Store(100)
 	eventually(t, "the load is queried again", func() bool { return !e.loadOverdue.Load() })
 }
+
+// Guards against health checks that cost an idle backend server and its node more than the
+// requests, and against asking a busy or a cold one too seldom.
+func TestIdleServerIsAskedLessOften(t *testing.T) {
+	e := New(Options{Host: "a", Counters: NewCounters(), SendReport: func(string, gate.Report) {}, Incarnation: func() uint64 { return 1 }}, gate.Config{Slots: 16, Queue: 16})
+	t.Cleanup(e.Close)
+	arrive := func(n int) {
+		e.runGate(func(now time.Duration) (events []gate.Event) {
+			for range n {
+				e.lastHandle++
+				events = append(events, e.gate.Arrive(now, gate.Request{Handle: e.lastHandle, ID: gate.AttemptID{Request: [2]uint64{1, uint64(e.lastHandle)}}, Deadline: now + time.Second})...)
+			}
+			return events
+		})
+	}
+	assert.Equal(t, e.loadQueryPace(), idleLoadQueryInterval)
+	arrive(1)
+	assert.Equal(t, e.loadQueryPace(), idleLoadQueryInterval)
+	arrive(4 * busyArrivals)
+	assert.Equal(t, e.loadQueryPace(), loadQueryInterval)
+
+	cold := New(Options{Host: "b", Counters: NewCounters(), SendReport: func(string, gate.Report) {}, Incarnation: func() uint64 { return 1 }}, gate.Config{Slots: 16, Queue: 16})
+	t.Cleanup(cold.Close)
+	cold.coldReportedAt.Store(1)
+	assert.Equal(t, cold.loadQueryPace(), loadQueryInterval)
+}
--- a/internal/endpoint/watch.go
+++ b/internal/endpoint/watch.go
@@ -22,6 +22,10 @@
 	// requests are sent to a server that has just become slow for less than a third of that
 	// time. The cost is ten small requests a second, which never leave the host.
 	loadQueryInterval = 100 * time.Millisecond
+	// idleLoadQueryInterval replaces loadQueryInterval at a server that gets less than
+	// busyArrivals requests per second: each of them queries the load when it arrives.
+	idleLoadQueryInterval = 250 * time.Millisecond
+	busyArrivals          = 4
 	// loadQueryTimeout bounds one load query, so that queries to a server that hangs do
 	// not accumulate.
 	loadQueryTimeout = 300 * time.Millisecond
@@ -41,23 +45,37 @@
 	if e.options.Dialect.Load == "" {
 		return
 	}
-	ticker := time.NewTicker(loadQueryInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(loadQueryInterval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		}
+		interval := e.loadQueryPace()
+		timer.Reset(interval)
 		if e.evacuated.Load() && e.loadAge() < evacuatedQueryInterval {
 			continue
 		}
-		if e.loadAge() >= loadQueryInterval || e.coldReportOverdue() {
+		if e.loadAge() >= interval || e.coldReportOverdue() {
 			e.startLoadQuery()
 		}
 	}
 }
 
+// loadQueryPace returns the interval of load queries: a longer one for a server that gets few
+// requests, unless it reports cold starts.
+func (e *Endpoint) loadQueryPace() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.now()
+	if e.coldReportedAt.Load() > 0 || e.gate.ArrivalRate(now) >= busyArrivals || e.gate.Load(now).Waiting > 0 {
+		return loadQueryInterval
+	}
+	return idleLoadQueryInterval
+}
+
 // coldQueryInterval is how often a backend server is queried that reports the remaining
 // duration of its cold start, which only health responses contain. In this interval a busy
 // server gets a dozen requests, half of what a cold server can run in a second.
--- a/internal/overload/monitor.go
+++ b/internal/overload/monitor.go
@@ -23,6 +23,17 @@
 // the detector several samples per window, at a cost of a few microseconds each.
 const sampleInterval = 40 * time.Millisecond
 
+const (
+	// idleSampleInterval is the interval while the process has little to do: it is woken by
+	// nothing else then, and a process that is short of processor time shows it by the first
+	// sample.
+	idleSampleInterval = 160 * time.Millisecond
+	// idleRequests is the number of requests between two samples up to which a process has
+	// little to do, and busyDelay the delay from which it is watched closely.
+	idleRequests = 1
+	busyDelay    = 2 * time.Millisecond
+)
+
 // Monitor measures scheduling delays, that is, how late this process handles timers, and
 // refuses requests during an overload. Safe for concurrent use.
 type Monitor struct {
@@ -47,6 +58,12 @@
 	// lastSample is when the scheduling delay was last measured, and lastLate when it was last
 	// lateDelay or longer, in nanoseconds since start.
 	lastSample, lastLate atomic.Int64
+	// interval is the time between the last sample and the next one, in nanoseconds.
+	interval atomic.Int64
+	// requests counts the requests that Admit has decided on, requestsBefore those at the last
+	// sample.
+	requests       atomic.Int64
+	requestsBefore int64
 
 	// Shortages counts the overloads, that is, the times when processor time became short;
 	// Refused counts the requests refused during overloads.
@@ -54,15 +71,20 @@
 }
 
 // NewMonitor returns a monitor that logs under the given host name.
-func NewMonitor(host string) *Monitor { return &Monitor{host: host, start: time.Now()} }
+func NewMonitor(host string) *Monitor {
+	m := &Monitor{host: host, start: time.Now()}
+	m.interval.Store(int64(sampleInterval))
+	return m
+}
 
 // Run measures the scheduling delay until ctx is done.
 func (m *Monitor) Run(ctx context.Context) {
-	timer := time.NewTimer(sampleInterval)
+	interval := sampleInterval
+	timer := time.NewTimer(interval)
 	defer timer.Stop()
 	for {
-		due := time.Now().Add(sampleInterval)
-		timer.Reset(sampleInterval)
+		due := time.Now().Add(interval)
+		timer.Reset(interval)
 		select {
 		case <-ctx.Done():
 			m.mu.Lock()
@@ -73,11 +95,26 @@
 			// The scheduler runs a goroutine woken by a timer ahead of other runnable ones.
 			// Yield, so that the measured delay includes the run queue, as for requests.
 			runtime.Gosched()
-			m.observe(time.Since(due))
+			delay := time.Since(due)
+			interval = m.nextInterval(delay)
+			m.observe(delay)
 		}
 	}
 }
 
+// nextInterval returns the time until the next sample, after one with the given delay.
+func (m *Monitor) nextInterval(delay time.Duration) time.Duration {
+	requests := m.requests.Load()
+	idle := requests-m.requestsBefore <= idleRequests && delay < busyDelay
+	m.requestsBefore = requests
+	next := sampleInterval
+	if idle {
+		next = idleSampleInterval
+	}
+	m.interval.Store(int64(next))
+	return next
+}
+
 const (
 	// lateDelay is the scheduling delay from which Delayed considers requests as read late.
 	lateDelay = 50 * time.Millisecond
@@ -93,7 +130,7 @@
 		return true
 	}
 	now := time.Since(m.start)
-	if now-time.Duration(m.lastSample.Load()) > sampleInterval+lateDelay {
+	if now-time.Duration(m.lastSample.Load()) > time.Duration(m.interval.Load())+lateDelay {
 		return true
 	}
 	late := time.Duration(m.lastLate.Load())
@@ -179,6 +216,7 @@
 	if m == nil {
 		return true
 	}
+	m.requests.Add(1)
 	m.mu.Lock()
 	admitted := m.shedder.Admit(from, rank) || m.disabled
 	m.mu.Unlock()
--- a/internal/overload/monitor_test.go
+++ b/internal/overload/monitor_test.go
@@ -60,3 +60,19 @@
 	b.raiseGC(false)
 	assert.Equal(t, percent(), normal)
 }
+
+// Guards against wake-ups that cost an idle process more than its requests, and against an
+// idle process that measures too seldom once it has work or is short of processor time.
+func TestIdleProcessIsMeasuredLessOften(t *testing.T) {
+	m := NewMonitor("a")
+	assert.Equal(t, m.nextInterval(0), idleSampleInterval)
+	m.Admit(overload.FromCaller, overload.Rank{})
+	assert.Equal(t, m.nextInterval(0), idleSampleInterval)
+	assert.Equal(t, m.nextInterval(busyDelay), sampleInterval, "a late timer")
+	for range idleRequests + 1 {
+		m.Admit(overload.FromNode, overload.Rank{})
+	}
+	assert.Equal(t, m.nextInterval(0), sampleInterval, "requests came")
+	m.observe(0)
+	assert.Assert(t, !m.Delayed())
+}
