--- a/cmd/cactusctl/status.go
+++ b/cmd/cactusctl/status.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 
 	"github.com/spf13/cobra"
 
@@ -54,8 +56,47 @@
 		}
 		fmt.Fprintf(out, "  %s at %s: %s\n", m.Name, m.Address, role)
 	}
+	printRelays(out, s.Relays)
+	printAccounts(out, s.Accounts)
+}
+
+// maxListed is the number of relays, and of client accounts, up to which each one is printed.
+const maxListed = 20
+
+// printRelays prints the relays, or only their number and their nodes in each data centre if
+// there are many.
+func printRelays(out io.Writer, relays []*apiv1.RelayInfo) {
 	fmt.Fprintln(out, "relays:")
-	for _, r := range s.Relays {
-		fmt.Fprintf(out, "  %s in %s: %d nodes\n", r.Host, r.DataCenter, r.Nodes)
+	if len(relays) <= maxListed {
+		for _, r := range relays {
+			fmt.Fprintf(out, "  %s in %s: %d nodes\n", r.Host, r.DataCenter, r.Nodes)
+		}
+		return
+	}
+	count, nodes := map[string]int{}, map[string]uint32{}
+	for _, r := range relays {
+		count[r.DataCenter]++
+		nodes[r.DataCenter] += r.Nodes
+	}
+	for _, dataCenter := range slices.Sorted(maps.Keys(count)) {
+		fmt.Fprintf(out, "  %d in %s: %d nodes\n", count[dataCenter], dataCenter, nodes[dataCenter])
+	}
+}
+
+// printAccounts prints the client accounts with their usage caps.
+func printAccounts(out io.Writer, accounts []*apiv1.AccountStatus) {
+	if len(accounts) == 0 {
+		return
+	}
+	fmt.Fprintf(out, "client accounts: %d\n", len(accounts))
+	for _, a := range accounts[:min(len(accounts), maxListed)] {
+		limit := "no usage cap"
+		if a.RequestsPerSecond > 0 {
+			limit = fmt.Sprintf("%g requests/s, burst %g", a.RequestsPerSecond, a.Burst)
+		}
+		fmt.Fprintf(out, "  %s/%s: %s, %d keys, since revision %d\n", a.Institution, a.Name, limit, a.Keys, a.ChangedAt)
+	}
+	if more := len(accounts) - maxListed; more > 0 {
+		fmt.Fprintf(out, "  %d more; --output json lists all\n", more)
 	}
 }
--- a/internal/replica/queries.go
+++ b/internal/replica/queries.go
@@ -34,11 +34,22 @@
 	resp.Revision = q.r.state.Revision()
 	resp.Hosts = q.r.state.Records().Hosts()
 	resp.DataCenters = q.r.state.Records().DataCenters()
+	resp.Accounts = accountStatus(q.r.state.Records().Accounts())
 	q.r.mu.RUnlock()
 	q.r.relays.summarize(resp.Revision, resp)
 	return connect.NewResponse(resp), nil
 }
 
+// accountStatus returns the accounts without their keys.
+func accountStatus(accounts []*apiv1.AccountRecord) []*apiv1.AccountStatus {
+	var list []*apiv1.AccountStatus
+	for _, a := range accounts {
+		list = append(list, &apiv1.AccountStatus{Name: a.Name, Institution: a.Institution, ChangedAt: a.ChangedAt, Keys: uint32(len(a.Spec.GetKeyDigests())),
+			RequestsPerSecond: a.Spec.GetRequestsPerSecond(), Burst: a.Spec.GetBurst()})
+	}
+	return list
+}
+
 // Show returns the newest accepted text of an institution.
 func (q queryService) Show(ctx context.Context, req *connect.Request[apiv1.ShowRequest]) (*connect.Response[apiv1.ShowResponse], error) {
 	if err := q.r.readBarrier(ctx); err != nil {
