Keys are not accepted for good by a node that has lost control

What callers could do: use a key that was taken away at a node that no control replica reaches, for as long as it is cut off.

keyLease (settings, 10 minutes): after that long without word from a control replica in contact with a leader, direct or through its relay, a node refuses requests that need a key as not run. Public routes go on.

--- a/internal/node/heartbeat.go
+++ b/internal/node/heartbeat.go
@@ -27,6 +27,8 @@
 	// the relay has the newest configuration. If it is older, a node that has no
 	// configuration treats the one from the relay as unconfirmed.
 	staleConfirmation = 10 * time.Second
+	// maxConfirmedAgeMs prevents overflow for a relay that was never confirmed.
+	maxConfirmedAgeMs = uint64(365 * 24 * time.Hour / time.Millisecond)
 )
 
 func jitter(d time.Duration) time.Duration {
@@ -146,6 +148,7 @@
 	if n.records.Apply(resp.Delta) {
 		changed = true
 	}
+	n.controlHeard(time.Duration(min(resp.ConfirmedAgeMs, maxConfirmedAgeMs)) * time.Millisecond)
 	n.publishRevision(before, resp.ConfirmedAgeMs < uint64(staleConfirmation.Milliseconds()), "relay "+m.currentRelay.GetHost())
 	// A service that was requested in the meantime is fetched immediately. A service
 	// for which the relay has no answer yet is requested again with the next heartbeat.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -64,6 +64,9 @@
 	Retry proxy.SharedRetryBudget
 	// Usage is how far the requests of client accounts may exceed their usage caps.
 	Usage coreusage.Tolerance
+	// KeyLease is how long keys of client accounts are accepted after the last contact with
+	// the control replicas, direct or through a relay; 0 means without limit.
+	KeyLease time.Duration
 	// Disabled is the set of decision mechanisms that are switched off.
 	Disabled mechanism.Set
 }
@@ -76,14 +79,17 @@
 	// revision is the revision of records. It is atomic because every call reads it,
 	// and a call must not wait for mu while a heartbeat response is applied.
 	revision atomic.Uint64
-	proxy    *proxy.Handler
-	calls    *proxy.Counters
-	gates    *endpoint.Counters
-	counters counters
-	member   *member
-	relay    *relay
-	peers    *peerClients
-	reports  *reports
+	// controlHeardAt is when a control replica in contact with a leader last confirmed the
+	// configuration of this node or of its relay, in nanoseconds since start.
+	controlHeardAt atomic.Int64
+	proxy          *proxy.Handler
+	calls          *proxy.Counters
+	gates          *endpoint.Counters
+	counters       counters
+	member         *member
+	relay          *relay
+	peers          *peerClients
+	reports        *reports
 	// quarantine holds the contents of requests that repeatedly crash servers, and
 	// keeps such requests away from the servers.
 	quarantine *quarantine.Tracker
@@ -150,7 +156,7 @@
 	n.overload = overload.NewMonitor(options.Host)
 	n.proxy = proxy.New(proxy.Options{
 		Host: options.Host, DataCenter: options.DataCenter, Security: options.Security, Local: n, DiscoverService: n.awaitService, ObserveRevision: n.observeRevision, Revision: n.Revision, Revoke: n.revoke, Counters: n.calls,
-		Dialect: options.Dialect, CallerService: n.service, SharedRetryBudget: options.Retry, ProbePeer: n.alive, Quarantine: n.quarantine, Overload: n.overload, Usage: n.usage,
+		Dialect: options.Dialect, CallerService: n.service, SharedRetryBudget: options.Retry, ProbePeer: n.alive, Quarantine: n.quarantine, Overload: n.overload, Usage: n.usage, KeysTrusted: n.keysTrusted,
 	})
 	n.disabled = options.Disabled
 	n.proxy.SetDisabled(options.Disabled)
@@ -243,6 +249,22 @@
 // Revision returns the newest configuration revision that this node holds.
 func (n *Node) Revision() uint64 { return n.revision.Load() }
 
+// controlHeard records that a control replica in contact with a leader confirmed the
+// configuration the given time ago.
+func (n *Node) controlHeard(ago time.Duration) {
+	at := int64(time.Since(n.start) - ago)
+	for before := n.controlHeardAt.Load(); at > before && !n.controlHeardAt.CompareAndSwap(before, at); {
+		before = n.controlHeardAt.Load()
+	}
+}
+
+// keysTrusted reports whether this node may accept keys of client accounts: one that is cut
+// off does not learn which keys were taken away.
+func (n *Node) keysTrusted() bool {
+	lease := n.options.KeyLease
+	return lease == 0 || time.Since(n.start)-time.Duration(n.controlHeardAt.Load()) < lease
+}
+
 // observeRevision is called with the configuration revision that another node uses. If
 // it is newer than the revision of this node, the node fetches the change immediately
 // instead of with the next heartbeat.
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -244,6 +244,7 @@
 			return result
 		}
 		w.logStatus(address, true, nil)
+		w.n.controlHeard(0)
 		result = wasUsable
 		if resp.Full {
 			return wasFull
--- a/internal/proxy/account.go
+++ b/internal/proxy/account.go
@@ -121,13 +121,12 @@
 	if len(t.accounts.byID) == 0 {
 		return c, true
 	}
-	public := target.Route != nil && target.Route.Spec.Public
 	key, found := bearerKey(r.Header)
 	if found {
 		c.digest = estate.KeyDigest(key)
 		c.account = t.accounts.byDigest[c.digest]
 	}
-	return c, public || c.account != nil
+	return c, target.public() || c.account != nil
 }
 
 // refuseUnknownKey responds to a request without a valid key. The key stands in no message
@@ -138,11 +137,26 @@
 	h.writeFault(w, r, Fault{Fault: fault.UnknownKey, Message: `the request has no valid key and was not run; send "Authorization: Bearer KEY" with a key of a client account, which the operator gives out`}, 0)
 }
 
+// trustsKey reports whether the key of a request may be accepted.
+func (h *Handler) trustsKey(target Target, c *credential) bool {
+	return c.account == nil || target.public() || h.options.KeysTrusted == nil || h.options.KeysTrusted()
+}
+
+// untrustedRetryAfter is when a caller whose key cannot be checked should come back.
+const untrustedRetryAfter = time.Second
+
+// refuseUntrustedKey responds to a request with a key while this node cannot tell whether it
+// was taken away.
+func (h *Handler) refuseUntrustedKey(w http.ResponseWriter, r *http.Request, c *credential) {
+	logs.Decision(true, "Request refused: keys cannot be checked", "request", r.Header.Get(h.options.Dialect.RequestID), "account", c.account.ID, "revision", h.options.Revision())
+	h.writeFault(w, r, Fault{Fault: fault.NotReady, Message: "this node has lost the control replicas and cannot tell which keys are valid, so the request was not run; ask another node, or restore the connection to the control replicas"}, untrustedRetryAfter)
+}
+
 // admitAccount charges the request to its account and reports whether it may run. If not,
 // the caller has its response. Requests on public routes are not charged: a caller could
 // leave out its key.
 func (h *Handler) admitAccount(w http.ResponseWriter, r *http.Request, target Target, c *credential) bool {
-	if c.account == nil || h.options.Usage == nil || target.Route != nil && target.Route.Spec.Public {
+	if c.account == nil || h.options.Usage == nil || target.public() {
 		return true
 	}
 	d := h.options.Usage.Admit(c.account.ID)
--- a/internal/proxy/account_test.go
+++ b/internal/proxy/account_test.go
@@ -209,6 +209,23 @@
 	assert.Equal(t, target.rank(&Account{Spec: &apiv1.AccountSpec{Priority: &priority}}).Priority, 0)
 }
 
+// Guards against a node that is cut off and accepts keys for good that were taken away in the
+// meantime. Public routes need no key and go on.
+func TestKeysThatCannotBeCheckedAreRefused(t *testing.T) {
+	h := newTestHandler(gate.RevokeUnknown, newFakeNode(t, respondWith("ok")).Listener.Addr().String())
+	trusted := true
+	h.options.KeysTrusted = func() bool { return trusted }
+	withAccounts(h, accountRecord("club", 1, "k1"))
+	assert.Equal(t, serveRequest(h, "/keyed/", bearer("k1")).Code, 200)
+	trusted = false
+	w := serveRequest(h, "/keyed/", bearer("k1"))
+	assert.Equal(t, w.Code, 503)
+	assert.Equal(t, faultOf(t, w.Result(), w.Body.String()).Ran, "no")
+	assert.Equal(t, serveRequest(h, "/keyed/", bearer("k2")).Code, 401)
+	assert.Equal(t, serveRequest(h, "/public/", nil).Code, 200)
+	assert.Equal(t, serveRequest(h, "/public/", bearer("k1")).Code, 200)
+}
+
 // FuzzBearerKey checks that a key is one token without spaces that the field ends with.
 func FuzzBearerKey(f *testing.F) {
 	for _, seed := range []string{"", "Bearer", "Bearer x", "bearer  x ", "Bearer x y", "Basic x", " Bearer x", "Bearer\tx", "Bearer x\x00"} {
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -68,6 +68,9 @@
 	Overload *overload.Monitor
 	// Usage enforces the usage caps of client accounts; nil enforces none.
 	Usage Usage
+	// KeysTrusted reports whether this node may accept keys of client accounts; nil means
+	// always.
+	KeysTrusted func() bool
 	// Revoke revokes an attempt, sent the given time ago, at the endpoint's node and returns
 	// whether it was started there.
 	Revoke   func(ctx context.Context, peerAddress string, incarnation uint64, id gate.AttemptID, sentAgo time.Duration) gate.RevokeAnswer
@@ -278,6 +281,10 @@
 		h.refuseUnknownKey(w, r, target)
 		return
 	}
+	if !h.trustsKey(target, &key) {
+		h.refuseUntrustedKey(w, r, &key)
+		return
+	}
 	if !h.options.Overload.Admit(coreoverload.FromCaller, target.rank(key.account)) {
 		h.refuseOverloaded(w, r)
 		return
--- a/internal/proxy/route.go
+++ b/internal/proxy/route.go
@@ -33,6 +33,9 @@
 	return r
 }
 
+// public reports whether the target's requests need no key.
+func (t Target) public() bool { return t.Route != nil && t.Route.Spec.Public }
+
 // routeName returns the name of the route, or "" if there is none.
 func (t Target) routeName() string {
 	if t.Route == nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -39,6 +39,9 @@
 	// its usage cap in any few seconds. With a few requests of slack, accounts with small caps are
 	// not refused below them.
 	UsageSlack float64
+	// KeyLease is how long a node goes on accepting keys of client accounts after it lost the
+	// control replicas, which may have taken keys away in the meantime.
+	KeyLease time.Duration
 	// Metrics is the address that serves metrics to other hosts, or empty to serve none.
 	Metrics string
 	// Disabled is the set of mechanisms that are switched off, such as the refusal of requests when
@@ -120,6 +123,10 @@
 
 const (
 	defaultStopTimeout = 30 * time.Second
+	// defaultKeyLease is longer than control replicas are usually away, since a node refuses
+	// all requests that need a key after it.
+	defaultKeyLease = 10 * time.Minute
+	maxKeyLease     = 24 * time.Hour
 	// defaultGCPercent is the default of the Go runtime. With values below minGCPercent, the
 	// garbage collector would use more processor time than the rest of the process.
 	defaultGCPercent = 100
@@ -163,7 +170,7 @@
 	if len(reader.Problems()) > 0 {
 		return nil, reader.Problems()
 	}
-	s := &Settings{StopTimeout: defaultStopTimeout, GCPercent: defaultGCPercent}
+	s := &Settings{StopTimeout: defaultStopTimeout, KeyLease: defaultKeyLease, GCPercent: defaultGCPercent}
 	allowPlainText := false
 	root.Object(map[string]func(jsonc.Node){
 		"host":            func(n jsonc.Node) { s.Host = readName(n) },
@@ -175,6 +182,7 @@
 		"tls":             func(n jsonc.Node) { s.TLS = readTLS(n) },
 		"allowPlainText":  func(n jsonc.Node) { allowPlainText = n.Bool() },
 		"logLevel":        func(n jsonc.Node) { s.LogLevel = int(n.Uint(0, 10)) },
+		"keyLease":        func(n jsonc.Node) { s.KeyLease = n.Duration(time.Second, maxKeyLease) },
 		"usageSlack":      func(n jsonc.Node) { s.UsageSlack = n.Float(0, maxUsageSlack) },
 		"gcPercent":       func(n jsonc.Node) { s.GCPercent = int(n.Uint(minGCPercent, maxGCPercent)) },
 		"stopTimeout":     func(n jsonc.Node) { s.StopTimeout = n.Duration(time.Second, time.Hour) },
