Usage caps hold while nodes are cut off or killed in turn

What would have been seen: an account that floods ran more than its cap allows while a third of the nodes reached no keeper (each used an even share of the cap beside what the keepers gave to the others), and while the nodes of a small site were killed one after the other (each keeper began with half of its burst; 285 requests in 5 s, 284 allowed, in the soak).

A node that reaches no keeper shares what may run beyond the cap with the others (usageOverage); credit is an even share of that, two requests before any keeper has answered, together over all silent ones; a keeper that starts has the tokens of the time since it knows its nodes. The cap is decided after the search for endpoints, since a node that has just started knows no keepers.

--- a/core/usage/bound_test.go
+++ b/core/usage/bound_test.go
@@ -44,10 +44,8 @@
 		credit := float64(f.nodes[0].spender.credit(c))
 		bound := c.PerSecond*testWindow.Seconds() + portion*float64(len(keepers)) +
 			float64(len(f.nodes)+restarts)*(credit+firstCredit*float64(len(keepers))) + float64(restarts)*portion
-		// Nodes that no keeper answers, since messages are lost, use their even shares.
-		if f.loss > 0.1 {
-			bound += c.PerSecond * testWindow.Seconds()
-		}
+		// Nodes that no keeper answers share what may run beyond the cap, a request at a time.
+		bound += testTolerance.Overage*c.PerSecond*testWindow.Seconds() + float64(len(f.nodes))
 		got := maxWindow(f.admitted[account], testWindow)
 		assert.Assert(t, float64(got) <= math.Ceil(bound), "%d in a window, %f allowed", got, bound)
 	})
@@ -142,9 +140,10 @@
 }
 
 // Guards against a keeper that multiplies the burst each time it starts.
-func TestKeeperStartsWithHalfOfItsBurst(t *testing.T) {
+func TestKeeperStartsWithoutTokens(t *testing.T) {
 	f := newFleet(1, []int{1, 1, 1}, map[string]Cap{"club": {PerSecond: 3, Burst: 300}})
+	f.nodes[0].start()
 	k := f.nodes[0].keeper
-	begin := k.portion(0, "club").level
-	assert.Equal(t, begin, k.portions["club"].capacity/2)
+	assert.Equal(t, k.portion(0, "club").level, 0.0)
+	assert.Equal(t, k.portion(2*time.Second, "club").level, 2.0)
 }
--- a/core/usage/fleet_test.go
+++ b/core/usage/fleet_test.go
@@ -63,6 +63,8 @@
 
 const testSlack = 20
 
+var testTolerance = Tolerance{Slack: testSlack, Overage: 0.1}
+
 func newFleet(seed uint64, nodesPerDataCenter []int, caps map[string]Cap) *fleet {
 	f := &fleet{random: rand.New(rand.NewPCG(seed, 1)), caps: caps, admitted: map[string][]time.Duration{}, cut: func(string, string) bool { return false }}
 	for dc, n := range nodesPerDataCenter {
@@ -72,22 +74,27 @@
 	}
 	for _, m := range f.members {
 		n := &modelNode{f: f, host: m.Host, dataCenter: m.DataCenter}
-		n.start()
+		n.startAt(-leadTime)
 		f.nodes = append(f.nodes, n)
 	}
 	return f
 }
 
+// leadTime is how long before the first requests the nodes have started.
+const leadTime = 10 * time.Second
+
 // start begins a process of the node, which knows nothing of an earlier one.
-func (n *modelNode) start() {
+func (n *modelNode) start() { n.startAt(n.f.now) }
+
+func (n *modelNode) startAt(now time.Duration) {
 	n.incarnation++
 	n.down, n.flushAt = false, 0
-	n.spender = NewSpender(n.dataCenter)
-	n.keeper = NewKeeper(n.host, n.dataCenter, Tolerance{Slack: testSlack}, n.f.now)
+	n.spender = NewSpender(n.dataCenter, testTolerance)
+	n.keeper = NewKeeper(n.host, n.dataCenter, testTolerance, now)
 	n.spender.SetCaps(n.f.caps)
 	n.keeper.SetCaps(n.f.caps)
 	n.spender.SetMembers(n.f.members)
-	n.keeper.SetMembers(n.f.now, n.f.members)
+	n.keeper.SetMembers(now, n.f.members)
 }
 
 func (f *fleet) setCaps(caps map[string]Cap) {
--- a/core/usage/keeper.go
+++ b/core/usage/keeper.go
@@ -131,9 +131,9 @@
 	if !ok {
 		return nil
 	}
-	// A new keeper does not know what was spent before. It starts with half of its burst and
-	// the tokens of the time since the members last changed.
-	level := min(capacity, capacity/2+perSecond*(now-k.membersSince).Seconds())
+	// A new keeper does not know what was spent before. It starts with the tokens of the time
+	// since the members last changed, and gets more from the others.
+	level := min(capacity, perSecond*(now-k.membersSince).Seconds())
 	p := &portion{generation: k.generation, others: others, perSecond: perSecond, capacity: capacity, level: level, refilledAt: now, open: true,
 		spenders: map[string]*spender{}, transferInterval: minTransferInterval, noticeAt: -noticeInterval, transferAt: -maxTransferInterval}
 	k.portions[account] = p
--- a/core/usage/scenario_test.go
+++ b/core/usage/scenario_test.go
@@ -267,3 +267,21 @@
 	assert.Assert(t, float64(maxWindow(after, testWindow)) <= allowed(lowered, testWindow), "%d", maxWindow(after, testWindow))
 	assert.Assert(t, len(after) > int(0.9*18*lowered.PerSecond), "the account got %d requests, less than its cap", len(after))
 }
+
+// Guards against cut-off nodes that together exceed a cap beside the keepers that the others
+// reach.
+func TestCapHoldsWhileNodesAreCutOff(t *testing.T) {
+	l := unequalLoad()
+	for _, i := range []int{0, 3, 30} {
+		l.hot[l.names[i]] = 9
+	}
+	r := l.playKeepers(6, func(f *fleet) {
+		cutOff := map[string]bool{}
+		for i, n := range f.nodes {
+			cutOff[n.host] = i%3 == 0
+		}
+		f.cut = func(from, to string) bool { return (cutOff[from] || cutOff[to]) && f.now > 5*time.Second }
+	})
+	t.Log(r)
+	assert.Assert(t, r.excess <= 0, "%v", r)
+}
--- a/core/usage/spender.go
+++ b/core/usage/spender.go
@@ -23,18 +23,19 @@
 	// closedLifetime is how long a node believes that its keeper is short of tokens, if it
 	// hears nothing else.
 	closedLifetime = time.Second
-	// firstCredit is the number of requests that a node may admit before a keeper has
+	// firstCredit is the number of requests that a node may admit before any keeper has
 	// answered, and minCredit what it may admit at least between two answers of an open one.
-	firstCredit = 3
-	minCredit   = 8
-	// creditTime is the time for which the credit lasts at four times the node's even share
-	// of the cap.
-	creditTime = 100 * time.Millisecond
+	firstCredit = 2
+	minCredit   = 3
+	// creditWindow is the window of the tolerance whose overage all nodes together may admit
+	// on credit.
+	creditWindow = 5 * time.Second
 )
 
 // Spender decides at a node which requests of client accounts are within the usage cap.
 type Spender struct {
 	dataCenter string
+	tolerance  Tolerance
 	caps       map[string]Cap
 	members    []Member
 	// generation changes with the members.
@@ -97,8 +98,8 @@
 )
 
 // NewSpender returns a Spender without any accounts.
-func NewSpender(dataCenter string) *Spender {
-	return &Spender{dataCenter: dataCenter, accounts: map[string]*spending{}, dirty: map[string]*spending{}}
+func NewSpender(dataCenter string, tolerance Tolerance) *Spender {
+	return &Spender{dataCenter: dataCenter, tolerance: tolerance, accounts: map[string]*spending{}, dirty: map[string]*spending{}}
 }
 
 // SetCaps replaces the usage caps by account.
@@ -135,6 +136,7 @@
 		return Decision{Admitted: true, Reason: ReasonNoCap}
 	}
 	a := s.spendingOf(account)
+	first := uint64(firstCredit)
 	for _, keeper := range a.keepers {
 		c := a.charges[keeper]
 		if c == nil {
@@ -142,21 +144,25 @@
 			a.charges[keeper] = c
 		}
 		if now < c.silentTill {
+			first -= min(first, c.unacknowledged())
 			continue
 		}
 		s.dirty[account] = a
-		return c.admit(now, keeper, s.credit(limit))
+		return c.admit(now, keeper, first, s.credit(limit))
 	}
-	return a.admitIsolated(now, limit, len(s.members))
+	return a.admitIsolated(now, s.isolatedShare(limit))
 }
 
-// credit returns how many requests a node may admit between two answers of an open keeper.
+// credit returns how many requests a node may admit between two answers of an open keeper:
+// an even share of what all nodes together may admit beyond the cap.
 func (s *Spender) credit(limit Cap) uint64 {
-	share := limit.PerSecond / float64(max(1, len(s.members)))
-	return minCredit + uint64(math.Ceil(4*share*creditTime.Seconds()))
+	overage := s.tolerance.Overage*(limit.PerSecond*creditWindow.Seconds()+limit.Burst) + s.tolerance.Slack/2
+	return max(minCredit, uint64(math.Ceil(overage/float64(max(1, len(s.members))))))
 }
 
-func (c *charge) admit(now time.Duration, keeper string, credit uint64) Decision {
+// admit decides on a request. First is the credit before the keeper has answered, credit that
+// while it is open.
+func (c *charge) admit(now time.Duration, keeper string, first, credit uint64) Decision {
 	if c.spent < c.limit && now < c.limitTill {
 		c.spent++
 		return Decision{Admitted: true, Keeper: keeper, Reason: ReasonGranted}
@@ -166,7 +172,7 @@
 		return Decision{Keeper: keeper, RetryAfter: max(minWait, c.wait), Reason: ReasonClosed}
 	}
 	if now >= c.openTill {
-		credit = firstCredit
+		credit = first
 	}
 	if c.unacknowledged() >= credit {
 		c.refused++
@@ -182,14 +188,22 @@
 	return uint64(max(0, int64(c.spent-c.acknowledged)))
 }
 
-// admitIsolated admits requests up to the node's even share of the cap while no keeper
-// answers.
-func (a *spending) admitIsolated(now time.Duration, limit Cap, nodes int) Decision {
-	n := float64(max(1, nodes))
+// isolatedShare returns the requests per second that this node may admit while no keeper
+// answers: an even share of what may run beyond the cap, since the keepers' nodes go on
+// spending the cap itself.
+func (s *Spender) isolatedShare(limit Cap) float64 {
+	if len(s.members) == 0 {
+		return 0
+	}
+	return s.tolerance.Overage * limit.PerSecond / float64(len(s.members))
+}
+
+// admitIsolated admits requests while no keeper answers.
+func (a *spending) admitIsolated(now time.Duration, perSecond float64) Decision {
 	if !a.isolatedSet {
 		a.isolatedAt, a.isolatedSet = now, true
 	}
-	a.isolated = min(max(1, limit.Burst/n), a.isolated+(now-a.isolatedAt).Seconds()*limit.PerSecond/n)
+	a.isolated = min(1, a.isolated+(now-a.isolatedAt).Seconds()*perSecond)
 	a.isolatedAt = now
 	if a.isolated < 1 {
 		return Decision{RetryAfter: silentAfter, Reason: ReasonIsolated}
--- a/core/usage/usage.go
+++ b/core/usage/usage.go
@@ -31,8 +31,9 @@
 
 // Tolerance is how far the requests that run may exceed a cap in any window.
 type Tolerance struct {
-	// Slack is a number of requests that may always run beyond the cap.
-	Slack float64
+	// Slack is a number of requests that may always run beyond the cap, and Overage a share
+	// of the cap.
+	Slack, Overage float64
 }
 
 // Member is a node that may be a keeper.
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -289,9 +289,6 @@
 		h.refuseOverloaded(w, r)
 		return
 	}
-	if !h.admitAccount(w, r, target, &key) {
-		return
-	}
 	name := target.Service
 	if target.Route != nil {
 		name = target.Route.Pick()
@@ -302,6 +299,11 @@
 		_ = h.options.DiscoverService(ctx, name)
 		cancel()
 	}
+	// The cap comes after the search for endpoints: a node that has just started does not know
+	// the keepers of the cap before.
+	if !h.admitAccount(w, r, target, &key) {
+		return
+	}
 	h.serve(w, r, s, target.Route, &key, arrived)
 	h.options.Counters.Latency.Observe(time.Since(arrived))
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -39,6 +39,9 @@
 	// its usage cap in any few seconds. With a few requests of slack, accounts with small caps are
 	// not refused below them.
 	UsageSlack float64
+	// UsageOverage is the share by which they may exceed it. Nodes that are cut off from those
+	// that keep the cap use it.
+	UsageOverage float64
 	// KeyLease is how long a node goes on accepting keys of client accounts after it lost the
 	// control replicas, which may have taken keys away in the meantime.
 	KeyLease time.Duration
@@ -133,6 +136,8 @@
 	minGCPercent     = 10
 	maxGCPercent     = 1000
 	maxUsageSlack    = 1e6
+	// defaultUsageOverage is a tolerance that users of such caps commonly accept.
+	defaultUsageOverage = 0.1
 )
 
 // InvalidError reports that a settings file is invalid and lists all its problems.
@@ -170,7 +175,7 @@
 	if len(reader.Problems()) > 0 {
 		return nil, reader.Problems()
 	}
-	s := &Settings{StopTimeout: defaultStopTimeout, KeyLease: defaultKeyLease, GCPercent: defaultGCPercent}
+	s := &Settings{StopTimeout: defaultStopTimeout, KeyLease: defaultKeyLease, UsageOverage: defaultUsageOverage, GCPercent: defaultGCPercent}
 	allowPlainText := false
 	root.Object(map[string]func(jsonc.Node){
 		"host":            func(n jsonc.Node) { s.Host = readName(n) },
@@ -183,6 +188,7 @@
 		"allowPlainText":  func(n jsonc.Node) { allowPlainText = n.Bool() },
 		"logLevel":        func(n jsonc.Node) { s.LogLevel = int(n.Uint(0, 10)) },
 		"keyLease":        func(n jsonc.Node) { s.KeyLease = n.Duration(time.Second, maxKeyLease) },
+		"usageOverage":    func(n jsonc.Node) { s.UsageOverage = n.Float(0, 1) },
 		"usageSlack":      func(n jsonc.Node) { s.UsageSlack = n.Float(0, maxUsageSlack) },
 		"gcPercent":       func(n jsonc.Node) { s.GCPercent = int(n.Uint(minGCPercent, maxGCPercent)) },
 		"stopTimeout":     func(n jsonc.Node) { s.StopTimeout = n.Duration(time.Second, time.Hour) },
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return false
 	}
-	text := fmt.Sprintf(estateText, 100+s.ids.Add(1)%100)
+	text := s.withAccounts(fmt.Sprintf(estateText, 100+s.ids.Add(1)%100))
 	record, err := s.operator.Submit(ctx, []byte(text), shown.Revision, operator.NewChangeID())
 	var outcome *operator.OutcomeError
 	if err != nil {
@@ -78,6 +78,7 @@
 	for _, id := range s.requests.afterDrain {
 		s.fail("%s reached a server whose drain was acknowledged", id)
 	}
+	s.checkCap()
 	s.failures = append(s.failures, s.requests.violations...)
 	ctx, cancel := context.WithTimeout(context.Background(), convergenceTimeout)
 	defer cancel()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -81,13 +81,15 @@
 	served, uploaded, refused, aborted atomic.Int64
 	// uploadsInFlight is the number of uploads in flight by node.
 	uploadsInFlight []atomic.Int64
+	// accounts is nil in tests without client accounts.
+	accounts *accounts
 }
 
 // defaultDataCenter is the only data centre of a site in tests without evacuations.
 const defaultDataCenter = "dc"
 
 // extraFaults selects faults that are disabled by default.
-type extraFaults struct{ serverRestarts bool }
+type extraFaults struct{ serverRestarts, accounts bool }
 
 func run(t *testing.T, n uint64, dataCenters ...string) {
 	runWithFaults(t, n, extraFaults{}, dataCenters...)
@@ -96,6 +98,9 @@
 func runWithFaults(t *testing.T, n uint64, extra extraFaults, dataCenters ...string) {
 	s := &soak{site: newSite(t, dataCenters...), t: t, seed: n, random: rand.New(rand.NewPCG(n, n)), stop: make(chan struct{})}
 	s.uploadsInFlight = make([]atomic.Int64, len(s.nodes))
+	if extra.accounts {
+		s.accounts = &accounts{}
+	}
 	defer s.keepLogs()
 	s.eventually("the first change is accepted", func() bool { return s.submit(context.Background()) })
 	s.eventually("every node serves", s.allNodesServe)
@@ -108,6 +113,13 @@
 		}
 	}
 	s.workers.Go(s.runOperator)
+	if s.accounts != nil {
+		s.workers.Go(s.runKeyChanges)
+		for i := range s.callerAddresses {
+			s.workers.Go(func() { s.runCappedCaller(i) })
+			s.workers.Go(func() { s.runKeyedCaller(i) })
+		}
+	}
 	if len(dataCenters) > 1 {
 		s.workers.Go(func() { s.runEvacuations(dataCenters) })
 	}
--- a/internal/usage/accountant.go
+++ b/internal/usage/accountant.go
@@ -46,7 +46,7 @@
 // New returns an Accountant without any accounts.
 func New(options Options) *Accountant {
 	a := &Accountant{options: options, start: time.Now(), process: rand.Uint64()}
-	a.spender = usage.NewSpender(options.DataCenter)
+	a.spender = usage.NewSpender(options.DataCenter, options.Tolerance)
 	a.keeper = usage.NewKeeper(options.Host, options.DataCenter, options.Tolerance, 0)
 	return a
 }
