endpoint: a download holds neither a slot nor the host's link

Cause, by reading: a gate's slot was held until the last byte of an answer had gone out over the link, and any number of large answers shared the link with the short ones.

Large answers are read from the backend server ahead of their receiver, half a megabyte at most, so that its slot is free once it has answered; two at a time are sent to other nodes, each for half a second at most. An answer that breaks off still breaks off at the receiver.

--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -72,6 +72,8 @@
 	closed  bool
 
 	tracker *runTracker
+	// transfers limits the large responses that are sent to other nodes at the same time.
+	transfers transfers
 
 	stopWatch context.CancelFunc
 	// serverCtx is canceled when the current process of the backend server is known to have
@@ -111,7 +113,7 @@
 	if options.Dialect == nil {
 		options.Dialect = &hop.Dialect{}
 	}
-	e := &Endpoint{options: options, start: time.Now(), waiters: map[gate.Handle]chan gate.Event{}, hints: map[gate.Handle]func(string){}, tracker: newRunTracker(), transit: transit.NewEstimator()}
+	e := &Endpoint{options: options, start: time.Now(), waiters: map[gate.Handle]chan gate.Event{}, hints: map[gate.Handle]func(string){}, tracker: newRunTracker(), transfers: newTransfers(), transit: transit.NewEstimator()}
 	e.gate = gate.New(options.Host, config, 0)
 	var ctx context.Context
 	ctx, e.stopWatch = context.WithCancel(context.Background())
--- a/internal/endpoint/forward.go
+++ b/internal/endpoint/forward.go
@@ -113,6 +113,9 @@
 				"after", time.Since(started), "cut", truncated, "callerGone", ctx.Err() != nil)
 		}
 	}}
+	if isLarge(resp) || resp.ContentLength < 0 {
+		resp.Body = newReadAhead(resp.Body)
+	}
 	return resp, reply
 }
 
