retry: nodes with a request a second use their parts of the shared budget

Cause: a node's part is .16 of a retry a call, halved within two seconds, and .42 of slack. At a call a second that is .78 at most, never a whole retry: only nodes with bursts could retry at all. At 13 or 60 nodes parts are whole ones.

A fraction is staked on a draw that is won with its own probability, so that all nodes together spend what they have, and no more in the mean; hedges take whole retries only.

Evidence: TestSharedBudgetIsUsedByAThousandNodes (985 nodes, no window beyond the budget, a third of it used at least; none before at a call a second).

--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -129,9 +129,10 @@
 
 // Hedge reports whether a hedged request, a second attempt in parallel with the first, may
 // be sent because the server became slow while running the request. The request must be
-// idempotent. If so, the attempt is counted and taken from the budget.
+// idempotent. If so, the attempt is counted and taken from the budget, whose fractions are
+// left to retries after failures.
 func (r *Request) Hedge(budget *Budget) bool {
-	if !r.Idempotent || r.reached+1 >= r.MaxAttempts || !budget.Take() {
+	if !r.Idempotent || r.reached+1 >= r.MaxAttempts || !budget.takeWhole() {
 		return false
 	}
 	r.reached++
@@ -157,6 +158,8 @@
 	// slack is the number of retries available regardless of calls, at most slackLimit.
 	// It increases by slackRate per second.
 	slack, slackLimit, slackRate float64
+	// random returns numbers in [0, 1); nil means that a fraction of a retry is never used.
+	random func() float64
 	// earnedDecay is the time constant with which earned retries decay; 0 means no
 	// decay.
 	earnedDecay time.Duration
@@ -177,6 +180,10 @@
 	return &Budget{perMille: perMille, earned: defaultEarnedLimit, earnedLimit: defaultEarnedLimit}
 }
 
+// SetRandom sets the source of random numbers in [0, 1) by which fractions of a retry are
+// used.
+func (b *Budget) SetRandom(random func() float64) { b.random = random }
+
 // Set changes the number of retries per thousand calls.
 func (b *Budget) Set(perMille int) { b.perMille = perMille }
 
@@ -226,7 +233,29 @@
 
 // Take takes one retry from the budget and reports whether the budget allowed it. A budget
 // of 0 retries per thousand calls allows none.
+//
+// The share of a node in a large fleet may stay below one retry for good: at a call a second
+// it earns a retry in six seconds and loses half of it meanwhile. Such a fraction is staked on
+// a draw that it wins with its own probability, so that all nodes together spend what they
+// have, and no more in the mean.
 func (b *Budget) Take() bool {
+	if b.takeWhole() {
+		return true
+	}
+	if b.perMille == 0 || b.earnedDecay == 0 || b.random == nil {
+		return false
+	}
+	stake := b.earned + b.slack
+	b.earned, b.slack = 0, 0
+	if b.random() >= stake {
+		return false
+	}
+	b.Refused--
+	return true
+}
+
+// takeWhole takes one retry if the budget has a whole one.
+func (b *Budget) takeWhole() bool {
 	// Less than 1: multiples of 1/1000 do not add up to exactly 1 in floating point.
 	const minBalance = 1 - 1e-9
 	if b.perMille == 0 || b.earned+b.slack < minBalance {
--- a/core/retry/shared_test.go
+++ b/core/retry/shared_test.go
@@ -1,6 +1,8 @@
 package retry
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -85,3 +87,52 @@
 		})
 	}
 }
+
+// Models a service whose servers reject half of the requests, called by a thousand nodes with
+// a request a second each. Guards against a shared budget of which no node's part ever makes a
+// whole retry, so that none is used, and against using more than the budget in any window.
+func TestSharedBudgetIsUsedByAThousandNodes(t *testing.T) {
+	const (
+		nodes, ratio, slack = 985, 0.2, 1040
+		window              = 10 * time.Second
+		step                = 100 * time.Millisecond
+		length              = 40 * time.Second
+	)
+	for _, perSecond := range []float64{0.5, 1, 3} {
+		t.Run(fmt.Sprint(perSecond), func(t *testing.T) {
+			random := rand.New(rand.NewPCG(1, 2))
+			budgets := make([]*Budget, nodes)
+			for i := range budgets {
+				budgets[i] = NewBudget(0)
+				budgets[i].SetRandom(random.Float64)
+				budgets[i].SetShare(ratio, slack, nodes, window)
+			}
+			var calls, retries []int
+			for range int(length / step) {
+				called, retried := 0, 0
+				for _, b := range budgets {
+					b.Refill(step)
+					if random.Float64() >= perSecond*step.Seconds() {
+						continue
+					}
+					b.RecordCall()
+					called++
+					if random.IntN(2) == 0 && b.Take() {
+						retried++
+					}
+				}
+				calls, retries = append(calls, called), append(retries, retried)
+			}
+			steps := int(window / step)
+			for from := 0; from+steps <= len(calls); from++ {
+				allowed, used := float64(slack), 0
+				for i := from; i < from+steps; i++ {
+					allowed += ratio * float64(calls[i])
+					used += retries[i]
+				}
+				assert.Assert(t, float64(used) <= allowed, "%d of %.0f in a window", used, allowed)
+				assert.Assert(t, float64(used) >= allowed/3, "%d of %.0f in a window", used, allowed)
+			}
+		})
+	}
+}
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -56,7 +56,9 @@
 }
 
 func newService(name string, disabledSet mechanism.Set) *service {
-	return &service{name: name, spec: &apiv1.ServiceSpec{}, pool: balancer.NewPool(newPolicy(disabledSet)), budget: retry.NewBudget(0)}
+	budget := retry.NewBudget(0)
+	budget.SetRandom(rand.Float64)
+	return &service{name: name, spec: &apiv1.ServiceSpec{}, pool: balancer.NewPool(newPolicy(disabledSet)), budget: budget}
 }
 
 // newPolicy returns the balancing policy of nodes, with a random source of its own.
