--- a/internal/endpoint/large.go
+++ b/internal/endpoint/large.go
@@ -20,9 +20,9 @@
 	// readAheadChunk is the size of the pieces in which it is read.
 	readAheadChunk = 32 << 10
 	// maxLargeTransfers is the number of large responses that are sent to other nodes at the
-	// same time. More would take as long in all, and short responses would wait on the host's
-	// link behind each of them.
-	maxLargeTransfers = 2
+	// same time. More would take as long in all, and short responses would wait behind each of
+	// them on the host's link.
+	maxLargeTransfers = 1
 	// maxTransferTime is how long a transfer counts as one of them. A receiver that takes
 	// longer is not limited by this host's link.
 	maxTransferTime = 500 * time.Millisecond
