--- a/core/usage/keeper.go
+++ b/core/usage/keeper.go
@@ -22,6 +22,10 @@
 	maxTransferInterval = 400 * time.Millisecond
 	// idleSpenderTime is how long a keeper remembers a node that reports nothing.
 	idleSpenderTime = 30 * time.Second
+	// startTime is the time for which a new keeper has tokens. Without any, it would refuse the
+	// first requests of accounts below their caps; with a full burst, a keeper that is
+	// restarted again and again would multiply the cap.
+	startTime = 250 * time.Millisecond
 	// minWait is the shortest wait that a keeper announces.
 	minWait = 50 * time.Millisecond
 )
@@ -132,8 +136,8 @@
 		return nil
 	}
 	// A new keeper does not know what was spent before. It starts with the tokens of the time
-	// since the members last changed, and gets more from the others.
-	level := min(capacity, perSecond*(now-k.membersSince).Seconds())
+	// since the members last changed and of startTime, and gets more from the others.
+	level := min(capacity, max(1, perSecond*(now-k.membersSince+startTime).Seconds()))
 	p := &portion{generation: k.generation, others: others, perSecond: perSecond, capacity: capacity, level: level, refilledAt: now, open: true,
 		spenders: map[string]*spender{}, transferInterval: minTransferInterval, noticeAt: -noticeInterval, transferAt: -maxTransferInterval}
 	k.portions[account] = p
