usage: the keepers of the caps are compared by slices.Equal

Cause: equalMembers wrote slices.Equal again, though usage.Member is comparable. Change: slices.Equal in its place.

--- a/internal/usage/accountant.go
+++ b/internal/usage/accountant.go
@@ -5,6 +5,7 @@
 import (
 	"expvar"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -83,7 +84,7 @@
 func (a *Accountant) SetMembers(members []usage.Member) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if equalMembers(a.members, members) {
+	if slices.Equal(a.members, members) {
 		return
 	}
 	a.members = members
@@ -91,18 +92,6 @@
 	a.keeper.SetMembers(a.now(), members)
 }
 
-func equalMembers(a, b []usage.Member) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
-
 // Admit decides on a request of an account and charges it if it is admitted.
 func (a *Accountant) Admit(account string) usage.Decision {
 	a.mu.Lock()
