--- a/core/rollout/records.go
+++ b/core/rollout/records.go
@@ -54,15 +54,7 @@
 
 // Services returns the records of all services that are not removed, sorted by
 // name.
-func (r *Records) Services() []*apiv1.ServiceRecord {
-	var list []*apiv1.ServiceRecord
-	for _, s := range sortedByKey(r.services) {
-		if !s.Removed {
-			list = append(list, s)
-		}
-	}
-	return list
-}
+func (r *Records) Services() []*apiv1.ServiceRecord { return notRemoved(r.services) }
 
 // Draining reports whether an operator announced a planned stop of the host.
 func (r *Records) Draining(host string) bool { return r.hosts[host].GetDraining() }
@@ -137,15 +129,7 @@
 
 // Accounts returns the client accounts that are not removed, sorted by institution and
 // name.
-func (r *Records) Accounts() []*apiv1.AccountRecord {
-	var list []*apiv1.AccountRecord
-	for _, account := range sortedByKey(r.accounts) {
-		if !account.Removed {
-			list = append(list, account)
-		}
-	}
-	return list
-}
+func (r *Records) Accounts() []*apiv1.AccountRecord { return notRemoved(r.accounts) }
 
 // qualifiedName returns the key of a route or client account. It includes the institution
 // because two institutions may use the same name.
@@ -156,15 +140,7 @@
 func accountRecordKey(r *apiv1.AccountRecord) string { return qualifiedName(r.Institution, r.Name) }
 
 // Routes returns the routes that are not removed, sorted by institution and name.
-func (r *Records) Routes() []*apiv1.RouteRecord {
-	var list []*apiv1.RouteRecord
-	for _, route := range sortedByKey(r.routes) {
-		if !route.Removed {
-			list = append(list, route)
-		}
-	}
-	return list
-}
+func (r *Records) Routes() []*apiv1.RouteRecord { return notRemoved(r.routes) }
 
 // Limits returns the smallest of the institutions' limits for each field. A value
 // of 0 means that no institution sets the limit.
@@ -351,6 +327,11 @@
 	return list
 }
 
+// notRemoved returns the records of a map that are not removed, sorted by key.
+func notRemoved[R interface{ GetRemoved() bool }](records map[string]R) []R {
+	return slices.DeleteFunc(sortedByKey(records), R.GetRemoved)
+}
+
 // changedSince returns the records with ChangedAt above since, sorted by key.
 func changedSince[R interface{ GetChangedAt() uint64 }](records map[string]R, since uint64) []R {
 	var list []R
