node: apply reads the generation once and sorts the keepers only for a change

Cause: changedServices locked and read the generation that apply had just read, and a record that arrived in between made the two differ; configuredGeneration held what applied.generation says; every apply collected and sorted all nodes, though the keepers can change only with an entry or the records. Change: apply hands the generation on, applied.generation is the only one kept, and the keepers are set where services changed. Evidence: go test ./internal/node; go test ./internal/e2e -run Account.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -116,10 +116,8 @@
 	// state could apply it last: an older configuration or drain state would then stay
 	// in effect until the next change. applyMu is locked before mu.
 	applyMu sync.Mutex
-	// configuredGeneration is the generation of the records that the proxy uses; guarded by
-	// applyMu.
-	configuredGeneration uint64
-	// applied are the entries that were applied last; guarded by applyMu.
+	// applied are the entries and the generation of the records that were applied last;
+	// guarded by applyMu.
 	applied appliedEntries
 	// candidateLists are the buffers of candidates, by service; guarded by applyMu.
 	candidateLists map[string][]balancer.Candidate
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -195,7 +195,7 @@
 	// Most changes concern entries only. The routing table of a large configuration takes
 	// milliseconds to build, of which a small host has few.
 	var configure func()
-	if revision > 0 && generation != n.configuredGeneration {
+	if revision > 0 && generation != n.applied.generation {
 		configure = n.configuration()
 	}
 	byService := n.view.ByService()
@@ -203,13 +203,12 @@
 	n.mu.Unlock()
 	if configure != nil {
 		configure()
-		n.configuredGeneration = generation
 	}
-	if n.usage.HasCaps() {
-		n.usage.SetMembers(usageMembers(byService))
-	}
-	changed := n.changedServices(byService)
+	changed := n.changedServices(byService, generation)
 	if len(changed) > 0 {
+		if n.usage.HasCaps() {
+			n.usage.SetMembers(usageMembers(byService))
+		}
 		n.proxy.UpdateServices(n.candidates(changed))
 		n.quarantine.SetPeers(n.reports.setPeers(byService))
 	}
@@ -219,13 +218,11 @@
 	n.updateGateState()
 }
 
-// changedServices returns the services whose entries or evacuations differ from those of the
-// last call, with their entries. In a large fleet, a change of one entry must not cost as
-// much as one of all. The caller holds applyMu.
-func (n *Node) changedServices(byService map[string][]*apiv1.Entry) map[string][]*apiv1.Entry {
-	n.mu.Lock()
-	generation := n.records.Generation()
-	n.mu.Unlock()
+// changedServices returns the services whose entries differ from those of the last call, with
+// their entries; all services if the generation of the records, and so perhaps an evacuation,
+// differs. In a large fleet, a change of one entry must not cost as much as one of all. The
+// caller holds applyMu.
+func (n *Node) changedServices(byService map[string][]*apiv1.Entry, generation uint64) map[string][]*apiv1.Entry {
 	before := n.applied
 	n.applied = appliedEntries{byService, generation}
 	changed := map[string][]*apiv1.Entry{}
@@ -243,7 +240,8 @@
 }
 
 // appliedEntries are the entries that the proxy, the gate and the reports use, and the
-// generation of the records whose evacuations were applied to them.
+// generation of the records: of the configuration in use, and of the evacuations that were
+// applied to the entries.
 type appliedEntries struct {
 	byService  map[string][]*apiv1.Entry
 	generation uint64
