gate: LimitReached has one name

Cause: LimitReached was added as a wrapper of limitReached, its twin. Evidence: go test ./gate, ./internal/mutation.

--- a/core/gate/admit.go
+++ b/core/gate/admit.go
@@ -163,7 +163,7 @@
 	if g.isShort(now, it.Request) {
 		g.lastShortAt = max(1, now)
 	}
-	if g.limitReached(now) {
+	if g.LimitReached(now) {
 		if !g.tryMove(now, it, 0) {
 			g.emit(Event{Kind: Refused, Handle: it.Handle, Reason: Limited, RetryAfter: g.limitRetryAfter(now), SiblingsFull: g.fullEverywhere(now)})
 		}
--- a/core/gate/limit.go
+++ b/core/gate/limit.go
@@ -129,11 +129,9 @@
 	return max(0, g.limit.count-g.starts.within(now, g.limit.window))
 }
 
-// LimitReached reports whether a request that arrives now exceeds the server's named limit.
-func (g *Gate) LimitReached(now time.Duration) bool { return g.limitReached(now) }
-
-// limitReached reports whether the server has got as many requests as it accepts.
-func (g *Gate) limitReached(now time.Duration) bool {
+// LimitReached reports whether the server has got as many requests as it accepts, so that one
+// that arrives now exceeds its named limit.
+func (g *Gate) LimitReached(now time.Duration) bool {
 	return g.limit.inForce() && g.limitStartsLeft(now) == 0
 }
 
--- a/core/gate/moves.go
+++ b/core/gate/moves.go
@@ -94,7 +94,7 @@
 	if sib == nil {
 		return false
 	}
-	forced := g.closedReason() != 0 || g.limitReached(now) || g.failing(now) && !g.outlier.allowTrial(now)
+	forced := g.closedReason() != 0 || g.LimitReached(now) || g.failing(now) && !g.outlier.allowTrial(now)
 	if !forced && g.disabled(mechanism.Moves) {
 		return false
 	}
--- a/core/gate/start.go
+++ b/core/gate/start.go
@@ -61,7 +61,7 @@
 		g.announce(now)
 		return g.takeEvents()
 	}
-	if g.limitReached(now) {
+	if g.LimitReached(now) {
 		g.drop(it, Limited, g.limitRetryAfter(now))
 		g.announce(now)
 		return g.takeEvents()
@@ -103,7 +103,7 @@
 // startWaiting starts waiting requests while slots are free.
 func (g *Gate) startWaiting(now time.Duration) {
 	for {
-		if g.queue.size > 0 && g.limitReached(now) {
+		if g.queue.size > 0 && g.LimitReached(now) {
 			g.rejectOverLimit(now)
 			return
 		}
