--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -24,8 +24,9 @@
 )
 
 // reports sends and receives UDP datagrams between nodes: load reports of gates, messages
-// about servers that crashed, and messages about the usage of client accounts. No datagram is retransmitted, because a later
-// one contains the information of a lost one. It is safe for concurrent use.
+// about servers that crashed, and messages about the usage of client accounts. No datagram is
+// retransmitted, because a later one contains the information of a lost one. It is safe for
+// concurrent use.
 type reports struct {
 	n *Node
 
