--- a/internal/proxy/fakenode_test.go
+++ b/internal/proxy/fakenode_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -23,6 +24,22 @@
 
 // Helpers that run a Handler with fake endpoint nodes behind it.
 
+// Update replaces the endpoints of every service.
+func (h *Handler) Update(endpoints map[string][]balancer.Candidate) {
+	changed := maps.Clone(endpoints)
+	if changed == nil {
+		changed = map[string][]balancer.Candidate{}
+	}
+	h.mu.RLock()
+	for name := range h.services {
+		if _, ok := endpoints[name]; !ok {
+			changed[name] = nil
+		}
+	}
+	h.mu.RUnlock()
+	h.UpdateServices(changed)
+}
+
 type noLocal struct{}
 
 func (noLocal) Endpoint(string) *endpoint.Endpoint { return nil }
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -138,22 +138,6 @@
 // RoutedServices returns the sorted names of the services that routes refer to.
 func (h *Handler) RoutedServices() []string { return h.table.Load().Services() }
 
-// Update replaces the endpoints of every service.
-func (h *Handler) Update(endpoints map[string][]balancer.Candidate) {
-	changed := maps.Clone(endpoints)
-	if changed == nil {
-		changed = map[string][]balancer.Candidate{}
-	}
-	h.mu.RLock()
-	for name := range h.services {
-		if _, ok := endpoints[name]; !ok {
-			changed[name] = nil
-		}
-	}
-	h.mu.RUnlock()
-	h.UpdateServices(changed)
-}
-
 // UpdateServices replaces the endpoints of the given services; the others keep theirs. The
 // lists may be reused afterwards. Only one goroutine may call it at a time.
 func (h *Handler) UpdateServices(changed map[string][]balancer.Candidate) {
@@ -390,8 +374,9 @@
 }
 
 // callerID identifies the sender for fair queueing: by its client account if it has one,
-// otherwise by its address without the port, or by this host's name for loopback addresses. All nodes have loopback callers, and without their
-// hosts' names an endpoint's queue would treat these as a single caller.
+// otherwise by its address without the port, or by this host's name for loopback addresses.
+// All nodes have loopback callers, and without their hosts' names an endpoint's queue would
+// treat these as a single caller.
 func (h *Handler) callerID(r *http.Request, account *Account) string {
 	if account != nil {
 		return account.ID
