--- a/core/mechanism/mechanism.go
+++ b/core/mechanism/mechanism.go
@@ -64,11 +64,21 @@
 	// Shedding refuses a share of requests while the process is short of processor
 	// time.
 	Shedding
+	// Link paces large responses on the link of a host, and lets gates take the link into
+	// account for them.
+	Link
+	// Profile gives a gate that has just started what the gates of its service had learned.
+	Profile
+	// Leases gives nodes tokens of usage caps ahead of demand.
+	Leases
+	// RetryNeed lets retries go first to the requests that have no other chance.
+	RetryNeed
 )
 
 var names = map[Set]string{
 	Moves: "moves", Holds: "holds", Hints: "hints", Contention: "crowd", Ranks: "ranks", Aims: "aims", KeptSlots: "kept-slots", SiblingsFull: "everywhere",
 	Outlier: "outlier", PersistentSlowdown: "lasting", Cold: "cold", ReportedSlowdown: "told", FairShares: "fair-shares", Near: "near", Silence: "silence", AskFirst: "ask-first", SpeedModel: "pace", Shedding: "shedding",
+	Link: "link", Profile: "profile", Leases: "leases", RetryNeed: "retry-need",
 }
 
 // Has reports whether the set contains a mechanism.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -67,6 +67,13 @@
 	// KeyLease is how long keys of client accounts are accepted after the last contact with
 	// the control replicas, direct or through a relay; 0 means without limit.
 	KeyLease time.Duration
+	// LinkBytesPerSecond is the bandwidth of the host's link; 0 means that large responses
+	// are not paced.
+	LinkBytesPerSecond float64
+	// LearnedProfiles makes the gate share what it learns through the control replicas.
+	LearnedProfiles bool
+	// RetryByNeed makes retries go first to the requests that have no other chance.
+	RetryByNeed bool
 	// Disabled is the set of decision mechanisms that are switched off.
 	Disabled mechanism.Set
 }
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -78,7 +78,7 @@
 func (p *Process) openControl() error {
 	c := p.Settings.Control
 	p.initDataFolderWithRetry()
-	options := replica.Options{Name: c.Name, Address: c.Address, DataFolder: c.DataFolder, Security: p.security, Operators: operators(c), DataCenter: p.Settings.DataCenter, DataCenters: c.DataCenters}
+	options := replica.Options{Name: c.Name, Address: c.Address, DataFolder: c.DataFolder, Security: p.security, Operators: operators(c), DataCenter: p.Settings.DataCenter, DataCenters: c.DataCenters, LearnedProfiles: p.Settings.LearnedProfiles}
 	if c.Group != nil {
 		options.Group = &replica.Group{Tolerate: c.Group.Tolerate, Control: p.client}
 	}
@@ -185,10 +185,14 @@
 		Disabled: s.Disabled, Dialect: p.dialect(), Service: n.Service, Backend: n.Backend, WatchControl: n.WatchControl,
 		Retry: proxy.SharedRetryBudget{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window},
 		Usage: usage.Tolerance{Slack: s.UsageSlack, Overage: s.UsageOverage}, KeyLease: s.KeyLease,
+		LinkBytesPerSecond: s.LinkMbps * bytesPerMegabit, LearnedProfiles: s.LearnedProfiles, RetryByNeed: s.RetryOrder == settings.RetryByNeed,
 	})
 	return nil
 }
 
+// bytesPerMegabit converts Mbit/s to bytes per second.
+const bytesPerMegabit = 1e6 / 8
+
 func listen(address string) (net.Listener, error) {
 	l, err := net.Listen("tcp", address)
 	return l, errors.Wrapf(err, "listen on %s; check the address in the settings and whether another process uses it", address)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -42,6 +42,9 @@
 	// DataCenters lists the data centres that may be evacuated. If it is empty, any name is
 	// accepted.
 	DataCenters []string
+	// LearnedProfiles makes the replica keep what gates learn of their backend servers, for gates
+	// that start.
+	LearnedProfiles bool
 	// Tick is the time unit of the consensus core, in which election timeouts and heartbeats are
 	// counted; 0 means 50 ms.
 	Tick time.Duration
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -45,6 +45,14 @@
 	// KeyLease is how long a node goes on accepting keys of client accounts after it lost the
 	// control replicas, which may have taken keys away in the meantime.
 	KeyLease time.Duration
+	// LinkMbps is the bandwidth of the host's link in Mbit/s. If it is 0, large responses are not
+	// paced.
+	LinkMbps float64
+	// LearnedProfiles makes gates share what they learn of their backend servers through the
+	// control replicas, so that a gate which has just started need not learn it anew.
+	LearnedProfiles bool
+	// RetryOrder decides which requests get retries while the retry budget is short.
+	RetryOrder RetryOrder
 	// Metrics is the address that serves metrics to other hosts, or empty to serve none.
 	Metrics string
 	// Disabled is the set of mechanisms that are switched off, such as the refusal of requests when
@@ -62,6 +70,17 @@
 	Window       time.Duration
 }
 
+// RetryOrder is the order in which requests get retries while the retry budget is short.
+type RetryOrder string
+
+// Retry orders.
+const (
+	// RetryFirstCome lets requests have retries in the order in which they ask for them.
+	RetryFirstCome RetryOrder = "first-come"
+	// RetryByNeed prefers requests that will not be tried again by their callers.
+	RetryByNeed RetryOrder = "by-need"
+)
+
 // Adapter selects the adapter of a platform, which is the code that translates the formats of the
 // platform, and configures it.
 type Adapter struct {
@@ -136,6 +155,7 @@
 	minGCPercent     = 10
 	maxGCPercent     = 1000
 	maxUsageSlack    = 1e6
+	maxLinkMbps      = 100_000
 	// defaultUsageOverage is a tolerance that users of such caps commonly accept.
 	defaultUsageOverage = 0.1
 )
@@ -175,7 +195,7 @@
 	if len(reader.Problems()) > 0 {
 		return nil, reader.Problems()
 	}
-	s := &Settings{StopTimeout: defaultStopTimeout, KeyLease: defaultKeyLease, UsageOverage: defaultUsageOverage, GCPercent: defaultGCPercent}
+	s := &Settings{StopTimeout: defaultStopTimeout, KeyLease: defaultKeyLease, UsageOverage: defaultUsageOverage, GCPercent: defaultGCPercent, RetryOrder: RetryFirstCome}
 	allowPlainText := false
 	root.Object(map[string]func(jsonc.Node){
 		"host":            func(n jsonc.Node) { s.Host = readName(n) },
@@ -191,6 +211,9 @@
 		"usageOverage":    func(n jsonc.Node) { s.UsageOverage = n.Float(0, 1) },
 		"usageSlack":      func(n jsonc.Node) { s.UsageSlack = n.Float(0, maxUsageSlack) },
 		"gcPercent":       func(n jsonc.Node) { s.GCPercent = int(n.Uint(minGCPercent, maxGCPercent)) },
+		"linkMbps":        func(n jsonc.Node) { s.LinkMbps = n.Float(0, maxLinkMbps) },
+		"learnedProfiles": func(n jsonc.Node) { s.LearnedProfiles = n.Bool() },
+		"retryOrder":      func(n jsonc.Node) { s.RetryOrder = readRetryOrder(n) },
 		"stopTimeout":     func(n jsonc.Node) { s.StopTimeout = n.Duration(time.Second, time.Hour) },
 		"metrics":         func(n jsonc.Node) { s.Metrics = readAddress(n) },
 		"policy":          func(n jsonc.Node) { s.Disabled = readPolicy(n) },
@@ -203,6 +226,14 @@
 	return s, reader.Problems()
 }
 
+func readRetryOrder(n jsonc.Node) RetryOrder {
+	order := RetryOrder(n.String())
+	if order != RetryFirstCome && order != RetryByNeed {
+		n.Fail("no such order of retries", `use "`+string(RetryFirstCome)+`" or "`+string(RetryByNeed)+`"`)
+	}
+	return order
+}
+
 // readPolicy reads an object such as {"disable": ["NAME", ...]} and returns the set of the named
 // mechanisms.
 func readPolicy(n jsonc.Node) mechanism.Set {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -31,6 +31,21 @@
 	assert.Equal(t, s.Disabled, mechanism.Hints|mechanism.Moves)
 }
 
+// TestScarceResourcesAreOffByDefault guards against a deployment that is served differently though
+// its settings do not ask for it.
+func TestScarceResourcesAreOffByDefault(t *testing.T) {
+	s, problems := Parse([]byte(validSettings))
+	assert.Equal(t, len(problems), 0)
+	assert.Equal(t, s.LinkMbps, 0.0)
+	assert.Assert(t, !s.LearnedProfiles)
+	assert.Equal(t, s.RetryOrder, RetryFirstCome)
+	s, problems = Parse([]byte(strings.Replace(validSettings, `"host": "h1"`, `"linkMbps": 4.2, "learnedProfiles": true, "retryOrder": "by-need", "host": "h1"`, 1)))
+	assert.Equal(t, len(problems), 0)
+	assert.Equal(t, s.LinkMbps, 4.2)
+	assert.Assert(t, s.LearnedProfiles)
+	assert.Equal(t, s.RetryOrder, RetryByNeed)
+}
+
 func TestParseRefuses(t *testing.T) {
 	cases := []struct{ desc, old, new, want string }{
 		{"no role", `"node"`, `"nodes"`, `unknown field "nodes"`},
@@ -40,6 +55,8 @@
 		{"founders without itself", `{"c1": "127`, `{"c2": "127`, "founders does not list this replica"},
 		{"short digest", `0123456789012`, `1`, "not a SHA-256 digest"},
 		{"unknown mechanism", `"host": "h1"`, `"policy": {"disable": ["moves", "luck"]}, "host": "h1"`, "no such mechanism: \"luck\""},
+		{"negative bandwidth", `"host": "h1"`, `"linkMbps": -1, "host": "h1"`, "is out of range"},
+		{"unknown order of retries", `"host": "h1"`, `"retryOrder": "random", "host": "h1"`, "no such order of retries"},
 		{"no replicas", `["10.0.0.1:7000"]`, `[]`, "no control replica is named"},
 	}
 	for _, c := range cases {
