core/link: scheduler of large responses on a host's link

What callers saw: during bursts of downloads, short responses waited hundreds of milliseconds on the link of the server's host. Cause: large responses are written as fast as the buffers of their connections take them, and short ones queue behind them in front of the link. Change: a pure scheduler releases the chunks of large responses at 0.9 of the link's bandwidth, minus what counted bytes have just taken, the transfer with the fewest bytes left first. Large ones keep a tenth of the link when counted bytes exceed it.

--- /dev/null
+++ b/core/link/link.go
@@ -0,0 +1,204 @@
+// Package link decides when the chunks of large responses may be written to the link of a
+// host, so that short responses do not queue behind them.
+//
+// The link is modelled as a server that sends large chunks one at a time at a share of its
+// bandwidth. Bytes that are written without asking take their time out of that share. Because
+// a chunk is released only when the link is expected to have sent the one before it, the
+// queue in front of the link stays as short as a chunk, whatever the buffers of the
+// connections could hold.
+package link
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// LargeBytes is the length from which a response is large. A shorter one takes at most
+	// 24 ms of a link with 11 Mbit/s and is not worth a wait.
+	LargeBytes = 32 << 10
+	// maxChunkBytes and maxChunkTime limit a chunk: a short response may have to wait for
+	// one to pass. 5 ms is small against the shortest aims (150 ms), and large enough that a
+	// host with a sixth of a core can afford a wake-up for each chunk.
+	maxChunkBytes = 8 << 10
+	maxChunkTime  = 5 * time.Millisecond
+	// minChunkBytes is the smallest chunk on links below 0.8 Mbit/s, where 5 ms are less
+	// than a packet.
+	minChunkBytes = 512
+	// largeShare is the share of the bandwidth that large and counted bytes may take together
+	// while large ones are sent. The rest covers heads of messages, packet headers and
+	// traffic that is not counted.
+	largeShare = 0.9
+	// minLargeShare is the share that large responses get even while counted bytes take more
+	// than the whole link, for example because the bandwidth is set too low. Without it they
+	// would wait forever.
+	minLargeShare = 0.1
+	// maxDebt limits for how long bytes written without asking can keep large responses
+	// waiting after the last of them.
+	maxDebt = 200 * time.Millisecond
+	// stalledAfter is how long after its last chunk a transfer that asks for none still
+	// counts in the backlog. Its receiver or its source, not this link, limits it then.
+	stalledAfter = 500 * time.Millisecond
+)
+
+// TransferID identifies the transfer of one large response; 0 is none.
+type TransferID uint64
+
+// transfer is one large response that is being sent.
+type transfer struct {
+	id TransferID
+	// left is the number of bytes still to be sent; it is meaningless if the length is
+	// unknown.
+	left    int64
+	unknown bool
+	sent    int64
+	due     time.Duration
+	// asked is the size of the chunk that waits to be sent; 0 if none does.
+	asked int
+	// activeAt is when the transfer began, last asked or last got a chunk.
+	activeAt time.Duration
+}
+
+// expectedLeft returns the number of bytes that the transfer is expected to send. A response
+// of unknown length is expected to be as long again as it is now.
+func (t *transfer) expectedLeft() int64 {
+	if t.unknown {
+		return max(LargeBytes, t.sent)
+	}
+	return t.left
+}
+
+// backlog returns the number of bytes that count as waiting for the link. An unknown length
+// counts as the shortest large one, since a stream without end would otherwise grow forever.
+func (t *transfer) backlog(now time.Duration) int64 {
+	switch {
+	case t.asked == 0 && now-t.activeAt > stalledAfter:
+		return 0
+	case t.unknown:
+		return LargeBytes
+	}
+	return t.left
+}
+
+// Scheduler orders the chunks of all large responses of a host. Not safe for concurrent use.
+type Scheduler struct {
+	bytesPerSecond float64
+	chunk          int
+	// nextAt is when the link will have sent, at largeShare of its bandwidth, what was
+	// released so far. guaranteedAt is when the next chunk is released at the latest.
+	nextAt, guaranteedAt time.Duration
+	// transfers are in the order in which they began. A host has at most some hundred, as
+	// many as it has large responses in progress.
+	transfers []*transfer
+	lastID    TransferID
+	// before reports whether a chunk of a goes before one of b.
+	before func(a, b *transfer) bool
+}
+
+// New returns the scheduler of a link with the given bandwidth, which is above 0.
+func New(bytesPerSecond float64) *Scheduler {
+	chunk := min(maxChunkBytes, max(minChunkBytes, bytesPerSecond*maxChunkTime.Seconds()))
+	return &Scheduler{bytesPerSecond: bytesPerSecond, chunk: int(chunk), before: fewestBytesLeft}
+}
+
+// fewestBytesLeft lets the transfer that is expected to end soonest go first, which completes
+// the most responses by any time. Transfers of the same length go in the order of their times.
+func fewestBytesLeft(a, b *transfer) bool {
+	if left, other := a.expectedLeft(), b.expectedLeft(); left != other {
+		return left < other
+	}
+	return a.due < b.due
+}
+
+// Chunk returns the largest number of bytes that a transfer may ask for at once.
+func (s *Scheduler) Chunk() int { return s.chunk }
+
+// Sent records bytes that were written without asking.
+func (s *Scheduler) Sent(now time.Duration, bytes int) { s.charge(now, bytes) }
+
+// Begin starts the transfer of a response with the given number of bytes, or an unknown one
+// if it is negative, that its receiver expects by due.
+func (s *Scheduler) Begin(now time.Duration, bytes int64, due time.Duration) TransferID {
+	if len(s.transfers) == 0 {
+		// An idle link has no late chunks to make up for.
+		s.nextAt = max(s.nextAt, now)
+	}
+	s.lastID++
+	s.transfers = append(s.transfers, &transfer{id: s.lastID, left: max(0, bytes), unknown: bytes < 0, due: due, activeAt: now})
+	return s.lastID
+}
+
+// Ask requests that a transfer may write its next chunk, of at most Chunk bytes.
+func (s *Scheduler) Ask(now time.Duration, id TransferID, bytes int) {
+	if t := s.find(id); t != nil {
+		t.asked, t.activeAt = min(max(1, bytes), s.chunk), now
+	}
+}
+
+// Next returns the transfer that may write its chunk now. If there is none, ok is false, and
+// at is when to call Next again, or 0 if no transfer waits.
+func (s *Scheduler) Next(now time.Duration) (id TransferID, ok bool, at time.Duration) {
+	first := s.first()
+	if first == nil {
+		return 0, false, 0
+	}
+	if at := min(s.nextAt, s.guaranteedAt); at > now {
+		return 0, false, at
+	}
+	bytes := first.asked
+	s.charge(now, bytes)
+	s.guaranteedAt = now + s.duration(float64(bytes), minLargeShare)
+	first.asked, first.activeAt = 0, now
+	first.sent += int64(bytes)
+	first.left = max(0, first.left-int64(bytes))
+	return first.id, true, 0
+}
+
+// End ends a transfer, whether or not all of it was sent.
+func (s *Scheduler) End(_ time.Duration, id TransferID) {
+	s.transfers = slices.DeleteFunc(s.transfers, func(t *transfer) bool { return t.id == id })
+}
+
+// Backlog returns how long the link needs for the remaining bytes of all large transfers.
+func (s *Scheduler) Backlog(now time.Duration) time.Duration {
+	bytes := int64(0)
+	for _, t := range s.transfers {
+		bytes += t.backlog(now)
+	}
+	if bytes == 0 {
+		return 0
+	}
+	return max(0, s.nextAt-now) + s.duration(float64(bytes), largeShare)
+}
+
+// charge adds released bytes to what the link has to send. Time that has passed unused is lost
+// except for that of one chunk, so that after a late timer at most two chunks go at once.
+func (s *Scheduler) charge(now time.Duration, bytes int) {
+	unused := now - s.duration(float64(s.chunk), largeShare)
+	s.nextAt = min(max(s.nextAt, unused)+s.duration(float64(bytes), largeShare), now+maxDebt)
+}
+
+// duration returns the time that a share of the link needs for bytes.
+func (s *Scheduler) duration(bytes, share float64) time.Duration {
+	return time.Duration(bytes / (s.bytesPerSecond * share) * float64(time.Second))
+}
+
+// first returns the transfer whose chunk goes next, or nil if none waits.
+func (s *Scheduler) first() *transfer {
+	var first *transfer
+	for _, t := range s.transfers {
+		if t.asked > 0 && (first == nil || s.before(t, first)) {
+			first = t
+		}
+	}
+	return first
+}
+
+func (s *Scheduler) find(id TransferID) *transfer {
+	for _, t := range s.transfers {
+		if t.id == id {
+			return t
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/core/link/link_test.go
@@ -0,0 +1,211 @@
+package link
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	ms = time.Millisecond
+	// tournamentLink is the bandwidth of a host with 11 Mbit/s in bytes per second.
+	tournamentLink = 11e6 / 8
+)
+
+// releasedUntil returns the bytes of the chunks that each transfer gets until the given time,
+// with a timer that fires as Next asks. Each of them asks for its next chunk at once.
+func releasedUntil(s *Scheduler, now, until time.Duration) map[TransferID]int {
+	released := map[TransferID]int{}
+	for now <= until {
+		id, ok, at := s.Next(now)
+		switch {
+		case ok:
+			released[id] += s.Chunk()
+			s.Ask(now, id, s.Chunk())
+		case at == 0:
+			return released
+		default:
+			now = at
+		}
+	}
+	return released
+}
+
+// Guards against chunks that a short response has to wait for longer than 5 ms, and against
+// more wake-ups than a small host can afford.
+func TestChunksAreLimitedInBytesAndTime(t *testing.T) {
+	for _, tc := range []struct {
+		bytesPerSecond float64
+		chunk          int
+	}{{100e6 / 8, 8192}, {tournamentLink, 6875}, {4.2e6 / 8, 2625}, {1000, minChunkBytes}} {
+		assert.Equal(t, New(tc.bytesPerSecond).Chunk(), tc.chunk)
+	}
+}
+
+// Guards against a queue in front of the link: large responses and counted bytes together must
+// not take more than their share in any tenth of a second, except for two chunks.
+func TestLargeResponsesLeaveRoomForCountedBytes(t *testing.T) {
+	for _, short := range []float64{0, 0.2, 0.5} {
+		s := New(tournamentLink)
+		id := s.Begin(0, 100<<20, time.Second)
+		s.Ask(0, id, s.Chunk())
+		var released []int
+		for step := range 20 {
+			now := time.Duration(step) * 100 * ms
+			s.Sent(now, int(short*tournamentLink/10))
+			released = append(released, releasedUntil(s, now, now+100*ms-1)[id])
+		}
+		total := 0
+		for _, bytes := range released {
+			total += bytes
+			limit := int((largeShare-short)*tournamentLink/10) + 2*s.Chunk()
+			assert.Assert(t, bytes <= limit, "%d bytes in a tenth of a second, at most %d expected", bytes, limit)
+		}
+		assert.Assert(t, float64(total) > 0.95*(largeShare-short)*tournamentLink*2, "only %d bytes in two seconds: the link is left unused", total)
+	}
+}
+
+// Guards against large responses that never end because counted bytes take the whole link, as
+// they do if the bandwidth in the settings is too low.
+func TestLargeResponsesKeepAGuaranteedShare(t *testing.T) {
+	s := New(tournamentLink)
+	id := s.Begin(0, 100<<20, time.Second)
+	s.Ask(0, id, s.Chunk())
+	total := 0
+	for step := range 200 {
+		now := time.Duration(step) * 10 * ms
+		s.Sent(now, int(3*tournamentLink/100))
+		total += releasedUntil(s, now, now+10*ms-1)[id]
+	}
+	assert.Assert(t, float64(total) > 0.9*minLargeShare*tournamentLink*2, "%d bytes in two seconds", total)
+	assert.Assert(t, float64(total) < 1.2*minLargeShare*tournamentLink*2, "%d bytes in two seconds", total)
+
+	// Once nothing is counted any more, the large one has its share again.
+	released := releasedUntil(s, 2*time.Second+maxDebt, 3*time.Second+maxDebt)[id]
+	assert.Assert(t, float64(released) > 0.95*largeShare*tournamentLink, "%d bytes in a second", released)
+}
+
+// Guards against a receiver that stops reading and holds up all other large responses.
+func TestReceiverThatDoesNotReadDelaysNoOther(t *testing.T) {
+	s := New(tournamentLink)
+	stuck := s.Begin(0, 40<<10, time.Second)
+	other := s.Begin(0, 500<<10, 2*time.Second)
+	s.Ask(0, stuck, s.Chunk())
+	s.Ask(0, other, s.Chunk())
+	id, ok, _ := s.Next(0)
+	assert.Assert(t, ok && id == stuck, "the shorter one goes first")
+	// The stuck one asks no more, since its write blocks.
+	released := releasedUntil(s, 0, time.Second)
+	assert.Equal(t, released[stuck], 0)
+	assert.Assert(t, float64(released[other]) > 0.95*largeShare*tournamentLink, "%d bytes in a second", released[other])
+
+	// It counts in the backlog for half a second only, since this link does not limit it.
+	s.End(0, other)
+	assert.Assert(t, s.Backlog(400*ms) > 20*ms)
+	assert.Equal(t, s.Backlog(600*ms), time.Duration(0))
+	s.Ask(600*ms, stuck, s.Chunk())
+	assert.Assert(t, s.Backlog(600*ms) > 20*ms)
+}
+
+// Guards against a burst after a timer that fired late, for example because the process had
+// no processor time: at most two chunks may go at once. The time of the second one is made up
+// for, or each late timer would leave the link unused.
+func TestLateTimerReleasesTwoChunksAtMost(t *testing.T) {
+	s := New(tournamentLink)
+	var ids []TransferID
+	for range 5 {
+		id := s.Begin(0, 500<<10, time.Second)
+		s.Ask(0, id, s.Chunk())
+		ids = append(ids, id)
+	}
+	atOnce := func(now time.Duration) (chunks int) {
+		for {
+			id, ok, _ := s.Next(now)
+			if !ok {
+				return chunks
+			}
+			chunks++
+			s.Ask(now, id, s.Chunk())
+		}
+	}
+	assert.Equal(t, atOnce(0), 1, "an idle link starts with one chunk")
+	assert.Equal(t, atOnce(300*ms), 2)
+	assert.Equal(t, atOnce(301*ms), 0)
+	for _, id := range ids {
+		s.End(300*ms, id)
+	}
+	// After a pause without transfers there is nothing to make up for.
+	s.Ask(time.Second, s.Begin(time.Second, 500<<10, time.Second), s.Chunk())
+	assert.Equal(t, atOnce(time.Second), 1)
+}
+
+// Guards against a transfer whose request has ended and that still takes the link or counts in
+// the backlog.
+func TestEndedTransferIsReleased(t *testing.T) {
+	s := New(tournamentLink)
+	ended, other := s.Begin(0, 100<<10, 0), s.Begin(0, 300<<10, 0)
+	s.Ask(0, ended, s.Chunk())
+	s.Ask(0, other, s.Chunk())
+	before := s.Backlog(0)
+	s.End(0, ended)
+	assert.Assert(t, before-s.Backlog(0) > 80*ms, "backlog %v before, %v after", before, s.Backlog(0))
+	id, ok, _ := s.Next(0)
+	assert.Assert(t, ok && id == other)
+	s.End(0, other)
+	_, ok, at := s.Next(time.Second)
+	assert.Assert(t, !ok && at == 0, "an idle scheduler wakes nobody")
+	assert.Equal(t, s.Backlog(0), time.Duration(0))
+	s.Ask(time.Second, ended, 100)
+	s.End(time.Second, ended)
+	_, ok, _ = s.Next(time.Second)
+	assert.Assert(t, !ok, "a transfer that has ended gets a chunk")
+}
+
+// Guards against a backlog that differs from the time that the transfers then take.
+func TestBacklogIsTheTimeThatTheTransfersTake(t *testing.T) {
+	s := New(tournamentLink)
+	sizes := map[TransferID]int{}
+	for _, size := range []int{90 << 10, 540 << 10, 40 << 10} {
+		id := s.Begin(0, int64(size), time.Second)
+		sizes[id] = size
+		s.Ask(0, id, s.Chunk())
+	}
+	expected, now := s.Backlog(0), time.Duration(0)
+	for len(sizes) > 0 {
+		id, ok, at := s.Next(now)
+		if !ok {
+			now = at
+			continue
+		}
+		if sizes[id] -= s.Chunk(); sizes[id] <= 0 {
+			delete(sizes, id)
+			s.End(now, id)
+			continue
+		}
+		s.Ask(now, id, min(sizes[id], s.Chunk()))
+	}
+	assert.Assert(t, now > expected-15*ms && now < expected+15*ms, "took %v, backlog %v", now, expected)
+
+	// A stream of unknown length counts as the shortest large response, however long it is.
+	stream := s.Begin(now, -1, time.Hour)
+	for range 100 {
+		s.Ask(now, stream, s.Chunk())
+		_, _, _ = s.Next(now)
+		now += 10 * ms
+	}
+	assert.Assert(t, s.Backlog(now) < 40*ms)
+}
+
+// Guards against decisions that allocate memory on each chunk.
+func TestChunksDoNotAllocate(t *testing.T) {
+	s := New(tournamentLink)
+	id, now := s.Begin(0, 1<<40, time.Hour), time.Duration(0)
+	assert.Equal(t, testing.AllocsPerRun(1000, func() {
+		now += 10 * ms
+		s.Ask(now, id, s.Chunk())
+		_, _, _ = s.Next(now)
+		s.Sent(now, 100)
+		_ = s.Backlog(now)
+	}), 0.0)
+}
