Pace large responses on the host's link

What callers saw: pacing at the endpoint alone left queues on hosts that also relay downloads to their own callers. Cause: both uses share one link, and short responses and request bodies were not counted. Change: internal/link drives one scheduler for all responses that leave the host. The endpoint paces those to other nodes, the proxy those to callers; short ones and request bodies to other nodes are counted. Backlog tells how long the link needs. Without linkMbps, or with the mechanism link disabled, responses are sent as before. Metrics link_*.

--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -14,6 +14,7 @@
 	"cactuspath/core/transit"
 	"cactuspath/internal/hangup"
 	"cactuspath/internal/hop"
+	"cactuspath/internal/link"
 	"cactuspath/internal/logs"
 	"cactuspath/internal/overload"
 	"cactuspath/internal/quarantine"
@@ -50,6 +51,8 @@
 	// Overload refuses requests of other nodes while this process is short of processor
 	// time; nil refuses none.
 	Overload *overload.Monitor
+	// Link paces large responses to other nodes on this host's link; nil paces none.
+	Link *link.Link
 }
 
 // Endpoint is the gate of one backend server, with the timers and connections that it needs.
--- a/internal/endpoint/large.go
+++ b/internal/endpoint/large.go
@@ -6,6 +6,10 @@
 	"net/http"
 	"sync"
 	"time"
+
+	corelink "cactuspath/core/link"
+	"cactuspath/internal/hop"
+	"cactuspath/internal/link"
 )
 
 // Large responses, such as downloads.
@@ -13,7 +17,7 @@
 const (
 	// largeResponseBytes is the length from which a response is large. A shorter one fits into
 	// the buffers of its connections.
-	largeResponseBytes = 32 << 10
+	largeResponseBytes = corelink.LargeBytes
 	// readAheadBytes is how much of a large response is read from the backend server before
 	// its receiver has taken it.
 	readAheadBytes = 512 << 10
@@ -110,6 +114,21 @@
 	return nil
 }
 
+// relay sends a response to the node that sent its request. A large one is paced, or waits for
+// the large ones before it if the bandwidth of this host's link is unknown.
+func (e *Endpoint) relay(ctx context.Context, w http.ResponseWriter, resp *http.Response, out *hop.Outgoing, reply hop.Reply) error {
+	field := hop.Field{Name: hop.Header, Value: reply.Encode()}
+	if e.options.Link.Enabled() {
+		paced := e.options.Link.NewWriter(ctx, w, link.Response{Request: out.ID, Length: resp.ContentLength, Due: out.Deadline})
+		defer paced.End()
+		return hop.Relay(paced, resp, field)
+	}
+	if isLarge(resp) {
+		defer e.transfers.begin(ctx)()
+	}
+	return hop.Relay(w, resp, field)
+}
+
 // transfers limits the large responses that are sent at the same time.
 type transfers chan struct{}
 
--- a/internal/endpoint/serve.go
+++ b/internal/endpoint/serve.go
@@ -81,10 +81,7 @@
 		writeRefusal(w, reply)
 		return
 	}
-	if isLarge(resp) {
-		defer e.transfers.begin(r.Context())()
-	}
-	if err := hop.Relay(w, resp, hop.Field{Name: hop.Header, Value: reply.Encode()}); err != nil {
+	if err := e.relay(r.Context(), w, resp, out, reply); err != nil {
 		klog.V(2).InfoS("Answer cut short", "host", e.options.Host, "err", err)
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -37,6 +37,9 @@
 	IDField, ID string
 	// OnInterim, if not nil, is called with the header of each interim (1xx) response.
 	OnInterim func(http.Header)
+	// OnBodySent, if not nil, is called with the number of bytes of each part of the body
+	// that is about to be sent, also from another goroutine.
+	OnBodySent func(bytes int)
 	// Deadline limits the exchange up to the end of the response head.
 	Deadline time.Time
 	// Attempt identifies the attempt in the log.
@@ -50,6 +53,13 @@
 	out.Stream, out.Length, out.Buffered = NewBody(bytes.NewReader(out.Buffered), nil), int64(len(out.Buffered)), nil
 }
 
+// reportBodySent reports a part of the body that is about to be sent.
+func (out *Outgoing) reportBodySent(bytes int) {
+	if out.OnBodySent != nil && bytes > 0 {
+		out.OnBodySent(bytes)
+	}
+}
+
 // ExpectsContinue reports whether the sender of a request waits for 100 Continue.
 func ExpectsContinue(h http.Header) bool { return strings.EqualFold(h.Get("Expect"), "100-continue") }
 
@@ -126,6 +136,7 @@
 		return nil, err
 	}
 	if out.Stream == nil {
+		out.reportBodySent(len(out.Buffered))
 		if _, err := x.conn.writer.Write(out.Buffered); err != nil {
 			return nil, err
 		}
--- a/internal/hop/upload.go
+++ b/internal/hop/upload.go
@@ -322,6 +322,7 @@
 func (s *sender) Read(p []byte) (int, error) {
 	n, err := ownerReader{s.out.Stream, s}.Read(p)
 	s.read += int64(n)
+	s.out.reportBodySent(n)
 	s.sourceFailed = err != nil && !errors.Is(err, io.EOF)
 	return n, err
 }
--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -91,6 +91,12 @@
 	if e := n.currentEndpoint(); e != nil {
 		vars["gate_load"] = expvar.Func(func() any { return e.Load() })
 	}
+	if n.link != nil {
+		vars["link_transfers"] = &n.link.Transfers
+		vars["link_transfers_active"] = expvar.Func(func() any { return n.link.Active() })
+		vars["link_backlog_ms"] = expvar.Func(func() any { return n.link.Backlog().Milliseconds() })
+		vars["link_waited"] = expvar.Func(n.link.Waited.Summary)
+	}
 	return vars
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,6 +27,7 @@
 	"cactuspath/internal/front"
 	"cactuspath/internal/hangup"
 	"cactuspath/internal/hop"
+	"cactuspath/internal/link"
 	"cactuspath/internal/overload"
 	"cactuspath/internal/proxy"
 	"cactuspath/internal/quarantine"
@@ -102,6 +103,8 @@
 	quarantine *quarantine.Tracker
 	// overload refuses requests while this process does not get enough processor time.
 	overload *overload.Monitor
+	// link paces large responses on the link of this host; nil if its bandwidth is unknown.
+	link *link.Link
 	// usage enforces the usage caps of client accounts.
 	usage   *usage.Accountant
 	watcher *watcher
@@ -159,13 +162,15 @@
 	n.member = newMember(n)
 	n.watcher = newWatcher(n)
 	n.overload = overload.NewMonitor(options.Host)
+	n.link = link.New(options.LinkBytesPerSecond)
 	n.proxy = proxy.New(proxy.Options{
 		Host: options.Host, DataCenter: options.DataCenter, Security: options.Security, Local: n, DiscoverService: n.awaitService, ObserveRevision: n.observeRevision, Revision: n.Revision, Revoke: n.revoke, Counters: n.calls,
-		Dialect: options.Dialect, CallerService: n.service, SharedRetryBudget: options.Retry, ProbePeer: n.alive, Quarantine: n.quarantine, Overload: n.overload, Usage: n.usage, KeysTrusted: n.keysTrusted,
+		Dialect: options.Dialect, CallerService: n.service, SharedRetryBudget: options.Retry, ProbePeer: n.alive, Quarantine: n.quarantine, Overload: n.overload, Usage: n.usage, KeysTrusted: n.keysTrusted, Link: n.link,
 	})
 	n.disabled = options.Disabled
 	n.proxy.SetDisabled(options.Disabled)
 	n.overload.SetDisabled(options.Disabled.Has(mechanism.Shedding))
+	n.link.SetDisabled(options.Disabled.Has(mechanism.Link))
 	n.front = front.New(n.callers.wrap(n.proxy))
 	return n
 }
@@ -182,6 +187,7 @@
 	klog.InfoS("Mechanisms switched", "host", n.options.Host, "disabled", off.Names())
 	n.proxy.SetDisabled(off)
 	n.overload.SetDisabled(off.Has(mechanism.Shedding))
+	n.link.SetDisabled(off.Has(mechanism.Link))
 	n.apply()
 }
 
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -68,7 +68,7 @@
 		config = n.gateConfig(spec, slots, 1)
 	}
 	e := endpoint.New(endpoint.Options{
-		Host: n.options.Host, Incarnation: n.incarnation.Load, SendReport: n.reports.send, Revision: n.Revision, ObserveRevision: n.observeRevision, LeavingChanged: n.applyLeaving, Counters: n.gates, Dialect: n.options.Dialect, Quarantine: n.quarantine, Overload: n.overload,
+		Host: n.options.Host, Incarnation: n.incarnation.Load, SendReport: n.reports.send, Revision: n.Revision, ObserveRevision: n.observeRevision, LeavingChanged: n.applyLeaving, Counters: n.gates, Dialect: n.options.Dialect, Quarantine: n.quarantine, Overload: n.overload, Link: n.link,
 	}, config)
 	if n.hadServer {
 		e.SetReplacesEarlierEndpoint()
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -16,6 +16,7 @@
 	"cactuspath/core/quarantine"
 	"cactuspath/core/retry"
 	"cactuspath/internal/hop"
+	"cactuspath/internal/link"
 	"cactuspath/internal/logs"
 )
 
@@ -272,6 +273,9 @@
 	if len(out.Buffered) >= largeBodyBytes && !c.h.isDisabled(mechanism.AskFirst) {
 		out.ExpectContinue()
 	}
+	if c.h.options.Link.Enabled() {
+		out.OnBodySent = c.h.options.Link.Count
+	}
 	endWatch := c.h.watchAttempt(&a)
 	resp, err := c.h.peer(a.to.PeerAddress).Do(a.ctx, out)
 	endWatch(err == nil)
@@ -337,7 +341,7 @@
 		// the body, and the caller for 100 Continue.
 		c.w.WriteHeader(http.StatusContinue)
 	}
-	err := hop.Relay(c.w, resp)
+	err := c.relay(resp)
 	logs.Decision(status >= http.StatusInternalServerError || err != nil, "Answered", "request", c.requestID(), "service", c.s.name, "route", c.routeName(),
 		"status", status, "attempts", c.attempts, "took", time.Since(c.arrived), "left", time.Until(c.deadline), "err", err)
 	var truncated *hop.TruncatedResponseError
@@ -349,6 +353,17 @@
 	}
 }
 
+// relay sends the response to the caller. A large one is paced on this host's link.
+func (c *call) relay(resp *http.Response) error {
+	host := c.h.options.Link
+	if !host.Enabled() {
+		return hop.Relay(c.w, resp)
+	}
+	paced := host.NewWriter(c.r.Context(), c.w, link.Response{Request: c.requestID(), Length: resp.ContentLength, Due: c.deadline})
+	defer paced.End()
+	return hop.Relay(paced, resp)
+}
+
 // giveUp responds to the caller with the fault that ended its request.
 func (c *call) giveUp(action retry.Action) {
 	retryAfter := c.retryAfter
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -21,6 +21,7 @@
 	"cactuspath/internal/endpoint"
 	"cactuspath/internal/hangup"
 	"cactuspath/internal/hop"
+	"cactuspath/internal/link"
 	"cactuspath/internal/logs"
 	"cactuspath/internal/overload"
 	"cactuspath/internal/quarantine"
@@ -66,6 +67,8 @@
 	// Overload refuses requests while this process is short of processor time; nil refuses
 	// none.
 	Overload *overload.Monitor
+	// Link paces large responses to callers on this host's link; nil paces none.
+	Link *link.Link
 	// Usage enforces the usage caps of client accounts; nil enforces none.
 	Usage Usage
 	// KeysTrusted reports whether this node may accept keys of client accounts; nil means
