--- /dev/null
+++ b/internal/endpoint/link_test.go
@@ -0,0 +1,108 @@
+package endpoint
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"cactuspath/core/gate"
+	"cactuspath/internal/hop"
+	"cactuspath/internal/link"
+)
+
+// startLinked starts an endpoint on the link whose backend server responds with the body, and
+// returns the address of its node.
+func startLinked(t *testing.T, l *link.Link, body []byte) (*Endpoint, string) {
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		_, _ = w.Write(body)
+	}))
+	t.Cleanup(backend.Close)
+	e := New(Options{Host: "a", Incarnation: func() uint64 { return 1 }, Revision: func() uint64 { return 1 }, ObserveRevision: func(uint64) {}, Counters: NewCounters(),
+		SendReport: func(string, gate.Report) {}, Link: l}, gate.Config{Slots: 4, Queue: 4})
+	t.Cleanup(e.Close)
+	e.SetBackend(backend.Listener.Addr().String())
+	node := httptest.NewServer(http.HandlerFunc(e.ServeHop))
+	t.Cleanup(node.Close)
+	return e, node.Listener.Addr().String()
+}
+
+// request sends a request as another node does, and returns the response with its body unread.
+func request(t *testing.T, address string, attempt uint32) *http.Response {
+	pool := hop.NewPool(address, nil)
+	t.Cleanup(pool.Close)
+	id := gate.AttemptID{Request: [2]uint64{1, 2}, Attempt: attempt}
+	resp, err := pool.Do(context.Background(), &hop.Outgoing{Method: "GET", URI: "/", Host: "pay", Deadline: time.Now().Add(10 * time.Second),
+		Extra: []hop.Field{{Name: hop.Header, Value: hop.Request{ID: id, Incarnation: 1, Timeout: 10 * time.Second}.Encode()}}})
+	assert.NilError(t, err)
+	return resp
+}
+
+// Guards against a large response to another node that is not paced, or not whole. Its slot
+// must be free once the backend server has sent it, however long the link takes.
+func TestLargeResponseToAnotherNodeIsPaced(t *testing.T) {
+	body := bytes.Repeat([]byte("0123456789"), 6000)
+	l := link.New(400e3)
+	e, address := startLinked(t, l, body)
+	begin := time.Now()
+	resp := request(t, address, 1)
+	eventually(t, "the slot is free while the response is sent", func() bool { return e.InFlight() == 0 })
+	assert.Equal(t, l.Active(), 1)
+	got, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Assert(t, bytes.Equal(got, body))
+	assert.Assert(t, time.Since(begin) > 120*time.Millisecond, "took %v, the link needs 167 ms", time.Since(begin))
+	assert.Equal(t, l.Transfers.Value(), int64(1))
+	eventually(t, "the transfer has ended", func() bool { return l.Active() == 0 })
+
+	// Without the mechanism, large responses are sent one after the other as before.
+	l.SetDisabled(true)
+	end := e.transfers.begin(context.Background())
+	waiting := make(chan *http.Response, 1)
+	go func() { waiting <- request(t, address, 2) }()
+	select {
+	case <-waiting:
+		t.Fatal("a second large response is sent")
+	case <-time.After(50 * time.Millisecond):
+	}
+	end()
+	got, err = io.ReadAll((<-waiting).Body)
+	assert.NilError(t, err)
+	assert.Assert(t, bytes.Equal(got, body))
+	assert.Equal(t, l.Transfers.Value(), int64(1))
+}
+
+// Guards against attempts that are given up as lost although they ran: the caller's node waits
+// for the head of a response until the request's time limit only, and the first chunk of the
+// body may have to wait longer.
+func TestHeadOfALargeResponseDoesNotWaitForTheLink(t *testing.T) {
+	l := link.New(100e3)
+	body := make([]byte, 36_000)
+	_, address := startLinked(t, l, body)
+	// Another transfer, which goes first since it is shorter, keeps the link busy.
+	busy := l.NewWriter(context.Background(), httptest.NewRecorder(), link.Response{Length: 33_000})
+	idle := make(chan struct{})
+	go func() {
+		defer close(idle)
+		_, _ = busy.Write(make([]byte, 33_000))
+		busy.End()
+	}()
+	eventually(t, "the other transfer has begun", func() bool { return l.Active() == 1 })
+	resp := request(t, address, 1)
+	select {
+	case <-idle:
+		t.Fatal("the head was sent only when the link was free")
+	default:
+	}
+	got, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, len(got), len(body))
+	<-idle
+}
