Paced responses to uploads that are not read to their end are whole

Cause: once the exchange with the backend server has ended, the read of the request's body is interrupted. net/http then cancels the request's context, and the paced writer took this for a receiver that has gone. Change: while the body is unread, the writer does not watch the context; a receiver that has gone shows at the next chunk. The soak sets linkMbps and has large responses.

--- a/internal/endpoint/large.go
+++ b/internal/endpoint/large.go
@@ -119,6 +119,11 @@
 func (e *Endpoint) relay(ctx context.Context, w http.ResponseWriter, resp *http.Response, out *hop.Outgoing, reply hop.Reply) error {
 	field := hop.Field{Name: hop.Header, Value: reply.Encode()}
 	if e.options.Link.Enabled() {
+		if out.Stream != nil && !out.Stream.Ended() {
+			// Interrupting the read of the request's body makes net/http cancel ctx although
+			// the receiver still waits. If it has gone, the next chunk cannot be written.
+			ctx = context.WithoutCancel(ctx)
+		}
 		paced := e.options.Link.NewWriter(ctx, w, link.Response{Request: out.ID, Length: resp.ContentLength, Due: out.Deadline})
 		defer paced.End()
 		return hop.Relay(paced, resp, field)
--- a/internal/endpoint/link_test.go
+++ b/internal/endpoint/link_test.go
@@ -1,9 +1,12 @@
 package endpoint
 
 import (
+	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -21,6 +24,7 @@
 // returns the address of its node.
 func startLinked(t *testing.T, l *link.Link, body []byte) (*Endpoint, string) {
 	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_ = http.NewResponseController(w).EnableFullDuplex()
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 		_, _ = w.Write(body)
 	}))
@@ -106,3 +110,23 @@
 	assert.Equal(t, len(got), len(body))
 	<-idle
 }
+
+// Guards against a large response that is cut short while the rest of its request is not read.
+// Once the exchange with the backend server has ended, the read of the body is interrupted, and
+// net/http cancels the request's context although the caller's node still waits.
+func TestPacedEarlyResponseReachesNodeThatStillSends(t *testing.T) {
+	body := make([]byte, 200_000)
+	e, address := startLinked(t, link.New(4e6), body)
+	c, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	id := gate.AttemptID{Request: [2]uint64{1, 2}, Attempt: 1}
+	_, _ = fmt.Fprintf(c, "POST /upload HTTP/1.1\r\nHost: pay\r\n%s: %s\r\nContent-Length: 200000\r\n\r\n0123456789", hop.Header, hop.Request{ID: id, Incarnation: 1, Timeout: 5 * time.Second}.Encode())
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	got, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Assert(t, bytes.Equal(got, body))
+	eventually(t, "the slots are free again", func() bool { return e.InFlight() == 0 })
+}
--- a/internal/soak/backend_test.go
+++ b/internal/soak/backend_test.go
@@ -227,11 +227,24 @@
 	return err == nil
 }
 
-// responseLines makes responses long enough to be interrupted in transit.
-const responseLines = 200
+const (
+	// responseLines makes responses long enough to be interrupted in transit.
+	responseLines = 200
+	// largeResponseLines makes a response large enough to be paced on the link of each host
+	// that it leaves. One pair of requests in largeResponseEvery gets such responses, one of
+	// them chunked.
+	largeResponseLines = 6000
+	largeResponseEvery = 8
+)
 
 // responseBody returns the unique response body of the request.
-func (r *request) responseBody() string { return strings.Repeat(r.id+"\n", responseLines) }
+func (r *request) responseBody() string {
+	lines := responseLines
+	if r.number/2%largeResponseEvery == 0 {
+		lines = largeResponseLines
+	}
+	return strings.Repeat(r.id+"\n", lines)
+}
 
 func (b *backend) announce(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/soak/responses_test.go
+++ b/internal/soak/responses_test.go
@@ -24,7 +24,7 @@
 	tail           []byte
 }
 
-// maxTailBytes limits the recorded bytes. It is larger than a response.
+// maxTailBytes limits the recorded bytes. It is larger than a short response.
 const maxTailBytes = 8 << 10
 
 // Read implements io.Reader.
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -25,6 +25,9 @@
 	tolerate = 2
 	// defaultNodes is the number of nodes without the -nodes flag.
 	defaultNodes = 4
+	// linkMbps is the bandwidth that the nodes assume for their links. Their large responses
+	// take a part of it that makes some of them wait.
+	linkMbps = 50
 )
 
 // process is a running program with everything needed to restart it.
@@ -194,7 +197,7 @@
 	peer, callers, admin := testport.Address(t), testport.Address(t), testport.Address(t)
 	k := newLink(t, peer)
 	p := &process{name: name, binary: binary, links: []*link{k}}
-	p.settings = s.writeSettings(t, folder, name, map[string]any{"host": name, "dataCenter": dataCenter, "region": "r", "controlReplicas": control, "stopTimeout": stopTimeout.String(), "adapter": map[string]any{"name": platform.Name},
+	p.settings = s.writeSettings(t, folder, name, map[string]any{"host": name, "dataCenter": dataCenter, "region": "r", "controlReplicas": control, "stopTimeout": stopTimeout.String(), "linkMbps": linkMbps, "adapter": map[string]any{"name": platform.Name},
 		"node": map[string]any{"callers": callers, "peer": peer, "peerAddress": k.address, "admin": admin, "watchControl": true}})
 	s.nodes, s.callerAddresses = append(s.nodes, p), append(s.callerAddresses, callers)
 	s.backends = append(s.backends, startBackend(t, admin, len(s.backends), s.requests))
