gate: requests with large responses take the host's link into account

Callers of downloads waited for the links of the nearest hosts, which were full, while those of other hosts were free: a gate decided by its slots alone, and these were free. A gate now learns the mean response size of each class and is told the backlog of its host's link. A request with a large response stays while it meets its aim, moves when another gate can meet it, and is refused when no gate can meet its deadline. Gates report the wait of their link to their siblings. Without a bandwidth nothing changes.

--- a/core/gate/admit.go
+++ b/core/gate/admit.go
@@ -39,9 +39,15 @@
 	return time.Duration(turns * float64(g.meanServiceTime(now)))
 }
 
-// estimateFinish estimates the total time, wait and service, of a request that arrives
-// now.
+// estimateFinish estimates the total time of a request that arrives now: wait, service and,
+// for a large response, the time on the host's link.
 func (g *Gate) estimateFinish(now time.Duration, it *item) time.Duration {
+	return g.finishOnLink(now, it, g.estimateServerFinish(now, it))
+}
+
+// estimateServerFinish estimates the wait and the service time of a request that arrives
+// now.
+func (g *Gate) estimateServerFinish(now time.Duration, it *item) time.Duration {
 	ahead, work := g.queue.ahead(it.rank)
 	wait := g.estimateWaitBehind(now, ahead, work)
 	if g.speedFixedAtStart(now) {
@@ -87,6 +93,9 @@
 // in the queue or cannot finish before its deadline, and does so immediately: a refusal
 // at the deadline would leave the caller no time to try another gate.
 func (g *Gate) checkCapacity(now time.Duration, it *item) bool {
+	if g.refuseForLink(now, it) {
+		return false
+	}
 	if g.canStart(now, it) {
 		return true
 	}
@@ -178,6 +187,7 @@
 		return
 	}
 	g.items[it.Handle], g.byID[it.ID] = it, it
+	g.link.expect(it)
 	if canStart {
 		g.run(now, it)
 		return
--- a/core/gate/aims.go
+++ b/core/gate/aims.go
@@ -25,7 +25,7 @@
 // cannotMeetDeadline reports whether a waiting request cannot finish before its
 // deadline even if it starts now and the server runs at its best speed.
 func (g *Gate) cannotMeetDeadline(now time.Duration, it *item) bool {
-	return now+g.minServiceTime(now, it.Request) >= it.Deadline
+	return now+g.finishOnLink(now, it, g.minServiceTime(now, it.Request)) >= it.Deadline
 }
 
 // aimMargin is how many times its mean service time a waiting request must have left
@@ -42,7 +42,7 @@
 		return false
 	}
 	needs := g.workMargin(now) * g.contentionFactorAt(g.running+1) * float64(g.minServiceTime(now, it.Request))
-	return now+time.Duration(needs) > it.AimAt
+	return now+g.finishOnLink(now, it, time.Duration(needs)) > it.AimAt
 }
 
 // fixedSpeedAimMargin replaces aimMargin on servers where a request's speed is fixed at
--- a/core/gate/demand.go
+++ b/core/gate/demand.go
@@ -19,7 +19,8 @@
 	minClassSamples = 5
 )
 
-// movingMean is a moving mean of demands in nanoseconds at normal speed.
+// movingMean is a moving mean of the demands of requests, in nanoseconds at normal speed,
+// or of the sizes of their responses, in bytes.
 type movingMean struct {
 	value float64
 	seen  int
@@ -35,6 +36,8 @@
 	movingMean
 	// lowOccupancy is the mean of the requests that ran at low occupancy.
 	lowOccupancy movingMean
+	// responseSize is the mean size of the responses in bytes.
+	responseSize movingMean
 }
 
 // addContentionSample adds a demand to the contention estimate, relative to the class's
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -42,7 +42,12 @@
 	rank   rank
 	// work is the mean demand of the request's class when the request arrived, in
 	// nanoseconds.
-	work   float64
+	work float64
+	// responseBytes is the mean response size of the request's class when the request
+	// arrived, 0 if it is not known; expectedBytes is what of it linkState.expected
+	// includes.
+	responseBytes, expectedBytes int64
+
 	byRank *rankQueue
 	state  itemState
 
@@ -67,6 +72,7 @@
 	cold      coldState
 	limit     namedLimit
 	starts    startLog
+	link      linkState
 	// earlierStartsAt is when this gate assumed that another one had just started requests;
 	// 0 if it has not. Until unheardUntil, the gate waits for the server's first answer.
 	earlierStartsAt, unheardUntil time.Duration
@@ -132,7 +138,7 @@
 	if g.disabled(mechanism.FairShares) {
 		r.Caller = ""
 	}
-	it := &item{Request: r, arrived: now, work: g.speed.demandOf(r)}
+	it := &item{Request: r, arrived: now, work: g.speed.demandOf(r), responseBytes: g.meanResponse(r)}
 	if !g.disabled(mechanism.Ranks) {
 		it.rank = rank{priority: r.Priority, aim: r.Aim}
 	}
@@ -194,6 +200,7 @@
 	}
 	delete(g.items, h)
 	delete(g.byID, it.ID)
+	g.link.forget(it)
 	if outcome == Completed {
 		g.estimate.finish(now, now-it.started)
 		g.speed.finish(it, it.occupancy, g.contentionFactor())
@@ -231,6 +238,7 @@
 
 func (g *Gate) removeItem(it *item) {
 	g.queue.remove(it)
+	g.link.forget(it)
 	delete(g.items, it.Handle)
 	delete(g.byID, it.ID)
 }
@@ -238,10 +246,12 @@
 // retryAfter is how long a refused caller should wait before a retry: the expected time
 // until the current queue has been served.
 func (g *Gate) retryAfter(now time.Duration) time.Duration {
-	const shortest, longest = 10 * time.Millisecond, 5 * time.Second
-	return min(max(g.estimateWait(now), shortest), longest)
+	return min(max(g.estimateWait(now), shortestRetryAfter), longestRetryAfter)
 }
 
+// shortestRetryAfter and longestRetryAfter limit the wait that a refused caller is told.
+const shortestRetryAfter, longestRetryAfter = 10 * time.Millisecond, 5 * time.Second
+
 // InFlight counts the requests that run or wait here.
 func (g *Gate) InFlight() int { return len(g.items) }
 
@@ -253,6 +263,7 @@
 		Service: g.meanServiceTime(now), Draining: g.closedReason() != 0,
 		Full:      g.queue.size >= g.config.Queue*queueFullPercent/100 && g.freeSlots(now) <= 0 || g.nearLimit(now),
 		FailRatio: g.outlier.ratio, Failing: g.failing(now), Contention: g.speed.contention.localFactor(),
+		LinkWait: g.linkWait(now, nil),
 	}
 	if g.startsLimited(now) {
 		l.ColdStarts, l.StartsLeft = g.config.ColdStarts, g.coldStartsLeft(now)
--- a/core/gate/hint.go
+++ b/core/gate/hint.go
@@ -43,7 +43,7 @@
 			continue
 		}
 		it.hinted = true
-		sib.unreportedMoves = append(sib.unreportedMoves, now)
+		sib.recordMove(now, it)
 		g.emit(Event{Kind: Hint, Handle: it.Handle, To: sib.Host})
 	}
 }
--- /dev/null
+++ b/core/gate/link.go
@@ -0,0 +1,280 @@
+package gate
+
+import (
+	"time"
+
+	"cactuspath/core/mechanism"
+)
+
+// The link of the gate's host. Large responses, such as downloads, share its bandwidth:
+// while it is full, a request with a large response is late even if a slot is free.
+// Short responses do not wait behind large ones (the driver paces the large ones), so
+// requests with short responses ignore the link.
+
+const (
+	// largeResponseBytes is the mean response size of a class from which its requests
+	// are decided by the link. Shorter responses are not paced.
+	largeResponseBytes = 32 << 10
+	// largeLinkShare is the share of the bandwidth that large responses get together.
+	largeLinkShare = 0.9
+	// linkMargin is how many times its expected duration a request must have left
+	// before its aim, so that it stays on this link or moves to another. Response sizes
+	// vary, and short responses take part of the bandwidth: without a margin, half of
+	// the requests accepted on a link that stays full would miss their aim.
+	linkMargin = 1.25
+	// transferCostPerKB is how much sooner a sibling in another data centre must finish
+	// a request for each KB of its response. It is the same price as that of a body:
+	// crossDataCenterUploadCost is for 60 KB.
+	transferCostPerKB = crossDataCenterUploadCost / 60
+	bytesPerKB        = 1000
+	// A change of the link's wait by linkChangeRatio and by at least minLinkChange is
+	// reported to siblings. Smaller changes do not decide whether a request meets its
+	// aim.
+	linkChangeRatio = 1.5
+	minLinkChange   = 50 * time.Millisecond
+)
+
+// linkState is the work of the host's link.
+type linkState struct {
+	// backlog is how long the link needed, at observedAt, for the large responses that
+	// it has begun to send.
+	backlog    time.Duration
+	observedAt time.Duration
+	// expected is the sum of the mean response sizes, in bytes, of the requests that
+	// run or wait here, whose class has large responses and whose response has not
+	// begun.
+	expected int64
+}
+
+// remaining is how much of the backlog is left.
+func (l *linkState) remaining(now time.Duration) time.Duration {
+	return max(0, l.backlog-max(0, now-l.observedAt))
+}
+
+// expect counts the response of a request as future work of the link.
+func (l *linkState) expect(it *item) {
+	if it.hasLargeResponse() {
+		it.expectedBytes = it.responseBytes
+		l.expected += it.expectedBytes
+	}
+}
+
+// forget ends what expect began. It does nothing for a request that is not counted.
+func (l *linkState) forget(it *item) {
+	l.expected -= it.expectedBytes
+	it.expectedBytes = 0
+}
+
+// hasLargeResponse reports whether the request is decided by the link. It is false for a
+// nil item.
+func (it *item) hasLargeResponse() bool {
+	return it != nil && it.responseBytes >= largeResponseBytes
+}
+
+// linkEnabled reports whether the gate takes the host's link into account.
+func (g *Gate) linkEnabled() bool {
+	return g.config.LinkBytesPerSecond > 0 && !g.disabled(mechanism.Link)
+}
+
+// ObserveLink records how long the host's link needs for the rest of the large responses
+// that it is sending.
+func (g *Gate) ObserveLink(now, backlog time.Duration) {
+	if g.linkEnabled() {
+		g.link.backlog, g.link.observedAt = backlog, now
+	}
+}
+
+// ObserveResponse records the size of the response of a running request, when its head is
+// known or, if that has no size, at its end. A negative size is unknown and ignored.
+func (g *Gate) ObserveResponse(now time.Duration, h Handle, bytes int64) {
+	it := g.items[h]
+	if !g.linkEnabled() || it == nil || it.state != stateRunning || bytes < 0 {
+		return
+	}
+	g.link.forget(it)
+	if bytes >= largeResponseBytes {
+		// The next backlog that the driver observes includes the response.
+		g.link.backlog, g.link.observedAt = g.link.remaining(now)+g.linkTime(bytes), now
+	}
+	c := g.speed.class(it.Class)
+	if c == nil {
+		return
+	}
+	c.responseSize.add(float64(bytes))
+	if c.responseSize.seen == minClassSamples {
+		g.expectClass(it)
+	}
+}
+
+// expectClass counts the responses of the running and waiting requests of a class whose
+// size has just become known, except for that of the given request.
+func (g *Gate) expectClass(known *item) {
+	size := g.meanResponse(known.Request)
+	for _, it := range g.items {
+		if it != known && it.Class == known.Class && it.expectedBytes == 0 {
+			it.responseBytes = size
+			g.link.expect(it)
+		}
+	}
+}
+
+// meanResponse is the mean response size of a request's class in bytes; 0 if it is not
+// known or not used.
+func (g *Gate) meanResponse(r Request) int64 {
+	if !g.linkEnabled() {
+		return 0
+	}
+	c := g.speed.classes[r.Class]
+	if c == nil || c.responseSize.seen < minClassSamples {
+		return 0
+	}
+	return int64(c.responseSize.value)
+}
+
+// linkTime is how long the link needs for bytes of large responses.
+func (g *Gate) linkTime(bytes int64) time.Duration {
+	return time.Duration(float64(bytes) / (largeLinkShare * g.config.LinkBytesPerSecond) * float64(time.Second))
+}
+
+// linkWait is how long the link needs for the large responses that are under way or
+// expected, without that of the given request, which may be nil.
+func (g *Gate) linkWait(now time.Duration, it *item) time.Duration {
+	if !g.linkEnabled() {
+		return 0
+	}
+	expected := g.link.expected
+	if it != nil {
+		expected -= it.expectedBytes
+	}
+	return g.link.remaining(now) + g.linkTime(expected)
+}
+
+// finishOnLink is when the host's link has sent the response of a request that the server
+// finishes after the given time.
+func (g *Gate) finishOnLink(now time.Duration, it *item, server time.Duration) time.Duration {
+	if !g.linkEnabled() || !it.hasLargeResponse() {
+		return server
+	}
+	return max(server, g.linkWait(now, it)) + g.linkTime(it.responseBytes)
+}
+
+// finishOnLinkOf is finishOnLink for a sibling's host, whose link is assumed to have the
+// same bandwidth. Other gates move requests there as well, so that what this gate has
+// moved since the report counts herdFactor times.
+func (g *Gate) finishOnLinkOf(sib *sibling, it *item, server time.Duration) time.Duration {
+	if !g.linkEnabled() || !it.hasLargeResponse() {
+		return server
+	}
+	moved := int64(0)
+	for _, m := range sib.unreportedMoves {
+		moved += m.bytes
+	}
+	return max(server, sib.report.Load.LinkWait+g.linkTime(herdFactor*moved)) + g.linkTime(it.responseBytes)
+}
+
+// punctuality is how well a request with a large response meets its times; a lower value
+// is better.
+type punctuality int
+
+const (
+	meetsAim punctuality = iota
+	meetsDeadline
+	missesDeadline
+)
+
+// punctualityOf returns the punctuality of a request that is expected to take the given
+// time. Without an aim, or for a request that has missed it, only the deadline counts.
+func (g *Gate) punctualityOf(now time.Duration, it *item, took time.Duration) punctuality {
+	switch {
+	case !it.hasLargeResponse():
+		return meetsAim
+	case now+took > it.Deadline:
+		return missesDeadline
+	case it.AimAt > 0 && !g.disabled(mechanism.Aims) && now+time.Duration(linkMargin*float64(took)) <= it.AimAt:
+		return meetsAim
+	}
+	return meetsDeadline
+}
+
+// worthMoving reports whether a request should move to the fastest sibling, which is
+// expected to finish it after the time there; cost is the part of there that is the price
+// of the transfer and not time. A request with a large response stays as long as it meets
+// its aim here, however full the link is: moving it would only shift the load.
+func (g *Gate) worthMoving(now time.Duration, it *item, there, cost time.Duration, gain float64) bool {
+	here := g.estimateFinish(now, it)
+	if !it.hasLargeResponse() {
+		return float64(there)*gain <= float64(here)
+	}
+	inTimeHere, inTimeThere := g.punctualityOf(now, it, here), g.punctualityOf(now, it, there-cost)
+	switch {
+	case inTimeHere == meetsAim:
+		here = g.estimateServerFinish(now, it) + g.linkTime(it.responseBytes)
+	case inTimeHere == missesDeadline && inTimeThere < inTimeHere:
+		return true
+	case inTimeThere < inTimeHere:
+		return there < here
+	}
+	return float64(there)*gain <= float64(here)
+}
+
+// refuseForLink refuses a request with a large response that cannot be sent before its
+// deadline, and reports whether it did. The caller has tried to move the request.
+func (g *Gate) refuseForLink(now time.Duration, it *item) bool {
+	if !it.hasLargeResponse() || !g.linkMissesDeadline(now, it) {
+		return false
+	}
+	g.emit(Event{Kind: Refused, Handle: it.Handle, Reason: TooLate, RetryAfter: g.linkRetryAfter(now, it), SiblingsFull: g.lateEverywhere(now, it)})
+	return true
+}
+
+// linkMissesDeadline reports whether the link alone makes a request miss its deadline.
+func (g *Gate) linkMissesDeadline(now time.Duration, it *item) bool {
+	return it.hasLargeResponse() && now+g.finishOnLink(now, it, 0) > it.Deadline
+}
+
+// lateEverywhere reports whether none of the known siblings can finish a request before
+// its deadline, so that an attempt at one of them is pointless.
+func (g *Gate) lateEverywhere(now time.Duration, it *item) bool {
+	if g.disabled(mechanism.SiblingsFull) {
+		return false
+	}
+	known := false
+	for _, sib := range g.siblings.list {
+		known = known || sib.fresh(now)
+	}
+	sib, there := g.fastestSibling(now, it)
+	return known && (sib == nil || g.punctualityOf(now, it, there-g.siblings.transferCost(sib, it)) == missesDeadline)
+}
+
+// linkRetryAfter is how long the caller of a refused request should wait: until this link
+// or that of the fastest sibling has sent so much that a new request of the class would
+// meet its aim or, without an aim, its deadline.
+func (g *Gate) linkRetryAfter(now time.Duration, it *item) time.Duration {
+	took := g.finishOnLink(now, it, 0)
+	if sib, there := g.fastestSibling(now, it); sib != nil {
+		took = min(took, there)
+	}
+	allowed := it.Deadline - now
+	if it.Aim > 0 {
+		allowed = min(allowed, time.Duration(float64(it.Aim)/linkMargin))
+	}
+	return min(max(took-allowed, shortestRetryAfter), longestRetryAfter)
+}
+
+// linkDiffersFrom reports whether the link's wait has changed enough to be reported.
+func (l Load) linkDiffersFrom(from Load) bool {
+	low, high := min(l.LinkWait, from.LinkWait), max(l.LinkWait, from.LinkWait)
+	return high-low >= minLinkChange && float64(high) >= linkChangeRatio*float64(low)
+}
+
+// dropTooLate ends a waiting request that cannot meet its deadline here. If only the link
+// makes it late, it moves to a sibling that can meet the deadline.
+func (g *Gate) dropTooLate(now time.Duration, it *item) {
+	if !g.linkMissesDeadline(now, it) {
+		g.drop(it, TooLate, g.retryAfter(now))
+		return
+	}
+	if !g.tryMove(now, it, g.waitingMoveGain(now)) {
+		g.drop(it, TooLate, g.linkRetryAfter(now, it))
+	}
+}
--- a/core/gate/moves.go
+++ b/core/gate/moves.go
@@ -38,22 +38,27 @@
 	if it == nil || it.From == "" || sib.DataCenter == "" || sib.DataCenter == it.From {
 		return 0
 	}
+	cost := time.Duration(it.responseBytes) * transferCostPerKB / bytesPerKB
 	if it.LargeBody {
-		return crossDataCenterUploadCost
+		cost += crossDataCenterUploadCost
 	}
-	return crossDataCenterCost
+	return max(crossDataCenterCost, cost)
 }
 
 // fastestSibling is the sibling expected to finish a request first, network delay
-// included. With a nil item, a request with the mean demand is assumed.
+// included. With a nil item, a request with the mean demand is assumed. A request with a
+// large response goes to a sibling where it meets its aim, if there is one.
 func (g *Gate) fastestSibling(now time.Duration, it *item) (best *sibling, finish time.Duration) {
+	bestInTime := missesDeadline
 	for _, sib := range g.siblings.list {
 		if !sib.fresh(now) || !sib.report.Load.acceptsRequests() {
 			continue
 		}
-		f := g.estimateFinishAt(sib, it) + 2*sib.Distance + g.siblings.transferCost(sib, it)
-		if best == nil || f < finish {
-			best, finish = sib, f
+		f := g.estimateFinishAt(sib, it) + 2*sib.Distance
+		inTime := g.punctualityOf(now, it, f)
+		f += g.siblings.transferCost(sib, it)
+		if best == nil || inTime < bestInTime || inTime == bestInTime && f < finish {
+			best, finish, bestInTime = sib, f, inTime
 		}
 	}
 	return best, finish
@@ -68,9 +73,9 @@
 	l := sib.report.Load
 	extra := herdFactor * len(sib.unreportedMoves)
 	if it == nil || l.Slowdown == 0 || !g.speed.known {
-		return l.estimateFinish(extra)
+		return g.finishOnLinkOf(sib, it, l.estimateFinish(extra))
 	}
-	return l.estimateWait(extra) + time.Duration(g.speed.demandOf(it.Request)*l.Slowdown)
+	return g.finishOnLinkOf(sib, it, l.estimateWait(extra)+time.Duration(g.speed.demandOf(it.Request)*l.Slowdown))
 }
 
 // waitingMoveGain is how many times sooner a sibling must finish a request that waits
@@ -98,10 +103,10 @@
 	if !forced && g.disabled(mechanism.Moves) {
 		return false
 	}
-	if !forced && float64(there)*gain > float64(g.estimateFinish(now, it)) {
+	if !forced && !g.worthMoving(now, it, there, g.siblings.transferCost(sib, it), gain) {
 		return false
 	}
-	sib.unreportedMoves = append(sib.unreportedMoves, now)
+	sib.recordMove(now, it)
 	g.removeItem(it)
 	g.emit(Event{Kind: Moved, Handle: it.Handle, To: sib.Host})
 	return true
--- a/core/gate/report.go
+++ b/core/gate/report.go
@@ -45,6 +45,9 @@
 	// to take when nearly all slots are in use; 0 if it is not known. The tag keeps the
 	// key that the metric gate_load writes.
 	Contention float64 `json:"Crowd"`
+	// LinkWait is how long the link of the gate's host needs for the large responses
+	// that are under way or expected; 0 if it is not known.
+	LinkWait time.Duration `json:",omitempty"`
 }
 
 // estimateFinish estimates the total time, wait and service, of a request that arrives
@@ -174,7 +177,7 @@
 
 // differsFrom reports whether a load differs enough from another one to be reported.
 func (l Load) differsFrom(from Load) bool {
-	if l.acceptsRequests() != from.acceptsRequests() {
+	if l.acceptsRequests() != from.acceptsRequests() || l.linkDiffersFrom(from) {
 		return true
 	}
 	a, b := float64(l.estimateFinish(0)), float64(from.estimateFinish(0))
--- a/core/gate/rescan.go
+++ b/core/gate/rescan.go
@@ -20,7 +20,7 @@
 	g.lastRescan = now
 	for _, it := range g.oldestFirst() {
 		if now >= it.Deadline || g.cannotMeetDeadline(now, it) {
-			g.drop(it, TooLate, g.retryAfter(now))
+			g.dropTooLate(now, it)
 			continue
 		}
 		if !g.tryMove(now, it, g.waitingMoveGain(now)) {
--- a/core/gate/siblings.go
+++ b/core/gate/siblings.go
@@ -62,9 +62,25 @@
 	// arrival minus the distance.
 	takenAt time.Duration
 	known   bool
-	// unreportedMoves are the times at which this gate moved requests to the sibling
-	// that the sibling's last report cannot include yet.
-	unreportedMoves []time.Duration
+	// unreportedMoves are the requests that this gate moved to the sibling and that the
+	// sibling's last report cannot include yet.
+	unreportedMoves []unreportedMove
+}
+
+// unreportedMove is the time of a move, and the expected size of the response if it is
+// large.
+type unreportedMove struct {
+	at    time.Duration
+	bytes int64
+}
+
+// recordMove counts a request that goes to the sibling.
+func (s *sibling) recordMove(now time.Duration, it *item) {
+	m := unreportedMove{at: now}
+	if it.hasLargeResponse() {
+		m.bytes = it.responseBytes
+	}
+	s.unreportedMoves = append(s.unreportedMoves, m)
 }
 
 func (s *sibling) fresh(now time.Duration) bool { return s.known && now-s.takenAt <= reportTTL }
@@ -171,9 +187,9 @@
 func (s *sibling) dropReportedMoves() {
 	horizon := s.takenAt - 2*s.Distance
 	kept := s.unreportedMoves[:0]
-	for _, at := range s.unreportedMoves {
-		if at > horizon {
-			kept = append(kept, at)
+	for _, m := range s.unreportedMoves {
+		if m.at > horizon {
+			kept = append(kept, m)
 		}
 	}
 	s.unreportedMoves = kept
--- a/core/gate/start.go
+++ b/core/gate/start.go
@@ -114,7 +114,7 @@
 		g.queue.take(it)
 		switch {
 		case g.cannotMeetDeadline(now, it):
-			g.drop(it, TooLate, g.retryAfter(now))
+			g.dropTooLate(now, it)
 		case g.missesAim(now, it) && g.queue.size > 0:
 			g.demote(now, it)
 		default:
--- a/core/gate/types.go
+++ b/core/gate/types.go
@@ -125,6 +125,9 @@
 	// ReportsPerSecond and BytesPerSecond limit the load reports that this gate sends:
 	// they are its share of the measuring budget.
 	ReportsPerSecond, BytesPerSecond int
+	// LinkBytesPerSecond is the bandwidth of the host's link; 0 means that it is not
+	// known and decides nothing.
+	LinkBytesPerSecond float64
 	// Disabled is the set of mechanisms that are switched off.
 	Disabled mechanism.Set
 }
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -50,6 +50,9 @@
 	// Overload refuses requests of other nodes while this process is short of processor
 	// time; nil refuses none.
 	Overload *overload.Monitor
+	// LinkBacklog returns how long the host's link needs for the rest of the large
+	// responses that it is sending; nil if the link is not observed.
+	LinkBacklog func() time.Duration
 }
 
 // Endpoint is the gate of one backend server, with the timers and connections that it needs.
@@ -174,9 +177,17 @@
 	e.timer.Reset(e.tickAt - now)
 }
 
+// observeLink passes the backlog of the host's link to the gate. The caller holds mu.
+func (e *Endpoint) observeLink(now time.Duration) {
+	if e.options.LinkBacklog != nil {
+		e.gate.ObserveLink(now, e.options.LinkBacklog())
+	}
+}
+
 func (e *Endpoint) tick() {
 	e.runGate(func(now time.Duration) []gate.Event {
 		e.tickAt = 0
+		e.observeLink(now)
 		return e.gate.Tick(now)
 	})
 }
@@ -309,7 +320,7 @@
 	logs.Decision(failure, "Gate decided", "request", out.ID, "attempt", hop.FormatID(req.ID), "host", e.options.Host,
 		"content", req.Content.Exact, "alike", req.Content.Alike, "outcome", outcome, "reason", event.Reason.String(),
 		"to", event.To, "waited", waited, "left", time.Until(out.Deadline), "running", load.Running, "waiting", load.Waiting, "slots", load.Slots,
-		"service", load.Service, "slowdown", speed.Slowdown, "lasting", speed.Persistent, "crowd", speed.Contention, "usual", speed.MeanServiceTime, "loadAge", e.now()-time.Duration(e.loadReportedAt.Load()), "retryAfter", event.RetryAfter, "everywhere", event.SiblingsFull, "limit", limit.String(), "revision", e.options.Revision())
+		"service", load.Service, "slowdown", speed.Slowdown, "lasting", speed.Persistent, "crowd", speed.Contention, "usual", speed.MeanServiceTime, "loadAge", e.now()-time.Duration(e.loadReportedAt.Load()), "linkWait", load.LinkWait, "retryAfter", event.RetryAfter, "everywhere", event.SiblingsFull, "limit", limit.String(), "revision", e.options.Revision())
 }
 
 func (e *Endpoint) removeHint(handle gate.Handle) {
@@ -329,6 +340,7 @@
 		if onHint != nil && req.Repeatable {
 			e.hints[handle] = onHint
 		}
+		e.observeLink(now)
 		return e.gate.Arrive(now, gateRequest(now, handle, req))
 	})
 	return handle, e.awaitDecision(ctx, handle, ch)
@@ -378,6 +390,7 @@
 func (e *Endpoint) finish(handle gate.Handle, outcome gate.Outcome) {
 	e.runGate(func(now time.Duration) []gate.Event {
 		delete(e.hints, handle)
+		e.observeLink(now)
 		return e.gate.Finish(now, handle, outcome)
 	})
 }
--- a/internal/endpoint/forward.go
+++ b/internal/endpoint/forward.go
@@ -86,9 +86,15 @@
 	outcome := gate.Completed
 	if resp.StatusCode >= http.StatusInternalServerError {
 		outcome = gate.Failed
+	} else {
+		e.observeResponse(handle, resp.ContentLength)
 	}
-	resp.Body = &responseBody{ReadCloser: resp.Body, end: func(truncated bool) {
+	body := &responseBody{ReadCloser: resp.Body}
+	body.end = func(truncated bool) {
 		end()
+		if !truncated && outcome == gate.Completed && resp.ContentLength < 0 {
+			e.observeResponse(handle, body.size)
+		}
 		switch {
 		case truncated && ctx.Err() != nil, serverCtx.Err() != nil:
 			// The caller has disconnected, or the server has restarted: the gate's estimates
@@ -112,13 +118,21 @@
 			logs.Decision(true, "Backend server failed", "request", out.ID, "attempt", hop.FormatID(reply.ID), "host", e.options.Host, "status", resp.StatusCode,
 				"after", time.Since(started), "cut", truncated, "callerGone", ctx.Err() != nil)
 		}
-	}}
+	}
+	resp.Body = body
 	if isLarge(resp) || resp.ContentLength < 0 {
 		resp.Body = newReadAhead(resp.Body)
 	}
 	return resp, reply
 }
 
+// observeResponse passes the size of a response to the gate; a negative size is not known.
+func (e *Endpoint) observeResponse(handle gate.Handle, bytes int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.gate.ObserveResponse(e.now(), handle, bytes)
+}
+
 // mergeContexts returns a copy of ctx that also ends with serverCtx; end releases its
 // resources.
 func mergeContexts(ctx, serverCtx context.Context) (merged context.Context, end func()) {
@@ -232,11 +246,14 @@
 	io.ReadCloser
 	end   func(truncated bool)
 	ended bool
+	// size is the number of bytes read.
+	size int64
 }
 
 // Read reads the response body.
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	b.size += int64(n)
 	if err != nil {
 		b.endOnce(!errors.Is(err, io.EOF))
 	}
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -120,7 +120,8 @@
 		Running: uint32(l.Running), Waiting: uint32(l.Waiting), Slots: uint32(l.Slots), ServiceUs: uint64(l.Service.Microseconds()),
 		Draining: l.Draining, Full: l.Full, FailPerMille: uint32(l.FailRatio * perMille), Failing: l.Failing,
 		CrowdPercent: uint32(l.Contention * percent), SlowdownPercent: uint32(l.Slowdown * percent), WaitUs: uint64(l.Wait.Microseconds()),
-		ColdStarts: uint32(l.ColdStarts), StartsLeft: uint32(l.StartsLeft)})
+		ColdStarts: uint32(l.ColdStarts), StartsLeft: uint32(l.StartsLeft),
+		LinkWaitUs: uint64(l.LinkWait.Microseconds())})
 	if err != nil {
 		return
 	}
@@ -162,5 +163,6 @@
 		Running: int(m.Running), Waiting: int(m.Waiting), Slots: int(m.Slots), Service: time.Duration(m.ServiceUs) * time.Microsecond,
 		Draining: m.Draining, Full: m.Full, FailRatio: float64(m.FailPerMille) / perMille, Failing: m.Failing,
 		Contention: float64(m.CrowdPercent) / percent, Slowdown: float64(m.SlowdownPercent) / percent, Wait: time.Duration(m.WaitUs) * time.Microsecond,
-		ColdStarts: int(m.ColdStarts), StartsLeft: int(m.StartsLeft)}}
+		ColdStarts: int(m.ColdStarts), StartsLeft: int(m.StartsLeft),
+		LinkWait: time.Duration(m.LinkWaitUs) * time.Microsecond}}
 }
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -105,9 +105,9 @@
 	m := spec.Measure
 	return gate.Config{
 		Slots: int(slots), Queue: int(spec.Queue), SlowStart: time.Duration(spec.SlowStartMs) * time.Millisecond, ColdStarts: int(spec.ColdRequestsPerSecond), Siblings: true,
-		ReportsPerSecond: max(measure.GateShare(m.GetReportsPerSecond(), gates), int(m.GetReportsPerEndpoint())),
-		BytesPerSecond:   max(measure.GateShare(m.GetBytesPerSecond(), gates), int(m.GetBytesPerEndpoint())),
-		Disabled:         n.disabled,
+		ReportsPerSecond:   max(measure.GateShare(m.GetReportsPerSecond(), gates), int(m.GetReportsPerEndpoint())),
+		BytesPerSecond:     max(measure.GateShare(m.GetBytesPerSecond(), gates), int(m.GetBytesPerEndpoint())),
+		LinkBytesPerSecond: n.options.LinkBytesPerSecond, Disabled: n.disabled,
 	}
 }
 
