--- a/internal/endpoint/forward.go
+++ b/internal/endpoint/forward.go
@@ -86,7 +86,8 @@
 	outcome := gate.Completed
 	if resp.StatusCode >= http.StatusInternalServerError {
 		outcome = gate.Failed
-	} else {
+	} else if out.Method != http.MethodHead {
+		// The length that a response to HEAD names is not sent.
 		e.observeResponse(handle, resp.ContentLength)
 	}
 	body := &responseBody{ReadCloser: resp.Body}
