--- a/core/gate/link.go
+++ b/core/gate/link.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"slices"
 	"time"
 
 	"cactuspath/core/mechanism"
@@ -225,7 +226,8 @@
 	if !g.linkMissesDeadline(now, it) {
 		return false
 	}
-	g.emit(Event{Kind: Refused, Handle: it.Handle, Reason: TooLate, RetryAfter: g.linkRetryAfter(now, it), SiblingsFull: g.lateEverywhere(now, it)})
+	best, there := g.fastestSibling(now, it)
+	g.emit(Event{Kind: Refused, Handle: it.Handle, Reason: TooLate, RetryAfter: g.linkRetryAfter(now, it, best, there), SiblingsFull: g.lateEverywhere(now, it, best, there)})
 	return true
 }
 
@@ -238,26 +240,24 @@
 	return time.Duration(linkMargin * float64(took))
 }
 
-// lateEverywhere reports whether none of the known siblings can finish a request before
-// its deadline, so that an attempt at one of them is pointless.
-func (g *Gate) lateEverywhere(now time.Duration, it *item) bool {
+// lateEverywhere reports whether none of the known siblings, of which best finishes a
+// request first, meets its deadline, so that an attempt at one of them is pointless.
+func (g *Gate) lateEverywhere(now time.Duration, it *item, best *sibling, there time.Duration) bool {
 	if g.disabled(mechanism.SiblingsFull) {
 		return false
 	}
-	known := false
-	for _, sib := range g.siblings.list {
-		known = known || sib.fresh(now)
+	if best != nil {
+		return g.punctualityOf(now, it, there-g.siblings.transferCost(best, it)) == missesDeadline
 	}
-	sib, there := g.fastestSibling(now, it)
-	return known && (sib == nil || g.punctualityOf(now, it, there-g.siblings.transferCost(sib, it)) == missesDeadline)
+	return slices.ContainsFunc(g.siblings.list, func(sib *sibling) bool { return sib.fresh(now) })
 }
 
 // linkRetryAfter is how long the caller of a refused request should wait: until this link
-// or that of the fastest sibling has sent so much that a new request of the class would
-// meet its aim or, without an aim, its deadline.
-func (g *Gate) linkRetryAfter(now time.Duration, it *item) time.Duration {
+// or that of the best sibling has sent so much that a new request of the class would meet
+// its aim or, without an aim, its deadline.
+func (g *Gate) linkRetryAfter(now time.Duration, it *item, best *sibling, there time.Duration) time.Duration {
 	took := g.finishOnLink(now, it, 0)
-	if sib, there := g.fastestSibling(now, it); sib != nil {
+	if best != nil {
 		took = min(took, there)
 	}
 	allowed := it.Deadline - now
@@ -281,6 +281,7 @@
 		return
 	}
 	if !g.tryMove(now, it, g.waitingMoveGain(now)) {
-		g.drop(it, TooLate, g.linkRetryAfter(now, it))
+		best, there := g.fastestSibling(now, it)
+		g.drop(it, TooLate, g.linkRetryAfter(now, it, best, there))
 	}
 }
