gate: waits at siblings are estimated by the rank of the request

Urgent requests missed their aim during bursts of patient ones on a service of which a quarter of the servers was slow: they were started on slow servers. A gate took the wait that a sibling reports, which is that of a patient request behind its whole queue, for that of an urgent one, which waits for the next slot only, and kept it. The share of the queue that precedes a request is now taken from the gate's own queue.

--- a/core/gate/moves.go
+++ b/core/gate/moves.go
@@ -50,11 +50,12 @@
 // large response goes to a sibling where it meets its aim, if there is one.
 func (g *Gate) fastestSibling(now time.Duration, it *item) (best *sibling, finish time.Duration) {
 	bestInTime := missesDeadline
+	share := g.shareAhead(it)
 	for _, sib := range g.siblings.list {
 		if !sib.fresh(now) || !sib.report.Load.acceptsRequests() {
 			continue
 		}
-		f := g.estimateFinishAt(sib, it) + 2*sib.Distance
+		f := g.estimateFinishAt(sib, it, share) + 2*sib.Distance
 		inTime := g.punctualityOf(now, it, f)
 		f += g.siblings.transferCost(sib, it)
 		if best == nil || inTime < bestInTime || inTime == bestInTime && f < finish {
@@ -68,14 +69,36 @@
 // servers report their slowdown, it uses the demand of the request's own class. With
 // the sibling's mean service time, a call of 160 ms would look as slow at a fast
 // sibling whose mean request takes 900 ms as at a slow server here, and would not be
-// moved.
-func (g *Gate) estimateFinishAt(sib *sibling, it *item) time.Duration {
+// moved. share is the share of the sibling's queue that is served before the request.
+func (g *Gate) estimateFinishAt(sib *sibling, it *item, share float64) time.Duration {
 	l := sib.report.Load
 	extra := herdFactor * len(sib.unreportedMoves)
 	if it == nil || l.Slowdown == 0 || !g.speed.known {
 		return g.finishOnLinkOf(sib, it, l.estimateFinish(extra))
 	}
-	return g.finishOnLinkOf(sib, it, l.estimateWait(extra)+time.Duration(g.speed.demandOf(it.Request)*l.Slowdown))
+	wait := l.estimateWait(extra)
+	if share < 1 && l.Waiting > 0 && l.estimateColdWait(extra) == 0 {
+		// It waits for at least one turn.
+		wait = time.Duration(float64(wait) * max(share, 1/float64(l.Waiting)))
+	}
+	return g.finishOnLinkOf(sib, it, wait+time.Duration(g.speed.demandOf(it.Request)*l.Slowdown))
+}
+
+// shareAhead is the share of a sibling's queue that is assumed to be served before a
+// request: that of this gate's queue, since the requests of a service are spread over its
+// gates alike. A reported wait is that of a request which is served last. Without the share,
+// a request with a short aim stays on a slow server because patient requests, which it
+// would not wait for, wait at all others.
+func (g *Gate) shareAhead(it *item) float64 {
+	if it == nil || !g.linkEnabled() || g.queue.size == 0 {
+		return 1
+	}
+	work := g.queue.work()
+	if work <= 0 {
+		return 1
+	}
+	_, ahead := g.queue.ahead(it.rank)
+	return min(1, ahead/work)
 }
 
 // waitingMoveGain is how many times sooner a sibling must finish a request that waits
