--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -68,7 +68,7 @@
 		config = n.gateConfig(spec, slots, 1)
 	}
 	e := endpoint.New(endpoint.Options{
-		Host: n.options.Host, Incarnation: n.incarnation.Load, SendReport: n.reports.send, Revision: n.Revision, ObserveRevision: n.observeRevision, LeavingChanged: n.applyLeaving, Counters: n.gates, Dialect: n.options.Dialect, Quarantine: n.quarantine, Overload: n.overload, Link: n.link,
+		Host: n.options.Host, Incarnation: n.incarnation.Load, SendReport: n.reports.send, Revision: n.Revision, ObserveRevision: n.observeRevision, LeavingChanged: n.applyLeaving, Counters: n.gates, Dialect: n.options.Dialect, Quarantine: n.quarantine, Overload: n.overload, Link: n.link, LinkBacklog: n.link.Backlog,
 	}, config)
 	if n.hadServer {
 		e.SetReplacesEarlierEndpoint()
@@ -105,9 +105,9 @@
 	m := spec.Measure
 	return gate.Config{
 		Slots: int(slots), Queue: int(spec.Queue), SlowStart: time.Duration(spec.SlowStartMs) * time.Millisecond, ColdStarts: int(spec.ColdRequestsPerSecond), Siblings: true,
-		ReportsPerSecond: max(measure.GateShare(m.GetReportsPerSecond(), gates), int(m.GetReportsPerEndpoint())),
-		BytesPerSecond:   max(measure.GateShare(m.GetBytesPerSecond(), gates), int(m.GetBytesPerEndpoint())),
-		Disabled:         n.disabled,
+		ReportsPerSecond:   max(measure.GateShare(m.GetReportsPerSecond(), gates), int(m.GetReportsPerEndpoint())),
+		BytesPerSecond:     max(measure.GateShare(m.GetBytesPerSecond(), gates), int(m.GetBytesPerEndpoint())),
+		LinkBytesPerSecond: n.options.LinkBytesPerSecond, Disabled: n.disabled,
 	}
 }
 
