gate, control: learned service profiles survive a restart of all gates

What callers saw: after a loss of power, a service of enough capacity refused 40 of 100 requests for 3 s, since each gate left its last slots empty on its cold server. Cause: gates lose what they have measured of contention when they restart, and do not measure it on a cold server. Change: control replicas keep what gates have measured, with bounds, in a file in their data folder; a gate that has just started gets the profile of its service with the first watch. Off unless learnedProfiles is set.

--- a/core/gate/contention.go
+++ b/core/gate/contention.go
@@ -103,14 +103,17 @@
 	return min(maxContentionFactor, max(1, c.ratio))
 }
 
-// contentionFactor is how many times longer requests take at high occupancy; 1 until it
-// is known. The backend servers of a service run the same program, so the median of the
+// contentionFactor is how many times longer requests take at high occupancy; until it is
+// measured, that of the service's profile, or 1. The backend servers of a service run the same program, so the median of the
 // factors measured by all gates is used: a single gate measures 1.0 to 2.2 where the
 // true factor is 1.7, and a gate that has just started has no measurement.
 func (g *Gate) contentionFactor() float64 {
 	if g.disabled(mechanism.Contention) {
 		return 1
 	}
+	if !g.contentionMeasured() {
+		return max(1, g.seededContention())
+	}
 	return g.cachedContention
 }
 
@@ -155,14 +158,27 @@
 // until there are enough samples at low occupancy: a server that is full from its start
 // would never provide any to compare with. Then they are filled until there are enough
 // samples at high occupancy, but not on a cold server, where this measurement would add
-// contention while the server is slowest.
+// contention while the server is slowest. A profile without contention allows all slots
+// until a measurement contradicts it; one with contention keeps the last ones empty until
+// the gate measures again.
 func (g *Gate) usefulSlots() int {
 	slots := g.config.Slots
 	if g.disabled(mechanism.Contention) {
 		return slots
 	}
-	if g.speed.contention.lowOccupancy.seen >= minContentionSamples && g.contentionFactor() <= contentionThreshold && !(g.speed.isCold() && !g.speed.contention.known()) {
+	if g.fillsBySeed() || g.fillsByMeasurement() {
 		return slots
 	}
 	return max(1, int(highOccupancyShare*float64(slots)))
 }
+
+// fillsByMeasurement reports whether all slots are used because measurements show no
+// contention, or to provide samples at high occupancy. Only measurements count here: a
+// profile with contention would otherwise prevent the samples that could contradict it.
+func (g *Gate) fillsByMeasurement() bool {
+	c := &g.speed.contention
+	if c.lowOccupancy.seen < minContentionSamples || g.speed.isCold() && !c.known() {
+		return false
+	}
+	return !g.contentionMeasured() || g.contentionFactor() <= contentionThreshold
+}
--- a/core/gate/demand.go
+++ b/core/gate/demand.go
@@ -74,9 +74,9 @@
 }
 
 // seedDemand derives the initial estimate of the mean demand from the aims of arriving
-// requests.
+// requests or the demands of their classes in the service's profile.
 func (s *speedTracker) seedDemand(r Request) {
-	if r.Aim == 0 || s.demand.seen >= minDemandSamples {
+	if r.Aim == 0 && s.seededDemand(r.Class) == 0 || s.demand.seen >= minDemandSamples {
 		return
 	}
 	demand := s.demandOf(r)
@@ -86,11 +86,18 @@
 	s.initialDemand += (demand - s.initialDemand) / minDemandSamples
 }
 
-// demandOf is the demand of a request's class. Before a request of the class has
-// completed, it is estimated from the aim: operators set aims to a few times the mean
-// demand.
+// demandOf is the demand of a request's class. Before enough requests of the class have
+// completed, it is that of the service's profile, or estimated from the aim: operators set
+// aims to a few times the mean demand.
 func (s *speedTracker) demandOf(r Request) float64 {
-	if m := s.classes[r.Class]; m != nil && (m.seen >= minClassSamples || m.seen > 0 && r.Aim == 0) {
+	m := s.classes[r.Class]
+	if m != nil && m.seen >= minClassSamples {
+		return m.value
+	}
+	if seeded := s.seededDemand(r.Class); seeded > 0 {
+		return seeded
+	}
+	if m != nil && m.seen > 0 && r.Aim == 0 {
 		return m.value
 	}
 	if r.Aim > 0 {
--- a/core/gate/slowdown.go
+++ b/core/gate/slowdown.go
@@ -48,6 +48,10 @@
 	contention  contention
 	speedModel  speedModel
 	slowPeriods slowPeriods
+	// seed is the service's profile. uncomparedHigh is how many requests completed at high
+	// occupancy on a warm server before enough did at low occupancy to compare them with.
+	seed           seed
+	uncomparedHigh int
 }
 
 func newSpeedTracker(now time.Duration) speedTracker {
@@ -117,6 +121,7 @@
 		// Without the server's reports, a slow host would look like contention.
 		s.addContentionSample(stats, demand, occupancy)
 	}
+	s.countUncompared(occupancy)
 	if occupancy == highOccupancy {
 		// The time at high occupancy includes the contention.
 		demand /= factor
--- a/internal/node/announce.go
+++ b/internal/node/announce.go
@@ -100,6 +100,9 @@
 		n.sequence++
 	}
 	n.mu.Unlock()
+	if fresh {
+		n.profiles.serverAnnounced()
+	}
 	if moved {
 		s.endpoint.ReplaceServer(a.Instance, a.Address)
 	}
--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -47,6 +47,7 @@
 		"gate_load_probes":              &n.gates.Probes,
 		"gate_limit_changes":            &n.gates.LimitChanges,
 		"gate_limit_malformed":          &n.gates.LimitMalformed,
+		"gate_profile_seeded":           expvar.Func(func() any { return n.profiles.seededGates() }),
 		"gate_load_malformed":           &n.gates.LoadMalformed,
 		"log_lines_skipped":             expvar.Func(func() any { return logs.Skipped() }),
 		"measure_reports_sent":          &n.counters.reportsSent,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -105,8 +105,10 @@
 	// usage enforces the usage caps of client accounts.
 	usage   *usage.Accountant
 	watcher *watcher
-	front   *front.Server
-	callers *requestCounter
+	// profiles exchanges service profiles with the control replicas.
+	profiles *profiles
+	front    *front.Server
+	callers  *requestCounter
 
 	mu             sync.Mutex
 	records        *rollout.Records
@@ -158,6 +160,7 @@
 	n.relay = newRelay(n)
 	n.member = newMember(n)
 	n.watcher = newWatcher(n)
+	n.profiles = newProfiles(n)
 	n.overload = overload.NewMonitor(options.Host)
 	n.proxy = proxy.New(proxy.Options{
 		Host: options.Host, DataCenter: options.DataCenter, Security: options.Security, Local: n, DiscoverService: n.awaitService, ObserveRevision: n.observeRevision, Revision: n.Revision, Revoke: n.revoke, Counters: n.calls,
@@ -192,7 +195,7 @@
 	defer cancel()
 	servers := n.serve()
 	var loops sync.WaitGroup
-	for _, loop := range []func(context.Context){n.member.run, n.relay.run, n.reports.run, n.quarantine.Run, n.overload.Run, n.exchangeQuarantine, n.watchServer, n.watcher.run, n.watcher.announce, n.discoverServer} {
+	for _, loop := range []func(context.Context){n.member.run, n.relay.run, n.reports.run, n.quarantine.Run, n.overload.Run, n.exchangeQuarantine, n.watchServer, n.watcher.run, n.watcher.announce, n.profiles.run, n.discoverServer} {
 		loops.Go(func() { loop(background) })
 	}
 	klog.InfoS("Node started", "host", n.options.Host, "callers", n.options.Callers.Addr(), "peer", n.options.PeerAddress, "admin", n.options.Admin.Addr(),
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -127,6 +127,7 @@
 	n.mu.Unlock()
 	klog.InfoS("Backend server withdrawn", "host", n.options.Host, "service", s.service, "why", why)
 	s.endpoint.SetDraining(true)
+	n.profiles.forget()
 	n.member.requestSync()
 	go n.closeWhenDrained(s.endpoint)
 }
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -259,10 +260,12 @@
 func (w *watcher) poll(ctx context.Context, address string) (*apiv1.WatchResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchHold+watchTimeoutMargin)
 	defer cancel()
-	resp, err := w.n.options.Control.At(address).Control.Watch(ctx, connect.NewRequest(w.buildRequest(address)))
+	req, answered := w.buildRequest(address)
+	resp, err := w.n.options.Control.At(address).Control.Watch(ctx, connect.NewRequest(req))
 	if err != nil {
 		return nil, err
 	}
+	answered(resp.Msg)
 	return resp.Msg, nil
 }
 
@@ -289,7 +292,8 @@
 	return w.cursors[address]
 }
 
-func (w *watcher) buildRequest(address string) *apiv1.WatchRequest {
+// buildRequest returns the next watch of a replica and a function to call with its response.
+func (w *watcher) buildRequest(address string) (req *apiv1.WatchRequest, answered func(*apiv1.WatchResponse)) {
 	n := w.n
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -301,7 +305,8 @@
 	if wantEntries {
 		hold = noRelayHold
 	}
-	return &apiv1.WatchRequest{Host: n.options.Host, Revision: n.Revision(), HoldMs: uint32(hold.Milliseconds()), Entry: n.entry(""), WantEntries: wantEntries, EntriesHoldMs: uint32(watchHold.Milliseconds()), Heard: w.cursorFor(address, noRelay)}
+	req = &apiv1.WatchRequest{Host: n.options.Host, Revision: n.Revision(), HoldMs: uint32(hold.Milliseconds()), Entry: n.entry(""), WantEntries: wantEntries, EntriesHoldMs: uint32(watchHold.Milliseconds()), Heard: w.cursorFor(address, noRelay)}
+	return req, n.profiles.fill(address, req)
 }
 
 // becomeEntrySource reports whether the replica supplies the entries of other nodes: it does
@@ -315,6 +320,13 @@
 	return w.entrySource == address
 }
 
+// watchedAddresses returns the addresses of the replicas that are watched.
+func (w *watcher) watchedAddresses() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Sorted(maps.Keys(w.watched))
+}
+
 // addresses returns all known replica addresses without duplicates.
 func (w *watcher) addresses() []string {
 	w.mu.Lock()
--- a/internal/replica/counters.go
+++ b/internal/replica/counters.go
@@ -36,6 +36,7 @@
 		"control_peer_bytes_in":       &r.counters.traffic.In,
 		"control_peer_bytes_out":      &r.counters.traffic.Out,
 		"control_quarantine_contents": gauge(func() any { return r.quarantine.Contents() }),
+		"control_profiles":            gauge(func() any { return r.profiles.services() }),
 		"control_revision":            gauge(func() any { return r.Revision() }),
 		"control_role":                gauge(func() any { return r.Status().Role.String() }),
 		"control_term":                gauge(func() any { return r.Status().Term }),
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -89,6 +89,8 @@
 	// quarantine stores what the nodes report about servers that crashed, and passes it on to the
 	// other nodes.
 	quarantine *quarantine.Tracker
+	// profiles keeps what gates have learned; nil if options.LearnedProfiles is not set.
+	profiles *profiles
 }
 
 type pendingProposal struct {
@@ -124,6 +126,9 @@
 	if err := r.quarantine.Load(options.DataFolder); err != nil {
 		klog.ErrorS(err, "Stored quarantine not loaded", "replica", options.Name)
 	}
+	if options.LearnedProfiles {
+		r.profiles = loadProfiles(options.Name, options.DataFolder)
+	}
 	seed := rand.New(rand.NewPCG(rand.Uint64(), identity.MemberID))
 	r.raft = consensus.New(consensus.Config{ID: identity.MemberID, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, Rand: seed}, restored)
 	r.publishStatus()
@@ -145,6 +150,10 @@
 	defer cancel()
 	go r.manageMembership(background)
 	go r.quarantine.Store(background, r.options.DataFolder)
+	var stores sync.WaitGroup
+	stores.Go(func() { r.profiles.run(background, r.options.DataFolder) })
+	defer stores.Wait()
+	defer cancel()
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/replica/watch.go
+++ b/internal/replica/watch.go
@@ -30,14 +30,20 @@
 // Watch returns the changes after the revision of the calling node. If there are none, it holds the
 // response until this replica has applied a newer revision, the requested hold time ends or the
 // replica loses contact with the leader. It returns only committed revisions, which a later leader
-// cannot revert.
+// cannot revert. A node that wants a profile gets it at once if it is complete.
 func (c controlService) Watch(ctx context.Context, req *connect.Request[apiv1.WatchRequest]) (*connect.Response[apiv1.WatchResponse], error) {
 	r := c.r
 	resp := &apiv1.WatchResponse{}
 	r.presence.put(req.Msg.Entry)
-	if r.watchers.active.Add(1) > maxWatchers {
+	r.profiles.observe(req.Msg)
+	resp.Profile = r.profiles.profileFor(req.Msg)
+	switch {
+	case r.watchers.active.Add(1) > maxWatchers:
 		resp.Full = true
-	} else {
+	case resp.Profile.GetContentionPercent() > 0:
+		// The gate of the node has no profile. Requests may reach it before the hold ends.
+		// The node asks no more once it has a contention factor, so that this does not repeat.
+	default:
 		r.waitForNews(ctx, req.Msg)
 	}
 	r.watchers.active.Add(-1)
