gate, profile: a profile that measurements contradict is ignored; tests

Cause: a server that is full from its start gives no samples at low occupancy. Change: demands at high occupancy are compared with those in the profile; a warm server that stays full is measured after some seconds. Tests of core/gate, core/profile, internal/emulator (-run Profile) pass.

--- a/core/gate/contention.go
+++ b/core/gate/contention.go
@@ -64,12 +64,11 @@
 	w.seen++
 }
 
-// quantile is the contentionQuantile of the kept values, of which there must be at
-// least one.
-func (w *window) quantile() float64 {
+// quantile is the given quantile of the kept values, of which there must be at least one.
+func (w *window) quantile(q float64) float64 {
 	sorted := slices.Clone(w.values[:min(w.seen, contentionWindow)])
 	slices.Sort(sorted)
-	return sorted[int(contentionQuantile*float64(len(sorted)))]
+	return sorted[int(q*float64(len(sorted)))]
 }
 
 func (c *contention) add(ratio float64, occupancy occupancy) {
@@ -82,7 +81,7 @@
 		return
 	}
 	if c.known() {
-		c.ratio = c.highOccupancy.quantile() / max(c.lowOccupancy.quantile(), minDemandRatio)
+		c.ratio = c.highOccupancy.quantile(contentionQuantile) / max(c.lowOccupancy.quantile(contentionQuantile), minDemandRatio)
 	}
 }
 
--- a/core/gate/profile.go
+++ b/core/gate/profile.go
@@ -41,9 +41,9 @@
 	learnedChange = 1.1
 	// maxUncomparedHigh is how many requests may complete at high occupancy on a warm
 	// server whose slots are all in use because of a profile, before the gate leaves the
-	// last slots empty to measure again. Otherwise, a server that stays full would never
-	// be found to have contention after a change of its program. It corresponds to a few
-	// seconds at full load.
+	// last slots empty to measure again. Otherwise, contention after a change of the
+	// program would never be measured on a server that stays full. It corresponds to a
+	// few seconds at full load.
 	maxUncomparedHigh = 4 * contentionWindow
 )
 
@@ -51,6 +51,14 @@
 type seed struct {
 	contention float64
 	classes    map[string]ClassLearned
+	// high holds the demands at high occupancy relative to those in the profile, while the
+	// gate has too few samples at low occupancy to compare them with. contradicted is set
+	// while they are so long that there seems to be contention.
+	high         window
+	contradicted bool
+	// uncomparedHigh counts the samples that the profile was trusted for; see
+	// maxUncomparedHigh.
+	uncomparedHigh int
 }
 
 // Learned returns what this gate has measured, with the contention factor that it shares
@@ -120,7 +128,10 @@
 	if factor == 0 || factor > contentionThreshold || g.contentionFactor() > contentionThreshold {
 		return false
 	}
-	return g.contentionMeasured() || g.speed.isCold() || g.speed.uncomparedHigh < maxUncomparedHigh
+	if g.contentionMeasured() {
+		return true
+	}
+	return !g.speed.seed.contradicted && (g.speed.isCold() || g.speed.seed.uncomparedHigh < maxUncomparedHigh)
 }
 
 // contentionMeasured reports whether the gate or a sibling has measured the contention
@@ -135,10 +146,20 @@
 	return float64(s.seed.classes[class].Demand)
 }
 
-// countUncompared counts a request that completed at high occupancy on a warm server, for
-// maxUncomparedHigh.
-func (s *speedTracker) countUncompared(occupancy occupancy) {
-	if occupancy == highOccupancy && !s.isCold() && s.contention.lowOccupancy.seen < minContentionSamples {
-		s.uncomparedHigh++
+// checkSeed compares a completed request at high occupancy with the profile, until there
+// are enough samples at low occupancy. A program that was replaced by one with contention
+// would otherwise run with all slots in use while its servers are cold, and the gates could
+// not measure it. The median is compared, since requests that wait for calls to other
+// backend servers may take longer for reasons elsewhere.
+func (s *speedTracker) checkSeed(class string, demand float64, occupancy occupancy) {
+	if s.seed.contention == 0 || occupancy != highOccupancy || s.contention.lowOccupancy.seen >= minContentionSamples {
+		return
+	}
+	if !s.isCold() {
+		s.seed.uncomparedHigh++
+	}
+	if seeded := s.seededDemand(class); seeded > 0 {
+		s.seed.high.add(demand / seeded)
+		s.seed.contradicted = s.seed.high.seen >= minContentionSamples && s.seed.high.quantile(0.5) > contentionThreshold
 	}
 }
--- a/core/gate/slowdown.go
+++ b/core/gate/slowdown.go
@@ -48,10 +48,8 @@
 	contention  contention
 	speedModel  speedModel
 	slowPeriods slowPeriods
-	// seed is the service's profile. uncomparedHigh is how many requests completed at high
-	// occupancy on a warm server before enough did at low occupancy to compare them with.
-	seed           seed
-	uncomparedHigh int
+	// seed is the service's profile.
+	seed seed
 }
 
 func newSpeedTracker(now time.Duration) speedTracker {
@@ -121,7 +119,9 @@
 		// Without the server's reports, a slow host would look like contention.
 		s.addContentionSample(stats, demand, occupancy)
 	}
-	s.countUncompared(occupancy)
+	if s.known {
+		s.checkSeed(it.Class, demand, occupancy)
+	}
 	if occupancy == highOccupancy {
 		// The time at high occupancy includes the contention.
 		demand /= factor
--- a/core/profile/wire.go
+++ b/core/profile/wire.go
@@ -47,8 +47,12 @@
 	if err != nil {
 		return nil, err
 	}
+	return withChecksum(data), nil
+}
+
+func withChecksum(data []byte) []byte {
 	file := binary.BigEndian.AppendUint64(make([]byte, 0, checksumBytes+len(data)), xxhash.Sum64(data))
-	return append(file, data...), nil
+	return append(file, data...)
 }
 
 // storedHosts lists what the hosts reported, the oldest reports first, in which order
--- a/internal/emulator/result.go
+++ b/internal/emulator/result.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"cactuspath/core/gate"
 )
 
 // Result summarizes one run. Asked is the number of client requests. Value, WorstSeconds,
@@ -41,6 +43,8 @@
 	// has ended and the servers that it restarted are warm.
 	Afterwards float64       `json:"afterwards"`
 	Classes    []ClassResult `json:"classes"`
+	// Learned holds the profiles of the services at the end of the run.
+	Learned map[string]gate.Learned `json:"-"`
 }
 
 // ClassResult summarizes the requests of one class: the number of client requests, the
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -7,6 +7,7 @@
 
 	"cactuspath/core/balancer"
 	"cactuspath/core/gate"
+	"cactuspath/core/profile"
 	"cactuspath/core/retry"
 	"cactuspath/internal/virtual"
 )
@@ -47,7 +48,22 @@
 	}
 	end := scenario.Duration.Duration() + longestTimeout
 	sim.clock.RunUntil(func() bool { return sim.now() > end })
-	return sim.result.finish()
+	result := sim.result.finish()
+	result.Learned = sim.profiles()
+	return result
+}
+
+// profiles returns the profiles of the services that control replicas would have now.
+func (sim *simulation) profiles() map[string]gate.Learned {
+	store := profile.NewStore()
+	for _, n := range sim.nodes {
+		store.Observe(n.host, n.service.Name, n.gate.Learned())
+	}
+	learned := map[string]gate.Learned{}
+	for _, service := range sim.scenario.Services {
+		learned[service.Name] = store.Profile(service.Name)
+	}
+	return learned
 }
 
 // randomStream returns a random stream that depends only on the seed and the purpose. The
@@ -65,6 +81,9 @@
 				random: sim.randomStream(uint64(index)), requests: map[gate.Handle]*attempt{}}
 			n.server = newServer(&sim.clock, service)
 			n.gate = gate.New(n.host, n.config(), 0)
+			if learned, known := sim.variant.Profiles[service.Name]; known {
+				n.gate.Seed(0, learned)
+			}
 			sim.nodes = append(sim.nodes, n)
 			sim.byHost[n.host] = n
 		}
--- a/internal/emulator/variants.go
+++ b/internal/emulator/variants.go
@@ -10,6 +10,7 @@
 	"cactuspath/core/balancer/nodes"
 	"cactuspath/core/balancer/random"
 	"cactuspath/core/balancer/twochoices"
+	"cactuspath/core/gate"
 	"cactuspath/core/mechanism"
 )
 
@@ -26,6 +27,8 @@
 	Omniscient bool
 	// Off is the set of disabled mechanisms.
 	Off mechanism.Set
+	// Profiles holds the profiles, by service, that gates are given at their start.
+	Profiles map[string]gate.Learned
 }
 
 // ProductionVariant is the name of the variant that the nodes run.
