--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -96,6 +96,8 @@
 	tlsSettings string
 	// ctlTLSFlags contains the TLS flags of cactusctl.
 	ctlTLSFlags []string
+	// extraSettings are further top-level settings of replicas and nodes, each with a comma.
+	extraSettings string
 	// watchControl makes nodes watch the control replicas, as at small sites.
 	watchControl bool
 }
@@ -145,7 +147,7 @@
   "host": "control-%d", "dataCenter": "dc-a", "region": "r",
   "controlReplicas": [%s], %s
   "control": {"name": "control-%d", "address": %q, "listen": %q, "dataFolder": %q, %s},
-}`, i+1, c.replicaList(), c.tlsSettings, i+1, c.advertisedAddresses[i], c.controlAddresses[i], c.dataFolder(i), foundersSetting))
+}`, i+1, c.replicaList(), c.tlsSettings+c.extraSettings, i+1, c.advertisedAddresses[i], c.controlAddresses[i], c.dataFolder(i), foundersSetting))
 }
 
 func (c *cluster) replicaList() string {
@@ -197,7 +199,7 @@
   "host": %q, "dataCenter": %q, "region": "r", "stopTimeout": "60s",
   "controlReplicas": [%s], %s
   "node": {"callers": %q, "peer": %q, "peerAddress": %q, "admin": %q, "watchControl": %t},
-}`, n.host, options.dataCenter, c.replicaList(), c.tlsSettings, n.callers, n.peer, peerAddress, n.admin, c.watchControl))
+}`, n.host, options.dataCenter, c.replicaList(), c.tlsSettings+c.extraSettings, n.callers, n.peer, peerAddress, n.admin, c.watchControl))
 	n.process = c.spawnWith(options.env, n.host, "cactuspath", "run", "--settings", file)
 	c.nodes = append(c.nodes, n)
 	if options.service != "" {
--- a/internal/node/profiles.go
+++ b/internal/node/profiles.go
@@ -37,6 +37,8 @@
 	n *Node
 	// ask makes the node ask for a profile at once instead of with the next watch.
 	ask chan struct{}
+	// learn returns what the gate of an endpoint has learned.
+	learn func(*endpoint.Endpoint) gate.Learned
 
 	mu sync.Mutex
 	// service is the service of profile; it is empty until a profile is received.
@@ -61,7 +63,7 @@
 }
 
 func newProfiles(n *Node) *profiles {
-	return &profiles{n: n, ask: make(chan struct{}, 1), reported: map[string]learnedReport{}}
+	return &profiles{n: n, ask: make(chan struct{}, 1), learn: (*endpoint.Endpoint).Learned, reported: map[string]learnedReport{}}
 }
 
 // enabled reports whether profiles are exchanged. The caller holds the node's lock.
@@ -125,7 +127,7 @@
 		return nil
 	}
 	r := &learnedReport{endpoint: p.n.server.endpoint, at: time.Now()}
-	r.learned = r.endpoint.Learned()
+	r.learned = p.learn(r.endpoint)
 	p.mu.Lock()
 	before := p.reported[address]
 	p.mu.Unlock()
