--- a/internal/emulator/profile_test.go
+++ b/internal/emulator/profile_test.go
@@ -90,3 +90,14 @@
 	with := Run(powerLossScenario(3000), seededVariant(map[string]gate.Learned{"orders": {Contention: 1, ContentionGates: 38}}, mechanism.Profile), 1)
 	assert.DeepEqual(t, with, without)
 }
+
+// Guards against a second power loss soon after the first start: from the first start on
+// cold servers, without a profile and with enough load to fill the slots at times, enough gates must have measured contention
+// after eight seconds. Their nodes report it with the next watch, within a second.
+func TestContentionIsLearnedSoonAfterFirstStart(t *testing.T) {
+	s := powerLossScenario(8000)
+	s.Classes[0].PerSecond *= 1.2
+	learned := Run(s, Without(0), 1).Learned["orders"]
+	t.Logf("contention %.2f by %d gates", learned.Contention, learned.ContentionGates)
+	assert.Assert(t, learned.Contention >= 1 && learned.ContentionGates >= gate.MinContentionGates)
+}
