Merge: service profiles, with the sizes of responses

Gates that start get what the gates of their service had learned, now with the mean size of each class's responses. Without it, gates that restart together treat downloads as short until five responses have been seen. Evidence: TestSizeFromProfileIsUsedUntilMeasured, TestLearnedHoldsSizes.

--- a/core/gate/link.go
+++ b/core/gate/link.go
@@ -115,6 +115,7 @@
 	size := g.meanResponse(r)
 	for _, it := range g.items {
 		if it.Class == r.Class && !it.responded {
+			g.link.forget(it)
 			it.responseBytes = size
 			g.link.expect(it)
 		}
@@ -127,11 +128,10 @@
 	if !g.linkEnabled() {
 		return 0
 	}
-	c := g.speed.classes[r.Class]
-	if c == nil || c.responseSize.seen < minClassSamples {
-		return 0
+	if c := g.speed.classes[r.Class]; c != nil && c.responseSize.seen >= minClassSamples {
+		return int64(c.responseSize.value)
 	}
-	return int64(c.responseSize.value)
+	return g.speed.seededResponse(r.Class)
 }
 
 // linkTime is how long the link needs for bytes of large responses.
--- a/core/gate/link_test.go
+++ b/core/gate/link_test.go
@@ -341,6 +341,36 @@
 	assert.DeepEqual(t, kinds(g.Arrive(0, download(9, "download", 0))), []EventKind{Refused})
 }
 
+// A gate that was given the size of a class's responses decides by it from the first request,
+// and by its own measurement once it has one. Guards against gates that restart together and
+// fill their links, and against counting a request twice when the measurement replaces the
+// profile.
+func TestSizeFromProfileIsUsedUntilMeasured(t *testing.T) {
+	g := New("self", Config{Slots: 9, Queue: 40, Siblings: true, LinkBytesPerSecond: 1e6 / largeLinkShare}, 0)
+	g.Seed(0, Learned{Classes: map[string]ClassLearned{"download": {ResponseBytes: 50_000}}})
+	for h := Handle(1); h <= 8; h++ {
+		assert.DeepEqual(t, kinds(g.Arrive(0, download(h, "download", 0))), []EventKind{Started})
+	}
+	assert.Equal(t, g.link.expected, int64(8*50_000))
+	for h := Handle(1); h <= minClassSamples; h++ {
+		g.ObserveResponse(0, h, 100_000)
+	}
+	assert.Equal(t, g.link.expected, int64(3*100_000))
+	assert.Equal(t, g.Learned().Classes["download"].ResponseBytes, int64(0), "a class without demand samples is not reported")
+
+	g = New("self", Config{Slots: 9, Queue: 40, LinkBytesPerSecond: 1e6 / largeLinkShare, Disabled: mechanism.Profile}, 0)
+	g.Seed(0, Learned{Classes: map[string]ClassLearned{"download": {ResponseBytes: 50_000}}})
+	g.Arrive(0, download(1, "download", 0))
+	assert.Equal(t, g.link.expected, int64(0))
+}
+
+// Guards against measured sizes that other gates never get.
+func TestLearnedHoldsSizes(t *testing.T) {
+	g, _ := linkGate()
+	assert.Equal(t, g.Learned().Classes["download"].ResponseBytes, int64(100_000))
+	assert.Equal(t, g.Learned().Classes["live"].ResponseBytes, int64(5_000))
+}
+
 // A waiting download whose link fills up moves to a sibling that can still finish it
 // before its deadline, and is refused if there is none. Guards against refusing it while
 // another gate has room.
--- a/core/gate/slowdown.go
+++ b/core/gate/slowdown.go
@@ -48,6 +48,8 @@
 	contention  contention
 	speedModel  speedModel
 	slowPeriods slowPeriods
+	// seed is the service's profile.
+	seed seed
 }
 
 func newSpeedTracker(now time.Duration) speedTracker {
@@ -117,6 +119,9 @@
 		// Without the server's reports, a slow host would look like contention.
 		s.addContentionSample(stats, demand, occupancy)
 	}
+	if s.known {
+		s.checkSeed(it.Class, demand, occupancy)
+	}
 	if occupancy == highOccupancy {
 		// The time at high occupancy includes the contention.
 		demand /= factor
