retry: while the budget is short, retries can go by need

What callers saw: where all servers of a service reject 55 of 100 requests, 24 of 100 requests end unserved; most retries go to requests whose callers come back anyway. Cause: the shared budget gives retries in the order in which they are asked for. Change: three needs (call, came-back, first); a lower need gets by a draw the share that higher ones leave, as measured over two to ten seconds. Hedged requests have the need of first tries. Off by default; then every decision is as before.

--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -79,6 +79,8 @@
 // Request tracks the attempts of one request.
 type Request struct {
 	Idempotent bool
+	// Need decides which requests get retries while the budget is short.
+	Need Need
 	// MaxAttempts is the number of backend servers that the request may reach.
 	MaxAttempts int
 	// attempts counts all attempts except moves; reached counts those that may have
@@ -121,7 +123,7 @@
 	if r.reached >= r.MaxAttempts || r.attempts >= max(r.MaxAttempts, minGateAttempts) || !othersLeft {
 		return r.GiveUp()
 	}
-	if result != Draining && result != Unreachable && !budget.Take() {
+	if result != Draining && result != Unreachable && !budget.Take(r.Need) {
 		return r.GiveUp()
 	}
 	return RetryOther
@@ -130,9 +132,10 @@
 // Hedge reports whether a hedged request, a second attempt in parallel with the first, may
 // be sent because the server became slow while running the request. The request must be
 // idempotent. If so, the attempt is counted and taken from the budget, whose fractions are
-// left to retries after failures.
+// left to retries after failures. Hedged requests have the need of first tries: the first
+// attempt is still running, so the request has another chance.
 func (r *Request) Hedge(budget *Budget) bool {
-	if !r.Idempotent || r.reached+1 >= r.MaxAttempts || !budget.takeWhole() {
+	if !r.Idempotent || r.reached+1 >= r.MaxAttempts || !budget.admitNeed(First) || !budget.takeWhole() {
 		return false
 	}
 	r.reached++
@@ -163,8 +166,13 @@
 	// earnedDecay is the time constant with which earned retries decay; 0 means no
 	// decay.
 	earnedDecay time.Duration
-	// Refused counts retries that the budget did not allow.
-	Refused uint64
+	// byNeed selects the order in which requests get retries; needs counts what the order
+	// depends on and is only used if byNeed is set.
+	byNeed bool
+	needs  needWindow
+	// Refused counts retries that the budget did not allow. RefusedByNeed counts those that
+	// were refused before, to leave the budget to higher needs.
+	Refused, RefusedByNeed uint64
 }
 
 const (
@@ -219,6 +227,11 @@
 
 // Refill accounts for elapsed time: slack is refilled and earned retries decay.
 func (b *Budget) Refill(elapsed time.Duration) {
+	if b.byNeed {
+		b.needs.advance(elapsed)
+		// Slack that was refilled in an idle time says nothing of the current rate.
+		b.needs.now().earned += b.slackRate * min(elapsed, needBucket).Seconds()
+	}
 	if b.earnedDecay == 0 {
 		return
 	}
@@ -228,17 +241,24 @@
 
 // RecordCall counts an incoming call, which earns a fraction of a retry.
 func (b *Budget) RecordCall() {
-	b.earned = min(b.earned+float64(b.perMille)*perMilleUnit, b.earnedLimit)
+	earned := float64(b.perMille) * perMilleUnit
+	b.earned = min(b.earned+earned, b.earnedLimit)
+	if b.byNeed {
+		b.needs.now().earned += earned
+	}
 }
 
 // Take takes one retry from the budget and reports whether the budget allowed it. A budget
-// of 0 retries per thousand calls allows none.
+// of 0 retries per thousand calls allows none. SetByNeed tells what need is for.
 //
 // The share of a node in a large fleet may stay below one retry for good: at a call a second
 // it earns a retry in six seconds and loses half of it meanwhile. Such a fraction is staked on
 // a draw that it wins with its own probability, so that all nodes together spend what they
 // have, and no more in the mean.
-func (b *Budget) Take() bool {
+func (b *Budget) Take(need Need) bool {
+	if !b.admitNeed(need) {
+		return false
+	}
 	if b.takeWhole() {
 		return true
 	}
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -121,7 +121,7 @@
 }
 
 func TestBudgetOfZeroAllowsNoRetry(t *testing.T) {
-	assert.Assert(t, !NewBudget(0).Take())
+	assert.Assert(t, !NewBudget(0).Take(First))
 }
 
 // TestGateRefusalDoesNotUseUpAttempts guards against giving up too early on a route that
@@ -146,7 +146,7 @@
 // a server.
 func TestUnreachableCostsNoBudget(t *testing.T) {
 	budget := NewBudget(0)
-	assert.Assert(t, !budget.Take())
+	assert.Assert(t, !budget.Take(First))
 	r := Request{MaxAttempts: 3}
 	assert.Equal(t, r.Next(Unreachable, budget, true), RetryOther)
 	rejected := Request{MaxAttempts: 3}
--- a/core/retry/shared_test.go
+++ b/core/retry/shared_test.go
@@ -14,7 +14,7 @@
 // many nodes share: ratio times the calls of all nodes in a window, plus slack. If each
 // node stays within its share, the retries in any window must stay within this total. The
 // calls of a window are those of the window itself or of the previous one, whichever are
-// more, since nodes may save up retries.
+// more, since nodes may save up retries. The order by need must not change this.
 func TestNodesWithinTheirSharesStayWithinTheWhole(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const (
@@ -24,9 +24,11 @@
 		)
 		nodes := rapid.IntRange(1, 40).Draw(t, "nodes")
 		budgets := make([]*Budget, nodes)
+		byNeed := rapid.Bool().Draw(t, "by need")
 		for i := range budgets {
 			budgets[i] = NewBudget(0)
 			budgets[i].SetShare(ratio, slack, nodes, window)
+			budgets[i].SetByNeed(byNeed)
 		}
 		rate := rapid.IntRange(0, 20).Draw(t, "calls a node and step")
 		var spent, calls []int
@@ -40,7 +42,8 @@
 				}
 				called += n
 				if rapid.Bool().Draw(t, "storm") {
-					for b.Take() {
+					need := Need(rapid.IntRange(0, int(needs)-1).Draw(t, "need"))
+					for b.Take(need) {
 						took++
 					}
 				}
@@ -90,7 +93,8 @@
 
 // Models a service whose servers reject half of the requests, called by a thousand nodes with
 // a request a second each. Guards against a shared budget of which no node's part ever makes a
-// whole retry, so that none is used, and against using more than the budget in any window.
+// whole retry, so that none is used, and against using more than the budget in any window, also
+// while a third of the requests have a higher need than the others.
 func TestSharedBudgetIsUsedByAThousandNodes(t *testing.T) {
 	const (
 		nodes, ratio, slack = 985, 0.2, 1040
@@ -98,26 +102,30 @@
 		step                = 100 * time.Millisecond
 		length              = 40 * time.Second
 	)
-	for _, perSecond := range []float64{0.5, 1, 3} {
-		t.Run(fmt.Sprint(perSecond), func(t *testing.T) {
+	for _, c := range []struct {
+		perSecond float64
+		byNeed    bool
+	}{{0.5, false}, {1, false}, {3, false}, {0.5, true}, {1, true}, {3, true}} {
+		t.Run(fmt.Sprintf("%v by need %v", c.perSecond, c.byNeed), func(t *testing.T) {
 			random := rand.New(rand.NewPCG(1, 2))
 			budgets := make([]*Budget, nodes)
 			for i := range budgets {
 				budgets[i] = NewBudget(0)
 				budgets[i].SetRandom(random.Float64)
 				budgets[i].SetShare(ratio, slack, nodes, window)
+				budgets[i].SetByNeed(c.byNeed)
 			}
 			var calls, retries []int
 			for range int(length / step) {
 				called, retried := 0, 0
 				for _, b := range budgets {
 					b.Refill(step)
-					if random.Float64() >= perSecond*step.Seconds() {
+					if random.Float64() >= c.perSecond*step.Seconds() {
 						continue
 					}
 					b.RecordCall()
 					called++
-					if random.IntN(2) == 0 && b.Take() {
+					if random.IntN(2) == 0 && b.Take(Need(called%3/2)) {
 						retried++
 					}
 				}
