proxy, node: retryOrder by-need

What callers saw: requests whose callers have come back end at their rejection while first tries get the retries; rejected callers wait 100 ms although gates have free slots. Change: routes learn the limits that callers state, before they are cut to the route's timeout; a request whose ID extends that of one running on this host's server is a call. A request given up after a rejection, with no gate known to be full, gets a Retry-After of 20 to 60 ms. Metrics retries_by_need and retries_refused_by_need, need in "Given up". Also, a stated limit of more milliseconds than a duration holds no longer counts as passed. With the setting off or the mechanism retry-need disabled, nothing changes.

--- a/internal/endpoint/ended.go
+++ b/internal/endpoint/ended.go
@@ -38,8 +38,10 @@
 // run is a request in progress on the backend server.
 type run struct {
 	attempt gate.AttemptID
-	target  quarantine.Target
-	content quarantine.Content
+	// requestID is the caller's ID of the request, or "".
+	requestID string
+	target    quarantine.Target
+	content   quarantine.Content
 	// stream is the streamed body of a request, whose content is unknown until enough of the
 	// body was read; nil if the content was known from the start.
 	stream    *hop.Body
@@ -129,6 +131,18 @@
 	return t.collectRuns(), true
 }
 
+// runs reports whether a request whose ID matches is running.
+func (t *runTracker) runs(match func(requestID string) bool) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.running {
+		if match(r.requestID) {
+			return true
+		}
+	}
+	return false
+}
+
 func (t *runTracker) checkDone() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -175,6 +189,10 @@
 	t.planned = planned
 }
 
+// Runs reports whether the backend server is running a request whose ID, as its caller gave it,
+// matches. Match must not call the endpoint.
+func (e *Endpoint) Runs(match func(requestID string) bool) bool { return e.tracker.runs(match) }
+
 // exchangeBroke records an exchange that broke off, and checks in the background whether the
 // server has crashed.
 func (e *Endpoint) exchangeBroke(handle gate.Handle) {
@@ -257,7 +275,7 @@
 // newRun returns the record of a request that is about to run. The content of a request with
 // a streamed body is known only once the body is read.
 func (e *Endpoint) newRun(req hop.Request, out *hop.Outgoing) *run {
-	r := &run{attempt: req.ID, content: req.Content}
+	r := &run{attempt: req.ID, requestID: out.ID, content: req.Content}
 	if out.Stream != nil && !r.content.Known() {
 		r.target, r.stream = e.quarantineTarget(out), out.Stream
 		out.Stream.EnableDigest()
--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -35,6 +35,8 @@
 		"attempts_moved":                &n.calls.Moves,
 		"attempts_retried":              &n.calls.Retries,
 		"attempts_hedged":               &n.calls.Hedges,
+		"retries_by_need":               &n.calls.RetriesByNeed,
+		"retries_refused_by_need":       expvar.Func(func() any { return n.proxy.RetriesRefusedByNeed() }),
 		"peers_silent":                  &n.calls.SilentPeers,
 		"attempts_revokes":              &n.calls.Revokes,
 		"gate_started":                  &n.gates.Started,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -161,7 +161,7 @@
 	n.overload = overload.NewMonitor(options.Host)
 	n.proxy = proxy.New(proxy.Options{
 		Host: options.Host, DataCenter: options.DataCenter, Security: options.Security, Local: n, DiscoverService: n.awaitService, ObserveRevision: n.observeRevision, Revision: n.Revision, Revoke: n.revoke, Counters: n.calls,
-		Dialect: options.Dialect, CallerService: n.service, SharedRetryBudget: options.Retry, ProbePeer: n.alive, Quarantine: n.quarantine, Overload: n.overload, Usage: n.usage, KeysTrusted: n.keysTrusted,
+		Dialect: options.Dialect, CallerService: n.service, SharedRetryBudget: options.Retry, RetryByNeed: options.RetryByNeed, ProbePeer: n.alive, Quarantine: n.quarantine, Overload: n.overload, Usage: n.usage, KeysTrusted: n.keysTrusted,
 	})
 	n.disabled = options.Disabled
 	n.proxy.SetDisabled(options.Disabled)
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -136,7 +136,7 @@
 			// may be tried again.
 			c.tried = append(c.tried, to.Host)
 		}
-		action := c.s.nextAction(&c.rules, r.ended, c.tried)
+		action := c.next(r.ended)
 		if (action == retry.RetryOther || action == retry.RetryNamed) && !c.resendable() {
 			action = c.rules.GiveUp()
 		}
@@ -144,7 +144,7 @@
 		case retry.RetryNamed:
 			to = c.pickNamed(r.ended, to)
 		case retry.RetryOther:
-			c.h.options.Counters.Retries.Add(1)
+			c.countRetry()
 			to = c.s.pick(c.h.now(), c.tried)
 		default:
 			c.giveUp(action)
@@ -355,6 +355,9 @@
 	if retryAfter == 0 {
 		retryAfter = defaultRetryAfter
 	}
+	if after, ok := c.rejectedRetryAfter(action); ok {
+		retryAfter = after
+	}
 	f := Fault{Attempts: c.attempts, Reason: c.reason()}
 	switch {
 	case action == retry.GiveUpUnknown && !time.Now().Before(c.deadline):
@@ -392,7 +395,7 @@
 		c.h.refund(c.key)
 	}
 	logs.Decision(true, "Given up", "request", c.requestID(), "service", c.s.name, "route", c.routeName(), "account", c.key.accountName(), "fault", f.Fault, "reason", f.Reason, "content", c.content.Exact, "alike", c.content.Alike, "attempts", c.attempts,
-		"tried", c.tried, "took", time.Since(c.arrived), "left", time.Until(c.deadline), "retryAfter", retryAfter, "endpoints", c.s.endpointCount(), "revision", c.h.options.Revision())
+		"need", c.needForLog(), "tried", c.tried, "took", time.Since(c.arrived), "left", time.Until(c.deadline), "retryAfter", retryAfter, "endpoints", c.s.endpointCount(), "revision", c.h.options.Revision())
 	c.h.writeFault(c.w, c.r, f, retryAfter)
 }
 
--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -17,6 +17,10 @@
 	Answered, Retries, Moves, LostAttempts, Canceled, Truncated, Hedges, SilentPeers expvar.Int
 	Faults, Revokes                                                                  expvar.Map
 
+	// RetriesByNeed counts the retries by the need of their requests. It stays empty unless
+	// retries go by need.
+	RetriesByNeed expvar.Map
+
 	// Latency records the time from when the head of a request was read to the end of its
 	// response.
 	Latency *latency.Histogram
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -18,6 +18,7 @@
 	"cactuspath/core/mechanism"
 	coreoverload "cactuspath/core/overload"
 	corequarantine "cactuspath/core/quarantine"
+	"cactuspath/core/retry"
 	"cactuspath/internal/endpoint"
 	"cactuspath/internal/hangup"
 	"cactuspath/internal/hop"
@@ -56,6 +57,9 @@
 	// SharedRetryBudget is the retry budget shared by all nodes. It replaces the
 	// per-service retry ratio from the configuration unless its window is 0.
 	SharedRetryBudget SharedRetryBudget
+	// RetryByNeed makes retries go first to the requests that have no other chance, while the
+	// retry budget is short.
+	RetryByNeed bool
 	// ObserveRevision is called with the configuration revision reported by another node.
 	ObserveRevision func(revision uint64)
 	// Revision returns the revision of the newest configuration on this node.
@@ -115,10 +119,15 @@
 	h.mu.RLock()
 	defer h.mu.RUnlock()
 	for _, s := range h.services {
-		s.setDisabled(disabledSet)
+		s.setDisabled(disabledSet, h.RetryByNeed())
 	}
 }
 
+// RetryByNeed reports whether retries go first to the requests that have no other chance.
+func (h *Handler) RetryByNeed() bool {
+	return h.options.RetryByNeed && !h.isDisabled(mechanism.RetryNeed)
+}
+
 func (h *Handler) isDisabled(m mechanism.Set) bool { return mechanism.Set(h.disabledSet.Load()).Has(m) }
 
 func (h *Handler) now() time.Duration { return time.Since(h.start) }
@@ -186,7 +195,7 @@
 }
 
 func (h *Handler) service(name string) *service {
-	return getOrCreate(h, h.services, name, func() *service { return newService(name, mechanism.Set(h.disabledSet.Load())) })
+	return getOrCreate(h, h.services, name, func() *service { return newService(name, mechanism.Set(h.disabledSet.Load()), h.RetryByNeed()) })
 }
 
 func (h *Handler) peer(address string) *hop.Pool {
@@ -318,8 +327,9 @@
 		rules, timeout = route.rules(), route.timeout()
 	}
 	dialect := h.options.Dialect
-	if ms, err := strconv.ParseInt(r.Header.Get(dialect.TimeoutField()), 10, 64); err == nil && ms >= 0 {
-		timeout = min(timeout, time.Duration(ms)*time.Millisecond)
+	stated, hasLimit := statedLimit(r.Header, dialect)
+	if hasLimit {
+		timeout = min(timeout, stated)
 	}
 	if spec.MaxBodyBytes > 0 {
 		if r.ContentLength > int64(spec.MaxBodyBytes) {
@@ -345,6 +355,9 @@
 	if out.Stream == nil {
 		c.content = corequarantine.ContentOf(corequarantine.Target{Method: out.Method, Host: out.Host, URI: out.URI, Caller: h.callerService()}, corequarantine.SumOf(out.Buffered))
 	}
+	if route != nil && hasLimit && h.RetryByNeed() && route.observeLimit(h.now(), stated) {
+		c.rules.Need = retry.CameBack
+	}
 	c.id = [2]uint64{h.requestIDSeed, h.requestSequence.Add(1)}
 	c.run()
 	if out.Stream != nil {
@@ -352,6 +365,19 @@
 	}
 }
 
+// statedLimit returns the time that the caller of a request allows, if it states one.
+func statedLimit(header http.Header, dialect *hop.Dialect) (limit time.Duration, ok bool) {
+	ms, err := strconv.ParseInt(header.Get(dialect.TimeoutField()), 10, 64)
+	if err != nil || ms < 0 {
+		return 0, false
+	}
+	return time.Duration(min(ms, maxStatedLimit.Milliseconds())) * time.Millisecond, true
+}
+
+// maxStatedLimit is a time limit above that of any route. More milliseconds than a
+// time.Duration holds would become a limit that has passed.
+const maxStatedLimit = 24 * time.Hour
+
 func (h *Handler) callerService() string {
 	if h.options.CallerService == nil {
 		return ""
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -55,9 +55,10 @@
 	Window       time.Duration
 }
 
-func newService(name string, disabledSet mechanism.Set) *service {
+func newService(name string, disabledSet mechanism.Set, retryByNeed bool) *service {
 	budget := retry.NewBudget(0)
 	budget.SetRandom(rand.Float64)
+	budget.SetByNeed(retryByNeed)
 	return &service{name: name, spec: &apiv1.ServiceSpec{}, pool: balancer.NewPool(newPolicy(disabledSet)), budget: budget}
 }
 
@@ -66,10 +67,12 @@
 	return nodes.Policy(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), disabledSet)
 }
 
-// setDisabled replaces the set of disabled mechanisms.
-func (s *service) setDisabled(disabledSet mechanism.Set) {
+// setDisabled replaces the set of disabled mechanisms. RetryByNeed tells whether the order of
+// retries by need is asked for and enabled.
+func (s *service) setDisabled(disabledSet mechanism.Set, retryByNeed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.budget.SetByNeed(retryByNeed)
 	s.pool.SetPolicy(newPolicy(disabledSet))
 }
 
@@ -97,9 +100,6 @@
 // refill credits the time elapsed since the last refill to the budget; the caller holds
 // the lock.
 func (s *service) refill() {
-	if s.sharedBudget.Window == 0 {
-		return
-	}
 	now := time.Now()
 	if s.lastRefill.IsZero() {
 		s.lastRefill = now
@@ -195,6 +195,21 @@
 	return rules.Next(ended, s.budget, s.pool.HasOther(tried))
 }
 
+// retriesRefusedByNeed returns how often the budget was left to requests of higher need.
+func (s *service) retriesRefusedByNeed() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget.RefusedByNeed
+}
+
+// hasRoom reports whether the gate of any endpoint is not known to be full.
+func (s *service) hasRoom(now time.Duration) (room bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pool.Each(func(c *balancer.Candidate) { room = room || !c.Draining && !c.Evacuated && !c.RecentlyFull(now) })
+	return room
+}
+
 func (s *service) avoid(until time.Duration, host string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
