emulator: policy cactus-by-need

Change: nodes learn the limits of clients, calls of backend servers rank above them, and retries go by need in the policy cactus-by-need. Other policies are as before.

--- a/internal/emulator/call.go
+++ b/internal/emulator/call.go
@@ -53,13 +53,13 @@
 
 // startCall starts a call from the host origin and calls done with its final outcome. The
 // call ends at the deadline or after the timeout of its class, whichever is earlier.
-func (sim *simulation) startCall(origin *node, class *Class, deadline time.Duration, done func(callOutcome)) *call {
+func (sim *simulation) startCall(origin *node, class *Class, deadline time.Duration, need retry.Need, done func(callOutcome)) *call {
 	sim.requests++
 	service := sim.scenario.serviceIndex(class.Service)
 	origin.refillBudget(service)
 	origin.budgets[service].RecordCall()
 	c := &call{sim: sim, class: class, origin: origin, id: [2]uint64{1, sim.requests}, deadline: min(deadline, sim.now()+class.Timeout.Duration()), done: done,
-		retryState: retry.Request{Idempotent: class.Idempotent, MaxAttempts: max(1, class.MaxAttempts)}}
+		retryState: retry.Request{Idempotent: class.Idempotent, Need: need, MaxAttempts: max(1, class.MaxAttempts)}}
 	sim.clock.At(c.deadline, c.timeOut)
 	c.sendAttempt(c.pick())
 	return c
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -95,6 +95,37 @@
 	}
 }
 
+// Load: all backend servers of the leading service reject 55 of 100 requests for 8 s, and
+// clients come back once. Guards against a retry budget that goes to requests whose clients come
+// back anyway, against requests served later for it, and against exceeding the budget.
+func TestRetriesByNeedServeMore(t *testing.T) {
+	s := readScenario(t, filepath.Join(folder, "sao-khue-busy.json"))
+	firstCome := Without(0)
+	firstCome.RetryFractions = true
+	byNeed, err := Find(ByNeedVariant)
+	assert.NilError(t, err)
+	const runs = 3
+	var sum [2]Result
+	for seed := range uint64(runs) {
+		for i, v := range []Variant{firstCome, byNeed} {
+			r := Run(s, v, seed+1)
+			assert.Equal(t, r.RunTwice, 0)
+			assert.Equal(t, r.FalseNotRun, 0)
+			sum[i].Served += r.Served / runs
+			sum[i].RefusedTwice += r.RefusedTwice / runs
+			sum[i].InAim += r.InAim / runs
+			sum[i].Retries += (r.Retries + r.Hedges) / runs
+		}
+	}
+	for i, name := range []string{"first-come", "by need"} {
+		t.Logf("%s: served %.4f, refused twice %.4f, in aim %.4f, retries and hedged requests %.4f a request", name, sum[i].Served, sum[i].RefusedTwice, sum[i].InAim, sum[i].Retries)
+	}
+	assert.Assert(t, sum[1].Served > sum[0].Served)
+	assert.Assert(t, sum[1].RefusedTwice < sum[0].RefusedTwice)
+	assert.Assert(t, sum[1].InAim > sum[0].InAim)
+	assert.Assert(t, sum[1].Retries < sum[0].Retries*1.05)
+}
+
 // BenchmarkPolicies reports for each policy and scenario the share of requests answered
 // in time, the earned value as a share of the possible value, and the 99th percentile of
 // the latency.
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -34,6 +34,21 @@
 	pools      []*balancer.Pool
 	budgets    []*retry.Budget
 	refilledAt []time.Duration
+	// limits contains what this host has learned of the time that the clients of a class allow.
+	limits map[*Class]*retry.Limits
+}
+
+// needOfClient returns the need of a try of a client, which states the time that it has left.
+func (n *node) needOfClient(r *clientRequest) retry.Need {
+	limits := n.limits[r.class]
+	if limits == nil {
+		limits = &retry.Limits{}
+		n.limits[r.class] = limits
+	}
+	if limits.Observe(n.sim.now(), r.deadline-n.sim.now()) {
+		return retry.CameBack
+	}
+	return retry.First
 }
 
 func (n *node) setSiblings() {
@@ -209,7 +224,7 @@
 func (n *node) callConcurrently(classes []string, deadline time.Duration, called func(bool)) {
 	left, allAnswered := len(classes), true
 	for _, name := range classes {
-		n.sim.startCall(n, n.sim.scenario.class(name), deadline, func(end callOutcome) {
+		n.sim.startCall(n, n.sim.scenario.class(name), deadline, retry.Call, func(end callOutcome) {
 			allAnswered = allAnswered && end == callAnswered
 			if left--; left == 0 {
 				called(allAnswered)
@@ -225,7 +240,7 @@
 		called(true)
 		return
 	}
-	n.sim.startCall(n, n.sim.scenario.class(classes[0]), deadline, func(end callOutcome) {
+	n.sim.startCall(n, n.sim.scenario.class(classes[0]), deadline, retry.Call, func(end callOutcome) {
 		if end != callAnswered {
 			called(false)
 			return
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -74,6 +74,7 @@
 		n.drawNoise()
 		n.pollLoad()
 		sim.buildPools(n, sim.randomStream(uint64(500+i)))
+		sim.buildBudgets(n, sim.randomStream(uint64(3000+i)))
 	}
 }
 
@@ -87,9 +88,20 @@
 		}
 		pool := balancer.NewPool(sim.variant.Build(random))
 		pool.Update(list)
+		n.pools = append(n.pools, pool)
+	}
+}
+
+func (sim *simulation) buildBudgets(n *node, random *rand.Rand) {
+	n.limits = map[*Class]*retry.Limits{}
+	for range sim.scenario.Services {
 		budget := retry.NewBudget(0)
 		budget.SetShare(sim.scenario.RetryBudget.Ratio, sim.scenario.RetryBudget.Slack, len(sim.nodes), sim.scenario.RetryBudget.Window.Duration())
-		n.pools, n.budgets, n.refilledAt = append(n.pools, pool), append(n.budgets, budget), append(n.refilledAt, 0)
+		if sim.variant.RetryFractions {
+			budget.SetRandom(random.Float64)
+		}
+		budget.SetByNeed(sim.variant.RetryByNeed)
+		n.budgets, n.refilledAt = append(n.budgets, budget), append(n.refilledAt, 0)
 	}
 }
 
@@ -152,7 +164,7 @@
 
 func (r *clientRequest) send(from *node, retriesLeft int) {
 	var c *call
-	c = r.sim.startCall(from, r.class, r.deadline, func(end callOutcome) {
+	c = r.sim.startCall(from, r.class, r.deadline, from.needOfClient(r), func(end callOutcome) {
 		wait := defaultRetryWait
 		if c != nil && c.retryAfter > 0 {
 			wait = c.retryAfter
--- a/internal/emulator/variants.go
+++ b/internal/emulator/variants.go
@@ -24,6 +24,11 @@
 	// Omniscient replaces the policy by a choice based on the current state of every
 	// server, which real callers do not know. It serves as an upper bound.
 	Omniscient bool
+	// RetryByNeed makes retries go first to the requests that have no other chance.
+	RetryByNeed bool
+	// RetryFractions lets nodes use fractions of a retry by a draw, as the nodes do. Without
+	// it, fractions are saved up until they make a whole retry.
+	RetryFractions bool
 	// Off is the set of disabled mechanisms.
 	Off mechanism.Set
 }
@@ -31,6 +36,17 @@
 // ProductionVariant is the name of the variant that the nodes run.
 const ProductionVariant = "cactus"
 
+// ByNeedVariant is the name of the variant that the nodes run with the setting retryOrder at
+// by-need.
+const ByNeedVariant = "cactus-by-need"
+
+// byNeed returns the variant in which retries go by need.
+func byNeed() Variant {
+	v := Without(0)
+	v.Name, v.RetryByNeed, v.RetryFractions = ByNeedVariant, true, true
+	return v
+}
+
 // Without returns the variant that the nodes run, with some mechanisms disabled.
 func Without(off mechanism.Set) Variant {
 	name := ProductionVariant
@@ -48,6 +64,7 @@
 		{Name: "least-outstanding", Build: leastoutstanding.New},
 		{Name: "two-choices", Build: twochoices.New},
 		Without(0),
+		byNeed(),
 		{Name: "omniscient", Build: random.New, Siblings: true, Omniscient: true},
 	}
 }
