--- a/core/gate/link_test.go
+++ b/core/gate/link_test.go
@@ -327,13 +327,13 @@
 // seen, and then counts the requests of the class that run already.
 func TestClassIsShortUntilFiveResponses(t *testing.T) {
 	g := New("self", Config{Slots: 9, Queue: 40, Siblings: true, LinkBytesPerSecond: 1e6 / largeLinkShare}, 0)
-	g.ObserveLink(0, 5*time.Second)
-	for h := Handle(1); h <= 8; h++ {
-		assert.DeepEqual(t, kinds(g.Arrive(0, download(h, "download", 0))), []EventKind{Started})
+	for h := Handle(11); h <= 13; h++ {
+		g.Arrive(0, download(h, "download", 0))
 	}
-	g.ObserveLink(0, 0)
 	for h := Handle(1); h <= minClassSamples; h++ {
 		assert.Equal(t, g.link.expected, int64(0))
+		g.ObserveLink(0, 5*time.Second)
+		assert.DeepEqual(t, kinds(g.Arrive(0, download(h, "download", 0))), []EventKind{Started})
 		g.ObserveResponse(0, h, 100_000)
 	}
 	assert.Equal(t, g.link.expected, int64(300_000))
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -20,6 +20,8 @@
 	service *Service
 	gate    *gate.Gate
 	server  *server
+	// link is nil if the scenario has no links.
+	link *link
 	// random generates the service times, noise and rejections of this backend server. Its
 	// seed does not depend on the variant.
 	random     *rand.Rand
@@ -50,7 +52,8 @@
 
 func (n *node) config() gate.Config {
 	share := measure.GateShare(uint32(n.service.ReportsPerSecond), n.service.Endpoints)
-	return gate.Config{Slots: n.service.Slots, Queue: n.service.Queue, Siblings: n.sim.variant.Siblings, ReportsPerSecond: share, BytesPerSecond: share * gate.ReportBytes, ColdStarts: int(n.service.ColdStart.PerSecond), Disabled: n.sim.variant.Off}
+	return gate.Config{Slots: n.service.Slots, Queue: n.service.Queue, Siblings: n.sim.variant.Siblings, ReportsPerSecond: share, BytesPerSecond: share * gate.ReportBytes, ColdStarts: int(n.service.ColdStart.PerSecond), Disabled: n.sim.variant.Off,
+		LinkBytesPerSecond: n.sim.scenario.LinkMbps * bytesPerMegabit}
 }
 
 // loadPollInterval is the interval at which a node asks its backend server for its
@@ -106,6 +109,7 @@
 		r.Aim = c.class.Aim.Duration()
 		r.AimAt = max(1, c.deadline-c.class.Timeout.Duration()+r.Aim)
 	}
+	n.observeLink()
 	n.handleEvents(n.gate.Arrive(now, r))
 }
 
@@ -122,6 +126,7 @@
 	n.sim.clock.At(timerAt, func() {
 		if n.timerAt == timerAt {
 			n.timerAt = 0
+			n.observeLink()
 			n.handleEvents(n.gate.Tick(n.sim.now()))
 		}
 	})
@@ -172,14 +177,17 @@
 	}
 	c.executions++
 	a.job = n.newJob(c)
+	size := n.responseBytes(c.class)
 	a.job.done = func(ok bool) {
 		outcome := gate.Completed
 		if !ok {
-			outcome = gate.Failed
+			outcome, size = gate.Failed, 0
+		} else if size > 0 {
+			n.gate.ObserveResponse(n.sim.now(), a.handle, int64(size))
 		}
 		n.finishAttempt(a, outcome)
 		n.observeLoad()
-		n.sim.deliver(n, c.origin, func() { a.onAnswer(ok) })
+		n.link.send(a, size, func() { n.sim.deliver(n, c.origin, func() { a.onAnswer(ok) }) })
 	}
 	n.server.start(a.job)
 	n.sim.clock.At(c.deadline, func() { n.server.finish(a.job, false) })
@@ -238,6 +246,7 @@
 // backend server.
 func (n *node) finishAttempt(a *attempt, outcome gate.Outcome) {
 	delete(n.requests, a.handle)
+	n.observeLink()
 	n.handleEvents(n.gate.Finish(n.sim.now(), a.handle, outcome))
 }
 
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -23,6 +23,8 @@
 	requests uint64
 	// trafficFactor multiplies the rate of every class.
 	trafficFactor float64
+	// classFactors multiply the rates of single classes; a missing one is 1.
+	classFactors map[string]float64
 }
 
 func (sim *simulation) now() time.Duration { return sim.clock.Now() }
@@ -30,7 +32,7 @@
 // Run simulates the scenario with a variant and returns the results. Runs with the same
 // arguments give the same results.
 func Run(scenario *Scenario, variant Variant, seed uint64) *Result {
-	sim := &simulation{scenario: scenario, variant: variant, seed: seed, byHost: map[string]*node{}, trafficFactor: 1, result: newCollector(variant.Name, scenario)}
+	sim := &simulation{scenario: scenario, variant: variant, seed: seed, byHost: map[string]*node{}, trafficFactor: 1, classFactors: map[string]float64{}, result: newCollector(variant.Name, scenario)}
 	sim.build()
 	for i := range scenario.Classes {
 		if c := &scenario.Classes[i]; c.PerSecond > 0 {
@@ -63,7 +65,7 @@
 			index := len(sim.nodes)
 			n := &node{sim: sim, host: service.Name + "-" + strconv.Itoa(j), center: (i + j) % sim.scenario.DataCenters, service: service,
 				random: sim.randomStream(uint64(index)), requests: map[gate.Handle]*attempt{}}
-			n.server = newServer(&sim.clock, service)
+			n.server, n.link = newServer(&sim.clock, service), newLink(sim)
 			n.gate = gate.New(n.host, n.config(), 0)
 			sim.nodes = append(sim.nodes, n)
 			sim.byHost[n.host] = n
@@ -113,7 +115,7 @@
 
 // generateArrivals generates the Poisson arrivals of a class.
 func (sim *simulation) generateArrivals(c *Class, random *rand.Rand) {
-	wait := random.ExpFloat64() / (c.PerSecond * sim.trafficFactor) * float64(time.Second)
+	wait := random.ExpFloat64() / (c.PerSecond * sim.trafficFactor * sim.classFactor(c.Name)) * float64(time.Second)
 	sim.clock.After(time.Duration(wait), func() {
 		if sim.now() >= sim.scenario.Duration.Duration() {
 			return
@@ -128,7 +130,33 @@
 func (sim *simulation) issueRequest(c *Class, random *rand.Rand) {
 	r := &clientRequest{sim: sim, class: c, firstSent: sim.now(), deadline: sim.now() + c.Timeout.Duration()}
 	sim.result.recordRequest(r)
-	r.send(sim.nodes[random.IntN(len(sim.nodes))], 1)
+	r.send(sim.drawOrigin(random), 1)
+}
+
+// drawOrigin draws the host at which a client's request arrives.
+func (sim *simulation) drawOrigin(random *rand.Rand) *node {
+	if len(sim.scenario.Callers) == 0 {
+		return sim.nodes[random.IntN(len(sim.nodes))]
+	}
+	center, left := 0, random.Float64()
+	for center < len(sim.scenario.Callers)-1 && left >= sim.scenario.Callers[center] {
+		left -= sim.scenario.Callers[center]
+		center++
+	}
+	var hosts []*node
+	for _, n := range sim.nodes {
+		if n.center == center {
+			hosts = append(hosts, n)
+		}
+	}
+	return hosts[random.IntN(len(hosts))]
+}
+
+func (sim *simulation) classFactor(name string) float64 {
+	if factor, ok := sim.classFactors[name]; ok {
+		return factor
+	}
+	return 1
 }
 
 // clientRequest is a request as the client sees it. It is sent as one call or, with the
@@ -170,6 +198,11 @@
 
 // startEvent starts an event and schedules its end.
 func (sim *simulation) startEvent(e Event, random *rand.Rand) {
+	if e.Kind == eventBurst && e.Class != "" {
+		sim.classFactors[e.Class] = sim.classFactor(e.Class) * e.Factor
+		sim.clock.After(e.For.Duration(), func() { sim.classFactors[e.Class] /= e.Factor })
+		return
+	}
 	if e.Kind == eventBurst {
 		sim.trafficFactor *= e.Factor
 		sim.clock.After(e.For.Duration(), func() { sim.trafficFactor /= e.Factor })
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -36,6 +36,12 @@
 	Near        Millis `json:"near"`
 	Far         Millis `json:"far"`
 	Duration    Millis `json:"duration"`
+	// LinkMbps is the bandwidth of each host's link in Mbit/s, on which its responses leave
+	// it. If it is 0, responses take no time.
+	LinkMbps float64 `json:"linkMbps"`
+	// Callers is the share of the clients' requests that arrives in each data centre. If it
+	// is empty, requests arrive at all hosts alike.
+	Callers []float64 `json:"callers"`
 	// RetryBudget limits the retries and hedged requests of all nodes together.
 	RetryBudget RetryBudget `json:"retry"`
 	Services    []Service   `json:"services"`
@@ -103,6 +109,11 @@
 	Priority   int     `json:"priority"`
 	Idempotent bool    `json:"idempotent"`
 	Bulky      bool    `json:"bulky"`
+	// Response is the mean size of the responses in KB. Sizes are lognormal with
+	// ResponseSpread, and at most MaxResponse if that is set.
+	Response       float64 `json:"response"`
+	ResponseSpread float64 `json:"responseSpread"`
+	MaxResponse    float64 `json:"maxResponse"`
 	// MaxAttempts limits the number of backend servers to which a request is sent.
 	MaxAttempts int `json:"maxAttempts"`
 	// Calls lists the classes of the requests that a backend server sends to other services
@@ -116,12 +127,14 @@
 // Event is a change in traffic or in the behaviour of backend servers that starts at At and
 // lasts for For.
 type Event struct {
-	// Kind is one of burst (more traffic), slow, cold (slow, and announced to the gates as a
+	// Kind is one of burst (more traffic, of Class if that is set), slow, cold (slow, and announced to the gates as a
 	// cold start), reject, stop (the servers drain) and restart (the servers crash and
 	// restart after For, cold).
 	Kind string `json:"kind"`
 	At   Millis `json:"at"`
 	For  Millis `json:"for"`
+	// Class is the class of a burst.
+	Class string `json:"class,omitempty"`
 	// Service is the service whose endpoints are affected, or empty for all services.
 	// Share is the share of these endpoints that is affected.
 	Service string  `json:"service"`
@@ -167,6 +180,9 @@
 	if s.DataCenters < 1 || s.Duration <= 0 || len(s.Services) == 0 || len(s.Classes) == 0 {
 		return errors.New("a scenario needs dataCenters and a duration above 0, services and classes")
 	}
+	if len(s.Callers) > 0 && len(s.Callers) != s.DataCenters {
+		return errors.Newf("callers has %d shares for %d data centres; give one for each", len(s.Callers), s.DataCenters)
+	}
 	for _, c := range s.Classes {
 		if s.serviceIndex(c.Service) < 0 {
 			return errors.Newf("class %q names the service %q, which the scenario does not define", c.Name, c.Service)
@@ -191,6 +207,9 @@
 func (s *Scenario) validateEvent(e Event) error {
 	switch e.Kind {
 	case eventBurst:
+		if e.Class != "" && s.class(e.Class) == nil {
+			return errors.Newf("it names the class %q, which the scenario does not define", e.Class)
+		}
 		return nil
 	case eventSlow, eventCold, eventReject, eventStop, eventRestart:
 	default:
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -178,7 +178,7 @@
 	{"small changes of the link do not use up the measuring budget", "core/gate/link.go", "return high-low >= minLinkChange && ", "return ", "core/gate", "ChangeOfTheLink"},
 	{"without a bandwidth the link decides nothing", "core/gate/link.go", "return g.config.LinkBytesPerSecond > 0 && !g.disabled(mechanism.Link)", "return !g.disabled(mechanism.Link)", "core/gate", "WithoutABandwidth"},
 	{"a waiting download moves when its link fills up", "core/gate/link.go", "if !g.tryMove(now, it, g.waitingMoveGain(now)) {", "if true {", "core/gate", "WaitingDownload"},
-	{"an urgent request does not wait behind a sibling's patient ones", "core/gate/moves.go", "return min(1, ahead/work)", "return min(1, work/work)", "core/gate", "LeaveSlowServers"},
+	{"an urgent request does not wait behind a sibling's patient ones", "core/gate/moves.go", "return min(1, ahead/work)", "return max(1, ahead/work)", "core/gate", "LeaveSlowServers"},
 	{"the gate knows the backlog of the link when a request arrives", "internal/endpoint/endpoint.go", "e.observeLink(now)\n\t\treturn e.gate.Arrive", "return e.gate.Arrive", "internal/endpoint", "GateKnowsTheLink"},
 	{"the length that a response to HEAD names is not counted", "internal/endpoint/forward.go", "} else if out.Method != http.MethodHead {", "} else {", "internal/endpoint", "GateKnowsTheLink"},
 	{"responses without a length are counted", "internal/endpoint/forward.go", "b.size += int64(n)", "", "internal/endpoint", "GateKnowsTheLink"},
