gate: an idle link refuses nothing

With too low a bandwidth in the settings, or a time limit that is too short for the mean response, every request of the class would have been refused.

--- a/core/gate/aims.go
+++ b/core/gate/aims.go
@@ -23,9 +23,10 @@
 }
 
 // cannotMeetDeadline reports whether a waiting request cannot finish before its
-// deadline even if it starts now and the server runs at its best speed.
+// deadline even if it starts now and the server runs at its best speed, or because of the
+// host's link.
 func (g *Gate) cannotMeetDeadline(now time.Duration, it *item) bool {
-	return now+g.finishOnLink(now, it, g.minServiceTime(now, it.Request)) >= it.Deadline
+	return now+g.minServiceTime(now, it.Request) >= it.Deadline || g.linkMissesDeadline(now, it)
 }
 
 // aimMargin is how many times its mean service time a waiting request must have left
--- a/core/gate/link.go
+++ b/core/gate/link.go
@@ -235,9 +235,11 @@
 	return true
 }
 
-// linkMissesDeadline reports whether the link alone makes a request miss its deadline.
+// linkMissesDeadline reports whether the link alone makes a request miss its deadline. An
+// idle link never does: if the bandwidth in the settings is too low, or the time limit is
+// too short for the mean response, all requests of the class would be refused.
 func (g *Gate) linkMissesDeadline(now time.Duration, it *item) bool {
-	return it.hasLargeResponse() && now+withLinkMargin(g.finishOnLink(now, it, 0)) > it.Deadline
+	return it.hasLargeResponse() && g.linkWait(now, it) > 0 && now+withLinkMargin(g.finishOnLink(now, it, 0)) > it.Deadline
 }
 
 func withLinkMargin(took time.Duration) time.Duration {
--- a/core/gate/link_test.go
+++ b/core/gate/link_test.go
@@ -323,6 +323,22 @@
 	assert.Equal(t, g.Load(now+50*ms).LinkWait, 450*ms)
 }
 
+// Guards against refusing every request of a class because the settings name too low a
+// bandwidth: a response that would take longer than the time limit is sent as long as the
+// link is idle.
+func TestIdleLinkRefusesNothing(t *testing.T) {
+	g, now := linkGate(near)
+	g.config.LinkBytesPerSecond = 20_000
+	for h := Handle(1); h <= 3; h++ {
+		g.ObserveLink(now, 0)
+		assert.DeepEqual(t, kinds(g.Arrive(now, download(h, "download", now))), []EventKind{Started})
+		assert.DeepEqual(t, kinds(g.Arrive(now, download(h+10, "download", now))), []EventKind{Refused})
+		now += 100 * ms
+		g.ObserveResponse(now, h, 100_000)
+		g.Finish(now, h, Completed)
+	}
+}
+
 // A gate that has just started treats a class as short until five responses have been
 // seen, and then counts the requests of the class that run already.
 func TestClassIsShortUntilFiveResponses(t *testing.T) {
