--- a/internal/proxy/link_test.go
+++ b/internal/proxy/link_test.go
@@ -39,9 +39,10 @@
 	return s
 }
 
-type localEndpoint struct{ e *endpoint.Endpoint }
+// anyServiceEndpoint is a node whose backend server runs every service.
+type anyServiceEndpoint struct{ e *endpoint.Endpoint }
 
-func (l localEndpoint) Endpoint(string) *endpoint.Endpoint { return l.e }
+func (l anyServiceEndpoint) Endpoint(string) *endpoint.Endpoint { return l.e }
 
 func assertPacedOnce(t *testing.T, l *link.Link, s *httptest.Server) {
 	t.Helper()
@@ -77,7 +78,7 @@
 	defer e.Close()
 	e.SetBackend(backend.Listener.Addr().String())
 	begin := time.Now()
-	resp, text := send(t, startLinked(t, l, localEndpoint{e}, "127.0.0.1:1"), http.MethodGet, "/", "")
+	resp, text := send(t, startLinked(t, l, anyServiceEndpoint{e}, "127.0.0.1:1"), http.MethodGet, "/", "")
 	assert.Equal(t, resp.StatusCode, http.StatusOK)
 	assert.Equal(t, text, strings.Repeat("x", largeResponse))
 	// The backend server names no length, so the first 32 KiB are sent without a wait.
