gate: all slots of a cold server, also where a profile knows no contention factor

What callers saw: after a loss of power the smallest service, whose slots had never filled, used 9 of 12 slots for 3 s and refused 245 of 772 requests in 1.4 s; services with a factor in their profiles used all. Change: while the server is cold, a profile with demands suffices; demands at high occupancy that are 1.28 times as long end it. Evidence: TestProfileWithoutContentionFactorFillsColdServerOnly, its mutation.

--- a/core/gate/profile.go
+++ b/core/gate/profile.go
@@ -129,7 +129,10 @@
 // no contention, also on a cold server, while no measurement says otherwise.
 func (g *Gate) fillsBySeed() bool {
 	factor := g.seededContention()
-	if factor == 0 || factor > contentionThreshold || g.contentionFactor() > contentionThreshold {
+	if factor == 0 {
+		return g.fillsColdUntested()
+	}
+	if factor > contentionThreshold || g.contentionFactor() > contentionThreshold {
 		return false
 	}
 	if g.contentionMeasured() {
@@ -138,6 +141,15 @@
 	return !g.speed.seed.contradicted && (g.speed.isCold() || g.speed.seed.uncomparedHigh < maxUncomparedHigh)
 }
 
+// fillsColdUntested reports whether all slots of a cold server are used although the profile
+// has no contention factor. A service whose slots never fill has none, and it fills them for
+// the first time when all its servers are cold. The demands in the profile were then measured
+// at low occupancy, so that a few completions show whether the server slows down.
+func (g *Gate) fillsColdUntested() bool {
+	s := &g.speed
+	return len(s.seed.classes) > 0 && !g.disabled(mechanism.Profile) && s.isCold() && !g.contentionMeasured() && !s.seed.contradicted
+}
+
 // contentionMeasured reports whether the gate or a sibling has measured the contention
 // factor.
 func (g *Gate) contentionMeasured() bool { return len(g.contentionFactors) > 0 }
@@ -165,7 +177,7 @@
 // not measure it. The median is compared, since requests that wait for calls to other
 // backend servers may take longer for reasons elsewhere.
 func (s *speedTracker) checkSeed(class string, demand float64, occupancy occupancy) {
-	if s.seed.contention == 0 || occupancy != highOccupancy || s.contention.lowOccupancy.seen >= minContentionSamples {
+	if s.seed.contention == 0 && len(s.seed.classes) == 0 || occupancy != highOccupancy || s.contention.lowOccupancy.seen >= minContentionSamples {
 		return
 	}
 	if !s.isCold() {
--- a/core/gate/profile_test.go
+++ b/core/gate/profile_test.go
@@ -104,6 +104,30 @@
 	}
 }
 
+// Guards against empty slots at a service whose slots never filled before all its servers lost
+// power: the profile holds demands but no contention factor. The slots of the cold server are
+// used, until demands at high occupancy show contention.
+func TestProfileWithoutContentionFactorFillsColdServerOnly(t *testing.T) {
+	g := coldSeededGate(0)
+	assert.Equal(t, g.usefulSlots(), 10)
+	completeAtHighOccupancy(g, minContentionSamples, 170*ms)
+	assert.Equal(t, g.usefulSlots(), 8, "the demands show contention")
+
+	g = coldSeededGate(0)
+	g.ObserveSlowdown(4*time.Second, 1)
+	assert.Equal(t, g.usefulSlots(), 8, "a warm server is measured first")
+
+	g = coldSeededGate(0)
+	g.Seed(0, Learned{})
+	assert.Equal(t, g.usefulSlots(), 8, "an empty profile says nothing")
+
+	g = New("a", Config{Slots: 10, Queue: 10, Disabled: mechanism.Profile}, 0)
+	g.SetCold(0, 3*time.Second)
+	g.ObserveSlowdown(0, 2)
+	g.Seed(0, profileOf(0))
+	assert.Equal(t, g.usefulSlots(), 8, "the mechanism is disabled")
+}
+
 // Guards against a profile that is never checked on a warm server that stays full. After
 // some seconds at full load, the last slots must be left empty until there are samples at
 // low occupancy.
