--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -32,7 +32,13 @@
 
 // testServer relays responses with the body, paced on the link. A length below 0 is unknown.
 func testServer(t *testing.T, l *Link, body []byte, length int64) *httptest.Server {
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := httptest.NewServer(pacedHandler(l, body, length))
+	t.Cleanup(server.Close)
+	return server
+}
+
+func pacedHandler(l *Link, body []byte, length int64) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		resp := &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, ContentLength: length, Body: io.NopCloser(bytes.NewReader(body)), Trailer: http.Header{"X-Sum": {"7"}}}
 		if length >= 0 {
 			resp.Header.Set("Content-Length", strconv.FormatInt(length, 10))
@@ -43,9 +49,7 @@
 		if hop.Relay(paced, resp) != nil {
 			panic(http.ErrAbortHandler)
 		}
-	}))
-	t.Cleanup(server.Close)
-	return server
+	})
 }
 
 // get returns a response and its body. It may be called from other goroutines than the test's.
@@ -95,6 +99,30 @@
 	}
 }
 
+// Guards against a response over HTTP/2 that is not whole: a flushed chunk goes through the
+// flow control of its stream, and a canceled stream must release its transfer.
+func TestPacedResponseOverHTTP2(t *testing.T) {
+	body := testBody(300_000)
+	l := New(testBandwidth)
+	server := httptest.NewUnstartedServer(pacedHandler(l, body, int64(len(body))))
+	server.EnableHTTP2 = true
+	server.StartTLS()
+	defer server.Close()
+	resp, err := server.Client().Get(server.URL)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.ProtoMajor, 2)
+	got, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Assert(t, bytes.Equal(got, body))
+	assert.NilError(t, resp.Body.Close())
+
+	resp, err = server.Client().Get(server.URL)
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	assertIdle(t, l)
+	assert.Equal(t, l.Transfers.Value(), int64(2))
+}
+
 // Guards against a response that needs no pacing and waits or counts as large.
 func TestShortResponsesAreCountedWithoutAWait(t *testing.T) {
 	l := New(testBandwidth)
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -115,6 +115,7 @@
 	{"the head of a large response does not wait for the link", "internal/link/writer.go", "w.begunAt = time.Now()\n\t\t// The receiver gets the head at once: its time limit applies to the head, and it\n\t\t// would give up a response whose first chunk waits longer.\n\t\tw.Flush()", "w.begunAt = time.Now()", "internal/endpoint", "HeadOfALarge"},
 	{"responses that wait are released when pacing is switched off", "internal/link/link.go", "\tfor _, w := range l.waiting {\n\t\tw.granted <- struct{}{}\n\t}\n", "", "internal/link", "DisabledLink"},
 	{"a paced response to a request whose body is not read is whole", "internal/endpoint/large.go", "if out.Stream != nil && !out.Stream.Ended() {", "if false {", "internal/endpoint", "PacedEarly"},
+	{"responses to other nodes are paced", "internal/endpoint/large.go", "if e.options.Link.Enabled() {", "if false {", "internal/endpoint", "AnotherNodeIsPaced"},
 	{"responses to callers are paced", "internal/proxy/call.go", "if !host.Enabled() {", "if true {", "internal/proxy", "ToACaller"},
 	{"request bodies to other nodes are counted", "internal/proxy/call.go", "out.OnBodySent = c.h.options.Link.Count", "out.OnBodySent = nil", "internal/proxy", "AreCounted"},
 	{"an overload is detected although some timers fire on time", "core/overload/detector.go", "d.delayIntegral += delay.Seconds() * delay.Seconds() / 2", "d.delayIntegral = 0", "core/overload", "Detector"},
