--- a/core/usage/fleet_test.go
+++ b/core/usage/fleet_test.go
@@ -6,6 +6,8 @@
 	"math"
 	"math/rand/v2"
 	"time"
+
+	"cactuspath/core/mechanism"
 )
 
 // fleet runs Spenders and Keepers of many nodes in virtual time, with a network that delays
@@ -19,6 +21,12 @@
 	members []Member
 	// loss is the share of messages that are lost.
 	loss float64
+	// answerDelay is how much longer the messages with grants take than the others.
+	answerDelay time.Duration
+	// without holds the mechanisms that are disabled at all nodes.
+	without mechanism.Set
+	// refused counts the requests that were refused by reason.
+	refused map[string]int
 	// cut reports whether messages between two hosts are lost.
 	cut      func(from, to string) bool
 	messages int
@@ -35,6 +43,8 @@
 	spender     *Spender
 	keeper      *Keeper
 	flushAt     time.Duration
+	// stalledTill is until when the process neither runs timers nor reads messages.
+	stalledTill time.Duration
 }
 
 type event struct {
@@ -66,7 +76,7 @@
 var testTolerance = Tolerance{Slack: testSlack, Overage: 0.1}
 
 func newFleet(seed uint64, nodesPerDataCenter []int, caps map[string]Cap) *fleet {
-	f := &fleet{random: rand.New(rand.NewPCG(seed, 1)), caps: caps, admitted: map[string][]time.Duration{}, cut: func(string, string) bool { return false }}
+	f := &fleet{random: rand.New(rand.NewPCG(seed, 1)), caps: caps, admitted: map[string][]time.Duration{}, refused: map[string]int{}, cut: func(string, string) bool { return false }}
 	for dc, n := range nodesPerDataCenter {
 		for i := range n {
 			f.members = append(f.members, Member{Host: fmt.Sprintf("dc%d-%d", dc, i), DataCenter: fmt.Sprintf("dc%d", dc)})
@@ -91,6 +101,8 @@
 	n.down, n.flushAt = false, 0
 	n.spender = NewSpender(n.dataCenter, testTolerance)
 	n.keeper = NewKeeper(n.host, n.dataCenter, testTolerance, now)
+	n.spender.SetDisabled(n.f.without)
+	n.keeper.SetDisabled(n.f.without)
 	n.spender.SetCaps(n.f.caps)
 	n.keeper.SetCaps(n.f.caps)
 	n.spender.SetMembers(n.f.members)
@@ -127,6 +139,8 @@
 	d := n.spender.Admit(f.now, account)
 	if d.Admitted {
 		f.admitted[account] = append(f.admitted[account], f.now)
+	} else {
+		f.refused[d.Reason]++
 	}
 	n.flush()
 	return d.Admitted
@@ -140,12 +154,21 @@
 		incarnation := n.incarnation
 		n.f.at(next, func() {
 			if n.incarnation == incarnation && !n.down {
-				n.flush()
+				n.whenRunning(n.flush)
 			}
 		})
 	}
 }
 
+// whenRunning calls run once the process is not stalled.
+func (n *modelNode) whenRunning(run func()) {
+	if n.f.now < n.stalledTill {
+		n.f.at(n.stalledTill, run)
+		return
+	}
+	run()
+}
+
 func (f *fleet) send(from *modelNode, out []Envelope) {
 	incarnation := from.incarnation
 	for _, e := range out {
@@ -157,26 +180,35 @@
 		if e.To == from.host {
 			delay = 0
 		}
+		if len(e.Grants) > 0 && e.To != from.host {
+			delay += f.answerDelay
+		}
 		f.at(f.now+delay, func() { f.deliver(from.host, incarnation, e) })
 	}
 }
 
 func (f *fleet) deliver(from string, incarnation uint64, e Envelope) {
 	for _, n := range f.nodes {
-		if n.host != e.To || n.down {
-			continue
-		}
-		for _, r := range e.Reports {
-			f.send(n, n.keeper.HandleReport(f.now, from, incarnation, r))
+		if n.host == e.To && !n.down {
+			n.whenRunning(func() { n.receive(from, incarnation, e) })
 		}
-		for _, t := range e.Transfers {
-			f.send(n, n.keeper.HandleTransfer(f.now, from, t))
-		}
-		for _, g := range e.Grants {
+	}
+}
+
+func (n *modelNode) receive(from string, incarnation uint64, e Envelope) {
+	f := n.f
+	for _, r := range e.Reports {
+		f.send(n, n.keeper.HandleReport(f.now, from, incarnation, r))
+	}
+	for _, t := range e.Transfers {
+		f.send(n, n.keeper.HandleTransfer(f.now, from, t))
+	}
+	for _, g := range e.Grants {
+		if g.Notice || g.Receiver == n.incarnation {
 			n.spender.HandleGrant(f.now, from, g)
 		}
-		n.flush()
 	}
+	n.flush()
 }
 
 // maxWindow returns the largest number of admitted requests in any window of the length.
--- a/core/usage/keeper.go
+++ b/core/usage/keeper.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"cactuspath/core/mechanism"
 )
 
 const (
@@ -35,12 +37,14 @@
 type Keeper struct {
 	host, dataCenter string
 	tolerance        Tolerance
+	disabled         mechanism.Set
 	caps             map[string]Cap
 	members          []Member
 	membersSince     time.Duration
 	// generation changes with the members and the caps.
 	generation uint64
 	portions   map[string]*portion
+	leases     int64
 }
 
 // portion is this keeper's part of an account's cap.
@@ -60,6 +64,14 @@
 	nextOther        int
 	transferAt       time.Duration
 	transferInterval time.Duration
+
+	// reserved is the sum of the tokens that are reserved for nodes.
+	reserved uint64
+	// leasesFrom is when leases are given again after the cap was lowered.
+	leasesFrom time.Duration
+	// refused is the number of requests that nodes have recently refused: it loses its weight
+	// within refusedTime.
+	refused float64
 }
 
 // spender is what a keeper knows of a node.
@@ -70,6 +82,10 @@
 	reserved     uint64
 	reservedTill time.Duration
 	heardAt      time.Duration
+	// sentAt is the SentAt of the newest report.
+	sentAt time.Duration
+	// rate is the node's recent number of requests per second.
+	rate float64
 }
 
 // NewKeeper returns a Keeper without any accounts. Now is the current time.
@@ -98,8 +114,11 @@
 		delete(k.portions, account)
 		return false
 	}
+	if capacity < p.capacity {
+		p.leasesFrom = p.refilledAt + keeperGrantLifetime
+	}
 	p.generation, p.others, p.perSecond, p.capacity = k.generation, others, perSecond, capacity
-	p.level = min(p.level, capacity)
+	p.level = min(p.level, p.room())
 	return true
 }
 
@@ -151,13 +170,16 @@
 	}
 	p.refilledAt = now
 	p.demand *= math.Exp(-elapsed / demandTime.Seconds())
+	p.refused *= math.Exp(-elapsed / refusedTime.Seconds())
 	for _, s := range p.spenders {
+		s.rate *= math.Exp(-elapsed / rateTime.Seconds())
 		if s.reserved > 0 && now >= s.reservedTill {
 			p.level += float64(s.reserved)
+			p.reserved -= s.reserved
 			s.reserved = 0
 		}
 	}
-	p.level = min(p.capacity, p.level+elapsed*p.perSecond)
+	p.level = min(p.room(), p.level+elapsed*p.perSecond)
 }
 
 // reserve is the level below which nodes may no longer admit on credit.
@@ -173,18 +195,31 @@
 	}
 	s := p.spenders[from]
 	if s == nil || s.incarnation != incarnation {
+		if s != nil {
+			// Nobody reports what the earlier process spent of its tokens.
+			p.reserved -= s.reserved
+		}
 		s = &spender{incarnation: incarnation, spent: r.Spent - r.Unacknowledged}
 		p.spenders[from] = s
 	}
 	s.heardAt = now
+	leases := k.givesLeases() && r.SentAt > 0
+	if leases && !s.observe(r) {
+		return nil
+	}
 	p.charge(s, int64(r.Spent-s.spent))
 	s.spent = r.Spent
 	p.demand += float64(r.Refused) / demandTime.Seconds()
+	p.refused += float64(r.Refused)
 	out := p.updateOpen(now, k, r.Account, from)
 	if !p.open && r.Refused > 0 {
 		p.grant(now, s, r.Refused)
 	}
-	reply := Grant{Account: r.Account, Receiver: incarnation, Spent: s.spent, Limit: s.spent + s.reserved, Open: p.open, Wait: p.wait()}
+	reply := Grant{Account: r.Account, Receiver: incarnation, Spent: s.spent, Limit: s.spent + s.reserved, Open: p.open, Wait: k.wait(p)}
+	if leases {
+		k.leaseAhead(now, p, s, &reply)
+		reply.SentAt = r.SentAt
+	}
 	out = append(out, Envelope{from, Message{Grants: []Grant{reply}}})
 	return append(out, p.askForTokens(now, r.Account)...)
 }
@@ -196,9 +231,10 @@
 		p.demand += float64(requests) / demandTime.Seconds()
 		granted := min(uint64(requests), s.reserved)
 		s.reserved -= granted
+		p.reserved -= granted
 		requests -= int64(granted)
 	}
-	p.level = min(p.capacity, p.level-float64(requests))
+	p.level = min(p.room(), p.level-float64(requests))
 }
 
 // grant reserves tokens for a node that has refused requests.
@@ -207,8 +243,7 @@
 	if tokens <= s.reserved {
 		return
 	}
-	p.level -= float64(tokens - s.reserved)
-	s.reserved, s.reservedTill = tokens, now+keeperGrantLifetime
+	p.reserveTokens(now, s, tokens)
 }
 
 // wait returns the time until this keeper expects to have a token again.
@@ -233,7 +268,7 @@
 		return nil
 	}
 	p.noticeAt = now
-	notice := Message{Grants: []Grant{{Account: account, Notice: true, Open: p.open, Wait: p.wait()}}}
+	notice := Message{Grants: []Grant{{Account: account, Notice: true, Open: p.open, Wait: k.wait(p)}}}
 	var out []Envelope
 	for _, host := range p.constituency(now, k) {
 		if host != except {
@@ -264,7 +299,7 @@
 
 // askForTokens asks another keeper for tokens if the level is low.
 func (p *portion) askForTokens(now time.Duration, account string) []Envelope {
-	if len(p.others) == 0 || p.level >= p.capacity/2 || now-p.transferAt < p.transferInterval {
+	if len(p.others) == 0 || p.level+float64(p.reserved) >= p.capacity/2 || now-p.transferAt < p.transferInterval {
 		return nil
 	}
 	p.transferAt = now
@@ -282,7 +317,7 @@
 		return nil
 	}
 	if t.Given > 0 {
-		p.level = min(p.capacity, p.level+t.Given)
+		p.level = min(p.room(), p.level+t.Given)
 		p.transferInterval = minTransferInterval
 		return nil
 	}
--- a/core/usage/spender.go
+++ b/core/usage/spender.go
@@ -6,6 +6,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"cactuspath/core/mechanism"
 )
 
 const (
@@ -36,6 +38,7 @@
 type Spender struct {
 	dataCenter string
 	tolerance  Tolerance
+	disabled   mechanism.Set
 	caps       map[string]Cap
 	members    []Member
 	// generation changes with the members.
@@ -43,6 +46,8 @@
 	accounts   map[string]*spending
 	// dirty holds the accounts with something to report.
 	dirty map[string]*spending
+	// flushAt is when Flush should be called next; 0 if there is nothing to report.
+	flushAt time.Duration
 }
 
 // spending is a node's state of one account.
@@ -74,6 +79,8 @@
 	unansweredSince time.Duration
 	awaitsReply     bool
 	reported        bool
+
+	lease
 }
 
 // Decision is the result of Admit.
@@ -91,6 +98,7 @@
 const (
 	ReasonNoCap    = "no-cap"
 	ReasonGranted  = "granted"
+	ReasonLease    = "lease"
 	ReasonCredit   = "credit"
 	ReasonIsolated = "isolated"
 	ReasonClosed   = "cap-reached"
@@ -102,6 +110,12 @@
 	return &Spender{dataCenter: dataCenter, tolerance: tolerance, accounts: map[string]*spending{}, dirty: map[string]*spending{}}
 }
 
+// SetDisabled replaces the set of disabled mechanisms.
+func (s *Spender) SetDisabled(disabled mechanism.Set) { s.disabled = disabled }
+
+// takesLeases reports whether this node takes leases.
+func (s *Spender) takesLeases() bool { return !s.disabled.Has(mechanism.Leases) }
+
 // SetCaps replaces the usage caps by account.
 func (s *Spender) SetCaps(caps map[string]Cap) {
 	s.caps = caps
@@ -124,7 +138,6 @@
 	}
 	if a.keepers == nil || a.generation != s.generation {
 		a.keepers, a.generation = Keepers(account, s.members, s.dataCenter), s.generation
-		maps.DeleteFunc(a.charges, func(keeper string, _ *charge) bool { return !slices.Contains(a.keepers, keeper) })
 	}
 	return a
 }
@@ -136,13 +149,12 @@
 		return Decision{Admitted: true, Reason: ReasonNoCap}
 	}
 	a := s.spendingOf(account)
+	if s.takesLeases() {
+		return s.admitLeased(now, account, a, limit)
+	}
 	first := uint64(firstCredit)
 	for _, keeper := range a.keepers {
-		c := a.charges[keeper]
-		if c == nil {
-			c = &charge{}
-			a.charges[keeper] = c
-		}
+		c := a.chargeOf(keeper)
 		if now < c.silentTill {
 			first -= min(first, c.unacknowledged())
 			continue
@@ -153,6 +165,18 @@
 	return a.admitIsolated(now, s.isolatedShare(limit))
 }
 
+// chargeOf returns what the node has charged to a keeper. The charges of former keepers are
+// kept: if one is selected again, its count must not start anew, which the keeper would take
+// for requests that were given back.
+func (a *spending) chargeOf(keeper string) *charge {
+	c := a.charges[keeper]
+	if c == nil {
+		c = &charge{}
+		a.charges[keeper] = c
+	}
+	return c
+}
+
 // credit returns how many requests a node may admit between two answers of an open keeper:
 // an even share of what all nodes together may admit beyond the cap.
 func (s *Spender) credit(limit Cap) uint64 {
@@ -240,20 +264,21 @@
 // false if there is nothing more to report.
 func (s *Spender) Flush(now time.Duration) (out []Envelope, next time.Duration, ok bool) {
 	byKeeper := map[string][]Report{}
+	s.allowForDelay(now)
 	for account, a := range s.dirty {
 		delete(s.dirty, account)
 		for keeper, c := range a.charges {
-			if !c.pending() || now < c.silentTill {
+			if !s.pending(now, a, keeper, c) {
 				continue
 			}
 			s.dirty[account] = a
-			if due := c.dueAt(now); due > now {
+			if due := s.dueAt(now, c); due > now {
 				if !ok || due < next {
 					next, ok = due, true
 				}
 				continue
 			}
-			if r, send := c.report(now, account); send {
+			if r, send := s.report(now, account, c); send {
 				byKeeper[keeper] = append(byKeeper[keeper], r)
 				if due := now + replyTimeout; !ok || due < next {
 					next, ok = due, true
@@ -266,9 +291,40 @@
 		slices.SortFunc(reports, func(a, b Report) int { return cmp.Compare(a.Account, b.Account) })
 		out = append(out, Envelope{keeper, Message{Reports: reports}})
 	}
+	s.flushAt = 0
+	if ok {
+		s.flushAt = next
+	}
 	return out, next, ok
 }
 
+// pending reports whether there is something to report to a keeper.
+func (s *Spender) pending(now time.Duration, a *spending, keeper string, c *charge) bool {
+	switch {
+	case !slices.Contains(a.keepers, keeper):
+		return false
+	case s.takesLeases():
+		return c.pendingLeased()
+	}
+	return c.pending() && now >= c.silentTill
+}
+
+// dueAt returns when the next report to a keeper is due.
+func (s *Spender) dueAt(now time.Duration, c *charge) time.Duration {
+	if s.takesLeases() {
+		return c.dueLeased(now)
+	}
+	return c.dueAt(now)
+}
+
+// report returns the report that is due, or false if the keeper is taken to be silent.
+func (s *Spender) report(now time.Duration, account string, c *charge) (Report, bool) {
+	if s.takesLeases() {
+		return c.reportLeased(now, account)
+	}
+	return c.report(now, account)
+}
+
 // report returns the report that is due. It returns false if the keeper has been silent for
 // too long, after which the node turns to another keeper.
 func (c *charge) report(now time.Duration, account string) (Report, bool) {
@@ -296,13 +352,12 @@
 		}
 		a = s.spendingOf(g.Account)
 	}
-	c := a.charges[keeper]
-	if c == nil {
-		if !slices.Contains(a.keepers, keeper) {
-			return
-		}
-		c = &charge{}
-		a.charges[keeper] = c
+	if !slices.Contains(a.keepers, keeper) {
+		return
+	}
+	c := a.chargeOf(keeper)
+	if s.takesLeases() && !g.Notice && g.SentAt > 0 && !c.observeReply(now, g) {
+		return
 	}
 	if g.Open {
 		c.openTill, c.closedTill = now+openLifetime, 0
@@ -312,7 +367,11 @@
 	if g.Notice {
 		return
 	}
-	c.awaitsReply, c.silentTill = false, 0
 	c.acknowledged = g.Spent
+	if s.takesLeases() && g.SentAt > 0 {
+		c.renew(g)
+		return
+	}
+	c.awaitsReply, c.silentTill, c.lease = false, 0, lease{}
 	c.limit, c.limitTill = g.Limit, now+grantLifetime
 }
--- a/core/usage/usage.go
+++ b/core/usage/usage.go
@@ -51,6 +51,9 @@
 	Unacknowledged uint64
 	// Refused is the number of requests refused since the last report.
 	Refused uint32
+	// SentAt is when the node sent the report, on its own clock. It is 0 from a node that
+	// takes no leases.
+	SentAt time.Duration
 }
 
 // Grant is a keeper's answer to a Report. A notice has only Open and Wait.
@@ -67,6 +70,8 @@
 	Open bool
 	// Wait is the time until the keeper expects to have a token again.
 	Wait time.Duration
+	// SentAt repeats the report's SentAt; 0 from a keeper that gives no leases.
+	SentAt time.Duration
 }
 
 // Transfer asks another keeper for tokens, or gives it some.
