usage: leases on the wire, switched by the mechanism

Reports and grants carry the time of the report, so that a lease counts from the report and old replies are recognised. Nodes learn the addresses of new members before they charge requests to them. Metric usage_leases; admitted requests are logged at level 2 with the reason.

--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -58,6 +58,7 @@
 		"quarantine_malformed":          &n.counters.quarantine.Malformed,
 		"quarantine_contents":           expvar.Func(func() any { return n.quarantine.Contents() }),
 		"account_requests":              expvar.Func(func() any { return n.proxy.AccountRequests() }),
+		"usage_leases":                  expvar.Func(func() any { return n.usage.Leases() }),
 		"usage_messages_sent":           &n.counters.usage.MessagesSent,
 		"usage_messages_received":       &n.counters.usage.MessagesReceived,
 		"usage_messages_malformed":      &n.counters.usage.Malformed,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -166,6 +166,7 @@
 	n.disabled = options.Disabled
 	n.proxy.SetDisabled(options.Disabled)
 	n.overload.SetDisabled(options.Disabled.Has(mechanism.Shedding))
+	n.usage.SetDisabled(options.Disabled)
 	n.front = front.New(n.callers.wrap(n.proxy))
 	return n
 }
@@ -182,6 +183,7 @@
 	klog.InfoS("Mechanisms switched", "host", n.options.Host, "disabled", off.Names())
 	n.proxy.SetDisabled(off)
 	n.overload.SetDisabled(off.Has(mechanism.Shedding))
+	n.usage.SetDisabled(off)
 	n.apply()
 }
 
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -206,11 +206,12 @@
 	}
 	changed := n.changedServices(byService, generation)
 	if len(changed) > 0 {
+		// The addresses come first: a report to a keeper without one would be lost.
+		n.quarantine.SetPeers(n.reports.setPeers(byService))
 		if n.usage.HasCaps() {
 			n.usage.SetMembers(usageMembers(byService))
 		}
 		n.proxy.UpdateServices(n.candidates(changed))
-		n.quarantine.SetPeers(n.reports.setPeers(byService))
 	}
 	if s != nil {
 		n.configureGate(s, byService[s.service])
--- a/internal/proxy/account.go
+++ b/internal/proxy/account.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	apiv1 "cactuspath/api/cactuspath/v1"
 	"cactuspath/api/fault"
 	"cactuspath/core/estate"
@@ -163,6 +165,9 @@
 	if d.Admitted {
 		c.keeper = d.Keeper
 		c.account.admitted.Add(1)
+		if detailed := klog.V(2); detailed.Enabled() {
+			detailed.InfoS("Request within its usage cap", "request", r.Header.Get(h.options.Dialect.RequestID), "account", c.account.ID, "reason", d.Reason, "keeper", d.Keeper)
+		}
 		return true
 	}
 	c.account.refused.Add(1)
--- a/internal/usage/accountant.go
+++ b/internal/usage/accountant.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"cactuspath/core/mechanism"
 	"cactuspath/core/usage"
 )
 
@@ -54,6 +55,22 @@
 
 func (a *Accountant) now() time.Duration { return time.Since(a.start) }
 
+// SetDisabled replaces the set of disabled mechanisms.
+func (a *Accountant) SetDisabled(disabled mechanism.Set) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.spender.SetDisabled(disabled)
+	a.keeper.SetDisabled(disabled)
+}
+
+// Leases returns the number of leases that the keeper at this node has given or added tokens
+// to.
+func (a *Accountant) Leases() int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.keeper.Leases()
+}
+
 // Close stops the timer.
 func (a *Accountant) Close() {
 	a.mu.Lock()
--- a/internal/usage/wire.go
+++ b/internal/usage/wire.go
@@ -38,7 +38,7 @@
 	for reports := range slices.Chunk(m.Reports, maxItems) {
 		news := &apiv1.UsageNews{}
 		for _, r := range reports {
-			news.Reports = append(news.Reports, &apiv1.UsageReport{Account: r.Account, Spent: r.Spent, Unacknowledged: r.Unacknowledged, Refused: r.Refused})
+			news.Reports = append(news.Reports, &apiv1.UsageReport{Account: r.Account, Spent: r.Spent, Unacknowledged: r.Unacknowledged, Refused: r.Refused, SentUs: uint64(r.SentAt.Microseconds())})
 		}
 		add(news)
 	}
@@ -46,7 +46,7 @@
 		news := &apiv1.UsageNews{}
 		for _, g := range grants {
 			news.Grants = append(news.Grants, &apiv1.UsageGrant{Account: g.Account, Spent: g.Spent, Limit: g.Limit, Open: g.Open, WaitMs: uint32(min(math.MaxUint32, g.Wait.Milliseconds())),
-				ReceiverIncarnation: g.Receiver})
+				ReceiverIncarnation: g.Receiver, SentUs: uint64(g.SentAt.Microseconds())})
 		}
 		add(news)
 	}
@@ -67,7 +67,7 @@
 		return "", 0, m, errMalformed
 	}
 	for _, r := range news.Reports {
-		m.Reports = append(m.Reports, usage.Report{Account: r.Account, Spent: r.Spent, Unacknowledged: r.Unacknowledged, Refused: r.Refused})
+		m.Reports = append(m.Reports, usage.Report{Account: r.Account, Spent: r.Spent, Unacknowledged: r.Unacknowledged, Refused: r.Refused, SentAt: duration(r.SentUs)})
 	}
 	for _, g := range news.Grants {
 		notice := g.ReceiverIncarnation == 0
@@ -75,7 +75,7 @@
 			continue
 		}
 		m.Grants = append(m.Grants, usage.Grant{Account: g.Account, Notice: notice, Receiver: g.ReceiverIncarnation, Spent: g.Spent, Limit: g.Limit, Open: g.Open,
-			Wait: time.Duration(g.WaitMs) * time.Millisecond})
+			Wait: time.Duration(g.WaitMs) * time.Millisecond, SentAt: duration(g.SentUs)})
 	}
 	for _, t := range news.Transfers {
 		if !(t.Wanted >= 0 && t.Given >= 0) || math.IsInf(t.Wanted, 0) || math.IsInf(t.Given, 0) {
@@ -85,3 +85,9 @@
 	}
 	return news.From, news.Incarnation, m, nil
 }
+
+// duration returns a number of microseconds of a message as a duration. Numbers beyond any
+// process's lifetime are cut off.
+func duration(microseconds uint64) time.Duration {
+	return time.Duration(min(microseconds, math.MaxInt64/uint64(time.Microsecond))) * time.Microsecond
+}
