--- a/core/usage/bound_test.go
+++ b/core/usage/bound_test.go
@@ -9,6 +9,8 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"cactuspath/core/mechanism"
 )
 
 // The admitted requests of any window must stay within the cap, its burst and slack, plus
@@ -25,8 +27,20 @@
 		const end = 12 * time.Second
 		demand := c.PerSecond * rapid.SampledFrom([]float64{0.5, 1, 3, 10}).Draw(t, "demand")
 		for at := time.Duration(0); at < end; at += time.Duration(f.random.ExpFloat64() / demand * float64(time.Second)) {
-			node := f.nodes[f.random.IntN(len(f.nodes))]
-			f.at(at, func() { f.request(node, account) })
+			i := f.random.IntN(len(f.nodes))
+			f.arrive(at, i, func(time.Duration) { f.request(f.nodes[i], account) })
+		}
+		f.answerDelay = rapid.SampledFrom([]time.Duration{0, 150 * time.Millisecond, time.Second}).Draw(t, "replies take")
+		for i, n := range f.nodes {
+			if rapid.IntRange(0, 4).Draw(t, fmt.Sprint("leases off ", i)) == 0 {
+				n.spender.SetDisabled(mechanism.Leases)
+				n.keeper.SetDisabled(mechanism.Leases)
+			}
+		}
+		for i := range rapid.IntRange(0, 3).Draw(t, "stalls") {
+			n := f.nodes[rapid.IntRange(0, len(f.nodes)-1).Draw(t, fmt.Sprint("stalled ", i))]
+			length := time.Duration(rapid.IntRange(0, 3000).Draw(t, fmt.Sprint("stall length ", i))) * time.Millisecond
+			f.at(time.Duration(rapid.IntRange(0, 12000).Draw(t, fmt.Sprint("stall ", i)))*time.Millisecond, func() { n.stalledTill = f.now + length })
 		}
 		restarts := rapid.IntRange(0, 3).Draw(t, "restarts")
 		for i := range restarts {
@@ -57,10 +71,12 @@
 	rapid.Check(t, func(t *rapid.T) {
 		const account = "club"
 		c := Cap{PerSecond: float64(rapid.IntRange(1, 100).Draw(t, "perSecond")), Burst: float64(rapid.IntRange(0, 100).Draw(t, "burst"))}
+		demand := c.PerSecond * rapid.SampledFrom([]float64{0.3, 3}).Draw(t, "demand")
 		f := newFleet(rapid.Uint64().Draw(t, "seed"), []int{3, 2, 2}, map[string]Cap{account: c})
 		f.loss = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "loss")
+		f.answerDelay = rapid.SampledFrom([]time.Duration{0, 150 * time.Millisecond}).Draw(t, "replies take")
 		const end = 8 * time.Second
-		for at := time.Duration(0); at < end; at += time.Duration(f.random.ExpFloat64() / (3 * c.PerSecond) * float64(time.Second)) {
+		for at := time.Duration(0); at < end; at += time.Duration(f.random.ExpFloat64() / demand * float64(time.Second)) {
 			node := f.nodes[f.random.IntN(len(f.nodes))]
 			f.at(at, func() { f.request(node, account) })
 		}
@@ -76,10 +92,14 @@
 			portions++
 			begun += p.capacity
 			held += p.level
+			reserved := uint64(0)
 			for _, s := range p.spenders {
 				held += float64(s.reserved)
 				charged += float64(s.spent)
+				reserved += s.reserved
 			}
+			assert.Equal(t, p.reserved, reserved)
+			assert.Assert(t, p.level <= p.room()+0.001, "%f of %f, beside %d reserved tokens", p.level, p.capacity, reserved)
 		}
 		assert.Assert(t, portions <= len(Keepers(account, f.members, "")))
 		assert.Assert(t, held+charged <= begun+c.PerSecond*end.Seconds()+0.001, "held %f and charged %f of %f", held, charged, begun+c.PerSecond*end.Seconds())
--- a/core/usage/fleet_test.go
+++ b/core/usage/fleet_test.go
@@ -109,6 +109,21 @@
 	n.keeper.SetMembers(now, n.f.members)
 }
 
+// disable disables mechanisms at all nodes.
+func (f *fleet) disable(off mechanism.Set) {
+	f.without = off
+	for _, n := range f.nodes {
+		n.spender.SetDisabled(off)
+		n.keeper.SetDisabled(off)
+	}
+}
+
+// setMembers changes the members that a node knows.
+func (n *modelNode) setMembers(members []Member) {
+	n.spender.SetMembers(members)
+	n.keeper.SetMembers(n.f.now, members)
+}
+
 func (f *fleet) setCaps(caps map[string]Cap) {
 	f.caps = caps
 	for _, n := range f.nodes {
@@ -122,6 +137,17 @@
 	heap.Push(&f.events, event{t, f.events.seq, run})
 }
 
+// arrive schedules the arrival of a request at a node. A stalled process reads it later.
+func (f *fleet) arrive(t time.Duration, node int, run func(now time.Duration)) {
+	f.at(t, func() {
+		if node >= len(f.nodes) {
+			run(f.now)
+			return
+		}
+		f.nodes[node].whenRunning(func() { run(f.now) })
+	})
+}
+
 func (f *fleet) runUntil(end time.Duration) {
 	for len(f.events.list) > 0 && f.events.list[0].at <= end {
 		e := heap.Pop(&f.events).(event)
@@ -132,9 +158,12 @@
 }
 
 // request sends a request of an account to a node and reports whether it was admitted.
-func (f *fleet) request(n *modelNode, account string) bool {
+func (f *fleet) request(n *modelNode, account string) bool { return f.decide(n, account).Admitted }
+
+// decide sends a request of an account to a node and returns the node's decision.
+func (f *fleet) decide(n *modelNode, account string) Decision {
 	if n.down {
-		return false
+		return Decision{}
 	}
 	d := n.spender.Admit(f.now, account)
 	if d.Admitted {
@@ -143,7 +172,7 @@
 		f.refused[d.Reason]++
 	}
 	n.flush()
-	return d.Admitted
+	return d
 }
 
 func (n *modelNode) flush() {
--- a/core/usage/keeper.go
+++ b/core/usage/keeper.go
@@ -299,7 +299,7 @@
 
 // askForTokens asks another keeper for tokens if the level is low.
 func (p *portion) askForTokens(now time.Duration, account string) []Envelope {
-	if len(p.others) == 0 || p.level+float64(p.reserved) >= p.capacity/2 || now-p.transferAt < p.transferInterval {
+	if len(p.others) == 0 || p.level >= p.capacity/2 || now-p.transferAt < p.transferInterval {
 		return nil
 	}
 	p.transferAt = now
--- a/core/usage/lease.go
+++ b/core/usage/lease.go
@@ -22,8 +22,16 @@
 	// minSilentReports is the number of reports without a reply after which a keeper may be
 	// taken to be silent. One lost datagram must not suffice.
 	minSilentReports = 3
-	// probeCredit is the number of requests on credit from which the next keeper is asked.
-	probeCredit = 2
+	// busyShare is the number of requests within maxReplyTimeout, at the cap and evenly spread
+	// over the nodes, from which an account counts as large.
+	busyShare = 0.2
+	// slowRoundTrip is the time to a keeper and back from which its replies are slow: two
+	// reports are then under way at a time.
+	slowRoundTrip = 2 * reportInterval
+	// leasedOpenLifetime is how long a node that takes leases believes that its keeper is
+	// open: one window of the tolerance. Keepers notify nodes that have reported within
+	// idleSpenderTime when they are no longer open.
+	leasedOpenLifetime = creditWindow
 	// creditRetry is when a request that was refused for lack of credit should come back: a
 	// reply usually arrives within it.
 	creditRetry = 50 * time.Millisecond
@@ -79,11 +87,15 @@
 			continue
 		}
 		if refusal.Reason != "" && now >= c.openTill {
-			c.probe = c.probe || !c.awaitsReply
+			c.askIfIdle(now)
 			break
 		}
-		d := c.admitOnCredit(now, keeper, first, s.credit(limit))
-		if c.onCredit() >= probeCredit {
+		credit := s.credit(limit)
+		if refusal.Reason != "" && !s.isLarge(limit) {
+			credit = 0
+		}
+		d := c.admitOnCredit(now, keeper, first, credit)
+		if c.onCredit() >= s.probeCredit(c, limit) {
 			a.probeNext(now, i+1)
 		}
 		if d.Admitted || d.Reason == ReasonClosed {
@@ -105,25 +117,49 @@
 	return d
 }
 
+// probeCredit returns the number of requests on credit from which the next keeper is asked.
+// At a large account whose keeper replies slowly, or has not replied yet, a node is likely to
+// have more requests before the reply comes.
+func (s *Spender) probeCredit(c *charge, limit Cap) uint64 {
+	if c.roundTrip > 0 && c.roundTrip < slowRoundTrip {
+		return 2
+	}
+	if s.isLarge(limit) {
+		return 1
+	}
+	return 2
+}
+
+// isLarge reports whether a node is likely to have several requests of an account while it
+// waits for a reply. At a smaller account, the credit at a second keeper would let all nodes
+// together exceed the cap.
+func (s *Spender) isLarge(limit Cap) bool {
+	return limit.PerSecond*maxReplyTimeout.Seconds() >= busyShare*float64(len(s.members))
+}
+
 // probeNext asks the next keeper for a reply unless it is known to be open, so that it can
 // be charged at once when the credit at the keepers before it is used up.
 func (a *spending) probeNext(now time.Duration, from int) {
 	for _, keeper := range a.keepers[min(from, len(a.keepers)):] {
 		if c := a.chargeOf(keeper); !c.silent {
-			c.probe = c.probe || !c.awaitsReply && now >= max(c.openTill, c.closedTill)
+			if now >= max(c.openTill, c.closedTill) {
+				c.askIfIdle(now)
+			}
 			return
 		}
 	}
 }
 
+// askIfIdle asks the keeper for a reply unless one to an earlier report may still come.
+func (c *charge) askIfIdle(now time.Duration) {
+	c.probe = c.probe || !c.awaitsReply || now >= c.reportedAt+c.replyTimeout()
+}
+
 // spendLease admits a request with a token of a lease or a grant, also of a silent keeper.
 func (a *spending) spendLease(now time.Duration) (Decision, bool) {
 	for _, keeper := range a.keepers {
 		c := a.charges[keeper]
 		if c == nil || c.spent >= c.limit || now >= c.limitTill {
-			if c != nil && !c.silent && now < c.closedTill {
-				return Decision{}, false
-			}
 			continue
 		}
 		c.spent++
@@ -184,7 +220,7 @@
 func (c *charge) dueLeased(now time.Duration) time.Duration {
 	repeat := c.reportedAt + c.replyTimeout()
 	switch {
-	case !c.reported || c.probe && !c.awaitsReply:
+	case !c.reported || c.probe:
 		return now
 	case c.awaitsReply && c.spent == c.reportedSpent && c.refused == 0:
 		return repeat
@@ -321,7 +357,7 @@
 	}
 	expected := math.Ceil(2 * s.rate * grantLifetime.Seconds())
 	tokens := max(1, min(expected, math.Floor(leaseShare*p.level/float64(recent))))
-	if p.level-tokens < max(2*p.reserve()+1, p.capacity/4) || float64(p.reserved)+tokens > leaseShare*(p.level+float64(p.reserved)) {
+	if p.level-tokens < max(2*p.reserve()+1, p.capacity/2) || float64(p.reserved)+tokens > leaseShare*(p.level+float64(p.reserved)) {
 		return 0
 	}
 	return uint64(tokens)
@@ -334,6 +370,6 @@
 	if !k.givesLeases() {
 		return next
 	}
-	queue := time.Duration(p.refused / p.perSecond * float64(time.Second))
-	return min(max(next, queue), maxWait)
+	queue := max(0, p.refused-1) / p.perSecond
+	return time.Duration(min(max(next.Seconds(), queue), maxWait.Seconds()) * float64(time.Second))
 }
--- a/core/usage/scenario_test.go
+++ b/core/usage/scenario_test.go
@@ -82,20 +82,20 @@
 type decide func(at time.Duration, account, node int) bool
 
 // play runs the load through a design and compares it with a central bucket.
-func (l *load) play(seed uint64, nodes int, till time.Duration, prepare func(at time.Duration, run func()), step func(time.Duration), admit decide) result {
+func (l *load) play(seed uint64, nodes int, till time.Duration, prepare func(at time.Duration, node int, run func(now time.Duration)), step func(time.Duration), admit decide) result {
 	central := make([]centralBucket, len(l.names))
 	for i, name := range l.names {
 		central[i] = centralBucket{cap: l.caps[name], level: l.caps[name].Burst}
 	}
 	times, owedOf := make([][]time.Duration, len(l.names)), make([]int, len(l.names))
-	r := result{}
+	r := result{excess: -1e9}
 	l.drive(rand.New(rand.NewPCG(seed, 2)), nodes, till, func(at time.Duration, account, node int) {
-		prepare(at, func() {
+		prepare(at, node, func(now time.Duration) {
 			r.requests++
-			owed := central[account].take(at)
-			admitted := admit(at, account, node)
+			owed := central[account].take(now)
+			admitted := admit(now, account, node)
 			if admitted {
-				times[account] = append(times[account], at)
+				times[account] = append(times[account], now)
 			}
 			if owed {
 				r.owed++
@@ -117,7 +117,7 @@
 	if change != nil {
 		change(f)
 	}
-	r := l.play(seed, len(f.nodes), 20*time.Second, f.at, f.runUntil, func(_ time.Duration, account, node int) bool {
+	r := l.play(seed, len(f.nodes), 20*time.Second, f.arrive, f.runUntil, func(_ time.Duration, account, node int) bool {
 		return f.request(f.nodes[node], l.names[account])
 	})
 	r.messages = f.messages
@@ -131,7 +131,7 @@
 		shares[name] = newShareBuckets(l.caps[name], 72)
 	}
 	f := newFleet(seed, nil, nil)
-	return l.play(seed, 72, 20*time.Second, f.at, f.runUntil, func(at time.Duration, account, node int) bool {
+	return l.play(seed, 72, 20*time.Second, f.arrive, f.runUntil, func(at time.Duration, account, node int) bool {
 		return shares[l.names[account]][node].take(at)
 	})
 }
@@ -148,7 +148,7 @@
 	owners, loans := map[int]*centralBucket{}, map[[2]int]*loan{}
 	f := newFleet(seed, nil, nil)
 	messages := 0
-	r := l.play(seed, nodes, 20*time.Second, f.at, f.runUntil, func(at time.Duration, account, node int) bool {
+	r := l.play(seed, nodes, 20*time.Second, f.arrive, f.runUntil, func(at time.Duration, account, node int) bool {
 		c := l.caps[l.names[account]]
 		owner, held := owners[account], loans[[2]int{account, node}]
 		if owner == nil {
--- a/core/usage/spender.go
+++ b/core/usage/spender.go
@@ -317,6 +317,14 @@
 	return c.dueAt(now)
 }
 
+// openLifetime returns how long the node believes that a keeper is open.
+func (s *Spender) openLifetime() time.Duration {
+	if s.takesLeases() {
+		return leasedOpenLifetime
+	}
+	return openLifetime
+}
+
 // report returns the report that is due, or false if the keeper is taken to be silent.
 func (s *Spender) report(now time.Duration, account string, c *charge) (Report, bool) {
 	if s.takesLeases() {
@@ -360,7 +368,7 @@
 		return
 	}
 	if g.Open {
-		c.openTill, c.closedTill = now+openLifetime, 0
+		c.openTill, c.closedTill = now+s.openLifetime(), 0
 	} else {
 		c.openTill, c.closedTill, c.wait = 0, now+closedLifetime, g.Wait
 	}
