--- a/core/usage/lease_test.go
+++ b/core/usage/lease_test.go
@@ -133,9 +133,9 @@
 }
 
 // flood sends ten times the cap of an account for 5 s. Refused requests come back as told, up
-// to three times. It returns the number of requests in each tenth of a second, first tries
-// left out, and the number that were admitted.
-func flood(change func(*fleet)) (retries [70]int, admitted, tries int) {
+// to three times. It returns the number of requests that came back in each tenth of a second,
+// that were admitted and that were sent, and the longest wait.
+func flood(change func(*fleet)) (retries [70]int, admitted, tries int, longest time.Duration) {
 	const account, perSecond = "club", 60.0
 	f := newFleet(9, []int{24, 24, 24}, map[string]Cap{account: {PerSecond: perSecond, Burst: perSecond}})
 	slowReplies(f)
@@ -148,6 +148,7 @@
 			admitted++
 			return
 		}
+		longest = max(longest, d.RetryAfter)
 		if left > 0 {
 			back := f.now + d.RetryAfter + time.Duration(f.random.Int64N(int64(d.RetryAfter)))
 			f.at(back, func() {
@@ -160,14 +161,14 @@
 		f.at(at, func() { try(3) })
 	}
 	f.runUntil(10 * time.Second)
-	return retries, admitted, tries
+	return retries, admitted, tries, longest
 }
 
 // Guards against refused requests of a flood that all come back for the same token: they
 // would be refused in step and crowd out new ones.
 func TestRefusedRequestsComeBackSpread(t *testing.T) {
-	retries, admitted, tries := flood(func(*fleet) {})
-	_, admittedBefore, triesBefore := flood(withoutLeases)
+	retries, admitted, tries, longest := flood(func(*fleet) {})
+	_, admittedBefore, triesBefore, _ := flood(withoutLeases)
 	t.Log(retries, admitted, tries, "without leases", admittedBefore, triesBefore)
 	sum, most := 0, 0
 	// From 2 s on, those that were refused first have come back.
@@ -177,6 +178,7 @@
 	}
 	assert.Assert(t, most <= 2*sum/30, "%d of %d in a tenth of a second", most, sum)
 	assert.Assert(t, admitted >= admittedBefore*95/100, "%d admitted, %d without leases", admitted, admittedBefore)
+	assert.Assert(t, longest <= maxWait, "%v", longest)
 	assert.Assert(t, tries <= triesBefore, "%d tries, %d without leases", tries, triesBefore)
 }
 
@@ -331,6 +333,33 @@
 	assert.Equal(t, keeper.portions["club"].reserved, uint64(0))
 }
 
+// Guards against a keeper that gives nodes more than a quarter of its tokens ahead: an account
+// whose requests arrive at other nodes next would find none.
+func TestLeavesTokensForOtherNodes(t *testing.T) {
+	f, _, host := leaseFleet(Cap{PerSecond: 30, Burst: 50})
+	keeper := f.nodeOf(host).keeper
+	for i := range 60 {
+		keeper.HandleReport(0, fmt.Sprint("node-", i), 1, Report{Account: "club", SentAt: time.Microsecond})
+	}
+	p := keeper.portions["club"]
+	assert.Assert(t, p.open)
+	assert.Assert(t, p.reserved > 0 && float64(p.reserved) <= leaseShare*p.capacity, "%d of %f", p.reserved, p.capacity)
+}
+
+// Guards against tokens that the keeper takes back while a reply lets the node go on with
+// them.
+func TestRenewedLeaseStaysReserved(t *testing.T) {
+	f, _, host := leaseFleet(Cap{PerSecond: 30, Burst: 30})
+	keeper := f.nodeOf(host).keeper
+	for now := time.Duration(0); now <= 3*time.Second; now += time.Second {
+		out := keeper.HandleReport(now, "node", 1, Report{Account: "club", SentAt: now + time.Microsecond})
+		g := out[len(out)-1].Grants[0]
+		assert.Equal(t, g.Limit, uint64(1))
+		keeper.portion(now+grantLifetime, "club")
+		assert.Equal(t, keeper.portions["club"].reserved, uint64(1), "at %v", now)
+	}
+}
+
 // Guards against leases between nodes of which one has them switched off: it must see and
 // send exactly what it did before there were leases.
 func TestDisabledLeasesChangeNoMessage(t *testing.T) {
--- a/internal/usage/wire.go
+++ b/internal/usage/wire.go
@@ -18,7 +18,7 @@
 
 // maxItems is the number of reports, grants or transfers in a datagram. With the longest
 // names, more would not fit into the largest datagram that nodes accept, 1 KiB.
-const maxItems = 6
+const maxItems = 5
 
 var errMalformed = errors.New("malformed usage message; both nodes must run the same release")
 
