usage: caps hold while replies are lost one way

In a flood, nodes whose keeper's replies were lost admitted on credit again each second, and went on to the next keeper on credit: 4 to 8 requests beyond the tolerance, with leases and without. A node that was late itself gets a tenth of a second to read its replies before a keeper counts as silent.

--- a/core/usage/fleet_test.go
+++ b/core/usage/fleet_test.go
@@ -45,6 +45,8 @@
 	flushAt     time.Duration
 	// stalledTill is until when the process neither runs timers nor reads messages.
 	stalledTill time.Duration
+	// linkDelay is how long messages of this host wait for its link.
+	linkDelay time.Duration
 }
 
 type event struct {
@@ -212,6 +214,9 @@
 		if len(e.Grants) > 0 && e.To != from.host {
 			delay += f.answerDelay
 		}
+		if e.To != from.host {
+			delay += from.linkDelay
+		}
 		f.at(f.now+delay, func() { f.deliver(from.host, incarnation, e) })
 	}
 }
--- a/core/usage/keeper.go
+++ b/core/usage/keeper.go
@@ -67,6 +67,8 @@
 
 	// reserved is the sum of the tokens that are reserved for nodes.
 	reserved uint64
+	// givesLeases is whether the keeper gives leases.
+	givesLeases bool
 	// leasesFrom is when leases are given again after the cap was lowered.
 	leasesFrom time.Duration
 	// refused is the number of requests that nodes have recently refused: it loses its weight
@@ -144,6 +146,7 @@
 // portion returns the portion of an account, or nil if this node is not its keeper.
 func (k *Keeper) portion(now time.Duration, account string) *portion {
 	if p := k.portions[account]; p != nil {
+		p.givesLeases = k.givesLeases()
 		p.refill(now)
 		if p.generation != k.generation && !k.update(p, account) {
 			return nil
@@ -158,7 +161,7 @@
 	// since the members last changed and of startTime, and gets more from the others.
 	level := min(capacity, max(1, perSecond*(now-k.membersSince+startTime).Seconds()))
 	p := &portion{generation: k.generation, others: others, perSecond: perSecond, capacity: capacity, level: level, refilledAt: now, open: true,
-		spenders: map[string]*spender{}, transferInterval: minTransferInterval, noticeAt: -noticeInterval, transferAt: -maxTransferInterval}
+		givesLeases: k.givesLeases(), spenders: map[string]*spender{}, transferInterval: minTransferInterval, noticeAt: -noticeInterval, transferAt: -maxTransferInterval}
 	k.portions[account] = p
 	return p
 }
--- a/core/usage/lease.go
+++ b/core/usage/lease.go
@@ -29,9 +29,12 @@
 	// reports are then under way at a time.
 	slowRoundTrip = 2 * reportInterval
 	// leasedOpenLifetime is how long a node that takes leases believes that its keeper is
-	// open: one window of the tolerance. Keepers notify nodes that have reported within
-	// idleSpenderTime when they are no longer open.
+	// open: one window of the tolerance. Keepers notify nodes of the end.
 	leasedOpenLifetime = creditWindow
+	// leasedClosedLifetime is how long it believes that its keeper is short of tokens. With
+	// 1 s, nodes that lose all replies admitted on credit again and again in one window; with
+	// 5 s, a lost notice makes a node refuse requests below the cap.
+	leasedClosedLifetime = 2 * time.Second
 	// creditRetry is when a request that was refused for lack of credit should come back: a
 	// reply usually arrives within it.
 	creditRetry = 50 * time.Millisecond
@@ -83,6 +86,10 @@
 		c := a.chargeOf(keeper)
 		if c.silent {
 			first -= min(first, c.onCredit())
+			if now < c.closedTill {
+				// The other keepers are probably short of tokens too.
+				first = 0
+			}
 			c.probe = c.probe || now >= c.silentTill
 			continue
 		}
@@ -95,7 +102,7 @@
 			credit = 0
 		}
 		d := c.admitOnCredit(now, keeper, first, credit)
-		if c.onCredit() >= s.probeCredit(c, limit) {
+		if c.onCredit() >= s.probeCredit(limit) {
 			a.probeNext(now, i+1)
 		}
 		if d.Admitted || d.Reason == ReasonClosed {
@@ -118,13 +125,9 @@
 }
 
 // probeCredit returns the number of requests on credit from which the next keeper is asked.
-// At a large account whose keeper replies slowly, or has not replied yet, a node is likely to
-// have more requests before the reply comes.
-func (s *Spender) probeCredit(c *charge, limit Cap) uint64 {
-	if c.roundTrip > 0 && c.roundTrip < slowRoundTrip {
-		return 2
-	}
-	if s.isLarge(limit) {
+// At a large account a node is likely to have more requests before a slow reply comes.
+func (s *Spender) probeCredit(limit Cap) uint64 {
+	if s.roundTrip >= slowRoundTrip && s.isLarge(limit) {
 		return 1
 	}
 	return 2
@@ -197,7 +200,8 @@
 
 // allowForDelay deducts this node's own delay from the time that keepers have been silent. A
 // node that was frozen or short of processor time has not read the replies that lie in its
-// socket, and would otherwise take all keepers to be silent at the same moment.
+// socket, and would otherwise take all keepers to be silent at the same moment. It gets
+// replyTimeout to read them.
 func (s *Spender) allowForDelay(now time.Duration) {
 	delay := now - s.flushAt
 	if !s.takesLeases() || s.flushAt == 0 || delay < ownDelay {
@@ -205,7 +209,7 @@
 	}
 	for _, a := range s.dirty {
 		for _, c := range a.charges {
-			c.unansweredSince = min(now, c.unansweredSince+delay)
+			c.unansweredSince = min(now, c.unansweredSince+delay+replyTimeout)
 		}
 	}
 }
@@ -279,13 +283,18 @@
 	c.answered = g.SentAt
 	c.awaitsReply = g.SentAt < c.reportedAt
 	sample := max(0, now-g.SentAt)
-	if c.roundTrip == 0 {
-		c.roundTrip = sample
-	}
-	c.roundTrip += (sample - c.roundTrip) / 4
+	c.roundTrip = smoothed(c.roundTrip, sample)
 	return true
 }
 
+// smoothed returns the smoothed round trip after a new sample.
+func smoothed(before, sample time.Duration) time.Duration {
+	if before == 0 {
+		return sample
+	}
+	return before + (sample-before)/4
+}
+
 // renew applies the tokens of a reply. Their lifetime counts from the report: the keeper
 // takes unused tokens back a fixed time after it has received the report, however late the
 // node reads the reply.
@@ -316,9 +325,17 @@
 	return true
 }
 
-// room returns the highest level: reserved tokens count as held, so that the account cannot
+// leased returns the number of tokens that are reserved for nodes, 0 without leases.
+func (p *portion) leased() float64 {
+	if !p.givesLeases {
+		return 0
+	}
+	return float64(p.reserved)
+}
+
+// room returns the highest level: leased tokens count as held, so that the account cannot
 // spend them in addition to a full burst.
-func (p *portion) room() float64 { return p.capacity - float64(p.reserved) }
+func (p *portion) room() float64 { return p.capacity - p.leased() }
 
 // reserveTokens raises the number of tokens that are reserved for a node.
 func (p *portion) reserveTokens(now time.Duration, s *spender, tokens uint64) {
@@ -357,7 +374,7 @@
 	}
 	expected := math.Ceil(2 * s.rate * grantLifetime.Seconds())
 	tokens := max(1, min(expected, math.Floor(leaseShare*p.level/float64(recent))))
-	if p.level-tokens < max(2*p.reserve()+1, p.capacity/2) || float64(p.reserved)+tokens > leaseShare*(p.level+float64(p.reserved)) {
+	if p.level-tokens < max(2*p.reserve()+1, p.capacity/2) || p.leased()+tokens > leaseShare*(p.level+p.leased()) {
 		return 0
 	}
 	return uint64(tokens)
--- a/core/usage/spender.go
+++ b/core/usage/spender.go
@@ -48,6 +48,8 @@
 	dirty map[string]*spending
 	// flushAt is when Flush should be called next; 0 if there is nothing to report.
 	flushAt time.Duration
+	// roundTrip is the smoothed time from a report to its reply, of all other hosts.
+	roundTrip time.Duration
 }
 
 // spending is a node's state of one account.
@@ -325,6 +327,14 @@
 	return openLifetime
 }
 
+// closedLifetime returns how long the node believes that a keeper is short of tokens.
+func (s *Spender) closedLifetime() time.Duration {
+	if s.takesLeases() {
+		return leasedClosedLifetime
+	}
+	return closedLifetime
+}
+
 // report returns the report that is due, or false if the keeper is taken to be silent.
 func (s *Spender) report(now time.Duration, account string, c *charge) (Report, bool) {
 	if s.takesLeases() {
@@ -370,13 +380,16 @@
 	if g.Open {
 		c.openTill, c.closedTill = now+s.openLifetime(), 0
 	} else {
-		c.openTill, c.closedTill, c.wait = 0, now+closedLifetime, g.Wait
+		c.openTill, c.closedTill, c.wait = 0, now+s.closedLifetime(), g.Wait
 	}
 	if g.Notice {
 		return
 	}
 	c.acknowledged = g.Spent
 	if s.takesLeases() && g.SentAt > 0 {
+		if trip := now - g.SentAt; trip > 0 {
+			s.roundTrip = smoothed(s.roundTrip, trip)
+		}
 		c.renew(g)
 		return
 	}
