node: keepers of usage caps serve routed services

Nodes know the entries of a service without routes only if they call it. They selected keepers among all nodes that they knew, so that two nodes could select different keepers of one account; a host that is no keeper by its own selection does not answer, and requests below the cap were refused as no-credit or isolated.

--- a/core/usage/bound_test.go
+++ b/core/usage/bound_test.go
@@ -150,13 +150,16 @@
 // Guards against tokens that a node holds for later: by then the keeper has taken them
 // back and given them to others.
 func TestGrantsExpire(t *testing.T) {
-	f := newFleet(1, []int{3}, map[string]Cap{"club": {PerSecond: 1, Burst: 1}})
-	spender, keeper := f.nodes[0].spender, Keepers("club", f.members, "dc0")[0]
-	assert.Assert(t, spender.Admit(0, "club").Admitted)
-	spender.HandleGrant(0, keeper, Grant{Account: "club", Spent: 1, Limit: 3})
-	assert.Equal(t, spender.Admit(grantLifetime/2, "club").Reason, ReasonGranted)
-	spender.HandleGrant(grantLifetime/2, keeper, Grant{Account: "club", Notice: true})
-	assert.Equal(t, spender.Admit(grantLifetime, "club").Reason, ReasonClosed)
+	for _, off := range []mechanism.Set{0, mechanism.Leases} {
+		f := newFleet(1, []int{3}, map[string]Cap{"club": {PerSecond: 1, Burst: 1}})
+		f.disable(off)
+		spender, keeper := f.nodes[0].spender, Keepers("club", f.members, "dc0")[0]
+		assert.Assert(t, spender.Admit(0, "club").Admitted)
+		spender.HandleGrant(0, keeper, Grant{Account: "club", Spent: 1, Limit: 3})
+		assert.Equal(t, spender.Admit(grantLifetime/2, "club").Reason, ReasonGranted)
+		spender.HandleGrant(grantLifetime/2, keeper, Grant{Account: "club", Notice: true})
+		assert.Equal(t, spender.Admit(grantLifetime, "club").Reason, ReasonClosed)
+	}
 }
 
 // Guards against a keeper that multiplies the burst each time it starts, and against one that
--- a/core/usage/lease_test.go
+++ b/core/usage/lease_test.go
@@ -127,6 +127,36 @@
 	}
 }
 
+// Guards against refusals below the caps with other causes than slow replies alone: nodes
+// that stall, links that are full, members that change, keepers that restart.
+func TestLeasesHelpUnderFaults(t *testing.T) {
+	for _, c := range []struct {
+		fault   string
+		replies time.Duration
+	}{{"none", 25}, {"none", 100}, {"none", 150}, {"stalls", 25}, {"stalls", 150}, {"full links", 25}, {"full links", 150}, {"members come and go", 150}, {"kills in turn", 150}} {
+		play := func(change func(*fleet)) (result, map[string]int) {
+			var played *fleet
+			r := unequalLoad().playKeepers(1, func(f *fleet) {
+				played = f
+				slowReplies(f)
+				f.answerDelay = c.replies * time.Millisecond
+				change(f)
+				faults[c.fault](f)
+			})
+			return r, played.refused
+		}
+		with, refused := play(func(*fleet) {})
+		without, refusedBefore := play(withoutLeases)
+		name := fmt.Sprintf("%s, replies of %v", c.fault, c.replies*time.Millisecond)
+		t.Logf("%s: without %.2f %% %v, %.2f messages; with %.2f %% %v, %.2f messages", name, without.shortPercent(), refusedBefore, without.messagesPerRequest(),
+			with.shortPercent(), refused, with.messagesPerRequest())
+		assert.Assert(t, with.short <= without.short/2, "%s: %v, without leases %v", name, with, without)
+		assert.Assert(t, with.excess <= 0, "%s: %v", name, with)
+	}
+}
+
+func (r result) shortPercent() float64 { return 100 * float64(r.short) / float64(r.owed) }
+
 // Guards against tokens that exist twice: a lease that a node uses after its keeper has taken
 // it back, one that survives the keeper, or one that is spent beside a full burst.
 func TestCapHoldsWithLeases(t *testing.T) {
@@ -377,10 +407,13 @@
 	assert.Assert(t, p.reserved > 0 && float64(p.reserved) <= leaseShare*p.capacity, "%d of %f", p.reserved, p.capacity)
 
 	// Near the level at which the keeper asks others for tokens, it gives none.
+	f, _, host = leaseFleet(Cap{PerSecond: 30, Burst: 50})
+	keeper = f.nodeOf(host).keeper
+	p = keeper.portion(0, "club")
 	p.level = p.capacity/2 + 0.5
-	before := p.reserved
-	keeper.HandleReport(0, "late", 1, Report{Account: "club", SentAt: time.Microsecond})
-	assert.Equal(t, p.reserved, before)
+	keeper.HandleReport(0, "node", 1, Report{Account: "club", SentAt: time.Microsecond})
+	assert.Assert(t, p.open)
+	assert.Equal(t, p.reserved, uint64(0))
 }
 
 // Guards against leased tokens that are spent beside a full burst: while they are out, the
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -209,7 +209,7 @@
 		// The addresses come first: a report to a keeper without one would be lost.
 		n.quarantine.SetPeers(n.reports.setPeers(byService))
 		if n.usage.HasCaps() {
-			n.usage.SetMembers(usageMembers(byService))
+			n.usage.SetMembers(usageMembers(byService, n.proxy.RoutedServices()))
 		}
 		n.proxy.UpdateServices(n.candidates(changed))
 	}
--- a/internal/node/usage.go
+++ b/internal/node/usage.go
@@ -21,10 +21,16 @@
 }
 
 // usageMembers returns the nodes that may keep usage caps, sorted by host: those that serve
-// and do not drain.
-func usageMembers(byService map[string][]*apiv1.Entry) []usage.Member {
+// one of the routed services and do not drain. Nodes know the entries of further services only
+// if they call them. Nodes with different members would select different keepers, and a node
+// that is not a keeper by its own selection does not answer.
+func usageMembers(byService map[string][]*apiv1.Entry, routed []string) []usage.Member {
+	known := len(routed) == 0 || len(routed) > maxPrefetched
 	var members []usage.Member
-	for _, entries := range byService {
+	for service, entries := range byService {
+		if !known && !slices.Contains(routed, service) {
+			continue
+		}
 		for _, e := range entries {
 			if e.State == apiv1.EndpointState_ENDPOINT_STATE_SERVING {
 				members = append(members, usage.Member{Host: e.Host, DataCenter: e.DataCenter})
