--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -174,6 +174,7 @@
 	n.proxy.SetDisabled(options.Disabled)
 	n.overload.SetDisabled(options.Disabled.Has(mechanism.Shedding))
 	n.link.SetDisabled(options.Disabled.Has(mechanism.Link))
+	n.usage.SetDisabled(options.Disabled)
 	n.front = front.New(n.callers.wrap(n.proxy))
 	return n
 }
@@ -191,6 +192,7 @@
 	n.proxy.SetDisabled(off)
 	n.overload.SetDisabled(off.Has(mechanism.Shedding))
 	n.link.SetDisabled(off.Has(mechanism.Link))
+	n.usage.SetDisabled(off)
 	n.apply()
 }
 
