--- a/core/usage/bench_test.go
+++ b/core/usage/bench_test.go
@@ -24,6 +24,22 @@
 	}
 }
 
+// BenchmarkReport measures what a keeper does with a report of one of many nodes.
+func BenchmarkReport(b *testing.B) {
+	for _, nodes := range []int{24, 329} {
+		b.Run(fmt.Sprint(nodes), func(b *testing.B) {
+			f := newFleet(1, []int{nodes, nodes, nodes}, map[string]Cap{"club": {PerSecond: 1e6, Burst: 1e6}})
+			host := Keepers("club", f.members, "dc0")[0]
+			keeper, now, spent := f.nodeOf(host).keeper, time.Second, uint64(0)
+			for b.Loop() {
+				now += time.Millisecond
+				spent++
+				keeper.HandleReport(now, f.members[spent%uint64(nodes)].Host, 1, Report{Account: "club", Spent: spent, Unacknowledged: 1, SentAt: now})
+			}
+		})
+	}
+}
+
 // BenchmarkKeepers measures the selection of an account's keepers, once for each account in
 // use whenever the nodes change.
 func BenchmarkKeepers(b *testing.B) {
--- a/core/usage/keeper.go
+++ b/core/usage/keeper.go
@@ -174,8 +174,9 @@
 	p.refilledAt = now
 	p.demand *= math.Exp(-elapsed / demandTime.Seconds())
 	p.refused *= math.Exp(-elapsed / refusedTime.Seconds())
+	rateDecay := math.Exp(-elapsed / rateTime.Seconds())
 	for _, s := range p.spenders {
-		s.rate *= math.Exp(-elapsed / rateTime.Seconds())
+		s.rate *= rateDecay
 		if s.reserved > 0 && now >= s.reservedTill {
 			p.level += float64(s.reserved)
 			p.reserved -= s.reserved
