--- a/internal/proxy/need_test.go
+++ b/internal/proxy/need_test.go
@@ -172,6 +172,15 @@
 	}
 }
 
+// Load: a service without endpoints. Guards against missing the requests that were given up
+// without an attempt.
+func TestRequestsWithoutEndpointCountAsGivenUp(t *testing.T) {
+	h := newNeedHandler()
+	assert.Equal(t, sendContent(h, "1", "/charge", "x", false).Header().Get(fault.Header), string(fault.NoEndpoint))
+	again := &call{h: h, content: contentOfCharge}
+	assert.Assert(t, again.cameBack())
+}
+
 // Guards against ranking requests of callers without a valid key, or of accounts that have
 // reached their cap, as given up, however often they are sent.
 func TestRequestsOfAccountsThatMayNotRunAreNotGivenUp(t *testing.T) {
