usage: a refund lowers the count of requests that were paid with tokens

Refund lowered the count of charged requests, but not the mark up to which they were paid with leased tokens. A node that had got requests back admitted as many on credit without a reply of its keeper. A refund whose charge was dropped with the cap of its account made the count wrap below zero; it is ignored now.

--- a/core/usage/lease.go
+++ b/core/usage/lease.go
@@ -319,8 +319,8 @@
 		return false
 	}
 	s.sentAt = r.SentAt
-	if r.Spent > s.spent {
-		s.rate += float64(r.Spent-s.spent) / rateTime.Seconds()
+	if d := int64(r.Spent - s.spent); d > 0 {
+		s.rate += float64(d) / rateTime.Seconds()
 	}
 	return true
 }
--- a/core/usage/spender.go
+++ b/core/usage/spender.go
@@ -238,12 +238,22 @@
 	return Decision{Admitted: true, Reason: ReasonIsolated}
 }
 
-// Refund gives back the charge for a request that was admitted but not run.
+// Refund gives back the charge for a request that was admitted but not run. A refund whose
+// charge was dropped by SetCaps is ignored.
 func (s *Spender) Refund(account, keeper string) {
-	if a := s.accounts[account]; a != nil && a.charges[keeper] != nil {
-		a.charges[keeper].spent--
-		s.dirty[account] = a
+	a := s.accounts[account]
+	if a == nil || a.charges[keeper] == nil || a.charges[keeper].spent == 0 {
+		return
 	}
+	a.charges[keeper].refund()
+	s.dirty[account] = a
+}
+
+// refund lowers covered together with spent: requests that follow must not count as paid with
+// the tokens of those that were given back.
+func (c *charge) refund() {
+	c.spent--
+	c.covered = min(c.covered, c.spent)
 }
 
 // pending reports whether there is something to report.
