usage: replies in whole microseconds end the wait for a reply

The time of a report travels in whole microseconds. Compared with the exact time of the report, its reply always looked older, so a node repeated reports of leased use at the interval for missing replies.

--- a/core/usage/fleet_test.go
+++ b/core/usage/fleet_test.go
@@ -204,6 +204,7 @@
 	incarnation := from.incarnation
 	for _, e := range out {
 		f.messages++
+		e.truncateTimes()
 		if e.To != from.host && (f.random.Float64() < f.loss || f.cut(from.host, e.To)) {
 			continue
 		}
@@ -221,6 +222,17 @@
 	}
 }
 
+// truncateTimes cuts off what the messages between nodes do not carry: they hold times in whole
+// microseconds.
+func (e Envelope) truncateTimes() {
+	for i := range e.Reports {
+		e.Reports[i].SentAt = e.Reports[i].SentAt.Truncate(time.Microsecond)
+	}
+	for i := range e.Grants {
+		e.Grants[i].SentAt = e.Grants[i].SentAt.Truncate(time.Microsecond)
+	}
+}
+
 func (f *fleet) deliver(from string, incarnation uint64, e Envelope) {
 	for _, n := range f.nodes {
 		if n.host == e.To && !n.down {
--- a/core/usage/lease.go
+++ b/core/usage/lease.go
@@ -281,7 +281,8 @@
 		return false
 	}
 	c.answered = g.SentAt
-	c.awaitsReply = g.SentAt < c.reportedAt
+	// SentAt comes back in whole microseconds.
+	c.awaitsReply = g.SentAt < c.reportedAt.Truncate(time.Microsecond)
 	sample := max(0, now-g.SentAt)
 	c.roundTrip = smoothed(c.roundTrip, sample)
 	return true
--- a/core/usage/lease_test.go
+++ b/core/usage/lease_test.go
@@ -268,6 +268,28 @@
 	assert.Equal(t, spender.Admit(now, "club").Reason, ReasonCredit)
 }
 
+// Guards against a node that waits for a reply that has arrived, since messages hold times in
+// whole microseconds only: it would report a lease in use four times as often.
+func TestLeaseInUseIsReportedTwiceASecond(t *testing.T) {
+	f, _, keeper := leaseFleet(Cap{PerSecond: 300, Burst: 300})
+	node, reports := f.nodes[0], 0
+	if node.host == keeper {
+		node = f.nodes[1]
+	}
+	f.cut = func(from, to string) bool {
+		if from == node.host {
+			reports++
+		}
+		return false
+	}
+	for at := 123 * time.Nanosecond; at < 10*time.Second; at += 125 * time.Millisecond {
+		f.at(at, func() { f.request(node, "club") })
+	}
+	f.runUntil(10 * time.Second)
+	assert.Assert(t, reports <= 25, "%d reports", reports)
+	assert.Assert(t, reports >= 15, "%d reports", reports)
+}
+
 // Guards against overtaken reports that give tokens back: the newer one has counted what the
 // older one lacks.
 func TestOlderReportsAreIgnored(t *testing.T) {
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -138,6 +138,7 @@
 	{"the count of a former keeper goes on", "core/usage/spender.go", "a.keepers, a.generation = Keepers(account, s.members, s.dataCenter), s.generation", "a.keepers, a.generation, a.charges = Keepers(account, s.members, s.dataCenter), s.generation, map[string]*charge{}", "core/usage", "FormerKeepers"},
 	{"a refund lowers the count of requests that tokens paid for", "core/usage/spender.go", "\tc.covered = min(c.covered, c.spent)\n", "", "core/usage", "RefundsLeaveNoCredit|FloodAfterRefunds"},
 	{"a refund without a charge is ignored", "core/usage/spender.go", " || a.charges[keeper].spent == 0 {", " {", "core/usage", "RefundAfterTheCapWasRemoved"},
+	{"a reply in whole microseconds answers the report", "core/usage/lease.go", "g.SentAt < c.reportedAt.Truncate(time.Microsecond)", "g.SentAt < c.reportedAt", "core/usage", "LeaseInUse"},
 	{"the wait of a flood grows with what was refused", "core/usage/lease.go", "max(next.Seconds(), queue)", "max(next.Seconds(), 0*queue)", "core/usage", "ComeBackSpread"},
 	{"the longest wait is bounded", "core/usage/lease.go", ", maxWait.Seconds())", ", 1000*maxWait.Seconds())", "core/usage", "ComeBackSpread"},
 	{"a node with leases switched off takes none", "core/usage/spender.go", "return !s.disabled.Has(mechanism.Leases)", "return s.disabled == s.disabled", "core/usage", "DisabledLeases"},
