usage: a lowered cap grants tokens at once and limits its debt

For 1.5 s after a cap was lowered, replies named no tokens although the keeper had reserved some for refused requests, so that nobody got any. Leases beyond the new portion made the highest level negative, and the debt was paid at the new rate: from 3000 to 3 requests per second, it took minutes. The reserved tokens are no longer counted after the change, and the remaining debt is limited to a full portion.

--- a/core/usage/keeper.go
+++ b/core/usage/keeper.go
@@ -69,7 +69,7 @@
 	reserved uint64
 	// givesLeases is whether the keeper gives leases.
 	givesLeases bool
-	// leasesFrom is when leases are given again after the cap was lowered.
+	// leasesFrom is when leases are given again after the cap was lowered; 0 once they are.
 	leasesFrom time.Duration
 	// refused is the number of requests that nodes have recently refused: it loses its weight
 	// within refusedTime.
@@ -116,8 +116,8 @@
 		delete(k.portions, account)
 		return false
 	}
-	if capacity < p.capacity {
-		p.leasesFrom = p.refilledAt + keeperGrantLifetime
+	if capacity < p.capacity && p.givesLeases {
+		p.endLeases()
 	}
 	p.generation, p.others, p.perSecond, p.capacity = k.generation, others, perSecond, capacity
 	p.level = min(p.level, p.room())
@@ -172,6 +172,9 @@
 		return
 	}
 	p.refilledAt = now
+	if p.leasesFrom > 0 && now >= p.leasesFrom {
+		p.boundDebt()
+	}
 	p.demand *= math.Exp(-elapsed / demandTime.Seconds())
 	p.refused *= math.Exp(-elapsed / refusedTime.Seconds())
 	rateDecay := math.Exp(-elapsed / rateTime.Seconds())
--- a/core/usage/lease.go
+++ b/core/usage/lease.go
@@ -348,19 +348,38 @@
 // leaseAhead adds a lease to the reply to a node's report. Tokens that the reply repeats stay
 // reserved for as long as the node may use them.
 func (k *Keeper) leaseAhead(now time.Duration, p *portion, s *spender, reply *Grant) {
-	if now < p.leasesFrom {
-		// Tokens of a cap that was lowered are not renewed.
-		reply.Limit = s.spent
-		return
+	// After the cap was lowered, only what is granted for refused requests is added.
+	if now >= p.leasesFrom {
+		k.extendLease(now, p, s)
+	}
+	if s.reserved > 0 {
+		s.reservedTill = now + keeperGrantLifetime
 	}
+	reply.Limit = s.spent + s.reserved
+}
+
+// extendLease raises the number of tokens that a node holds to what it should hold.
+func (k *Keeper) extendLease(now time.Duration, p *portion, s *spender) {
 	if tokens := p.leaseFor(now, s); p.open && tokens > s.reserved {
 		p.reserveTokens(now, s, tokens)
 		k.leases++
 	}
-	if s.reserved > 0 {
-		s.reservedTill = now + keeperGrantLifetime
+}
+
+// endLeases ends all leases and grants because the cap was lowered. What nodes still spend of
+// them is deducted from the level again.
+func (p *portion) endLeases() {
+	p.leasesFrom = p.refilledAt + keeperGrantLifetime
+	for _, s := range p.spenders {
+		p.reserved -= s.reserved
+		s.reserved = 0
 	}
-	reply.Limit = s.spent + s.reserved
+}
+
+// boundDebt limits the debt from tokens of a cap that was lowered once they have expired. Paid
+// at the new rate, it could refuse all requests for minutes.
+func (p *portion) boundDebt() {
+	p.level, p.leasesFrom = max(p.level, -p.capacity), 0
 }
 
 // leaseFor returns the number of tokens that a node should hold: twice what it is expected to
