profile: bound and write the profiles file with less effect on the replica

- A failed write leaves no partial file behind.
- Only reports that change something lead to a write.
- The file is encoded outside the lock that watches take.
- All hosts together have at most 50,000 classes, and only the first 64 classes of a report are looked at.
- A planned stop waits for the last write for a second at most.

--- a/core/profile/store.go
+++ b/core/profile/store.go
@@ -24,6 +24,9 @@
 	MaxClasses = 64
 	// MaxServices is the number of services.
 	MaxServices = 1000
+	// maxClassRecords is the number of classes of all hosts together. The other bounds alone
+	// would allow four million.
+	maxClassRecords = 50_000
 	// maxNameBytes limits the names of hosts, services and classes. Reports with longer
 	// service or host names, and classes with longer names, are ignored.
 	maxNameBytes = 256
@@ -40,6 +43,8 @@
 	reports uint64
 	// version counts the changes.
 	version uint64
+	// classRecords is the number of classes of all hosts together.
+	classRecords int
 }
 
 type service struct {
@@ -73,71 +78,131 @@
 		return
 	}
 	s.reports++
-	s.version++
 	sv := s.services[serviceName]
 	if sv == nil {
 		sv = &service{hosts: map[string]*host{}, classes: map[string]uint64{}}
 		s.services[serviceName] = sv
 	}
-	sv.observe(s.reports, hostName, l)
+	before := sv.classRecords()
+	if sv.observe(s.reports, hostName, l) {
+		s.version++
+	}
+	s.classRecords += sv.classRecords() - before
 	if len(s.services) > MaxServices {
-		removeOldest(s.services, func(sv *service) uint64 { return sv.reported })
+		s.removeService(oldestOf(s.services, (*service).reportedAt))
+	}
+	for s.classRecords > maxClassRecords {
+		s.removeOldestHost()
+	}
+}
+
+func (s *Store) removeService(name string) {
+	s.classRecords -= s.services[name].classRecords()
+	delete(s.services, name)
+}
+
+// removeOldestHost removes the host that reported longest ago of the service that did.
+func (s *Store) removeOldestHost() {
+	name := oldestOf(s.services, (*service).reportedAt)
+	sv := s.services[name]
+	s.classRecords -= len(sv.removeOldestHost().Classes)
+	if len(sv.hosts) == 0 {
+		delete(s.services, name)
+	}
+}
+
+func (sv *service) reportedAt() uint64 { return sv.reported }
+
+func (h *host) reportedAt() uint64 { return h.reported }
+
+// removeOldestHost removes the host that reported longest ago and returns what it learned.
+func (sv *service) removeOldestHost() gate.Learned {
+	name := oldestOf(sv.hosts, (*host).reportedAt)
+	learned := sv.hosts[name].learned
+	delete(sv.hosts, name)
+	return learned
+}
+
+// classRecords returns the number of classes of all hosts of the service together.
+func (sv *service) classRecords() (n int) {
+	for _, h := range sv.hosts {
+		n += len(h.learned.Classes)
 	}
+	return n
 }
 
-func (sv *service) observe(at uint64, name string, l gate.Learned) {
+// observe stores a report of a host and reports whether it changed anything but ages.
+func (sv *service) observe(at uint64, name string, l gate.Learned) (changed bool) {
 	h := sv.hosts[name]
 	if h == nil {
 		h = &host{learned: gate.Learned{Classes: map[string]gate.ClassLearned{}}}
 		sv.hosts[name] = h
+		changed = true
 	}
 	sv.reported, h.reported = at, at
-	if l.Contention > 0 {
-		h.learned.Contention, h.learned.ContentionGates = l.Contention, l.ContentionGates
-	}
-	for class, c := range l.Classes {
-		if c.ResponseBytes == 0 {
-			c.ResponseBytes = h.learned.Classes[class].ResponseBytes
-		}
-		h.learned.Classes[class] = c
+	changed = h.update(l) || changed
+	for class := range l.Classes {
 		sv.classes[class] = at
 	}
 	if len(sv.hosts) > MaxHosts {
-		removeOldest(sv.hosts, func(h *host) uint64 { return h.reported })
+		sv.removeOldestHost()
 	}
 	for len(sv.classes) > MaxClasses {
-		sv.removeClass(removeOldest(sv.classes, func(at uint64) uint64 { return at }))
+		sv.removeClass(oldestOf(sv.classes, func(at uint64) uint64 { return at }))
+	}
+	return changed
+}
+
+// update stores what a report of the host contains and reports whether it is new.
+func (h *host) update(l gate.Learned) (changed bool) {
+	known := &h.learned
+	if l.Contention > 0 {
+		changed = known.Contention != l.Contention || known.ContentionGates != l.ContentionGates
+		known.Contention, known.ContentionGates = l.Contention, l.ContentionGates
 	}
+	for class, c := range l.Classes {
+		if c.ResponseBytes == 0 {
+			c.ResponseBytes = known.Classes[class].ResponseBytes
+		}
+		changed = changed || known.Classes[class] != c
+		known.Classes[class] = c
+	}
+	return changed
 }
 
 func (sv *service) removeClass(class string) {
+	delete(sv.classes, class)
 	for _, h := range sv.hosts {
 		delete(h.learned.Classes, class)
 	}
 }
 
-// removeOldest removes the entry with the lowest age value and returns its key. Of entries
-// with the same value, the one with the first key is removed, so that the result does not
-// depend on the order of the map.
-func removeOldest[V any](m map[string]V, reported func(V) uint64) string {
+// oldestOf returns the key of the entry that was reported first. Of entries with the same
+// value, it is the one with the first key, so that the result does not depend on the order of
+// the map.
+func oldestOf[V any](m map[string]V, reported func(V) uint64) string {
 	oldest, found := "", false
 	for key, value := range m {
 		if !found || cmp.Or(cmp.Compare(reported(value), reported(m[oldest])), cmp.Compare(key, oldest)) < 0 {
 			oldest, found = key, true
 		}
 	}
-	delete(m, oldest)
 	return oldest
 }
 
 // valid returns the usable values of a report. Values outside the bounds are ignored, as
-// are those of an undetected damage to the file.
+// are those of an undetected damage to the file. Of a report with more than MaxClasses names,
+// the others are not looked at.
 func valid(l gate.Learned) gate.Learned {
 	v := gate.Learned{Classes: map[string]gate.ClassLearned{}}
 	if l.Contention > 0 && l.ContentionGates > 0 && !math.IsNaN(l.Contention) {
 		v.Contention, v.ContentionGates = min(maxContention, max(1, l.Contention)), l.ContentionGates
 	}
+	seen := 0
 	for name, c := range l.Classes {
+		if seen++; seen > MaxClasses {
+			break
+		}
 		if c.Demand > 0 && c.Demand <= maxDemand && c.Samples > 0 && c.ResponseBytes >= 0 && len(name) <= maxNameBytes {
 			v.Classes[name] = c
 		}
--- a/core/profile/store_test.go
+++ b/core/profile/store_test.go
@@ -174,3 +174,77 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, loaded.Profile("service-0"), filledStore().Profile("service-0"))
 }
+
+// Guards against a write of the file for each repeated report: the version changes only with
+// the contents.
+func TestRepeatedReportIsNoChange(t *testing.T) {
+	s := filledStore()
+	version := s.Version()
+	s.Observe("host-0", "service-0", learned(1.5, 3, 100*ms))
+	s.Observe("host-0", "service-0", learned(0, 0, 100*ms))
+	assert.Equal(t, s.Version(), version)
+	for i, l := range []gate.Learned{learned(1.5, 3, 120*ms), learned(1.6, 3, 120*ms), learned(1.6, 4, 120*ms)} {
+		s.Observe("host-0", "service-0", l)
+		assert.Equal(t, s.Version(), version+uint64(i)+1)
+	}
+	s.Observe("new", "service-0", learned(1.6, 4, 120*ms))
+	assert.Equal(t, s.Version(), version+4)
+}
+
+func manyClasses(n int) gate.Learned {
+	l := gate.Learned{Classes: map[string]gate.ClassLearned{}}
+	for i := range n {
+		l.Classes[fmt.Sprint("class-", i)] = gate.ClassLearned{Demand: ms, Samples: 1}
+	}
+	return l
+}
+
+// Guards against a replica that runs out of memory although each service is within its bounds.
+func TestClassesOfAllHostsAreBounded(t *testing.T) {
+	s := NewStore()
+	l := manyClasses(MaxClasses)
+	for i := range 20 {
+		for j := range MaxHosts {
+			s.Observe(fmt.Sprint(j), fmt.Sprint("service-", i), l)
+		}
+	}
+	records := 0
+	for _, sv := range s.services {
+		records += sv.classRecords()
+		assert.Assert(t, len(sv.hosts) > 0)
+	}
+	assert.Equal(t, records, s.classRecords)
+	assert.Assert(t, records <= maxClassRecords && records > maxClassRecords-MaxClasses, "%d", records)
+	assert.Assert(t, s.Profile("service-0").IsEmpty())
+	assert.Equal(t, len(s.Profile("service-19").Classes), MaxClasses)
+
+	// What bounds of hosts, classes and services remove is not counted any more.
+	for i := range MaxServices + 1 {
+		s.Observe("a", fmt.Sprint("other-", i), manyClasses(1))
+	}
+	assert.Equal(t, s.classRecords, MaxServices)
+	for i := range 3 {
+		for j := range MaxHosts + 3 {
+			s.Observe(fmt.Sprint(j), "pay", gate.Learned{Classes: map[string]gate.ClassLearned{fmt.Sprint(i, "-", j): {Demand: ms, Samples: 1}}})
+		}
+	}
+	assert.Equal(t, s.classRecords, MaxServices-1+s.services["pay"].classRecords())
+}
+
+// Guards against work on a report with any number of names.
+func TestLongReportsAreCut(t *testing.T) {
+	assert.Equal(t, len(valid(manyClasses(MaxClasses+1)).Classes), MaxClasses)
+	assert.Equal(t, len(FromMessage(ToMessage("pay", manyClasses(MaxClasses+1))).Classes), MaxClasses)
+}
+
+// Guards against a file that mixes two states: the store changes while a copy is encoded.
+func TestSnapshotIsACopy(t *testing.T) {
+	s := filledStore()
+	want, err := s.Marshal()
+	assert.NilError(t, err)
+	copied := s.Snapshot()
+	s.Observe("host-0", "service-0", learned(1.5, 3, 400*ms))
+	got, err := copied.Marshal()
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, want)
+}
--- a/core/profile/wire.go
+++ b/core/profile/wire.go
@@ -26,10 +26,12 @@
 	return m
 }
 
-// FromMessage returns what a message holds; nothing for a nil message.
+// FromMessage returns what a message holds, the first MaxClasses classes of it; nothing for a
+// nil message.
 func FromMessage(m *apiv1.ServiceLearned) gate.Learned {
 	l := gate.Learned{Contention: float64(m.GetContentionPercent()) / 100, ContentionGates: int(m.GetContentionGates()), Classes: map[string]gate.ClassLearned{}}
-	for _, c := range m.GetClasses() {
+	classes := m.GetClasses()
+	for _, c := range classes[:min(len(classes), MaxClasses)] {
 		// Values too large for the types become values that are out of bounds.
 		demand := time.Duration(min(c.DemandUs, uint64(math.MaxInt64/time.Microsecond))) * time.Microsecond
 		l.Classes[c.Name] = gate.ClassLearned{Demand: demand, ResponseBytes: int64(c.ResponseBytes), Samples: int(min(c.Samples, math.MaxInt32))}
@@ -41,9 +43,37 @@
 // still parses, to other figures.
 const checksumBytes = 8
 
+// Snapshot is a copy of what a store holds. It may be encoded while the store is in use.
+type Snapshot struct {
+	records []record
+}
+
+// record is what a host reported of a service.
+type record struct {
+	hostName, serviceName string
+	reported              uint64
+	learned               gate.Learned
+}
+
+// Snapshot returns a copy of the contents of the store.
+func (s *Store) Snapshot() Snapshot {
+	var c Snapshot
+	for serviceName, sv := range s.services {
+		for hostName, h := range sv.hosts {
+			learned := h.learned
+			learned.Classes = maps.Clone(learned.Classes)
+			c.records = append(c.records, record{hostName, serviceName, h.reported, learned})
+		}
+	}
+	return c
+}
+
 // Marshal returns the contents of the file for the store.
-func (s *Store) Marshal() ([]byte, error) {
-	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(&apiv1.StoredProfiles{Hosts: s.storedHosts()})
+func (s *Store) Marshal() ([]byte, error) { return s.Snapshot().Marshal() }
+
+// Marshal returns the contents of the file for the store that was copied.
+func (c Snapshot) Marshal() ([]byte, error) {
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(&apiv1.StoredProfiles{Hosts: c.storedHosts()})
 	if err != nil {
 		return nil, err
 	}
@@ -57,20 +87,10 @@
 
 // storedHosts lists what the hosts reported, the oldest reports first, in which order
 // Unmarshal observes them again.
-func (s *Store) storedHosts() []*apiv1.HostLearned {
-	type record struct {
-		hostName, serviceName string
-		*host
-	}
-	var records []record
-	for serviceName, sv := range s.services {
-		for hostName, h := range sv.hosts {
-			records = append(records, record{hostName, serviceName, h})
-		}
-	}
-	slices.SortFunc(records, func(a, b record) int { return cmp.Compare(a.reported, b.reported) })
-	list := make([]*apiv1.HostLearned, 0, len(records))
-	for _, r := range records {
+func (c Snapshot) storedHosts() []*apiv1.HostLearned {
+	slices.SortFunc(c.records, func(a, b record) int { return cmp.Compare(a.reported, b.reported) })
+	list := make([]*apiv1.HostLearned, 0, len(c.records))
+	for _, r := range c.records {
 		list = append(list, &apiv1.HostLearned{Host: r.hostName, Learned: ToMessage(r.serviceName, r.learned)})
 	}
 	return list
--- a/internal/replica/profiles.go
+++ b/internal/replica/profiles.go
@@ -23,6 +23,9 @@
 	// profilesCheck is the interval at which changes are noticed. The first change after a
 	// quiet time is written within this time.
 	profilesCheck = 250 * time.Millisecond
+	// profilesStopTimeout limits how long a replica that stops waits for its last write. A disk
+	// that hangs must not delay the stop, and lost profiles cost little.
+	profilesStopTimeout = time.Second
 )
 
 // profiles keeps what gates have reported to this replica, for gates that start. It is not
@@ -30,6 +33,8 @@
 // replicas. A nil *profiles keeps nothing. It is safe for concurrent use.
 type profiles struct {
 	replica string
+	// write replaces a file in a folder; wal.WriteSynced except in tests.
+	write func(folder, name string, data []byte) error
 
 	mu    sync.Mutex
 	store *profile.Store
@@ -40,7 +45,7 @@
 // loadProfiles returns the profiles in a data folder. If the file is damaged, it starts
 // without them, and the next write replaces the file.
 func loadProfiles(replica, folder string) *profiles {
-	p := &profiles{replica: replica, store: profile.NewStore()}
+	p := &profiles{replica: replica, write: wal.WriteSynced, store: profile.NewStore()}
 	data, err := os.ReadFile(filepath.Join(folder, profilesFile))
 	if errors.Is(err, os.ErrNotExist) {
 		return p
@@ -97,11 +102,28 @@
 	return p.store.Services()
 }
 
-// run writes the file after changes, at most once in profilesInterval, until ctx is done.
+// run keeps the file up to date until ctx is done. It then waits for the last write for
+// profilesStopTimeout at most.
 func (p *profiles) run(ctx context.Context, folder string) {
 	if p == nil {
 		return
 	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		p.storeChanges(ctx, folder)
+	}()
+	<-ctx.Done()
+	select {
+	case <-done:
+	case <-time.After(profilesStopTimeout):
+		klog.InfoS("Service profiles not stored in time; stopping without them", "replica", p.replica, "folder", folder)
+	}
+}
+
+// storeChanges writes the file after changes, at most once in profilesInterval, until ctx is
+// done, and then once more.
+func (p *profiles) storeChanges(ctx context.Context, folder string) {
 	ticker := time.NewTicker(profilesCheck)
 	defer ticker.Stop()
 	var written time.Time
@@ -141,16 +163,18 @@
 	return p.store.Version() != p.storedVersion
 }
 
-// save writes the file. It does not hold the lock while the disk syncs.
+// save writes the file. It holds the lock only while it copies the store, since watches take it
+// too.
 func (p *profiles) save(folder string) error {
 	p.mu.Lock()
 	version := p.store.Version()
-	data, err := p.store.Marshal()
+	snapshot := p.store.Snapshot()
 	p.mu.Unlock()
+	data, err := snapshot.Marshal()
 	if err != nil {
 		return err
 	}
-	if err := wal.WriteSynced(folder, profilesFile, data); err != nil {
+	if err := p.write(folder, profilesFile, data); err != nil {
 		return err
 	}
 	p.mu.Lock()
--- a/internal/replica/profiles_test.go
+++ b/internal/replica/profiles_test.go
@@ -144,3 +144,28 @@
 	assert.Assert(t, os.IsNotExist(err))
 	assert.Equal(t, r.profiles.services(), 0)
 }
+
+// Guards against a replica that does not stop because the disk of its profiles hangs, during a
+// write that was under way or the last one.
+func TestHangingDiskDoesNotDelayTheStop(t *testing.T) {
+	p := loadProfiles("a", t.TempDir())
+	release := make(chan struct{})
+	defer close(release)
+	p.write = func(string, string, []byte) error {
+		<-release
+		return nil
+	}
+	p.observe(&apiv1.WatchRequest{Host: "h", Learned: learnedMessage(105)})
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	done := make(chan struct{})
+	go func() {
+		p.run(ctx, "")
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(5 * profilesStopTimeout):
+		t.Fatal("still waiting for the disk")
+	}
+}
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -394,7 +394,8 @@
 	return l.lock.Close()
 }
 
-// WriteSynced replaces a file atomically: a reader sees either the old or the new contents.
+// WriteSynced replaces a file atomically: a reader sees either the old or the new contents. If
+// that fails, it removes the partial new file, which would take up space on a full disk.
 func WriteSynced(folder, name string, data []byte) error {
 	path := filepath.Join(folder, name)
 	f, err := os.OpenFile(path+".new", os.O_CREATE|os.O_TRUNC|os.O_WRONLY, filePerm)
@@ -411,7 +412,9 @@
 	if err == nil {
 		err = os.Rename(path+".new", path)
 	}
-	if err == nil {
+	if err != nil {
+		_ = os.Remove(path + ".new")
+	} else {
 		err = syncFolder(folder)
 	}
 	return errors.Wrapf(err, "write %s", path)
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -228,3 +228,14 @@
 	assert.Equal(t, len(restored.Entries), 1)
 	assert.Equal(t, restored.HardState.Commit, uint64(7))
 }
+
+// Guards against partial files that stay on a full disk after each failed write.
+func TestFailedWriteLeavesNoPartialFile(t *testing.T) {
+	folder := t.TempDir()
+	path := filepath.Join(folder, "data")
+	// A folder cannot be replaced by a file.
+	assert.NilError(t, os.Mkdir(path, 0o700))
+	assert.Assert(t, WriteSynced(folder, "data", []byte("text")) != nil)
+	_, err := os.Stat(path + ".new")
+	assert.Assert(t, os.IsNotExist(err), "%v", err)
+}
