usage: tokens that a node holds do not count twice against its lease

The conditions for a lease compared all of its tokens with what the keeper has left, although the part that the node holds had been deducted. The lease of a busy node was used up before it was renewed.

--- a/core/usage/lease.go
+++ b/core/usage/lease.go
@@ -394,7 +394,8 @@
 	}
 	expected := math.Ceil(2 * s.rate * grantLifetime.Seconds())
 	tokens := max(1, min(expected, math.Floor(leaseShare*p.level/float64(recent))))
-	if p.level-tokens < max(2*p.reserve()+1, p.capacity/2) || p.leased()+tokens > leaseShare*(p.level+p.leased()) {
+	added := tokens - float64(s.reserved)
+	if p.level-added < max(2*p.reserve()+1, p.capacity/2) || p.leased()+added > leaseShare*(p.level+p.leased()) {
 		return 0
 	}
 	return uint64(tokens)
--- a/core/usage/lease_test.go
+++ b/core/usage/lease_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -439,6 +440,22 @@
 	assert.Equal(t, p.reserved, uint64(0))
 }
 
+// Guards against counting the tokens that a node holds twice: the lease of a busy node would be
+// used up to the last token before it is renewed.
+func TestBusyNodeKeepsItsLease(t *testing.T) {
+	f, _, host := leaseFleet(Cap{PerSecond: 300, Burst: 300})
+	keeper := f.nodeOf(host).keeper
+	spent, least := uint64(0), uint64(math.MaxUint64)
+	for now := time.Second; now < 10*time.Second; now += 250 * time.Millisecond {
+		spent += 5
+		out := keeper.HandleReport(now, "node", 1, Report{Account: "club", Spent: spent, Unacknowledged: 5, SentAt: now})
+		if left := out[len(out)-1].Grants[0].Limit - spent; now > 3*time.Second {
+			least = min(least, left)
+		}
+	}
+	assert.Assert(t, least >= 10, "%d", least)
+}
+
 // Guards against leased tokens that are spent beside a full burst: while they are out, the
 // level must not rise to the full portion.
 func TestLeasesAreNotBesideAFullBurst(t *testing.T) {
