usage: a node's own delay is allowed for once in a silence

A node whose timers were late again and again lengthened the silence of a keeper with each delay, and never turned to the next one.

--- a/core/usage/lease.go
+++ b/core/usage/lease.go
@@ -67,6 +67,8 @@
 	roundTrip time.Duration
 	// unanswered is the number of reports since the last reply.
 	unanswered int
+	// delayAllowed means that this node's own delay was deducted from this silence.
+	delayAllowed bool
 	// silent means that the keeper is not used until it answers.
 	silent bool
 	// probe asks for a report although there is nothing to report.
@@ -201,7 +203,8 @@
 // allowForDelay deducts this node's own delay from the time that keepers have been silent. A
 // node that was frozen or short of processor time has not read the replies that lie in its
 // socket, and would otherwise take all keepers to be silent at the same moment. It gets
-// replyTimeout to read them.
+// replyTimeout to read them, once in a silence: a node that is late again and again would never
+// turn to the next keeper.
 func (s *Spender) allowForDelay(now time.Duration) {
 	delay := now - s.flushAt
 	if !s.takesLeases() || s.flushAt == 0 || delay < ownDelay {
@@ -209,11 +212,18 @@
 	}
 	for _, a := range s.dirty {
 		for _, c := range a.charges {
-			c.unansweredSince = min(now, c.unansweredSince+delay+replyTimeout)
+			c.allowForDelay(now, delay+replyTimeout)
 		}
 	}
 }
 
+func (c *charge) allowForDelay(now, allowance time.Duration) {
+	if !c.awaitsReply || c.delayAllowed {
+		return
+	}
+	c.unansweredSince, c.delayAllowed = min(now, c.unansweredSince+allowance), true
+}
+
 func (c *charge) pendingLeased() bool {
 	return c.probe || !c.silent && c.pending()
 }
@@ -252,7 +262,7 @@
 	if !c.awaitsReply || now-c.reportedAt >= 2*maxReplyTimeout {
 		// Reports with refused requests only are not repeated: their age says nothing of the
 		// keeper.
-		c.awaitsReply, c.unansweredSince, c.unanswered = true, now, 0
+		c.awaitsReply, c.unansweredSince, c.unanswered, c.delayAllowed = true, now, 0, false
 	}
 	if !c.silent && c.unanswered >= minSilentReports && now-c.unansweredSince >= c.silentAfter() {
 		c.silent, c.silentTill, c.awaitsReply, c.refused, c.openTill = true, now+silentTime, false, 0, 0
@@ -276,7 +286,7 @@
 // observeReply notes that a keeper has answered. It returns false if a newer report was
 // answered before.
 func (c *charge) observeReply(now time.Duration, g Grant) bool {
-	c.silent, c.silentTill, c.unanswered, c.unansweredSince = false, 0, 0, now
+	c.silent, c.silentTill, c.unanswered, c.unansweredSince, c.delayAllowed = false, 0, 0, now, false
 	if g.SentAt < c.answered {
 		return false
 	}
--- a/core/usage/lease_test.go
+++ b/core/usage/lease_test.go
@@ -343,6 +343,19 @@
 	assert.Assert(t, spender.accounts["club"].charges[keeper].silent)
 }
 
+// Guards against a busy node whose timers are always late: each delay would lengthen the silence
+// of a keeper, and the node would never turn to the next one.
+func TestLateTimersDoNotHideASilentKeeper(t *testing.T) {
+	_, spender, keeper := leaseFleet(Cap{PerSecond: 10, Burst: 10})
+	r := reported(t, spender, time.Second)
+	now := r.SentAt
+	for now < r.SentAt+2*silentAfter+replyTimeout {
+		now = max(now, spender.flushAt) + 30*time.Millisecond
+		spender.Flush(now)
+	}
+	assert.Assert(t, spender.accounts["club"].charges[keeper].silent)
+}
+
 // Guards against nodes that go on to the next keeper on credit during a flood, when the one
 // before has just said that it is short of tokens: all of them together would exceed the cap.
 func TestShortKeeperThatFallsSilentLeavesNoCredit(t *testing.T) {
