--- a/internal/node/usage_test.go
+++ b/internal/node/usage_test.go
@@ -25,3 +25,13 @@
 	// Without routes, all services are called by name.
 	assert.DeepEqual(t, usageMembers(known, nil), append(members, usage.Member{Host: "d", DataCenter: "x"}))
 }
+
+// Guards against accounts without any keeper, whose requests would be refused, while no routed
+// service has a node that serves.
+func TestKeepersServeAnyServiceIfNoneIsRouted(t *testing.T) {
+	known := map[string][]*apiv1.Entry{
+		"live":   {{Host: "a", DataCenter: "x", State: apiv1.EndpointState_ENDPOINT_STATE_DRAINING}},
+		"ledger": {{Host: "d", DataCenter: "x", State: apiv1.EndpointState_ENDPOINT_STATE_SERVING}},
+	}
+	assert.DeepEqual(t, usageMembers(known, []string{"live"}), []usage.Member{{Host: "d", DataCenter: "x"}})
+}
