--- a/core/usage/lease.go
+++ b/core/usage/lease.go
@@ -22,8 +22,9 @@
 	// minSilentReports is the number of reports without a reply after which a keeper may be
 	// taken to be silent. One lost datagram must not suffice.
 	minSilentReports = 3
-	// busyShare is the number of requests within maxReplyTimeout, at the cap and evenly spread
-	// over the nodes, from which an account counts as large.
+	// busyShare is the number of requests per node within maxReplyTimeout from which an account
+	// counts as large. It is the share of a node if the account sends at its cap, evenly spread
+	// over the nodes.
 	busyShare = 0.2
 	// slowRoundTrip is the time to a keeper and back from which its replies are slow: two
 	// reports are then under way at a time.
@@ -53,11 +54,13 @@
 	maxWait = time.Second
 )
 
-// lease is what a node that takes leases knows of a keeper in addition.
-type lease struct {
+// leaseState is what a node that takes leases knows of a keeper in addition: the tokens that it
+// holds, and when the keeper replied.
+type leaseState struct {
 	// size is the number of tokens left when the keeper last gave some.
 	size uint64
-	// covered is the value of spent up to which requests were admitted with granted tokens.
+	// covered is the value of spent up to which requests were admitted with granted tokens. It
+	// never exceeds spent: refunds lower both.
 	covered uint64
 	// reportedSpent is the value of spent in the last report.
 	reportedSpent uint64
--- a/core/usage/spender.go
+++ b/core/usage/spender.go
@@ -82,7 +82,7 @@
 	awaitsReply     bool
 	reported        bool
 
-	lease
+	leaseState
 }
 
 // Decision is the result of Admit.
@@ -403,6 +403,6 @@
 		c.renew(g)
 		return
 	}
-	c.awaitsReply, c.silentTill, c.lease = false, 0, lease{}
+	c.awaitsReply, c.silentTill, c.leaseState = false, 0, leaseState{}
 	c.limit, c.limitTill = g.Limit, now+grantLifetime
 }
