--- a/internal/node/profiles.go
+++ b/internal/node/profiles.go
@@ -184,7 +184,7 @@
 	p.seeded, p.seededContention = s.endpoint, l.Contention > 0
 	p.mu.Unlock()
 	s.endpoint.Seed(l)
-	klog.InfoS("Gate seeded with the profile of its service", "host", p.n.options.Host, "service", s.service, "contention", l.Contention, "gates", l.ContentionGates, "classes", l.Classes)
+	klog.InfoS("Gate seeded with the profile of its service", "host", p.n.options.Host, "service", s.service, "contention", l.Contention, "gates", l.ContentionGates, "classes", len(l.Classes))
 }
 
 // serverAnnounced seeds the gate of a new backend server, or asks for its profile.
--- a/internal/node/profiles_test.go
+++ b/internal/node/profiles_test.go
@@ -1,15 +1,19 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"connectrpc.com/connect"
 	"gotest.tools/v3/assert"
+	"k8s.io/klog/v2"
+	"k8s.io/klog/v2/textlogger"
 
 	apiv1 "cactuspath/api/cactuspath/v1"
 	"cactuspath/api/cactuspath/v1/apiv1connect"
@@ -157,6 +161,18 @@
 	assert.Assert(t, n.profiles.seededContention && n.profiles.profile.Contention == 1.02)
 }
 
+// Guards against a log line that grows with the number of classes of a service.
+func TestSeedLogLineNamesTheNumberOfClasses(t *testing.T) {
+	var output bytes.Buffer
+	klog.SetLogger(textlogger.NewLogger(textlogger.NewConfig(textlogger.Output(&output))))
+	defer klog.ClearLogger()
+	n, _ := profileNode(t, &profileReplica{}, "pay")
+	assert.NilError(t, n.Announce(announcement("i-1", 1, false)))
+	n.profiles.receive(payProfile())
+	assert.Assert(t, strings.Contains(output.String(), "Gate seeded with the profile of its service"), output.String())
+	assert.Assert(t, strings.Contains(output.String(), "classes=1\n"), output.String())
+}
+
 // Guards against an old profile: the next server at this node may come much later.
 func TestProfileIsForgottenWithTheServer(t *testing.T) {
 	n, _ := profileNode(t, &profileReplica{}, "")
