--- a/core/usage/lease.go
+++ b/core/usage/lease.go
@@ -22,8 +22,9 @@
 	// minSilentReports is the number of reports without a reply after which a keeper may be
 	// taken to be silent. One lost datagram must not suffice.
 	minSilentReports = 3
-	// busyShare is the number of requests within maxReplyTimeout, at the cap and evenly spread
-	// over the nodes, from which an account counts as large.
+	// busyShare is the number of requests per node within maxReplyTimeout from which an account
+	// counts as large. It is the share of a node if the account sends at its cap, evenly spread
+	// over the nodes.
 	busyShare = 0.2
 	// slowRoundTrip is the time to a keeper and back from which its replies are slow: two
 	// reports are then under way at a time.
@@ -53,11 +54,13 @@
 	maxWait = time.Second
 )
 
-// lease is what a node that takes leases knows of a keeper in addition.
-type lease struct {
+// leaseState is what a node that takes leases knows of a keeper in addition: the tokens that it
+// holds, and when the keeper replied.
+type leaseState struct {
 	// size is the number of tokens left when the keeper last gave some.
 	size uint64
-	// covered is the value of spent up to which requests were admitted with granted tokens.
+	// covered is the value of spent up to which requests were admitted with granted tokens. It
+	// never exceeds spent: refunds lower both.
 	covered uint64
 	// reportedSpent is the value of spent in the last report.
 	reportedSpent uint64
@@ -67,6 +70,8 @@
 	roundTrip time.Duration
 	// unanswered is the number of reports since the last reply.
 	unanswered int
+	// delayAllowed means that this node's own delay was deducted from this silence.
+	delayAllowed bool
 	// silent means that the keeper is not used until it answers.
 	silent bool
 	// probe asks for a report although there is nothing to report.
@@ -201,7 +206,8 @@
 // allowForDelay deducts this node's own delay from the time that keepers have been silent. A
 // node that was frozen or short of processor time has not read the replies that lie in its
 // socket, and would otherwise take all keepers to be silent at the same moment. It gets
-// replyTimeout to read them.
+// replyTimeout to read them, once in a silence: a node that is late again and again would never
+// turn to the next keeper.
 func (s *Spender) allowForDelay(now time.Duration) {
 	delay := now - s.flushAt
 	if !s.takesLeases() || s.flushAt == 0 || delay < ownDelay {
@@ -209,11 +215,18 @@
 	}
 	for _, a := range s.dirty {
 		for _, c := range a.charges {
-			c.unansweredSince = min(now, c.unansweredSince+delay+replyTimeout)
+			c.allowForDelay(now, delay+replyTimeout)
 		}
 	}
 }
 
+func (c *charge) allowForDelay(now, allowance time.Duration) {
+	if !c.awaitsReply || c.delayAllowed {
+		return
+	}
+	c.unansweredSince, c.delayAllowed = min(now, c.unansweredSince+allowance), true
+}
+
 func (c *charge) pendingLeased() bool {
 	return c.probe || !c.silent && c.pending()
 }
@@ -252,7 +265,7 @@
 	if !c.awaitsReply || now-c.reportedAt >= 2*maxReplyTimeout {
 		// Reports with refused requests only are not repeated: their age says nothing of the
 		// keeper.
-		c.awaitsReply, c.unansweredSince, c.unanswered = true, now, 0
+		c.awaitsReply, c.unansweredSince, c.unanswered, c.delayAllowed = true, now, 0, false
 	}
 	if !c.silent && c.unanswered >= minSilentReports && now-c.unansweredSince >= c.silentAfter() {
 		c.silent, c.silentTill, c.awaitsReply, c.refused, c.openTill = true, now+silentTime, false, 0, 0
@@ -276,12 +289,13 @@
 // observeReply notes that a keeper has answered. It returns false if a newer report was
 // answered before.
 func (c *charge) observeReply(now time.Duration, g Grant) bool {
-	c.silent, c.silentTill, c.unanswered, c.unansweredSince = false, 0, 0, now
+	c.silent, c.silentTill, c.unanswered, c.unansweredSince, c.delayAllowed = false, 0, 0, now, false
 	if g.SentAt < c.answered {
 		return false
 	}
 	c.answered = g.SentAt
-	c.awaitsReply = g.SentAt < c.reportedAt
+	// SentAt comes back in whole microseconds.
+	c.awaitsReply = g.SentAt < c.reportedAt.Truncate(time.Microsecond)
 	sample := max(0, now-g.SentAt)
 	c.roundTrip = smoothed(c.roundTrip, sample)
 	return true
@@ -319,8 +333,8 @@
 		return false
 	}
 	s.sentAt = r.SentAt
-	if r.Spent > s.spent {
-		s.rate += float64(r.Spent-s.spent) / rateTime.Seconds()
+	if d := int64(r.Spent - s.spent); d > 0 {
+		s.rate += float64(d) / rateTime.Seconds()
 	}
 	return true
 }
@@ -347,19 +361,38 @@
 // leaseAhead adds a lease to the reply to a node's report. Tokens that the reply repeats stay
 // reserved for as long as the node may use them.
 func (k *Keeper) leaseAhead(now time.Duration, p *portion, s *spender, reply *Grant) {
-	if now < p.leasesFrom {
-		// Tokens of a cap that was lowered are not renewed.
-		reply.Limit = s.spent
-		return
+	// After the cap was lowered, only what is granted for refused requests is added.
+	if now >= p.leasesFrom {
+		k.extendLease(now, p, s)
 	}
+	if s.reserved > 0 {
+		s.reservedTill = now + keeperGrantLifetime
+	}
+	reply.Limit = s.spent + s.reserved
+}
+
+// extendLease raises the number of tokens that a node holds to what it should hold.
+func (k *Keeper) extendLease(now time.Duration, p *portion, s *spender) {
 	if tokens := p.leaseFor(now, s); p.open && tokens > s.reserved {
 		p.reserveTokens(now, s, tokens)
 		k.leases++
 	}
-	if s.reserved > 0 {
-		s.reservedTill = now + keeperGrantLifetime
+}
+
+// endLeases ends all leases and grants because the cap was lowered. What nodes still spend of
+// them is deducted from the level again.
+func (p *portion) endLeases() {
+	p.leasesFrom = p.refilledAt + keeperGrantLifetime
+	for _, s := range p.spenders {
+		p.reserved -= s.reserved
+		s.reserved = 0
 	}
-	reply.Limit = s.spent + s.reserved
+}
+
+// boundDebt limits the debt from tokens of a cap that was lowered once they have expired. Paid
+// at the new rate, it could refuse all requests for minutes.
+func (p *portion) boundDebt() {
+	p.level, p.leasesFrom = max(p.level, -p.capacity), 0
 }
 
 // leaseFor returns the number of tokens that a node should hold: twice what it is expected to
@@ -374,7 +407,8 @@
 	}
 	expected := math.Ceil(2 * s.rate * grantLifetime.Seconds())
 	tokens := max(1, min(expected, math.Floor(leaseShare*p.level/float64(recent))))
-	if p.level-tokens < max(2*p.reserve()+1, p.capacity/2) || p.leased()+tokens > leaseShare*(p.level+p.leased()) {
+	added := tokens - float64(s.reserved)
+	if p.level-added < max(2*p.reserve()+1, p.capacity/2) || p.leased()+added > leaseShare*(p.level+p.leased()) {
 		return 0
 	}
 	return uint64(tokens)
