--- a/core/gate/link.go
+++ b/core/gate/link.go
@@ -92,14 +92,18 @@
 }
 
 // ObserveResponse records the size of the response of a running request, when its head is
-// known or, if that has no size, at its end. A negative size is unknown and ignored.
+// known or, if that has no size, at its end. A response of unknown size, which is negative,
+// is not learned from, but the driver's backlog includes it from its head on.
 func (g *Gate) ObserveResponse(now time.Duration, h Handle, bytes int64) {
 	it := g.items[h]
-	if !g.linkEnabled() || it == nil || it.state != stateRunning || bytes < 0 {
+	if !g.linkEnabled() || it == nil || it.state != stateRunning {
 		return
 	}
 	g.link.forget(it)
 	it.responded = true
+	if bytes < 0 {
+		return
+	}
 	if bytes >= largeResponseBytes {
 		// The next backlog that the driver observes includes the response.
 		g.link.backlog, g.link.observedAt = g.link.remaining(now)+g.linkTime(bytes), now
--- a/core/gate/link_test.go
+++ b/core/gate/link_test.go
@@ -324,6 +324,21 @@
 	assert.Equal(t, g.Load(now+50*ms).LinkWait, 450*ms)
 }
 
+// Guards against a response of unknown length that counts twice while it is sent: as
+// expected, and in the backlog that the driver observes.
+func TestBegunResponseOfUnknownLengthIsNotExpected(t *testing.T) {
+	g, now := linkGate()
+	assert.DeepEqual(t, kinds(g.Arrive(now, download(1, "download", now))), []EventKind{Started})
+	assert.Assert(t, g.link.expected > 0)
+	g.ObserveResponse(now, 1, -1)
+	assert.Equal(t, g.link.expected, int64(0))
+
+	// Its size counts when it is known, at its end.
+	seen := g.speed.class("download").responseSize.seen
+	g.ObserveResponse(now, 1, 200_000)
+	assert.Equal(t, g.speed.class("download").responseSize.seen, seen+1)
+}
+
 // Guards against refusing every request of a class because the settings name too low a
 // bandwidth: a response that would take longer than the time limit is sent as long as the
 // link is idle.
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -230,6 +230,7 @@
 	{"running and waiting downloads count as work of the link", "core/gate/admit.go", "\tg.link.expect(it)\n", "", "core/gate", "RunningDownloads"},
 	{"a download that has ended no longer counts as work of the link", "core/gate/gate.go", "delete(g.byID, it.ID)\n\tg.link.forget(it)\n\tif outcome", "delete(g.byID, it.ID)\n\tif outcome", "core/gate", "ExpectedBytes"},
 	{"a profile without a contention factor fills cold servers only", "core/gate/profile.go", "!g.disabled(mechanism.Profile) && s.isCold() && ", "!g.disabled(mechanism.Profile) && ", "core/gate", "WithoutContentionFactor"},
+	{"a response of unknown length is not expected once it has begun", "core/gate/link.go", "it.state != stateRunning {", "it.state != stateRunning || bytes < 0 {", "core/gate", "BegunResponse"},
 	{"a class is short until five responses have been seen", "core/gate/link.go", "c != nil && c.responseSize.seen >= minClassSamples {\n\t\treturn", "c != nil {\n\t\treturn", "core/gate", "ShortUntilFive"},
 	{"a request is counted once when its class's size is measured", "core/gate/link.go", "g.link.forget(it)\n\t\t\tit.responseBytes = size", "it.responseBytes = size", "core/gate", "SizeFromProfile"},
 	{"a response that has been seen is not expected again", "core/gate/link.go", "if it.Class == r.Class && !it.responded {", "if it.Class == r.Class {", "core/gate", "ShortUntilFive"},
