gate: a download that is too late everywhere is refused where it is

It moved to a sibling that would have it less late and refused it then. A waiting one moved although its deadline had passed, and its refusal did not tell whether siblings have room.

--- a/core/gate/link.go
+++ b/core/gate/link.go
@@ -231,7 +231,9 @@
 // worthMoving reports whether a request should move to the fastest sibling, which is
 // expected to finish it after the time there; cost is the part of there that is the price
 // of the transfer and not time. A request with a large response stays as long as it meets
-// its aim here, however full the link is: moving it would only shift the load.
+// its aim here, however full the link is: moving it would only shift the load. One that this
+// link makes too late does not move to a sibling where it is too late as well: it would be
+// refused there, after a move.
 func (g *Gate) worthMoving(now time.Duration, it *item, there, cost time.Duration, gain float64) bool {
 	here := g.estimateFinish(now, it)
 	if !it.hasLargeResponse() {
@@ -245,6 +247,8 @@
 		return true
 	case atThere < atHere:
 		return there < here
+	case atThere == tooLate && g.linkTooLate(now, it):
+		return false
 	}
 	return float64(there)*gain <= float64(here)
 }
@@ -255,9 +259,14 @@
 	if !g.linkTooLate(now, it) {
 		return false
 	}
+	g.emitLinkRefusal(now, it)
+	return true
+}
+
+// emitLinkRefusal refuses a request that the link makes too late.
+func (g *Gate) emitLinkRefusal(now time.Duration, it *item) {
 	best, there := g.fastestSibling(now, it)
 	g.emit(Event{Kind: Refused, Handle: it.Handle, Reason: TooLate, RetryAfter: g.linkRetryAfter(now, it, best, there), SiblingsFull: g.lateEverywhere(now, it, best, there)})
-	return true
 }
 
 // linkTooLate reports whether the link alone makes a request too late. An idle link never
@@ -305,14 +314,15 @@
 }
 
 // dropTooLate ends a waiting request that cannot meet its deadline here. If the link makes
-// it too late, it moves to a sibling that can take it.
+// it too late, it moves to a sibling that can take it, unless its deadline has passed.
 func (g *Gate) dropTooLate(now time.Duration, it *item) {
 	if !g.linkTooLate(now, it) {
 		g.drop(it, TooLate, g.retryAfter(now))
 		return
 	}
-	if !g.tryMove(now, it, g.waitingMoveGain(now)) {
-		best, there := g.fastestSibling(now, it)
-		g.drop(it, TooLate, g.linkRetryAfter(now, it, best, there))
+	if now < it.Deadline && g.tryMove(now, it, g.waitingMoveGain(now)) {
+		return
 	}
+	g.removeItem(it)
+	g.emitLinkRefusal(now, it)
 }
--- a/core/gate/link_test.go
+++ b/core/gate/link_test.go
@@ -227,6 +227,7 @@
 		{"too late here, late at the sibling", near, 1450 * ms, 1300 * ms, Moved},
 		{"too late here, late at the far sibling", far, 1450 * ms, 1300 * ms, Moved},
 		{"too late at both", near, 1450 * ms, 1440 * ms, Refused},
+		{"too late at both, far later here", near, 4000 * ms, 2000 * ms, Refused},
 	} {
 		t.Run(c.desc, func(t *testing.T) {
 			g, now := linkGate(c.sibling)
@@ -464,6 +465,39 @@
 	}
 }
 
+// Guards against a waiting download that moves although its deadline has passed, and against
+// a refusal which does not tell that no sibling can take it.
+func TestExpiredDownloadDoesNotMove(t *testing.T) {
+	for _, c := range []struct {
+		wait         time.Duration
+		down         bool
+		want         EventKind
+		siblingsFull bool
+	}{{300 * ms, false, Moved, false}, {710 * ms, false, Refused, true}, {710 * ms, true, Refused, true}} {
+		g, now := linkGate(near)
+		last := Handle(0)
+		for g.queue.size == 0 {
+			last++
+			g.Arrive(now, download(last, "live", now))
+		}
+		r := download(50, "download", now)
+		r.Deadline = now + 700*ms
+		assert.Equal(t, len(kinds(g.Arrive(now, r))), 0)
+		g.Cancel(now, last)
+		now += c.wait
+		report(g, now, near.Host, 0)
+		g.link.backlog, g.link.observedAt = 800*ms, now
+		g.down = c.down
+		for _, e := range g.Tick(now) {
+			if e.Handle == 50 {
+				assert.Equal(t, e.Kind, c.want)
+				assert.Equal(t, e.SiblingsFull, c.siblingsFull)
+			}
+		}
+		assert.Assert(t, g.items[50] == nil)
+	}
+}
+
 // Guards against a sibling that learns too late that a link has become full or free, and
 // against reports of small changes and of each download, which would use up the measuring
 // budget.
