link: an event of a stream does not wait behind downloads

A piece of 200 bytes of a long response of unknown length ranked by what had been sent, and waited for as long as downloads kept the link busy. Small pieces of a download are read together, so that they do not pass for events.

--- a/core/link/link.go
+++ b/core/link/link.go
@@ -25,6 +25,9 @@
 	// minChunkBytes is the smallest chunk on links below 0.8 Mbit/s, where 5 ms are less
 	// than a packet.
 	minChunkBytes = 512
+	// maxEventBytes is the size up to which a piece of a response of unknown length is an event
+	// of a stream, after which its source has nothing more to send for now.
+	maxEventBytes = 1024
 	// largeShare is the share of the bandwidth that large and counted bytes may take together
 	// while large ones are sent. The rest covers heads of messages, packet headers and
 	// traffic that is not counted.
@@ -55,14 +58,20 @@
 	due     time.Duration
 	// asked is the size of the chunk that waits to be sent; 0 if none does.
 	asked int
+	// event: what waits to be sent is all that the source has for now.
+	event bool
 	// activeAt is when the transfer began, last asked or last got a chunk.
 	activeAt time.Duration
 }
 
 // expectedLeft returns the number of bytes that the transfer is expected to send. A response
-// of unknown length is expected to be as long again as it is now.
+// of unknown length is expected to be as long again as it is now, unless an event waits: that
+// of a long stream would otherwise wait for as long as other transfers keep the link busy.
 func (t *transfer) expectedLeft() int64 {
-	if t.unknown {
+	switch {
+	case t.event:
+		return int64(t.asked)
+	case t.unknown:
 		return max(LargeBytes, t.sent)
 	}
 	return t.left
@@ -136,6 +145,7 @@
 func (s *Scheduler) Ask(now time.Duration, id TransferID, bytes int) {
 	if t := s.find(id); t != nil {
 		t.asked, t.activeAt = min(max(1, bytes), s.chunk), now
+		t.event = t.unknown && t.asked <= maxEventBytes && t.asked < s.chunk
 	}
 }
 
--- a/core/link/link_test.go
+++ b/core/link/link_test.go
@@ -170,6 +170,39 @@
 	}
 }
 
+// Guards against an event of a long stream that waits for as long as downloads keep the link
+// busy, and against a download of unknown length that passes for events because chunks are
+// small on a slow link.
+func TestEventOfAStreamGoesFirst(t *testing.T) {
+	for _, bandwidth := range []float64{tournamentLink, 100e3} {
+		s := New(bandwidth)
+		stream := s.Begin(0, -1, time.Hour)
+		now := time.Duration(0)
+		for sent := 0; sent < 200<<10; sent += s.Chunk() {
+			s.Ask(now, stream, s.Chunk())
+			for {
+				if _, ok, at := s.Next(now); !ok {
+					now = at
+					continue
+				}
+				break
+			}
+		}
+		download := s.Begin(now, 90<<10, now+time.Second)
+		s.Ask(now, download, s.Chunk())
+		s.Ask(now, stream, s.Chunk())
+		released := releasedUntil(s, now, now+50*ms)
+		assert.Assert(t, released[download] > 0 && released[stream] == 0, "the longer transfer goes first")
+		s.End(now, stream)
+
+		now += 50 * ms
+		events := s.Begin(now, -1, time.Hour)
+		s.Ask(now, events, 200)
+		released = releasedUntil(s, now, now+20*ms)
+		assert.Assert(t, released[events] > 0, "the event waits")
+	}
+}
+
 // Guards against a transfer whose request has ended and that still takes the link or counts in
 // the backlog.
 func TestEndedTransferIsReleased(t *testing.T) {
--- a/internal/endpoint/large.go
+++ b/internal/endpoint/large.go
@@ -162,7 +162,8 @@
 	r.waited += time.Since(begin)
 }
 
-// Read implements io.Reader.
+// Read implements io.Reader. It returns all that is held, if there is room for it: pieces as
+// small as the server writes them would pass for events of a stream on the host's link.
 func (r *readAhead) Read(p []byte) (int, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -175,10 +176,13 @@
 	if len(r.chunks) == 0 {
 		return 0, r.err
 	}
-	n := copy(p, r.chunks[0])
-	r.chunks[0] = r.chunks[0][n:]
-	if len(r.chunks[0]) == 0 {
-		r.chunks = r.chunks[1:]
+	n := 0
+	for n < len(p) && len(r.chunks) > 0 {
+		some := copy(p[n:], r.chunks[0])
+		n += some
+		if r.chunks[0] = r.chunks[0][some:]; len(r.chunks[0]) == 0 {
+			r.chunks = r.chunks[1:]
+		}
 	}
 	r.resize(-n)
 	r.changed.Broadcast()
--- a/internal/endpoint/large_test.go
+++ b/internal/endpoint/large_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -128,6 +129,19 @@
 	return len(p), nil
 }
 
+// Guards against a download that passes for events of a stream on the link because its server
+// writes it in small pieces.
+func TestSmallPiecesAreReadTogether(t *testing.T) {
+	content := bytes.Repeat([]byte("0123456789abcdef"), 1000)
+	source := newSource(iotest.OneByteReader(bytes.NewReader(content)))
+	body := newReadAhead(source, testLimits(readAheadBytes))
+	<-source.closed
+	got := make([]byte, len(content)+1)
+	n, err := body.Read(got)
+	assert.NilError(t, err)
+	assert.Assert(t, bytes.Equal(got[:n], content), "%d bytes were read", n)
+}
+
 // Guards against a response that broke off and looks complete, and against a reader that goes
 // on after the receiver has gone.
 func TestReadAheadPassesErrorsOn(t *testing.T) {
