gate: later requests do not make a waiting download too late

A download that was accepted and waited was refused at its turn because of the expected responses of large requests that arrived later and are served after it.

--- a/core/gate/link.go
+++ b/core/gate/link.go
@@ -149,18 +149,38 @@
 }
 
 // linkWait is how long the link needs for the large responses that are under way or
-// expected, without that of the given request, which may be nil.
+// expected, without that of the given request, which may be nil. Of a request that waits
+// here, only those count that are served before it: requests that arrive later and rank
+// lower must not make one late that was accepted.
 func (g *Gate) linkWait(now time.Duration, it *item) time.Duration {
 	if !g.linkEnabled() {
 		return 0
 	}
 	expected := g.link.expected
 	if it != nil {
-		expected -= it.expectedBytes
+		expected -= it.expectedBytes + g.expectedAfter(it)
 	}
 	return g.link.remaining(now) + g.linkTime(expected)
 }
 
+// expectedAfter is how many bytes are expected of the requests that are served after a
+// waiting request; 0 for one that arrives. A request that has left the queue is served
+// before all that are in it.
+func (g *Gate) expectedAfter(it *item) int64 {
+	if it.state != stateWaiting || g.items[it.Handle] != it {
+		return 0
+	}
+	after := int64(0)
+	for _, r := range g.queue.ranks {
+		r.each(func(other *item) {
+			if it.byCaller == nil || it.rank.before(r.rank) || it.rank == r.rank && it.Handle < other.Handle {
+				after += other.expectedBytes
+			}
+		})
+	}
+	return after
+}
+
 // finishOnLink is when the host's link has sent the response of a request that the server
 // finishes after the given time.
 func (g *Gate) finishOnLink(now time.Duration, it *item, server time.Duration) time.Duration {
--- a/core/gate/link_test.go
+++ b/core/gate/link_test.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -498,6 +499,51 @@
 	}
 }
 
+// Guards against the refusal of a request that was accepted and waits, because of large
+// requests that arrived later and are served after it.
+func TestLaterRequestsDoNotMakeAnAcceptedOneTooLate(t *testing.T) {
+	for _, aim := range []time.Duration{8 * time.Second, 1500 * ms} {
+		g, now := linkGate()
+		for h := Handle(3000); h < 3000+minClassSamples; h++ {
+			g.Arrive(now, download(h, "big", now))
+			g.ObserveResponse(now, h, 400_000)
+			g.Finish(now, h, Completed)
+		}
+		g.ObserveLink(now, 0)
+		last := Handle(0)
+		for g.queue.size == 0 {
+			last++
+			g.Arrive(now, download(last, "live", now))
+		}
+		assert.Equal(t, len(kinds(g.Arrive(now, download(500, "download", now)))), 0)
+		assert.Equal(t, len(kinds(g.Arrive(now, download(501, "download", now)))), 0)
+		for h := Handle(600); h < 605; h++ {
+			r := download(h, "big", now)
+			r.Aim, r.AimAt, r.Deadline = aim, now+8*time.Second, now+20*time.Second
+			g.Arrive(now, r)
+		}
+		assert.Assert(t, g.Load(now).LinkWait > time.Second)
+		// Of two requests of one rank, the first is served before the second.
+		assert.Equal(t, g.linkWait(now, g.items[500]), time.Duration(0))
+		assert.Equal(t, g.linkWait(now, g.items[501]), 100*ms)
+		// One whose turn has come is served before all that wait.
+		g.queue.remove(g.items[501])
+		assert.Equal(t, g.linkWait(now, g.items[501]), time.Duration(0))
+		g.queue.push(g.items[501])
+		var started []Handle
+		for h := Handle(1); h <= last; h++ {
+			now += 10 * ms
+			for _, e := range append(g.Tick(now), g.Finish(now, h, Completed)...) {
+				assert.Assert(t, e.Kind != Refused || e.Handle >= 600, "%d is refused", e.Handle)
+				if e.Kind == Started {
+					started = append(started, e.Handle)
+				}
+			}
+		}
+		assert.Assert(t, slices.Contains(started, 500) && slices.Contains(started, 501))
+	}
+}
+
 // Guards against a sibling that learns too late that a link has become full or free, and
 // against reports of small changes and of each download, which would use up the measuring
 // budget.
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -247,6 +247,7 @@
 	{"an idle link refuses nothing", "core/gate/link.go", "it.hasLargeResponse() && g.linkWait(now, it) > 0 && ", "it.hasLargeResponse() && ", "core/gate", "IdleLink"},
 	{"small changes of the link do not use up the measuring budget", "core/gate/link.go", "return high-low >= minLinkChange && ", "return ", "core/gate", "ChangeOfTheLink"},
 	{"without a bandwidth the link decides nothing", "core/gate/link.go", "return g.config.LinkBytesPerSecond > 0 && !g.disabled(mechanism.Link)", "return !g.disabled(mechanism.Link)", "core/gate", "WithoutABandwidth"},
+	{"later requests do not make an accepted one late", "core/gate/link.go", "expected -= it.expectedBytes + g.expectedAfter(it)", "expected -= it.expectedBytes", "core/gate", "LaterRequests"},
 	{"a waiting download moves when its link fills up", "core/gate/link.go", "if now < it.Deadline && g.tryMove(now, it, g.waitingMoveGain(now)) {", "if false {", "core/gate", "WaitingDownload"},
 	{"a download whose deadline has passed does not move", "core/gate/link.go", "if now < it.Deadline && g.tryMove", "if g.tryMove", "core/gate", "ExpiredDownload"},
 	{"a download that is too late everywhere does not move", "core/gate/link.go", "case atThere == tooLate && g.linkTooLate(now, it):", "case false:", "core/gate", "ByTheWaitsOfLinks"},
