gate: a response longer than its time limit may wait for one on the link

A class whose mean response takes longer than its time limit was refused for a backlog of a millisecond, and told to come back long after the link would be idle. The test of the idle link expects that a second response is taken and a third one is not.

--- a/core/gate/link.go
+++ b/core/gate/link.go
@@ -239,13 +239,14 @@
 // much with a short queue as with a long one, but a queue up to the deadline makes all
 // responses late: in a burst of 1.7 times what all links can send for seven seconds, .58 of
 // the requests met their aim with it and .69 with a queue up to the aim, and as many were
-// refused. One response may always be ahead.
+// refused. One response may always be ahead: otherwise, a class whose mean response takes
+// longer than its time limit would be refused for a backlog of a millisecond.
 func (g *Gate) longestOnLink(now time.Duration, it *item) time.Duration {
 	longest := time.Duration(float64(it.Deadline-now) / linkMargin)
 	if it.Aim > 0 && !g.disabled(mechanism.Aims) {
-		longest = min(longest, max(it.Aim, 2*g.linkTime(it.responseBytes)))
+		longest = min(longest, it.Aim)
 	}
-	return longest
+	return max(longest, 2*g.linkTime(it.responseBytes))
 }
 
 // worthMoving reports whether a request should move to the fastest sibling, which is
@@ -290,10 +291,10 @@
 }
 
 // linkTooLate reports whether the link alone makes a request too late. An idle link never
-// does: if the bandwidth in the settings is too low, or the time limit is too short for the
-// mean response, all requests of the class would be refused.
+// does (see longestOnLink): if the bandwidth in the settings is too low, or the time limit is
+// too short for the mean response, all requests of the class would be refused.
 func (g *Gate) linkTooLate(now time.Duration, it *item) bool {
-	return it.hasLargeResponse() && g.linkWait(now, it) > 0 && g.finishOnLink(now, it, 0) > g.longestOnLink(now, it)
+	return it.hasLargeResponse() && g.finishOnLink(now, it, 0) > g.longestOnLink(now, it)
 }
 
 func withLinkMargin(took time.Duration) time.Duration {
@@ -314,7 +315,8 @@
 
 // linkRetryAfter is how long the caller of a refused request should wait: until this link
 // or that of the best sibling has sent so much that a new request of the class would meet
-// its aim or, without an aim, its deadline.
+// its aim or, without an aim, its deadline. It is at most until this link is idle, which
+// refuses nothing.
 func (g *Gate) linkRetryAfter(now time.Duration, it *item, best *sibling, there time.Duration) time.Duration {
 	took := g.finishOnLink(now, it, 0)
 	if best != nil {
@@ -324,7 +326,7 @@
 	if it.Aim > 0 {
 		allowed = min(allowed, time.Duration(float64(it.Aim)/linkMargin))
 	}
-	return min(max(took-allowed, shortestRetryAfter), longestRetryAfter)
+	return min(max(min(took-allowed, g.linkWait(now, it)), shortestRetryAfter), longestRetryAfter)
 }
 
 // linkDiffersFrom reports whether the link's wait has changed enough to be reported.
