--- a/core/gate/link.go
+++ b/core/gate/link.go
@@ -96,7 +96,7 @@
 // is not learned from, but the driver's backlog includes it from its head on.
 func (g *Gate) ObserveResponse(now time.Duration, h Handle, bytes int64) {
 	it := g.items[h]
-	if !g.linkEnabled() || it == nil || it.state != stateRunning {
+	if !g.linkEnabled() || it == nil || it.state != stateRunning || it.NoBody {
 		return
 	}
 	g.link.forget(it)
@@ -123,7 +123,7 @@
 func (g *Gate) expectClass(r Request) {
 	size := g.meanResponse(r)
 	for _, it := range g.items {
-		if it.Class == r.Class && !it.responded {
+		if it.Class == r.Class && !it.responded && !it.NoBody {
 			g.link.forget(it)
 			it.responseBytes = size
 			g.link.expect(it)
@@ -134,7 +134,7 @@
 // meanResponse is the mean response size of a request's class in bytes; 0 if it is not
 // known or not used.
 func (g *Gate) meanResponse(r Request) int64 {
-	if !g.linkEnabled() {
+	if !g.linkEnabled() || r.NoBody {
 		return 0
 	}
 	if c := g.speed.classes[r.Class]; c != nil && c.responseSize.seen >= minClassSamples {
--- a/core/gate/link_test.go
+++ b/core/gate/link_test.go
@@ -427,6 +427,31 @@
 	}
 }
 
+// Guards against requests that only ask for the head of a download and are moved, refused or
+// counted as work of the link, or learned from as downloads of no size.
+func TestRequestsForHeadsIgnoreTheLink(t *testing.T) {
+	g, now := linkGate(near)
+	report(g, now, near.Host, 0)
+	g.ObserveLink(now, 3*time.Second)
+	for i, class := range []string{"download", "new"} {
+		head := Handle(i + 1)
+		r := download(head, class, now)
+		r.NoBody = true
+		assert.DeepEqual(t, kinds(g.Arrive(now, r)), []EventKind{Started})
+		assert.Equal(t, g.link.expected, int64(0))
+		for h := Handle(10); class == "new" && h < 10+minClassSamples; h++ {
+			g.Arrive(now, download(h, class, now))
+			g.ObserveResponse(now, h, 200_000)
+			g.Finish(now, h, Completed)
+		}
+		assert.Equal(t, g.link.expected, int64(0), "class %s", class)
+		seen := g.speed.class(class).responseSize.seen
+		g.ObserveResponse(now, head, 0)
+		assert.Equal(t, g.speed.class(class).responseSize.seen, seen)
+		g.Finish(now, head, Completed)
+	}
+}
+
 // A gate that has just started treats a class as short until five responses have been
 // seen, and then counts the requests of the class that run already.
 func TestClassIsShortUntilFiveResponses(t *testing.T) {
--- a/core/gate/types.go
+++ b/core/gate/types.go
@@ -96,6 +96,9 @@
 	// expensive.
 	From      string
 	LargeBody bool
+	// NoBody: the response has no body, whatever the class, since the request only asks for
+	// its head.
+	NoBody bool
 	// Repeatable: the request may run twice, so that its caller can follow a hint.
 	Repeatable bool
 	// Class groups requests with similar demand, such as those of one route.
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -284,7 +284,7 @@
 		return nil, e.refuseQuarantined(req.Content, out, reply, left)
 	}
 	e.refreshLoad(ctx)
-	handle, event := e.admit(ctx, req, onHint)
+	handle, event := e.admit(ctx, req, out.Method, onHint)
 	e.logAdmission(req, out, event, time.Since(arrived))
 	if event.Kind != gate.Started {
 		e.removeHint(handle)
@@ -333,7 +333,7 @@
 }
 
 // admit waits until the gate starts, moves or refuses the request.
-func (e *Endpoint) admit(ctx context.Context, req hop.Request, onHint func(string)) (gate.Handle, gate.Event) {
+func (e *Endpoint) admit(ctx context.Context, req hop.Request, method string, onHint func(string)) (gate.Handle, gate.Event) {
 	ch := make(chan gate.Event, 1)
 	var handle gate.Handle
 	e.runGate(func(now time.Duration) []gate.Event {
@@ -344,7 +344,7 @@
 			e.hints[handle] = onHint
 		}
 		e.observeLink(now)
-		return e.gate.Arrive(now, gateRequest(now, handle, req))
+		return e.gate.Arrive(now, gateRequest(now, handle, req, method))
 	})
 	return handle, e.awaitDecision(ctx, handle, ch)
 }
@@ -381,9 +381,9 @@
 	return e.awaitDecision(ctx, handle, ch)
 }
 
-func gateRequest(now time.Duration, handle gate.Handle, req hop.Request) gate.Request {
+func gateRequest(now time.Duration, handle gate.Handle, req hop.Request, method string) gate.Request {
 	r := gate.Request{Handle: handle, ID: req.ID, Caller: req.Caller, Deadline: now + req.Timeout, Movable: req.Movable, From: req.From, LargeBody: req.LargeBody,
-		Class: req.Class, Priority: req.Priority, Repeatable: req.Repeatable}
+		Class: req.Class, Priority: req.Priority, Repeatable: req.Repeatable, NoBody: method == http.MethodHead}
 	if req.Aim > 0 {
 		r.Aim, r.AimAt = req.Aim, max(1, now+req.AimLeft)
 	}
--- a/internal/endpoint/link_backlog_test.go
+++ b/internal/endpoint/link_backlog_test.go
@@ -89,6 +89,7 @@
 			assert.Equal(t, reply.Verdict, hop.Refused)
 			assert.Equal(t, reply.Reason, gate.TooLate)
 			assert.Assert(t, reply.RetryAfter > time.Second)
+			assert.Equal(t, download(t, e, http.MethodHead, "/").Verdict, hop.Ran, "a request for the head has no body to send")
 			assert.Assert(t, e.Load().LinkWait > 50*time.Second)
 			backlog.Store(0)
 			assert.Equal(t, download(t, e, http.MethodGet, "/").Verdict, hop.Ran)
