link: a transfer counts in the backlog with its share of the link

A transfer whose receiver takes a chunk every 80 ms counted with all it has left, and gates refused downloads that the link sends at once.

--- a/core/link/link.go
+++ b/core/link/link.go
@@ -42,6 +42,10 @@
 	// stalledAfter is how long after its last chunk a transfer that asks for none still
 	// counts in the backlog. Its receiver or its source, not this link, limits it then.
 	stalledAfter = 500 * time.Millisecond
+	// shareWeight is the number of chunks over which the share of a transfer is averaged. One
+	// late write of a receiver that keeps up counts little, and a slow one is known within
+	// some 60 KB.
+	shareWeight = 8
 )
 
 // TransferID identifies the transfer of one large response; 0 is none.
@@ -62,6 +66,22 @@
 	event bool
 	// activeAt is when the transfer began, last asked or last got a chunk.
 	activeAt time.Duration
+	// grantedAt is when the transfer began or last got a chunk.
+	grantedAt time.Duration
+	// share is the share of time in which the transfer waited for the link or used it, and not
+	// for its receiver or its source.
+	share float64
+}
+
+// grant records that the chunk that waits may be written, which takes the link the given time.
+func (t *transfer) grant(now, took time.Duration) {
+	if cycle := now - t.grantedAt; cycle > 0 {
+		used := max(now-t.activeAt, took)
+		t.share += (min(1, float64(used)/float64(cycle)) - t.share) / shareWeight
+	}
+	t.sent += int64(t.asked)
+	t.left = max(0, t.left-int64(t.asked))
+	t.asked, t.activeAt, t.grantedAt = 0, now, now
 }
 
 // expectedLeft returns the number of bytes that the transfer is expected to send. A response
@@ -79,14 +99,16 @@
 
 // backlog returns the number of bytes that count as waiting for the link. An unknown length
 // counts as the shortest large one, since a stream without end would otherwise grow forever.
+// A transfer counts with its share: a long one to a slow receiver leaves the link to others
+// for most of the time, and would have its host's gate refuse downloads that are sent at once.
 func (t *transfer) backlog(now time.Duration) int64 {
 	switch {
 	case t.asked == 0 && now-t.activeAt > stalledAfter:
 		return 0
 	case t.unknown:
-		return LargeBytes
+		return int64(t.share * LargeBytes)
 	}
-	return t.left
+	return int64(t.share * float64(t.left))
 }
 
 // Scheduler orders the chunks of all large responses of a host. Not safe for concurrent use.
@@ -137,7 +159,7 @@
 		s.nextAt = max(s.nextAt, now)
 	}
 	s.lastID++
-	s.transfers = append(s.transfers, &transfer{id: s.lastID, left: max(0, bytes), unknown: bytes < 0, due: due, activeAt: now})
+	s.transfers = append(s.transfers, &transfer{id: s.lastID, left: max(0, bytes), unknown: bytes < 0, due: due, activeAt: now, grantedAt: now, share: 1})
 	return s.lastID
 }
 
@@ -162,9 +184,7 @@
 	bytes := first.asked
 	s.charge(now, bytes)
 	s.guaranteedAt = now + s.duration(float64(bytes), minLargeShare)
-	first.asked, first.activeAt = 0, now
-	first.sent += int64(bytes)
-	first.left = max(0, first.left-int64(bytes))
+	first.grant(now, s.duration(float64(bytes), largeShare))
 	return first.id, true, 0
 }
 
@@ -173,7 +193,8 @@
 	s.transfers = slices.DeleteFunc(s.transfers, func(t *transfer) bool { return t.id == id })
 }
 
-// Backlog returns how long the link needs for the remaining bytes of all large transfers.
+// Backlog returns how long the link needs for the remaining bytes of all large transfers, as
+// far as it limits them.
 func (s *Scheduler) Backlog(now time.Duration) time.Duration {
 	bytes := int64(0)
 	for _, t := range s.transfers {
--- a/core/link/link_test.go
+++ b/core/link/link_test.go
@@ -203,6 +203,72 @@
 	}
 }
 
+// Guards against a long transfer to a slow receiver that counts with all its bytes in the
+// backlog, so that downloads which the link sends at once are refused, and against one to a fast
+// receiver that counts with less while it waits behind others.
+func TestSlowReceiverCountsWithItsShareOfTheLink(t *testing.T) {
+	const size = 10_000_000
+	for _, c := range []struct {
+		pause time.Duration
+		// other is the size of another transfer, to a fast receiver; 0 if there is none. A
+		// shorter one goes first all the time.
+		other int64
+		// counted is the share of the link that counted bytes take.
+		counted       float64
+		atLeast, most float64
+	}{
+		{0, 0, 0, 0.95, 1},
+		{0, 0, 0.4, 0.95, 1},
+		{0, size - 1, 0, 0.95, 1},
+		{0, 2 * size, 0, 0.95, 1},
+		{6 * ms, 0, 0, 0.85, 0.95},
+		{80 * ms, 0, 0, 0, 0.1},
+		{80 * ms, 2 * size, 0, 0, 0.2},
+	} {
+		s := New(tournamentLink)
+		observed, now, askAt := s.Begin(0, size, time.Hour), time.Duration(0), time.Duration(0)
+		if c.other > 0 {
+			s.Ask(0, s.Begin(0, c.other, time.Hour), s.Chunk())
+		}
+		asked := false
+		for now < 3*time.Second {
+			s.Sent(now, int(c.counted*tournamentLink/1000))
+			if !asked && now >= askAt {
+				s.Ask(now, observed, s.Chunk())
+				asked = true
+			}
+			for id, ok, _ := s.Next(now); ok; id, ok, _ = s.Next(now) {
+				if id == observed {
+					asked, askAt = false, now+c.pause
+					if c.pause == 0 {
+						s.Ask(now, observed, s.Chunk())
+						asked = true
+					}
+					continue
+				}
+				s.Ask(now, id, s.Chunk())
+			}
+			now += ms
+		}
+		share := s.find(observed).share
+		assert.Assert(t, share >= c.atLeast && share <= c.most, "%+v: share %.3f", c, share)
+		if c.other == 0 {
+			assert.Assert(t, s.Backlog(now) <= time.Duration(1.01*share*float64(s.duration(float64(s.find(observed).left), largeShare)))+10*ms)
+		}
+	}
+
+	// A stream to a slow receiver counts with its share, too.
+	s := New(tournamentLink)
+	stream, now := s.Begin(0, -1, time.Hour), time.Duration(0)
+	for range 40 {
+		s.Ask(now, stream, s.Chunk())
+		_, ok, _ := s.Next(now)
+		assert.Assert(t, ok)
+		now += 80 * ms
+	}
+	assert.Assert(t, s.Backlog(now) < 5*ms, "backlog %v", s.Backlog(now))
+}
+
 // Guards against a transfer whose request has ended and that still takes the link or counts in
 // the backlog.
 func TestEndedTransferIsReleased(t *testing.T) {
