link: constants of the link stand in core/link only

The length of a large response, the share of large ones and the factor of a bandwidth stood in the gate, the emulator and the process as well.

--- a/core/gate/link.go
+++ b/core/gate/link.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"cactuspath/core/link"
 	"cactuspath/core/mechanism"
 )
 
@@ -13,11 +14,6 @@
 // requests with short responses ignore the link.
 
 const (
-	// largeResponseBytes is the mean response size of a class from which its requests
-	// are decided by the link. Shorter responses are not paced.
-	largeResponseBytes = 32 << 10
-	// largeLinkShare is the share of the bandwidth that large responses get together.
-	largeLinkShare = 0.9
 	// linkMargin is how many times its expected duration a request must have left
 	// before its aim or its deadline. Response sizes vary, and short responses take part
 	// of the bandwidth: without a margin, half of the requests accepted on a link that
@@ -72,10 +68,10 @@
 	it.expectedBytes = 0
 }
 
-// hasLargeResponse reports whether the request is decided by the link. It is false for a
-// nil item.
+// hasLargeResponse reports whether the request is decided by the link: the mean response of
+// its class is paced. It is false for a nil item.
 func (it *item) hasLargeResponse() bool {
-	return it != nil && it.responseBytes >= largeResponseBytes
+	return it != nil && it.responseBytes >= link.LargeBytes
 }
 
 // linkEnabled reports whether the gate takes the host's link into account.
@@ -104,7 +100,7 @@
 	if bytes < 0 {
 		return
 	}
-	if bytes >= largeResponseBytes {
+	if bytes >= link.LargeBytes {
 		// The next backlog that the driver observes includes the response.
 		g.link.backlog, g.link.observedAt = g.link.remaining(now)+g.linkTime(bytes), now
 	}
@@ -145,7 +141,7 @@
 
 // linkTime is how long the link needs for bytes of large responses.
 func (g *Gate) linkTime(bytes int64) time.Duration {
-	return time.Duration(float64(bytes) / (largeLinkShare * g.config.LinkBytesPerSecond) * float64(time.Second))
+	return time.Duration(float64(bytes) / (link.LargeShare * g.config.LinkBytesPerSecond) * float64(time.Second))
 }
 
 // linkWait is how long the link needs for the large responses that are under way or
@@ -191,12 +187,9 @@
 }
 
 // finishOnLinkOf is finishOnLink for a sibling's host, whose link is assumed to have the
-// same bandwidth. What this gate has moved there since the report counts once, unlike
-// slots, which count herdFactor times: reports arrive several times in the second or more
-// that a link takes to fill, and only gates whose own link is full move downloads. With
-// herdFactor, links with room were left unused (.895 of the downloads in time instead of
-// .914 in a burst beyond all links), and without any count, a third of them crossed
-// between data centres where reports were few, instead of a quarter.
+// same bandwidth. What this gate has moved there since the report counts once and not
+// herdFactor times: reports arrive several times while a link fills up, and only gates
+// whose own link is full move downloads. docs/design/link-aware-gates.md has the figures.
 func (g *Gate) finishOnLinkOf(sib *sibling, it *item, server time.Duration) time.Duration {
 	if !g.linkEnabled() || !it.hasLargeResponse() {
 		return server
@@ -213,8 +206,9 @@
 type punctuality int
 
 const (
-	// inTime: it meets its aim.
+	// inTime: it meets its aim, with linkMargin.
 	inTime punctuality = iota
+	// late: it misses its aim or has none, and meets its deadline.
 	late
 	// tooLate: it misses its deadline, or the link has a longer queue than it should.
 	tooLate
@@ -263,7 +257,8 @@
 	atHere, atThere := g.punctualityOf(now, it, here), g.punctualityOf(now, it, there-cost)
 	switch {
 	case atHere == inTime:
-		here = g.estimateServerFinish(now, it) + g.linkTime(it.responseBytes)
+		onIdleLink := g.estimateServerFinish(now, it) + g.linkTime(it.responseBytes)
+		return float64(there)*gain <= float64(onIdleLink)
 	case atHere == tooLate && atThere < atHere:
 		return true
 	case atThere < atHere:
--- a/core/gate/link_test.go
+++ b/core/gate/link_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"cactuspath/core/link"
 	"cactuspath/core/mechanism"
 )
 
@@ -174,7 +175,7 @@
 // has seen responses of 100,000 bytes for "download" and 5,000 bytes for "live". Its link
 // sends 100,000 bytes of large responses in 100 ms.
 func linkGate(siblings ...Sibling) (*Gate, time.Duration) {
-	g := New("self", Config{Slots: 9, Queue: 40, Siblings: true, ReportsPerSecond: 1000, BytesPerSecond: 1 << 20, LinkBytesPerSecond: 1e6 / largeLinkShare}, 0)
+	g := New("self", Config{Slots: 9, Queue: 40, Siblings: true, ReportsPerSecond: 1000, BytesPerSecond: 1 << 20, LinkBytesPerSecond: 1e6 / link.LargeShare}, 0)
 	g.SetSiblings(siblings)
 	now := time.Duration(0)
 	for i := range 2 * minClassSamples {
@@ -455,7 +456,7 @@
 // A gate that has just started treats a class as short until five responses have been
 // seen, and then counts the requests of the class that run already.
 func TestClassIsShortUntilFiveResponses(t *testing.T) {
-	g := New("self", Config{Slots: 9, Queue: 40, Siblings: true, LinkBytesPerSecond: 1e6 / largeLinkShare}, 0)
+	g := New("self", Config{Slots: 9, Queue: 40, Siblings: true, LinkBytesPerSecond: 1e6 / link.LargeShare}, 0)
 	for h := Handle(11); h <= 13; h++ {
 		g.Arrive(0, download(h, "download", 0))
 	}
@@ -475,7 +476,7 @@
 // fill their links, and against counting a request twice when the measurement replaces the
 // profile.
 func TestSizeFromProfileIsUsedUntilMeasured(t *testing.T) {
-	g := New("self", Config{Slots: 9, Queue: 40, Siblings: true, LinkBytesPerSecond: 1e6 / largeLinkShare}, 0)
+	g := New("self", Config{Slots: 9, Queue: 40, Siblings: true, LinkBytesPerSecond: 1e6 / link.LargeShare}, 0)
 	g.Seed(0, Learned{Classes: map[string]ClassLearned{"download": {ResponseBytes: 50_000}}})
 	for h := Handle(1); h <= 8; h++ {
 		assert.DeepEqual(t, kinds(g.Arrive(0, download(h, "download", 0))), []EventKind{Started})
@@ -487,7 +488,7 @@
 	assert.Equal(t, g.link.expected, int64(3*100_000))
 	assert.Equal(t, g.Learned().Classes["download"].ResponseBytes, int64(0), "a class without demand samples is not reported")
 
-	g = New("self", Config{Slots: 9, Queue: 40, LinkBytesPerSecond: 1e6 / largeLinkShare, Disabled: mechanism.Profile}, 0)
+	g = New("self", Config{Slots: 9, Queue: 40, LinkBytesPerSecond: 1e6 / link.LargeShare, Disabled: mechanism.Profile}, 0)
 	g.Seed(0, Learned{Classes: map[string]ClassLearned{"download": {ResponseBytes: 50_000}}})
 	g.Arrive(0, download(1, "download", 0))
 	assert.Equal(t, g.link.expected, int64(0))
--- a/core/gate/linksim_test.go
+++ b/core/gate/linksim_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"cactuspath/core/link"
 	"cactuspath/core/mechanism"
 )
 
@@ -371,7 +372,7 @@
 		g.gate.ObserveLink(s.now, s.backlog(g))
 		s.apply(g, served.Finish(s.now, h, Completed))
 		done := s.now
-		if r.bytes >= largeResponseBytes {
+		if r.bytes >= link.LargeBytes {
 			// Short responses leave large ones 0.8 of the link.
 			g.linkFree = max(g.linkFree, s.now) + time.Duration(float64(r.bytes)/(0.8*simLinkBytes)*float64(time.Second))
 			done = g.linkFree
--- a/core/link/link.go
+++ b/core/link/link.go
@@ -17,6 +17,12 @@
 	// LargeBytes is the length from which a response is large. A shorter one takes at most
 	// 24 ms of a link with 11 Mbit/s and is not worth a wait.
 	LargeBytes = 32 << 10
+	// LargeShare is the share of the bandwidth that large and counted bytes may take together
+	// while large ones are sent. The rest covers heads of messages, packet headers and
+	// traffic that is not counted.
+	LargeShare = 0.9
+	// BytesPerMegabit converts a bandwidth in Mbit/s to bytes per second.
+	BytesPerMegabit = 1e6 / 8
 	// maxChunkBytes and maxChunkTime limit a chunk: a short response may have to wait for
 	// one to pass. 5 ms is small against the shortest aims (150 ms), and large enough that a
 	// host with a sixth of a core can afford a wake-up for each chunk.
@@ -28,10 +34,6 @@
 	// maxEventBytes is the size up to which a piece of a response of unknown length is an event
 	// of a stream, after which its source has nothing more to send for now.
 	maxEventBytes = 1024
-	// largeShare is the share of the bandwidth that large and counted bytes may take together
-	// while large ones are sent. The rest covers heads of messages, packet headers and
-	// traffic that is not counted.
-	largeShare = 0.9
 	// minLargeShare is the share that large responses get even while counted bytes take more
 	// than the whole link, for example because the bandwidth is set too low. Without it they
 	// would wait forever.
@@ -115,7 +117,7 @@
 type Scheduler struct {
 	bytesPerSecond float64
 	chunk          int
-	// nextAt is when the link will have sent, at largeShare of its bandwidth, what was
+	// nextAt is when the link will have sent, at LargeShare of its bandwidth, what was
 	// released so far. guaranteedAt is when the next chunk is released at the latest.
 	nextAt, guaranteedAt time.Duration
 	// transfers are in the order in which they began. A host has at most some hundred, as
@@ -184,7 +186,7 @@
 	bytes := first.asked
 	s.charge(now, bytes)
 	s.guaranteedAt = now + s.duration(float64(bytes), minLargeShare)
-	first.grant(now, s.duration(float64(bytes), largeShare))
+	first.grant(now, s.duration(float64(bytes), LargeShare))
 	return first.id, true, 0
 }
 
@@ -203,7 +205,7 @@
 	if bytes == 0 {
 		return 0
 	}
-	return max(0, s.nextAt-now) + s.duration(float64(bytes), largeShare)
+	return max(0, s.nextAt-now) + s.duration(float64(bytes), LargeShare)
 }
 
 // charge adds released bytes to what the link has to send. Time that has passed unused is lost
@@ -211,8 +213,8 @@
 // or 5 ms of the link go at once. On a fast link, a chunk takes less time than timers are late
 // by: with the time of one chunk only, 1 Gbit/s was used at 18 MB/s.
 func (s *Scheduler) charge(now time.Duration, bytes int) {
-	unused := now - max(maxChunkTime, s.duration(float64(s.chunk), largeShare))
-	s.nextAt = max(s.nextAt, unused) + s.duration(float64(bytes), largeShare)
+	unused := now - max(maxChunkTime, s.duration(float64(s.chunk), LargeShare))
+	s.nextAt = max(s.nextAt, unused) + s.duration(float64(bytes), LargeShare)
 }
 
 // duration returns the time that a share of the link needs for bytes.
--- a/core/link/link_test.go
+++ b/core/link/link_test.go
@@ -59,10 +59,10 @@
 		total := 0
 		for _, bytes := range released {
 			total += bytes
-			limit := int((largeShare-short)*tournamentLink/10) + 2*s.Chunk()
+			limit := int((LargeShare-short)*tournamentLink/10) + 2*s.Chunk()
 			assert.Assert(t, bytes <= limit, "%d bytes in a tenth of a second, at most %d expected", bytes, limit)
 		}
-		assert.Assert(t, float64(total) > 0.95*(largeShare-short)*tournamentLink*2, "only %d bytes in two seconds: the link is left unused", total)
+		assert.Assert(t, float64(total) > 0.95*(LargeShare-short)*tournamentLink*2, "only %d bytes in two seconds: the link is left unused", total)
 	}
 }
 
@@ -83,7 +83,7 @@
 
 	// Once nothing is counted any more, the large one has its share again.
 	released := releasedUntil(s, 2*time.Second+maxDebt, 3*time.Second+maxDebt)[id]
-	assert.Assert(t, float64(released) > 0.95*largeShare*tournamentLink, "%d bytes in a second", released)
+	assert.Assert(t, float64(released) > 0.95*LargeShare*tournamentLink, "%d bytes in a second", released)
 }
 
 // Guards against a receiver that stops reading and holds up all other large responses.
@@ -98,7 +98,7 @@
 	// The stuck one asks no more, since its write blocks.
 	released := releasedUntil(s, 0, time.Second)
 	assert.Equal(t, released[stuck], 0)
-	assert.Assert(t, float64(released[other]) > 0.95*largeShare*tournamentLink, "%d bytes in a second", released[other])
+	assert.Assert(t, float64(released[other]) > 0.95*LargeShare*tournamentLink, "%d bytes in a second", released[other])
 
 	// It counts in the backlog for half a second only, since this link does not limit it.
 	s.End(0, other)
@@ -162,11 +162,11 @@
 			_, _, at := s.Next(now)
 			now = at + ms
 		}
-		assert.Assert(t, float64(total) > 0.98*largeShare*bandwidth, "%d bytes in a second", total)
-		assert.Assert(t, float64(total) < 1.02*largeShare*bandwidth, "%d bytes in a second", total)
+		assert.Assert(t, float64(total) > 0.98*LargeShare*bandwidth, "%d bytes in a second", total)
+		assert.Assert(t, float64(total) < 1.02*LargeShare*bandwidth, "%d bytes in a second", total)
 
 		burst := released(now + 300*ms)
-		assert.Assert(t, float64(burst) <= largeShare*bandwidth*maxChunkTime.Seconds()+float64(s.Chunk()), "%d bytes at once", burst)
+		assert.Assert(t, float64(burst) <= LargeShare*bandwidth*maxChunkTime.Seconds()+float64(s.Chunk()), "%d bytes at once", burst)
 	}
 }
 
@@ -253,7 +253,7 @@
 		share := s.find(observed).share
 		assert.Assert(t, share >= c.atLeast && share <= c.most, "%+v: share %.3f", c, share)
 		if c.other == 0 {
-			assert.Assert(t, s.Backlog(now) <= time.Duration(1.01*share*float64(s.duration(float64(s.find(observed).left), largeShare)))+10*ms)
+			assert.Assert(t, s.Backlog(now) <= time.Duration(1.01*share*float64(s.duration(float64(s.find(observed).left), LargeShare)))+10*ms)
 		}
 	}
 
--- a/internal/emulator/link.go
+++ b/internal/emulator/link.go
@@ -4,19 +4,12 @@
 	"math"
 	"time"
 
+	corelink "cactuspath/core/link"
 	"cactuspath/core/mechanism"
 	"cactuspath/internal/virtual"
 )
 
-const (
-	// largeResponseBytes is the size from which a response is large.
-	largeResponseBytes = 32 << 10
-	// largeLinkShare is the share of a link that paced large responses get.
-	largeLinkShare = 0.9
-	bytesPerKB     = 1000
-	// bytesPerMegabit converts Mbit/s to bytes per second.
-	bytesPerMegabit = 1e6 / 8
-)
+const bytesPerKB = 1000
 
 // link models the link of a host on which responses leave it. If it is paced, short
 // responses are sent at once, at the cost of large ones, which are sent in the order in
@@ -45,7 +38,7 @@
 	if sim.scenario.LinkMbps == 0 {
 		return nil
 	}
-	return &link{clock: &sim.clock, bytesPerSecond: sim.scenario.LinkMbps * bytesPerMegabit, paced: !sim.variant.Off.Has(mechanism.Link)}
+	return &link{clock: &sim.clock, bytesPerSecond: sim.scenario.LinkMbps * corelink.BytesPerMegabit, paced: !sim.variant.Off.Has(mechanism.Link)}
 }
 
 // send sends a response and calls sent once it has left the host. A nil link takes no time.
@@ -53,7 +46,7 @@
 	switch {
 	case l == nil:
 		sent()
-	case l.paced && bytes < largeResponseBytes:
+	case l.paced && bytes < corelink.LargeBytes:
 		l.shortBytes += bytes
 		l.clock.After(l.duration(bytes, 1), sent)
 	default:
@@ -71,7 +64,7 @@
 // largeShare is the share of the link that the queue gets.
 func (l *link) largeShare() float64 {
 	if l.paced {
-		return largeLinkShare
+		return corelink.LargeShare
 	}
 	return 1
 }
--- a/internal/emulator/node.go
+++ b/internal/emulator/node.go
@@ -8,6 +8,7 @@
 
 	"cactuspath/core/balancer"
 	"cactuspath/core/gate"
+	corelink "cactuspath/core/link"
 	"cactuspath/core/measure"
 	"cactuspath/core/retry"
 )
@@ -68,7 +69,7 @@
 func (n *node) config() gate.Config {
 	share := measure.GateShare(uint32(n.service.ReportsPerSecond), n.service.Endpoints)
 	return gate.Config{Slots: n.service.Slots, Queue: n.service.Queue, Siblings: n.sim.variant.Siblings, ReportsPerSecond: share, BytesPerSecond: share * gate.ReportBytes, ColdStarts: int(n.service.ColdStart.PerSecond), Disabled: n.sim.variant.Off,
-		LinkBytesPerSecond: n.sim.scenario.LinkMbps * bytesPerMegabit}
+		LinkBytesPerSecond: n.sim.scenario.LinkMbps * corelink.BytesPerMegabit}
 }
 
 // loadPollInterval is the interval at which a node asks its backend server for its
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -19,6 +19,7 @@
 	"github.com/gorilla/mux"
 	"k8s.io/klog/v2"
 
+	"cactuspath/core/link"
 	"cactuspath/core/usage"
 	"cactuspath/internal/adapter"
 	"cactuspath/internal/controlclient"
@@ -185,14 +186,11 @@
 		Disabled: s.Disabled, Dialect: p.dialect(), Service: n.Service, Backend: n.Backend, WatchControl: n.WatchControl,
 		Retry: proxy.SharedRetryBudget{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window},
 		Usage: usage.Tolerance{Slack: s.UsageSlack, Overage: s.UsageOverage}, KeyLease: s.KeyLease,
-		LinkBytesPerSecond: s.LinkMbps * bytesPerMegabit, LearnedProfiles: s.LearnedProfiles, RetryByNeed: s.RetryOrder == settings.RetryByNeed,
+		LinkBytesPerSecond: s.LinkMbps * link.BytesPerMegabit, LearnedProfiles: s.LearnedProfiles, RetryByNeed: s.RetryOrder == settings.RetryByNeed,
 	})
 	return nil
 }
 
-// bytesPerMegabit converts Mbit/s to bytes per second.
-const bytesPerMegabit = 1e6 / 8
-
 func listen(address string) (net.Listener, error) {
 	l, err := net.Listen("tcp", address)
 	return l, errors.Wrapf(err, "listen on %s; check the address in the settings and whether another process uses it", address)
