--- a/core/gate/link.go
+++ b/core/gate/link.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"cactuspath/core/link"
 	"cactuspath/core/mechanism"
 )
 
@@ -13,11 +14,6 @@
 // requests with short responses ignore the link.
 
 const (
-	// largeResponseBytes is the mean response size of a class from which its requests
-	// are decided by the link. Shorter responses are not paced.
-	largeResponseBytes = 32 << 10
-	// largeLinkShare is the share of the bandwidth that large responses get together.
-	largeLinkShare = 0.9
 	// linkMargin is how many times its expected duration a request must have left
 	// before its aim or its deadline. Response sizes vary, and short responses take part
 	// of the bandwidth: without a margin, half of the requests accepted on a link that
@@ -72,10 +68,10 @@
 	it.expectedBytes = 0
 }
 
-// hasLargeResponse reports whether the request is decided by the link. It is false for a
-// nil item.
+// hasLargeResponse reports whether the request is decided by the link: the mean response of
+// its class is paced. It is false for a nil item.
 func (it *item) hasLargeResponse() bool {
-	return it != nil && it.responseBytes >= largeResponseBytes
+	return it != nil && it.responseBytes >= link.LargeBytes
 }
 
 // linkEnabled reports whether the gate takes the host's link into account.
@@ -92,15 +88,19 @@
 }
 
 // ObserveResponse records the size of the response of a running request, when its head is
-// known or, if that has no size, at its end. A negative size is unknown and ignored.
+// known or, if that has no size, at its end. A response of unknown size, which is negative,
+// is not learned from, but the driver's backlog includes it from its head on.
 func (g *Gate) ObserveResponse(now time.Duration, h Handle, bytes int64) {
 	it := g.items[h]
-	if !g.linkEnabled() || it == nil || it.state != stateRunning || bytes < 0 {
+	if !g.linkEnabled() || it == nil || it.state != stateRunning || it.NoBody {
 		return
 	}
 	g.link.forget(it)
 	it.responded = true
-	if bytes >= largeResponseBytes {
+	if bytes < 0 {
+		return
+	}
+	if bytes >= link.LargeBytes {
 		// The next backlog that the driver observes includes the response.
 		g.link.backlog, g.link.observedAt = g.link.remaining(now)+g.linkTime(bytes), now
 	}
@@ -119,7 +119,7 @@
 func (g *Gate) expectClass(r Request) {
 	size := g.meanResponse(r)
 	for _, it := range g.items {
-		if it.Class == r.Class && !it.responded {
+		if it.Class == r.Class && !it.responded && !it.NoBody {
 			g.link.forget(it)
 			it.responseBytes = size
 			g.link.expect(it)
@@ -130,7 +130,7 @@
 // meanResponse is the mean response size of a request's class in bytes; 0 if it is not
 // known or not used.
 func (g *Gate) meanResponse(r Request) int64 {
-	if !g.linkEnabled() {
+	if !g.linkEnabled() || r.NoBody {
 		return 0
 	}
 	if c := g.speed.classes[r.Class]; c != nil && c.responseSize.seen >= minClassSamples {
@@ -141,22 +141,42 @@
 
 // linkTime is how long the link needs for bytes of large responses.
 func (g *Gate) linkTime(bytes int64) time.Duration {
-	return time.Duration(float64(bytes) / (largeLinkShare * g.config.LinkBytesPerSecond) * float64(time.Second))
+	return time.Duration(float64(bytes) / (link.LargeShare * g.config.LinkBytesPerSecond) * float64(time.Second))
 }
 
 // linkWait is how long the link needs for the large responses that are under way or
-// expected, without that of the given request, which may be nil.
+// expected, without that of the given request, which may be nil. Of a request that waits
+// here, only those count that are served before it: requests that arrive later and rank
+// lower must not make one late that was accepted.
 func (g *Gate) linkWait(now time.Duration, it *item) time.Duration {
 	if !g.linkEnabled() {
 		return 0
 	}
 	expected := g.link.expected
 	if it != nil {
-		expected -= it.expectedBytes
+		expected -= it.expectedBytes + g.expectedAfter(it)
 	}
 	return g.link.remaining(now) + g.linkTime(expected)
 }
 
+// expectedAfter is how many bytes are expected of the requests that are served after a
+// waiting request; 0 for one that arrives. A request that has left the queue is served
+// before all that are in it.
+func (g *Gate) expectedAfter(it *item) int64 {
+	if it.state != stateWaiting || g.items[it.Handle] != it {
+		return 0
+	}
+	after := int64(0)
+	for _, r := range g.queue.ranks {
+		r.each(func(other *item) {
+			if it.byCaller == nil || it.rank.before(r.rank) || it.rank == r.rank && it.Handle < other.Handle {
+				after += other.expectedBytes
+			}
+		})
+	}
+	return after
+}
+
 // finishOnLink is when the host's link has sent the response of a request that the server
 // finishes after the given time.
 func (g *Gate) finishOnLink(now time.Duration, it *item, server time.Duration) time.Duration {
@@ -167,12 +187,9 @@
 }
 
 // finishOnLinkOf is finishOnLink for a sibling's host, whose link is assumed to have the
-// same bandwidth. What this gate has moved there since the report counts once, unlike
-// slots, which count herdFactor times: reports arrive several times in the second or more
-// that a link takes to fill, and only gates whose own link is full move downloads. With
-// herdFactor, links with room were left unused (.895 of the downloads in time instead of
-// .914 in a burst beyond all links), and without any count, a third of them crossed
-// between data centres where reports were few, instead of a quarter.
+// same bandwidth. What this gate has moved there since the report counts once and not
+// herdFactor times: reports arrive several times while a link fills up, and only gates
+// whose own link is full move downloads. docs/design/link-aware-gates.md has the figures.
 func (g *Gate) finishOnLinkOf(sib *sibling, it *item, server time.Duration) time.Duration {
 	if !g.linkEnabled() || !it.hasLargeResponse() {
 		return server
@@ -189,8 +206,9 @@
 type punctuality int
 
 const (
-	// inTime: it meets its aim.
+	// inTime: it meets its aim, with linkMargin.
 	inTime punctuality = iota
+	// late: it misses its aim or has none, and meets its deadline.
 	late
 	// tooLate: it misses its deadline, or the link has a longer queue than it should.
 	tooLate
@@ -215,19 +233,22 @@
 // much with a short queue as with a long one, but a queue up to the deadline makes all
 // responses late: in a burst of 1.7 times what all links can send for seven seconds, .58 of
 // the requests met their aim with it and .69 with a queue up to the aim, and as many were
-// refused. One response may always be ahead.
+// refused. One response may always be ahead: otherwise, a class whose mean response takes
+// longer than its time limit would be refused for a backlog of a millisecond.
 func (g *Gate) longestOnLink(now time.Duration, it *item) time.Duration {
 	longest := time.Duration(float64(it.Deadline-now) / linkMargin)
 	if it.Aim > 0 && !g.disabled(mechanism.Aims) {
-		longest = min(longest, max(it.Aim, 2*g.linkTime(it.responseBytes)))
+		longest = min(longest, it.Aim)
 	}
-	return longest
+	return max(longest, 2*g.linkTime(it.responseBytes))
 }
 
 // worthMoving reports whether a request should move to the fastest sibling, which is
 // expected to finish it after the time there; cost is the part of there that is the price
 // of the transfer and not time. A request with a large response stays as long as it meets
-// its aim here, however full the link is: moving it would only shift the load.
+// its aim here, however full the link is: moving it would only shift the load. One that this
+// link makes too late does not move to a sibling where it is too late as well: it would be
+// refused there, after a move.
 func (g *Gate) worthMoving(now time.Duration, it *item, there, cost time.Duration, gain float64) bool {
 	here := g.estimateFinish(now, it)
 	if !it.hasLargeResponse() {
@@ -236,11 +257,14 @@
 	atHere, atThere := g.punctualityOf(now, it, here), g.punctualityOf(now, it, there-cost)
 	switch {
 	case atHere == inTime:
-		here = g.estimateServerFinish(now, it) + g.linkTime(it.responseBytes)
+		onIdleLink := g.estimateServerFinish(now, it) + g.linkTime(it.responseBytes)
+		return float64(there)*gain <= float64(onIdleLink)
 	case atHere == tooLate && atThere < atHere:
 		return true
 	case atThere < atHere:
 		return there < here
+	case atThere == tooLate && g.linkTooLate(now, it):
+		return false
 	}
 	return float64(there)*gain <= float64(here)
 }
@@ -251,16 +275,21 @@
 	if !g.linkTooLate(now, it) {
 		return false
 	}
+	g.emitLinkRefusal(now, it)
+	return true
+}
+
+// emitLinkRefusal refuses a request that the link makes too late.
+func (g *Gate) emitLinkRefusal(now time.Duration, it *item) {
 	best, there := g.fastestSibling(now, it)
 	g.emit(Event{Kind: Refused, Handle: it.Handle, Reason: TooLate, RetryAfter: g.linkRetryAfter(now, it, best, there), SiblingsFull: g.lateEverywhere(now, it, best, there)})
-	return true
 }
 
 // linkTooLate reports whether the link alone makes a request too late. An idle link never
-// does: if the bandwidth in the settings is too low, or the time limit is too short for the
-// mean response, all requests of the class would be refused.
+// does (see longestOnLink): if the bandwidth in the settings is too low, or the time limit is
+// too short for the mean response, all requests of the class would be refused.
 func (g *Gate) linkTooLate(now time.Duration, it *item) bool {
-	return it.hasLargeResponse() && g.linkWait(now, it) > 0 && g.finishOnLink(now, it, 0) > g.longestOnLink(now, it)
+	return it.hasLargeResponse() && g.finishOnLink(now, it, 0) > g.longestOnLink(now, it)
 }
 
 func withLinkMargin(took time.Duration) time.Duration {
@@ -281,7 +310,8 @@
 
 // linkRetryAfter is how long the caller of a refused request should wait: until this link
 // or that of the best sibling has sent so much that a new request of the class would meet
-// its aim or, without an aim, its deadline.
+// its aim or, without an aim, its deadline. It is at most until this link is idle, which
+// refuses nothing.
 func (g *Gate) linkRetryAfter(now time.Duration, it *item, best *sibling, there time.Duration) time.Duration {
 	took := g.finishOnLink(now, it, 0)
 	if best != nil {
@@ -291,7 +321,7 @@
 	if it.Aim > 0 {
 		allowed = min(allowed, time.Duration(float64(it.Aim)/linkMargin))
 	}
-	return min(max(took-allowed, shortestRetryAfter), longestRetryAfter)
+	return min(max(min(took-allowed, g.linkWait(now, it)), shortestRetryAfter), longestRetryAfter)
 }
 
 // linkDiffersFrom reports whether the link's wait has changed enough to be reported.
@@ -301,14 +331,15 @@
 }
 
 // dropTooLate ends a waiting request that cannot meet its deadline here. If the link makes
-// it too late, it moves to a sibling that can take it.
+// it too late, it moves to a sibling that can take it, unless its deadline has passed.
 func (g *Gate) dropTooLate(now time.Duration, it *item) {
 	if !g.linkTooLate(now, it) {
 		g.drop(it, TooLate, g.retryAfter(now))
 		return
 	}
-	if !g.tryMove(now, it, g.waitingMoveGain(now)) {
-		best, there := g.fastestSibling(now, it)
-		g.drop(it, TooLate, g.linkRetryAfter(now, it, best, there))
+	if now < it.Deadline && g.tryMove(now, it, g.waitingMoveGain(now)) {
+		return
 	}
+	g.removeItem(it)
+	g.emitLinkRefusal(now, it)
 }
--- a/core/link/link.go
+++ b/core/link/link.go
@@ -17,6 +17,12 @@
 	// LargeBytes is the length from which a response is large. A shorter one takes at most
 	// 24 ms of a link with 11 Mbit/s and is not worth a wait.
 	LargeBytes = 32 << 10
+	// LargeShare is the share of the bandwidth that large and counted bytes may take together
+	// while large ones are sent. The rest covers heads of messages, packet headers and
+	// traffic that is not counted.
+	LargeShare = 0.9
+	// BytesPerMegabit converts a bandwidth in Mbit/s to bytes per second.
+	BytesPerMegabit = 1e6 / 8
 	// maxChunkBytes and maxChunkTime limit a chunk: a short response may have to wait for
 	// one to pass. 5 ms is small against the shortest aims (150 ms), and large enough that a
 	// host with a sixth of a core can afford a wake-up for each chunk.
@@ -25,10 +31,9 @@
 	// minChunkBytes is the smallest chunk on links below 0.8 Mbit/s, where 5 ms are less
 	// than a packet.
 	minChunkBytes = 512
-	// largeShare is the share of the bandwidth that large and counted bytes may take together
-	// while large ones are sent. The rest covers heads of messages, packet headers and
-	// traffic that is not counted.
-	largeShare = 0.9
+	// maxEventBytes is the size up to which a piece of a response of unknown length is an event
+	// of a stream, after which its source has nothing more to send for now.
+	maxEventBytes = 1024
 	// minLargeShare is the share that large responses get even while counted bytes take more
 	// than the whole link, for example because the bandwidth is set too low. Without it they
 	// would wait forever.
@@ -39,6 +44,10 @@
 	// stalledAfter is how long after its last chunk a transfer that asks for none still
 	// counts in the backlog. Its receiver or its source, not this link, limits it then.
 	stalledAfter = 500 * time.Millisecond
+	// shareWeight is the number of chunks over which the share of a transfer is averaged. One
+	// late write of a receiver that keeps up counts little, and a slow one is known within
+	// some 60 KB.
+	shareWeight = 8
 )
 
 // TransferID identifies the transfer of one large response; 0 is none.
@@ -55,14 +64,36 @@
 	due     time.Duration
 	// asked is the size of the chunk that waits to be sent; 0 if none does.
 	asked int
+	// event: what waits to be sent is all that the source has for now.
+	event bool
 	// activeAt is when the transfer began, last asked or last got a chunk.
 	activeAt time.Duration
+	// grantedAt is when the transfer began or last got a chunk.
+	grantedAt time.Duration
+	// share is the share of time in which the transfer waited for the link or used it, and not
+	// for its receiver or its source.
+	share float64
+}
+
+// grant records that the chunk that waits may be written, which takes the link the given time.
+func (t *transfer) grant(now, took time.Duration) {
+	if cycle := now - t.grantedAt; cycle > 0 {
+		used := max(now-t.activeAt, took)
+		t.share += (min(1, float64(used)/float64(cycle)) - t.share) / shareWeight
+	}
+	t.sent += int64(t.asked)
+	t.left = max(0, t.left-int64(t.asked))
+	t.asked, t.activeAt, t.grantedAt = 0, now, now
 }
 
 // expectedLeft returns the number of bytes that the transfer is expected to send. A response
-// of unknown length is expected to be as long again as it is now.
+// of unknown length is expected to be as long again as it is now, unless an event waits: that
+// of a long stream would otherwise wait for as long as other transfers keep the link busy.
 func (t *transfer) expectedLeft() int64 {
-	if t.unknown {
+	switch {
+	case t.event:
+		return int64(t.asked)
+	case t.unknown:
 		return max(LargeBytes, t.sent)
 	}
 	return t.left
@@ -70,21 +101,23 @@
 
 // backlog returns the number of bytes that count as waiting for the link. An unknown length
 // counts as the shortest large one, since a stream without end would otherwise grow forever.
+// A transfer counts with its share: a long one to a slow receiver leaves the link to others
+// for most of the time, and would have its host's gate refuse downloads that are sent at once.
 func (t *transfer) backlog(now time.Duration) int64 {
 	switch {
 	case t.asked == 0 && now-t.activeAt > stalledAfter:
 		return 0
 	case t.unknown:
-		return LargeBytes
+		return int64(t.share * LargeBytes)
 	}
-	return t.left
+	return int64(t.share * float64(t.left))
 }
 
 // Scheduler orders the chunks of all large responses of a host. Not safe for concurrent use.
 type Scheduler struct {
 	bytesPerSecond float64
 	chunk          int
-	// nextAt is when the link will have sent, at largeShare of its bandwidth, what was
+	// nextAt is when the link will have sent, at LargeShare of its bandwidth, what was
 	// released so far. guaranteedAt is when the next chunk is released at the latest.
 	nextAt, guaranteedAt time.Duration
 	// transfers are in the order in which they began. A host has at most some hundred, as
@@ -128,7 +161,7 @@
 		s.nextAt = max(s.nextAt, now)
 	}
 	s.lastID++
-	s.transfers = append(s.transfers, &transfer{id: s.lastID, left: max(0, bytes), unknown: bytes < 0, due: due, activeAt: now})
+	s.transfers = append(s.transfers, &transfer{id: s.lastID, left: max(0, bytes), unknown: bytes < 0, due: due, activeAt: now, grantedAt: now, share: 1})
 	return s.lastID
 }
 
@@ -136,6 +169,7 @@
 func (s *Scheduler) Ask(now time.Duration, id TransferID, bytes int) {
 	if t := s.find(id); t != nil {
 		t.asked, t.activeAt = min(max(1, bytes), s.chunk), now
+		t.event = t.unknown && t.asked <= maxEventBytes && t.asked < s.chunk
 	}
 }
 
@@ -152,9 +186,7 @@
 	bytes := first.asked
 	s.charge(now, bytes)
 	s.guaranteedAt = now + s.duration(float64(bytes), minLargeShare)
-	first.asked, first.activeAt = 0, now
-	first.sent += int64(bytes)
-	first.left = max(0, first.left-int64(bytes))
+	first.grant(now, s.duration(float64(bytes), LargeShare))
 	return first.id, true, 0
 }
 
@@ -163,7 +195,8 @@
 	s.transfers = slices.DeleteFunc(s.transfers, func(t *transfer) bool { return t.id == id })
 }
 
-// Backlog returns how long the link needs for the remaining bytes of all large transfers.
+// Backlog returns how long the link needs for the remaining bytes of all large transfers, as
+// far as it limits them.
 func (s *Scheduler) Backlog(now time.Duration) time.Duration {
 	bytes := int64(0)
 	for _, t := range s.transfers {
@@ -172,14 +205,16 @@
 	if bytes == 0 {
 		return 0
 	}
-	return max(0, s.nextAt-now) + s.duration(float64(bytes), largeShare)
+	return max(0, s.nextAt-now) + s.duration(float64(bytes), LargeShare)
 }
 
 // charge adds released bytes to what the link has to send. Time that has passed unused is lost
-// except for that of one chunk, so that after a late timer at most two chunks go at once.
+// except for that of one chunk or maxChunkTime, so that after a late timer at most two chunks
+// or 5 ms of the link go at once. On a fast link, a chunk takes less time than timers are late
+// by: with the time of one chunk only, 1 Gbit/s was used at 18 MB/s.
 func (s *Scheduler) charge(now time.Duration, bytes int) {
-	unused := now - s.duration(float64(s.chunk), largeShare)
-	s.nextAt = max(s.nextAt, unused) + s.duration(float64(bytes), largeShare)
+	unused := now - max(maxChunkTime, s.duration(float64(s.chunk), LargeShare))
+	s.nextAt = max(s.nextAt, unused) + s.duration(float64(bytes), LargeShare)
 }
 
 // duration returns the time that a share of the link needs for bytes.
