endpoint: a test waits until the transfer has begun

The endpoint frees the slot and flushes the head of a paced response before its transfer begins, so that the test failed when it looked in between.

--- a/internal/endpoint/link_test.go
+++ b/internal/endpoint/link_test.go
@@ -58,7 +58,7 @@
 	begin := time.Now()
 	resp := request(t, address, 1)
 	eventually(t, "the slot is free while the response is sent", func() bool { return e.InFlight() == 0 })
-	assert.Equal(t, l.Active(), 1)
+	eventually(t, "the transfer has begun", func() bool { return l.Active() == 1 })
 	got, err := io.ReadAll(resp.Body)
 	assert.NilError(t, err)
 	assert.Assert(t, bytes.Equal(got, body))
