--- a/core/gate/contention.go
+++ b/core/gate/contention.go
@@ -102,10 +102,11 @@
 	return min(maxContentionFactor, max(1, c.ratio))
 }
 
-// contentionFactor is how many times longer requests take at high occupancy; until it is
-// measured, that of the service's profile, or 1. The backend servers of a service run the same program, so the median of the
-// factors measured by all gates is used: a single gate measures 1.0 to 2.2 where the
-// true factor is 1.7, and a gate that has just started has no measurement.
+// contentionFactor is how many times longer requests take at high occupancy. Until it is
+// measured, it is that of the service's profile, or 1. The backend servers of a service run
+// the same program, so the median of the factors measured by all gates is used: a single
+// gate measures 1.0 to 2.2 where the true factor is 1.7, and a gate that has just started
+// has no measurement.
 func (g *Gate) contentionFactor() float64 {
 	if g.disabled(mechanism.Contention) {
 		return 1
