logs: follow a configuration from its acknowledgement to the requests that go by it

Needed for the report that nodes in contact route by an older configuration: it has no logs. Which revision each process held, when and from whom it had it, and when it was acknowledged could not be read from ours:

- an acknowledgement named the change, not its revision: it does now
- a node said 'Configuration in force' before requests went by it: the line now comes after the routing table is in use, with the time that took
- a node did not say which replica it left and why, except for the first of several: 'Watch ended'
- a 404 had no line: 'Request refused: no route' has the revision
- configuration_heard_ms_ago: how long a node has had no confirmation

One line for each change and process, and one for each watch that had been usable; 404s within the limit of lines a second.

--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -31,8 +31,8 @@
 type Estate interface {
 	// Submit submits an estate text on behalf of an operator.
 	Submit(ctx context.Context, operator string, s replica.Submission) (*apiv1.AuditRecord, error)
-	// Accepted reports whether the change was accepted.
-	Accepted(changeID string) bool
+	// Accepted reports whether the change was accepted, and its revision.
+	Accepted(changeID string) (revision uint64, accepted bool)
 	// Evacuate starts or cancels the evacuation of a data centre.
 	Evacuate(ctx context.Context, operator string, e replica.Evacuation) (*apiv1.AuditRecord, error)
 	// Newest returns the newest accepted text of an institution.
--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -85,6 +85,7 @@
 		"control_bytes_out":             &n.options.Control.Traffic.Out,
 		"directory_changed_unix_ms":     &n.counters.viewChanged,
 		"configuration_changed_unix_ms": &n.counters.configurationChanged,
+		"configuration_heard_ms_ago":    expvar.Func(func() any { return n.sinceControlHeard().Milliseconds() }),
 		"configuration_revision":        expvar.Func(func() any { return n.Revision() }),
 		"configuration_confirmed":       expvar.Func(func() any { return n.isConfirmed() }),
 		"directory_known_endpoints":     expvar.Func(func() any { return n.knownEndpoints() }),
--- a/internal/node/heartbeat.go
+++ b/internal/node/heartbeat.go
@@ -149,7 +149,7 @@
 		changed = true
 	}
 	n.controlHeard(time.Duration(min(resp.ConfirmedAgeMs, maxConfirmedAgeMs)) * time.Millisecond)
-	n.publishRevision(before, resp.ConfirmedAgeMs < uint64(staleConfirmation.Milliseconds()), "relay "+m.currentRelay.GetHost())
+	logInForce := n.publishRevision(before, resp.ConfirmedAgeMs < uint64(staleConfirmation.Milliseconds()), "relay "+m.currentRelay.GetHost())
 	// A service that was requested in the meantime is fetched immediately. A service
 	// for which the relay has no answer yet is requested again with the next heartbeat.
 	again = again || resp.Cursor != nil && !n.view.Covers(n.subscribedServices())
@@ -160,6 +160,7 @@
 	if changed {
 		n.apply()
 	}
+	logInForce()
 	return again
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -274,11 +274,17 @@
 	}
 }
 
+// sinceControlHeard returns how long ago a control replica in contact with a leader last
+// confirmed the configuration of this node or of its relay.
+func (n *Node) sinceControlHeard() time.Duration {
+	return time.Since(n.start) - time.Duration(n.controlHeardAt.Load())
+}
+
 // keysTrusted reports whether this node may accept keys of client accounts: one that is cut
 // off does not learn which keys were taken away.
 func (n *Node) keysTrusted() bool {
 	lease := n.options.KeyLease
-	return lease == 0 || time.Since(n.start)-time.Duration(n.controlHeardAt.Load()) < lease
+	return lease == 0 || n.sinceControlHeard() < lease
 }
 
 // observeRevision is called with the configuration revision that another node uses. If
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -106,8 +106,12 @@
 	for ctx.Err() == nil {
 		address := w.pickReplica(preferNear)
 		if address != "" {
+			begin := time.Now()
 			result := w.watchReplica(ctx, address, preferNear)
 			w.release(address, result, time.Now())
+			if result != neverUsable {
+				klog.InfoS("Watch ended", "host", w.n.options.Host, "replica", address, "result", result.String(), "after", time.Since(begin), "revision", w.n.Revision())
+			}
 			if result == movedOn {
 				continue
 			}
@@ -136,6 +140,11 @@
 	wasFull
 )
 
+// String returns the name of the result for logs.
+func (r watchResult) String() string {
+	return [...]string{"never usable", "failed or detached", "another replica preferred", "full"}[r]
+}
+
 // pickReplica picks the preferred replica that is not watched yet, and marks it as watched.
 func (w *watcher) pickReplica(preferNear bool) string {
 	candidates := w.rankReplicas(preferNear, time.Now())
@@ -394,7 +403,7 @@
 	n.mu.Lock()
 	before := n.records.Revision()
 	changed := n.records.Apply(delta)
-	n.publishRevision(before, confirmed, from)
+	logInForce := n.publishRevision(before, confirmed, from)
 	if changed {
 		n.signalChange()
 	}
@@ -402,6 +411,7 @@
 	if changed {
 		n.apply()
 	}
+	logInForce()
 }
 
 // applyProvisional applies entries of other nodes that a control replica sent. They are
@@ -423,15 +433,18 @@
 	}
 }
 
-// publishRevision makes the revision of the records visible to Revision and logs it if
-// it is newer than before. The caller holds the lock.
-func (n *Node) publishRevision(before uint64, confirmed bool, from string) {
+// publishRevision makes the revision of the records visible to Revision. The caller holds
+// the lock, and calls logInForce once it has released the lock and applied the records.
+func (n *Node) publishRevision(before uint64, confirmed bool, from string) (logInForce func()) {
 	now := n.records.Revision()
 	n.revision.Store(now)
 	if now <= before {
-		return
+		return func() {}
 	}
-	n.counters.configurationChanged.Set(time.Now().UnixMilli())
+	received := time.Now()
+	n.counters.configurationChanged.Set(received.UnixMilli())
 	n.confirmed = confirmed
-	klog.InfoS("Configuration in force", "host", n.options.Host, "revision", now, "before", before, "confirmed", confirmed, "from", from)
+	return func() {
+		klog.InfoS("Configuration in force", "host", n.options.Host, "revision", now, "before", before, "confirmed", confirmed, "from", from, "applying", time.Since(received))
+	}
 }
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -320,6 +320,7 @@
 		h.writeFault(w, r, Fault{Fault: fault.NotReady, Message: "this node has no configuration yet; ask another node or come back when it is ready"}, time.Second)
 		return
 	}
+	logs.Decision(true, "Request refused: no route", "request", r.Header.Get(h.options.Dialect.RequestID), "revision", h.options.Revision())
 	h.writeFault(w, r, Fault{Fault: fault.NoSuchService, Message: "no service of the estate claims host " + strconv.Quote(r.Host) + " and path " + strconv.Quote(r.URL.Path) +
 		"; check the hosts and pathPrefixes with `cactusctl show`"}, 0)
 }
--- a/internal/replica/adapter.go
+++ b/internal/replica/adapter.go
@@ -52,13 +52,13 @@
 	return r.submit(ctx, Operator{Name: operator, Hosts: true, Institutions: []string{"*"}}, s)
 }
 
-// Accepted reports whether the change with this ID was accepted. Acceptance is final, so any
-// replica that has applied the change may report it.
-func (r *Replica) Accepted(id string) bool {
+// Accepted reports whether the change with this ID was accepted, and its revision. Acceptance is
+// final, so any replica that has applied the change may report it.
+func (r *Replica) Accepted(id string) (revision uint64, accepted bool) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	record := r.state.Outcome(id)
-	return record != nil && record.Outcome == apiv1.Outcome_OUTCOME_ACCEPTED
+	return record.GetRevision(), record.GetOutcome() == apiv1.Outcome_OUTCOME_ACCEPTED
 }
 
 // Newest returns the newest text of an institution after confirmation by a majority. It fails on a
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
 
 	apiv1 "cactuspath/api/cactuspath/v1"
 )
@@ -18,6 +19,7 @@
 	defer r.mu.Unlock()
 	r.state.Restore(snapshot)
 	r.setApplied(s.Index)
+	klog.InfoS("Revision restored from a snapshot", "replica", r.options.Name, "revision", r.state.Revision(), "index", s.Index, "term", s.Term)
 	return nil
 }
 
@@ -33,8 +35,12 @@
 	if e.Kind == apiv1.EntryKind_ENTRY_KIND_CHANGE {
 		change := &apiv1.Change{}
 		if err := proto.Unmarshal(e.Data, change); err == nil {
+			before := r.state.Revision()
 			record = r.state.Apply(e.Index, change)
 			r.counters.changes.Add(record.Outcome.String(), 1)
+			if revision := r.state.Revision(); revision > before {
+				klog.InfoS("Revision applied", "replica", r.options.Name, "revision", revision, "before", before, "change", change.Id, "index", e.Index, "term", e.Term)
+			}
 		}
 	}
 	r.setApplied(e.Index)
