--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -113,7 +113,7 @@
 	{"a response that the handler abandoned is not completed with an implied 200", "internal/front/response.go", "if w.status == 0 && w.c.ctx.Err() != nil {", "if false {", "internal/front", "HalfClosed"},
 	{"an overloaded process refuses requests", "internal/proxy/handler.go", "if !h.options.Overload.Admit(coreoverload.FromCaller, target.rank(key.account)) {", "if false {", "internal/e2e", "ThrottledNode"},
 	{"a request without a valid key does not run", "internal/proxy/account.go", "return c, target.public() || c.account != nil", "return c, true", "internal/proxy", "KeysDecideWhoRuns"},
-	{"a node that is cut off does not go on with its keys for good", "internal/node/node.go", "return lease == 0 || time.Since", "return lease >= 0 || time.Since", "internal/node", "KeysAreNotTrusted"},
+	{"a node that is cut off does not go on with its keys for good", "internal/node/node.go", "return lease == 0 || n.sinceControlHeard()", "return lease >= 0 || n.sinceControlHeard()", "internal/node", "KeysAreNotTrusted"},
 	{"a key does not reach a backend server", "internal/proxy/account.go", "header.Del(\"Authorization\")", "", "internal/proxy", "KeysDecideWhoRuns"},
 	{"callers do not choose the name of an account", "internal/proxy/account.go", "\theader.Del(name)\n", "", "internal/proxy", "KeysDecideWhoRuns|WithoutAccounts"},
 	{"a key that was taken away ends requests that are under way", "internal/proxy/account.go", "return holder != nil && holder.ID == c.account.ID", "return holder == nil || holder.ID != \"\"", "internal/proxy", "RevokedKey"},
