transport: a call that gets no response closes all idle connections of its client

What callers saw: requests refused with 404, or handled by a configuration acknowledged seconds before, by nodes that reached every control replica.

Cause: open connections can fall silent without a reset, while new ones work (all that passed a firewall that was restarted). Both watches of a node were on such connections and failed after 1.3 s. A node that left a replica took a pooled connection to the next one, opened earlier for an announcement or a call to another replica: as silent as the first, and so 1.3 s more, and so on through the pool, up to four for each replica. The heartbeat to the relay and the relay's call to the leader wait 2 s for each. Nodes were behind for 4.5 to 6.5 s. The class: an old connection taken for a working one without evidence, and timeouts one after the other.

Change: when a call's deadline passes, before its response or within it, the transport closes the idle connections of that client, to all peers; the clients of all control replicas are one client for this. Whatever made one connection silent may have done so to all that are open. Calls under way end by their own deadline. An idle connection that was fine costs one dial.

Why it holds: the watches under way end within 1.3 s, and every poll after the first of them is on a connection opened since; with a backoff of .15 s at most that is 1.5 s of the two.

--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"time"
 
@@ -41,7 +42,10 @@
 
 // Client calls the leader of the control replicas. Safe for concurrent use.
 type Client struct {
-	security  *transport.Security
+	security *transport.Security
+	// http is shared by the clients of all replicas, since a call to one of them that gets no
+	// response makes it close the idle connections to all.
+	http      *http.Client
 	options   []connect.ClientOption
 	addresses []string
 	// Traffic counts the bytes exchanged with the replicas.
@@ -59,6 +63,7 @@
 // with every call.
 func New(security *transport.Security, addresses []string, token string) *Client {
 	c := &Client{security: security, addresses: addresses, replicas: map[string]*Replica{}}
+	c.http = security.ControlClient(&c.Traffic)
 	if token != "" {
 		c.options = append(c.options, connect.WithInterceptors(bearer(token)))
 	}
@@ -104,13 +109,13 @@
 	if r := c.replicas[address]; r != nil {
 		return r
 	}
-	client, url := c.security.ControlClient(&c.Traffic), c.security.URL(address)
+	url := c.security.URL(address)
 	r := &Replica{
 		Address: address,
-		Log:     apiv1connect.NewReplicaServiceClient(client, url, c.options...),
-		Control: apiv1connect.NewControlServiceClient(client, url, c.options...),
-		Command: apiv1connect.NewOperatorCommandServiceClient(client, url, c.options...),
-		Query:   apiv1connect.NewOperatorQueryServiceClient(client, url, c.options...),
+		Log:     apiv1connect.NewReplicaServiceClient(c.http, url, c.options...),
+		Control: apiv1connect.NewControlServiceClient(c.http, url, c.options...),
+		Command: apiv1connect.NewOperatorCommandServiceClient(c.http, url, c.options...),
+		Query:   apiv1connect.NewOperatorQueryServiceClient(c.http, url, c.options...),
 	}
 	c.replicas[address] = r
 	return r
--- /dev/null
+++ b/internal/node/silent_test.go
@@ -0,0 +1,166 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"gotest.tools/v3/assert"
+
+	apiv1 "cactuspath/api/cactuspath/v1"
+	"cactuspath/api/cactuspath/v1/apiv1connect"
+	"cactuspath/internal/controlclient"
+)
+
+// silentNetwork makes connections silent: what is sent on them is lost without an error,
+// as behind a firewall that has forgotten them. Connections that are opened later work.
+type silentNetwork struct {
+	mu    sync.Mutex
+	conns []*silentConn
+}
+
+func (s *silentNetwork) silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		c.silent.Store(true)
+	}
+	s.conns = nil
+}
+
+func (s *silentNetwork) wrap(l net.Listener) net.Listener { return silentListener{l, s} }
+
+type silentListener struct {
+	net.Listener
+	network *silentNetwork
+}
+
+func (l silentListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &silentConn{Conn: conn}
+	l.network.mu.Lock()
+	defer l.network.mu.Unlock()
+	l.network.conns = append(l.network.conns, c)
+	return c, nil
+}
+
+type silentConn struct {
+	net.Conn
+	silent atomic.Bool
+}
+
+func (c *silentConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	for c.silent.Load() && err == nil {
+		_, err = c.Conn.Read(p)
+		n = 0
+	}
+	return n, err
+}
+
+func (c *silentConn) Write(p []byte) (int, error) {
+	if c.silent.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// revisionReplica is a control replica in contact with a leader.
+type revisionReplica struct {
+	apiv1connect.UnimplementedControlServiceHandler
+	revision *atomic.Uint64
+}
+
+func (f *revisionReplica) Watch(ctx context.Context, req *connect.Request[apiv1.WatchRequest]) (*connect.Response[apiv1.WatchResponse], error) {
+	for deadline := time.Now().Add(time.Duration(req.Msg.HoldMs) * time.Millisecond); f.revision.Load() <= req.Msg.Revision && time.Now().Before(deadline) && ctx.Err() == nil; {
+		time.Sleep(5 * time.Millisecond)
+	}
+	resp := &apiv1.WatchResponse{}
+	if now := f.revision.Load(); now > req.Msg.Revision {
+		resp.Delta = routeDelta(now, "/a/")
+		resp.Delta.Since = 0
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// Announce takes a moment, so that two calls at the same time need two connections.
+func (f *revisionReplica) Announce(context.Context, *connect.Request[apiv1.AnnounceRequest]) (*connect.Response[apiv1.AnnounceResponse], error) {
+	time.Sleep(20 * time.Millisecond)
+	return connect.NewResponse(&apiv1.AnnounceResponse{}), nil
+}
+
+// Guards against nodes that keep an old configuration for seconds after all open connections
+// fell silent without a reset, although new ones work: each poll of another replica took a
+// connection from the pool that had fallen silent as well, and waited for its full timeout.
+func TestNodesHaveChangesSoonAfterConnectionsFellSilent(t *testing.T) {
+	const (
+		nodes, replicas = 6, 5
+		// maxDelay is the time in which a change takes effect, minus a margin for the
+		// race detector.
+		maxDelay = 1800 * time.Millisecond
+	)
+	var revision atomic.Uint64
+	var network silentNetwork
+	var addresses []string
+	for range replicas {
+		mux := http.NewServeMux()
+		mux.Handle(apiv1connect.NewControlServiceHandler(&revisionReplica{revision: &revision}))
+		s := httptest.NewUnstartedServer(mux)
+		s.Listener = network.wrap(s.Listener)
+		s.Start()
+		defer s.Close()
+		addresses = append(addresses, s.Listener.Addr().String())
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer cancel()
+	var all []*Node
+	revision.Store(1)
+	for range nodes {
+		n := newTestNode(t, "")
+		n.options.Control, n.options.WatchControl = controlclient.New(nil, addresses, ""), true
+		all = append(all, n)
+		openConnections(t, n, addresses)
+		running.Go(func() { newWatcher(n).run(ctx) })
+	}
+	awaitRevision(t, all, 1, 5*time.Second)
+	network.silence()
+	revision.Store(2)
+	awaitRevision(t, all, 2, maxDelay)
+}
+
+// openConnections leaves two idle connections to each replica in the node's pool.
+func openConnections(t *testing.T, n *Node, addresses []string) {
+	t.Helper()
+	var calls sync.WaitGroup
+	for _, address := range addresses {
+		for range 2 {
+			calls.Go(func() {
+				_, err := n.options.Control.At(address).Control.Announce(context.Background(), connect.NewRequest(&apiv1.AnnounceRequest{}))
+				assert.Check(t, err)
+			})
+		}
+	}
+	calls.Wait()
+}
+
+func awaitRevision(t *testing.T, nodes []*Node, revision uint64, limit time.Duration) {
+	t.Helper()
+	begin := time.Now()
+	for _, n := range nodes {
+		for n.Revision() < revision && time.Since(begin) < 15*time.Second {
+			time.Sleep(5 * time.Millisecond)
+		}
+		assert.Check(t, time.Since(begin) < limit, "a node had revision %d only after %v", revision, time.Since(begin))
+	}
+}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -7,6 +7,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"expvar"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -206,20 +207,53 @@
 			return s.WrapClient(conn, address), nil
 		}
 	}
-	return &http.Client{Transport: headerStripper{t}}
+	return &http.Client{Transport: controlTransport{t}}
 }
 
-// headerStripper removes request headers that the peer processes do not need. A relay receives one
-// heartbeat per second from each of its nodes, and the default headers are four times as long as
-// the message of a heartbeat, which has a hundred bytes.
-type headerStripper struct{ next http.RoundTripper }
+// controlTransport sends calls between processes.
+//
+// It removes request headers that the peer processes do not need. A relay receives one heartbeat
+// per second from each of its nodes, and the default headers are four times as long as the message
+// of a heartbeat, which has a hundred bytes.
+//
+// When a call's deadline passes, it closes all idle connections of the client, so that the calls
+// that follow open new ones. Whatever made one connection silent without a reset may have done so
+// to all that are open, and each of them would cost another call its full timeout.
+type controlTransport struct{ *http.Transport }
 
-// RoundTrip sends the request without the unneeded headers.
-func (l headerStripper) RoundTrip(r *http.Request) (*http.Response, error) {
+// RoundTrip sends a call.
+func (t controlTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	r.Header["User-Agent"] = nil
 	r.Header.Del("Accept-Encoding")
 	r.Header.Del("Connect-Protocol-Version")
-	return l.next.RoundTrip(r)
+	resp, err := t.Transport.RoundTrip(r)
+	if err != nil {
+		t.closeIdleAfterDeadline(r.Context())
+		return nil, err
+	}
+	resp.Body = responseBody{resp.Body, func() { t.closeIdleAfterDeadline(r.Context()) }}
+	return resp, nil
+}
+
+func (t controlTransport) closeIdleAfterDeadline(ctx context.Context) {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		t.CloseIdleConnections()
+	}
+}
+
+// responseBody calls failed when reading fails before the end of the body.
+type responseBody struct {
+	io.ReadCloser
+	failed func()
+}
+
+// Read reads from the body.
+func (b responseBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && err != io.EOF {
+		b.failed()
+	}
+	return n, err
 }
 
 // OmitUnneededHeaders wraps a handler of control traffic so that its responses do not contain
