replica: a replica whose run loop is blocked sends its watchers away

What callers would see: nodes whose two watches are both at replicas with a disk that does not respond go by an older configuration until the disk is back, or until their relay tells them.

Cause: a replica judges by its published status whether it is in contact with the leader. While its run loop waits for the disk, that status stays as it was, 'leader' or 'heard a moment ago', and each watch ends with 'nothing new'. A confirmation without knowledge.

Evidence: found by reading for the report of nodes behind; TestReplicaWithBlockedDiskSendsItsWatchersAway fails on ('the replica says that it has the newest revision').

Why it holds: the run loop publishes its status after each tick, whatever the role; a loop that is delayed for another reason, as by a shortage of processor time, cannot tell its watchers news in time either.

--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -228,6 +228,7 @@
 	{"a response that breaks off closes the idle connections", "internal/transport/transport.go", "resp.Body = responseBody{resp.Body, func() { t.closeIdleAfterDeadline(r.Context()) }}\n", "", "internal/transport", "PassedDeadline"},
 	{"one client for all control replicas", "internal/controlclient/client.go", "apiv1connect.NewControlServiceClient(c.http, url", "apiv1connect.NewControlServiceClient(c.security.ControlClient(&c.Traffic), url", "internal/node", "FellSilent"},
 	{"a silent peer's idle connections are not used again", "internal/proxy/liveness.go", "pool.CloseIdle()", "_ = pool", "internal/proxy", "ConnectionsThatFell"},
+	{"a replica with a blocked disk sends its watchers away", "internal/replica/watch.go", "if time.Since(s.at) > detachedTimeout {", "if false {", "internal/replica", "BlockedDisk"},
 	{"a node reconnects promptly to the control replicas", "internal/node/watch.go", "maxWatchBackoff = 400 * time.Millisecond", "maxWatchBackoff = 2 * time.Second", "internal/node", "SoonBack"},
 	{"announcements of an earlier server process are ignored", "internal/node/announce.go", "return a.StartedAt > 0 && a.StartedAt < s.startedAt && s.address == a.Address", "return false", "internal/node", "StartsAgain|HeldUp"},
 	{"a new server process restarts the announcement sequence", "internal/node/announce.go", "if a.StartedAt > 0 && s.startedAt > 0 && a.StartedAt != s.startedAt {", "if false {", "internal/node", "StartsAgain"},
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -80,7 +80,7 @@
 	// appliedSignal is closed and replaced whenever applied increases.
 	appliedSignal chan struct{}
 
-	status atomic.Pointer[consensus.Status]
+	status atomic.Pointer[publishedStatus]
 
 	joinRequests *joinRequests
 	joinLog      joinLogger
@@ -93,6 +93,13 @@
 	profiles *profiles
 }
 
+// publishedStatus is the status of the consensus core at a time at which the run loop was not
+// blocked.
+type publishedStatus struct {
+	consensus.Status
+	at time.Time
+}
+
 type pendingProposal struct {
 	term uint64
 	done chan<- *apiv1.AuditRecord
@@ -235,7 +242,7 @@
 // changes of the role or leader.
 func (r *Replica) publishStatus() {
 	s := r.raft.Status()
-	old := r.status.Swap(&s)
+	old := r.status.Swap(&publishedStatus{s, time.Now()})
 	if old == nil || old.Role != s.Role || old.Leader != s.Leader {
 		klog.InfoS("Control replica changed role", "replica", r.options.Name, "role", s.Role.String(), "term", s.Term, "leader", memberName(s.Membership, s.Leader))
 		if s.Role == consensus.Leader {
@@ -253,7 +260,7 @@
 
 // Status returns the status of the consensus core after the last batch of messages and calls that
 // the run loop has processed.
-func (r *Replica) Status() consensus.Status { return *r.status.Load() }
+func (r *Replica) Status() consensus.Status { return r.status.Load().Status }
 
 // Revision returns the newest revision that is applied on this replica.
 func (r *Replica) Revision() uint64 {
--- a/internal/replica/watch.go
+++ b/internal/replica/watch.go
@@ -17,7 +17,8 @@
 	maxWatchers = 512
 	maxHold     = 5 * time.Second
 	// A follower that has not heard from the leader for detachedTimeout, which is a few missed
-	// heartbeats, tells its watchers to use another replica.
+	// heartbeats, tells its watchers to use another replica. So does any replica whose run loop has
+	// been blocked for as long.
 	detachedTimeout = 600 * time.Millisecond
 	// detachedCheckInterval is the interval at which a call to Watch that waits for a change checks
 	// whether the replica has lost contact with the leader.
@@ -100,10 +101,14 @@
 	}
 }
 
-// detached reports whether this replica neither leads nor has heard from a leader within
-// detachedTimeout.
+// detached reports whether this replica may miss changes: it neither leads nor has heard from a
+// leader within detachedTimeout, or its run loop is blocked, as by a disk that does not respond.
+// The status is then that of before, also on a replica that has lost its role as the leader since.
 func (r *Replica) detached() bool {
-	s := r.Status()
+	s := r.status.Load()
+	if time.Since(s.at) > detachedTimeout {
+		return true
+	}
 	if s.Role == consensus.Leader {
 		return false
 	}
--- /dev/null
+++ b/internal/replica/watch_test.go
@@ -0,0 +1,35 @@
+package replica
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	apiv1 "cactuspath/api/cactuspath/v1"
+	"cactuspath/core/consensus"
+)
+
+// Guards against nodes that stay with a replica whose disk does not respond: its status is still
+// the one of before, so that it would go on to tell them that nothing is new.
+func TestReplicaWithBlockedDiskSendsItsWatchersAway(t *testing.T) {
+	r, _ := runProfileReplica(t, t.TempDir(), false)
+	for until := time.Now().Add(10 * time.Second); r.Status().Role != consensus.Leader; time.Sleep(5 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(until), "no leader")
+	}
+	assert.Assert(t, !watchReplica(t, r, &apiv1.WatchRequest{HoldMs: 10}).Detached)
+	release, blocked := make(chan struct{}), make(chan struct{})
+	defer close(release)
+	go func() {
+		_ = r.runInLoop(context.Background(), func() {
+			close(blocked)
+			<-release
+		})
+	}()
+	<-blocked
+	begin := time.Now()
+	resp := watchReplica(t, r, &apiv1.WatchRequest{HoldMs: 3000})
+	assert.Assert(t, resp.Detached, "the replica says that it has the newest revision")
+	assert.Assert(t, time.Since(begin) < 2*time.Second, "the watcher was kept for %v", time.Since(begin))
+}
