node: watches spread over all replicas after a time without a leader

What callers would see: nodes that route by an older configuration for more than a second after two replicas were lost at once, all nodes together, though the group can bear that loss.

Cause: a replica that failed is avoided for 30 s. While there is no leader, as at a start, every replica a node asks has failed; those it does not know yet, named by the first one that answers, have not.

TestNodesSpreadAfterATimeWithoutALeader fails on ('a replica is watched by 0 nodes').

Change: the first replica found usable after a time without any makes a node forget the failures. It then moves to those it prefers, one watch at a time, and only while the other one is confirmed: a replica it moves to may not respond.

Why it holds: failures that all replicas had say nothing about one of them. A move never leaves a node without a watch that was answered within the last 1.3 s.

TestNodeMovesToPreferredReplicas and TestNodesSpreadOverTheReplicas set up a confirmed second watch, which a move now needs; what they demand is the same.

--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -59,8 +59,10 @@
 	mu sync.Mutex
 	// replicas holds the addresses of all control replicas, as reported by one of them.
 	replicas []string
-	// watched holds the addresses that are being watched.
-	watched map[string]bool
+	// watched holds the addresses that are being watched, and confirmed when each of them last
+	// responded in contact with a leader.
+	watched   map[string]bool
+	confirmed map[string]time.Time
 	// cursors holds, by replica address, the position up to which this node has
 	// received the replica's entries of other nodes.
 	cursors map[string]*apiv1.ClaimCursor
@@ -81,7 +83,7 @@
 }
 
 func newWatcher(n *Node) *watcher {
-	return &watcher{n: n, watched: map[string]bool{}, cursors: map[string]*apiv1.ClaimCursor{}, lastFailure: map[string]time.Time{}, fullUntil: map[string]time.Time{},
+	return &watcher{n: n, watched: map[string]bool{}, confirmed: map[string]time.Time{}, cursors: map[string]*apiv1.ClaimCursor{}, lastFailure: map[string]time.Time{}, fullUntil: map[string]time.Time{},
 		dataCenters: map[string]string{}, announced: map[string]*announcementState{}, wake: make(chan struct{}, 1)}
 }
 
@@ -200,28 +202,54 @@
 	return 1
 }
 
-// prefersOther reports whether this node would rather watch another replica than the given
-// one, which it watches.
-func (w *watcher) prefersOther(address string, preferNear bool) bool {
-	ranked := w.rankReplicas(preferNear, time.Now())
+// moveWatch reports whether the watch of the given replica is to move to another one that this
+// node prefers. The other replica may not respond, so only one watch moves at a time, and only
+// while a second one is known to work.
+func (w *watcher) moveWatch(address string, preferNear bool, now time.Time) bool {
+	ranked := w.rankReplicas(preferNear, now)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, other := range ranked {
 		if other == address {
 			return false
 		}
-		if !w.watched[other] && w.recentFailure(other, time.Now()).IsZero() {
+		if !w.watched[other] && w.recentFailure(other, now).IsZero() && w.otherConfirmed(address, now) {
+			delete(w.confirmed, address)
 			return true
 		}
 	}
 	return false
 }
 
+// otherConfirmed reports whether a watched replica besides the given one has responded recently.
+// The caller holds the lock.
+func (w *watcher) otherConfirmed(address string, now time.Time) bool {
+	for other := range w.watched {
+		if at, ok := w.confirmed[other]; other != address && ok && now.Sub(at) < watchHold+watchTimeoutMargin {
+			return true
+		}
+	}
+	return false
+}
+
+// confirm records that a watched replica responded in contact with a leader. The first one after
+// a time without any makes the node forget which replicas failed: while there is no leader all of
+// them do, and the nodes would stay with the few that they had not asked.
+func (w *watcher) confirm(address string, now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.confirmed) == 0 {
+		clear(w.lastFailure)
+	}
+	w.confirmed[address] = now
+}
+
 // release marks a replica as no longer watched and records a failure.
 func (w *watcher) release(address string, result watchResult, now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	delete(w.watched, address)
+	delete(w.confirmed, address)
 	switch result {
 	case wasFull:
 		w.fullUntil[address] = now.Add(fullReplicaPause)
@@ -259,7 +287,8 @@
 		if resp.Full {
 			return wasFull
 		}
-		if w.prefersOther(address, preferNear) {
+		w.confirm(address, time.Now())
+		if w.moveWatch(address, preferNear, time.Now()) {
 			return movedOn
 		}
 	}
--- a/internal/node/watchspread_test.go
+++ b/internal/node/watchspread_test.go
@@ -1,12 +1,20 @@
 package node
 
 import (
+	"context"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"gotest.tools/v3/assert"
 
+	apiv1 "cactuspath/api/cactuspath/v1"
+	"cactuspath/api/cactuspath/v1/apiv1connect"
 	"cactuspath/internal/controlclient"
 )
 
@@ -37,7 +45,9 @@
 		}
 		watchers[first]++
 		watchers[second]++
-		assert.Assert(t, !w.prefersOther(first, true))
+		w.confirm(first, time.Now())
+		w.confirm(second, time.Now())
+		assert.Assert(t, !w.moveWatch(first, true, time.Now()))
 	}
 	assert.Equal(t, near, nodes, "a near replica comes first")
 	for address, n := range watchers {
@@ -49,8 +59,9 @@
 // return to one that failed while others are left.
 func TestNodeMovesToPreferredReplicas(t *testing.T) {
 	w := testWatcher("host", "dc1", 3)
-	w.watched["10.0.0.0:1"] = true
-	assert.Assert(t, w.prefersOther("10.0.0.0:1", true), "10.0.0.1 is near")
+	w.watched["10.0.0.0:1"], w.watched["10.0.0.2:1"] = true, true
+	w.confirm("10.0.0.2:1", time.Now())
+	assert.Assert(t, w.moveWatch("10.0.0.0:1", true, time.Now()), "10.0.0.1 is near")
 	w.release("10.0.0.0:1", movedOn, time.Now())
 	assert.Equal(t, w.pickReplica(true), "10.0.0.1:1")
 	w.release("10.0.0.1:1", wasUsable, time.Now())
@@ -74,3 +85,93 @@
 	w.release(first, wasUsable, time.Now())
 	assert.Assert(t, w.becomeEntrySource(second))
 }
+
+// spreadReplica is a control replica that has no leader at first, and then names all replicas.
+type spreadReplica struct {
+	apiv1connect.UnimplementedControlServiceHandler
+	hasLeader *atomic.Bool
+	replicas  *[]string
+
+	mu sync.Mutex
+	// watching counts the polls of each node that are held.
+	watching map[string]int
+}
+
+func (f *spreadReplica) Watch(ctx context.Context, req *connect.Request[apiv1.WatchRequest]) (*connect.Response[apiv1.WatchResponse], error) {
+	if !f.hasLeader.Load() {
+		return connect.NewResponse(&apiv1.WatchResponse{Detached: true}), nil
+	}
+	f.count(req.Msg.Host, 1)
+	defer f.count(req.Msg.Host, -1)
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Duration(req.Msg.HoldMs) * time.Millisecond):
+	}
+	return connect.NewResponse(&apiv1.WatchResponse{Replicas: *f.replicas}), nil
+}
+
+func (f *spreadReplica) count(host string, change int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.watching[host] += change
+}
+
+// Guards against nodes that all watch the same two replicas for half a minute after a start: the
+// replicas that they know from their settings had no leader yet, and so count as failed.
+func TestNodesSpreadAfterATimeWithoutALeader(t *testing.T) {
+	const nodes, replicas, known = 40, 5, 3
+	var hasLeader atomic.Bool
+	var addresses []string
+	var all []*spreadReplica
+	for range replicas {
+		f := &spreadReplica{hasLeader: &hasLeader, replicas: &addresses, watching: map[string]int{}}
+		all = append(all, f)
+		mux := http.NewServeMux()
+		mux.Handle(apiv1connect.NewControlServiceHandler(f))
+		s := httptest.NewServer(mux)
+		defer s.Close()
+		addresses = append(addresses, s.Listener.Addr().String())
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer cancel()
+	for i := range nodes {
+		n := newTestNode(t, "")
+		n.options.Host = fmt.Sprint("host-", i)
+		n.options.Control, n.options.WatchControl = controlclient.New(nil, addresses[:known], ""), true
+		running.Go(func() { newWatcher(n).run(ctx) })
+	}
+	time.Sleep(500 * time.Millisecond)
+	hasLeader.Store(true)
+	fewest := 0
+	for until := time.Now().Add(10 * time.Second); fewest < nodes/replicas && time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		fewest = nodes
+		for _, f := range all {
+			f.mu.Lock()
+			watched := 0
+			for _, polls := range f.watching {
+				watched += min(polls, 1)
+			}
+			f.mu.Unlock()
+			fewest = min(fewest, watched)
+		}
+	}
+	assert.Assert(t, fewest >= nodes/replicas, "a replica is watched by %d nodes, half of its share is %d", fewest, nodes/replicas)
+}
+
+// Guards against a node that leaves both replicas that it watches at once, for others that it
+// prefers and that may not respond: it would have no news until their deadlines.
+func TestNodeMovesOneWatchAtATime(t *testing.T) {
+	w := testWatcher("host", "dc1", 4)
+	now := time.Now()
+	ranked := w.rankReplicas(false, now)
+	first, second := ranked[2], ranked[3]
+	w.watched[first], w.watched[second] = true, true
+	w.confirm(first, now)
+	assert.Assert(t, !w.moveWatch(first, false, now), "the other watch has not been answered yet")
+	w.confirm(second, now)
+	assert.Assert(t, !w.moveWatch(first, false, now.Add(2*time.Second)), "the other watch was answered too long ago")
+	assert.Assert(t, w.moveWatch(first, false, now))
+	assert.Assert(t, !w.moveWatch(second, false, now), "the first watch has just moved")
+}
