replica: a silent connection to a peer is replaced before an election

What callers saw: no change acknowledged for two seconds after the leader's connections had fallen silent without a reset.

A call to a peer had 700 ms, as long as the shortest election timeout, so that a follower heard nothing for 850 ms. Its replies went out on its own connection to the leader, as silent, and were noticed another 700 ms later; the leader had given up its role by then, and the votes were sent on silent connections too.

TestLeaderIsHeardInTimeAfterConnectionsFellSilent fails on ('did not hear the leader for 852 ms', and no reply until the end).

Change: a call to a peer has 300 ms, and the time for its bytes at 1 MB/s, since an append of 1 MB on a link of 10 Mbit/s never fitted into the old limit. A replica that hears a peer again after 300 ms without messages opens a new connection to it.

Why it holds: 150 ms until the next heartbeat, 300 until it is given up and a dial are less than 700; the reply goes out on a new connection. A call is answered once the peer has queued the messages, without its disk; one that is given up is sent again by the protocol.

Gaps in the test 452 to 456 ms in both directions of 700 allowed.

--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -231,6 +231,8 @@
 	{"a replica with a blocked disk sends its watchers away", "internal/replica/watch.go", "if time.Since(s.at) > detachedTimeout {", "if false {", "internal/replica", "BlockedDisk"},
 	{"failures of a time without a leader are forgotten", "internal/node/watch.go", "clear(w.lastFailure)", "_ = w.lastFailure", "internal/node", "SpreadAfterATime"},
 	{"only one watch of a node moves at a time", "internal/node/watch.go", "delete(w.confirmed, address)\n\t\t\treturn true", "return true", "internal/node", "OneWatchAtATime"},
+	{"control replicas notice a silent connection before an election", "internal/replica/peers.go", "stepTimeout      = 300 * time.Millisecond", "stepTimeout      = 700 * time.Millisecond", "internal/replica", "HeardInTime"},
+	{"a replica replaces its connection to a peer that was silent", "internal/replica/peers.go", "client.CloseIdleConnections()", "_ = client", "internal/replica", "HeardInTime"},
 	{"a node reconnects promptly to the control replicas", "internal/node/watch.go", "maxWatchBackoff = 400 * time.Millisecond", "maxWatchBackoff = 2 * time.Second", "internal/node", "SoonBack"},
 	{"announcements of an earlier server process are ignored", "internal/node/announce.go", "return a.StartedAt > 0 && a.StartedAt < s.startedAt && s.address == a.Address", "return false", "internal/node", "StartsAgain|HeldUp"},
 	{"a new server process restarts the announcement sequence", "internal/node/announce.go", "if a.StartedAt > 0 && s.startedAt > 0 && a.StartedAt != s.startedAt {", "if false {", "internal/node", "StartsAgain"},
--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
 
 	apiv1 "cactuspath/api/cactuspath/v1"
 	"cactuspath/api/cactuspath/v1/apiv1connect"
@@ -15,13 +17,19 @@
 
 const (
 	peerQueueSize = 128
-	// stepTimeout limits the time to send messages to a peer. If a connection no longer delivers
-	// data, a new one is opened after this time, early enough that a follower receives messages
-	// before it starts an election.
-	stepTimeout = 700 * time.Millisecond
-	// snapshotTimeout replaces stepTimeout for messages with a snapshot, which can have several
-	// megabytes.
+	// stepTimeout limits the time to send messages to a peer, besides the time for their bytes at
+	// minPeerBandwidth, in bytes per second. If a connection no longer delivers data, a new one is
+	// opened after this time: together with the interval of heartbeats and a dial, less than the
+	// shortest election timeout.
+	stepTimeout      = 300 * time.Millisecond
+	minPeerBandwidth = 1 << 20
+	// snapshotTimeout is the least time for messages with a snapshot, which the peer stores
+	// before it goes on.
 	snapshotTimeout = 5 * time.Second
+	// suspectAfter is the time without messages of a peer after which its connections to this
+	// replica are taken to have been lost, and so those of this replica to it. A leader sends its
+	// heartbeats at half of this interval.
+	suspectAfter = stepTimeout
 )
 
 // peers sends messages to the other replicas. Each peer has its own sender, so that a slow or
@@ -38,10 +46,13 @@
 	// reply.
 	selfID      uint64
 	selfAddress string
-	// learnedAddresses are the addresses that other replicas sent for themselves. mu guards them,
-	// since connection handlers write and the run loop reads.
-	mu               sync.Mutex
+	// mu guards the following fields, which connection handlers and the run loop use.
+	mu sync.Mutex
+	// learnedAddresses are the addresses that other replicas sent for themselves, lastHeard is when
+	// each of them last sent messages, and clients are the clients to send to it.
 	learnedAddresses map[uint64]string
+	lastHeard        map[uint64]time.Time
+	clients          map[uint64]*http.Client
 }
 
 type sender struct {
@@ -52,17 +63,23 @@
 
 func newPeers(security *transport.Security, counters *counters, selfID uint64, address string) *peers {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &peers{security: security, counters: counters, ctx: ctx, cancel: cancel, senders: map[uint64]*sender{}, selfID: selfID, selfAddress: address, learnedAddresses: map[uint64]string{}}
+	return &peers{security: security, counters: counters, ctx: ctx, cancel: cancel, senders: map[uint64]*sender{}, selfID: selfID, selfAddress: address,
+		learnedAddresses: map[uint64]string{}, lastHeard: map[uint64]time.Time{}, clients: map[uint64]*http.Client{}}
 }
 
-// recordAddress stores the address that a replica sent for itself.
-func (p *peers) recordAddress(id uint64, address string) {
-	if address == "" {
-		return
-	}
+// heard records that a replica sent messages, and the address that it sent for itself. After a
+// time without any, the connection that is open to it is not used again: it may have been lost
+// without a reset, like those on which the messages of that time were sent.
+func (p *peers) heard(id uint64, address string, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.learnedAddresses[id] = address
+	if address != "" {
+		p.learnedAddresses[id] = address
+	}
+	if client := p.clients[id]; client != nil && now.Sub(p.lastHeard[id]) > suspectAfter {
+		client.CloseIdleConnections()
+	}
+	p.lastHeard[id] = now
 }
 
 // address returns the address of a member according to the membership. If the membership known to
@@ -103,9 +120,12 @@
 	ctx, stop := context.WithCancel(p.ctx)
 	s = &sender{address: address, queue: make(chan *apiv1.RaftMessage, peerQueueSize), stop: stop}
 	p.senders[id] = s
-	client := apiv1connect.NewReplicaServiceClient(p.security.ControlClient(&p.counters.traffic), p.security.URL(address))
+	client := p.security.ControlClient(&p.counters.traffic)
+	p.mu.Lock()
+	p.clients[id] = client
+	p.mu.Unlock()
 	p.wg.Add(1)
-	go p.run(ctx, s, client)
+	go p.run(ctx, s, apiv1connect.NewReplicaServiceClient(client, p.security.URL(address)))
 	return s
 }
 
@@ -135,15 +155,16 @@
 }
 
 func (p *peers) sendBatch(ctx context.Context, client apiv1connect.ReplicaServiceClient, messages []*apiv1.RaftMessage) {
-	timeout := stepTimeout
+	req := &apiv1.StepRequest{Messages: messages, From: p.selfID, FromAddress: p.selfAddress}
+	timeout := stepTimeout + time.Duration(proto.Size(req))*time.Second/minPeerBandwidth
 	for _, m := range messages {
 		if m.Snapshot != nil {
-			timeout = snapshotTimeout
+			timeout = max(timeout, snapshotTimeout)
 		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	if _, err := client.Step(ctx, connect.NewRequest(&apiv1.StepRequest{Messages: messages, From: p.selfID, FromAddress: p.selfAddress})); err != nil {
+	if _, err := client.Step(ctx, connect.NewRequest(req)); err != nil {
 		p.counters.messagesFailed.Add(int64(len(messages)))
 	}
 }
--- a/internal/replica/serve.go
+++ b/internal/replica/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"connectrpc.com/connect"
 
@@ -26,7 +27,7 @@
 
 // Step queues messages from another replica.
 func (s replicaService) Step(ctx context.Context, req *connect.Request[apiv1.StepRequest]) (*connect.Response[apiv1.StepResponse], error) {
-	s.r.peers.recordAddress(req.Msg.From, req.Msg.FromAddress)
+	s.r.peers.heard(req.Msg.From, req.Msg.FromAddress, time.Now())
 	select {
 	case s.r.inbox <- req.Msg.Messages:
 	case <-ctx.Done():
