--- a/internal/node/watchspread_test.go
+++ b/internal/node/watchspread_test.go
@@ -93,16 +93,17 @@
 	replicas  *[]string
 
 	mu sync.Mutex
-	// watching counts the polls of each node that are held.
-	watching map[string]int
+	// watchers holds the nodes that have polled since the last call of reset.
+	watchers map[string]bool
 }
 
 func (f *spreadReplica) Watch(ctx context.Context, req *connect.Request[apiv1.WatchRequest]) (*connect.Response[apiv1.WatchResponse], error) {
 	if !f.hasLeader.Load() {
 		return connect.NewResponse(&apiv1.WatchResponse{Detached: true}), nil
 	}
-	f.count(req.Msg.Host, 1)
-	defer f.count(req.Msg.Host, -1)
+	f.mu.Lock()
+	f.watchers[req.Msg.Host] = true
+	f.mu.Unlock()
 	select {
 	case <-ctx.Done():
 	case <-time.After(time.Duration(req.Msg.HoldMs) * time.Millisecond):
@@ -110,10 +111,13 @@
 	return connect.NewResponse(&apiv1.WatchResponse{Replicas: *f.replicas}), nil
 }
 
-func (f *spreadReplica) count(host string, change int) {
+// reset returns the number of nodes that have polled since the last call.
+func (f *spreadReplica) reset() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.watching[host] += change
+	n := len(f.watchers)
+	f.watchers = map[string]bool{}
+	return n
 }
 
 // Guards against nodes that all watch the same two replicas for half a minute after a start: the
@@ -124,7 +128,7 @@
 	var addresses []string
 	var all []*spreadReplica
 	for range replicas {
-		f := &spreadReplica{hasLeader: &hasLeader, replicas: &addresses, watching: map[string]int{}}
+		f := &spreadReplica{hasLeader: &hasLeader, replicas: &addresses, watchers: map[string]bool{}}
 		all = append(all, f)
 		mux := http.NewServeMux()
 		mux.Handle(apiv1connect.NewControlServiceHandler(f))
@@ -144,18 +148,16 @@
 	}
 	time.Sleep(500 * time.Millisecond)
 	hasLeader.Store(true)
-	fewest := 0
-	for until := time.Now().Add(10 * time.Second); fewest < nodes/replicas && time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
-		fewest = nodes
-		for _, f := range all {
-			f.mu.Lock()
-			watched := 0
-			for _, polls := range f.watching {
-				watched += min(polls, 1)
-			}
-			f.mu.Unlock()
-			fewest = min(fewest, watched)
-		}
+	// The nodes may move their watches for this time, and then poll all replicas that they watch.
+	const settling, interval = 4 * time.Second, 2 * watchHold
+	time.Sleep(settling)
+	for _, f := range all {
+		f.reset()
+	}
+	time.Sleep(interval)
+	fewest := nodes
+	for _, f := range all {
+		fewest = min(fewest, f.reset())
 	}
 	assert.Assert(t, fewest >= nodes/replicas, "a replica is watched by %d nodes, half of its share is %d", fewest, nodes/replicas)
 }
