hop: an upload whose response does not come ends at its time limit

What callers saw: an upload on a connection between nodes that had fallen silent was answered by nobody, until the caller left (11 s of 1.5 allowed), instead of 504 at its time limit.

Cause: the time limit for the response head is removed when the body begins to be sent, since an upload may take longer, and was not set again once the body was out. The endpoint's node ends such a request in time, but what it sends is lost when the connection is silent or its host stands still.

Change: when the whole body was sent, the wait for the head is limited to the time that the exchange had at its begin. A slow upload keeps its time, a response that has begun is not cut off (TestLongUploadAndResponseAreNotCutOff).

Why it holds: the limit is set only while no head was read, under the lock that reading the head takes to remove it; a canceled exchange stays canceled.

--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -102,7 +103,7 @@
 	}
 	_ = c.SetDeadline(out.Deadline)
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(aLongTimeAgo) })
-	x := &exchange{ctx: ctx, pool: p, conn: c, stop: stop}
+	x := &exchange{ctx: ctx, pool: p, conn: c, stop: stop, begin: time.Now()}
 	resp, err := x.run(out)
 	if err != nil {
 		x.abort()
@@ -113,7 +114,7 @@
 	}
 	// The body may take longer than the deadline, which applies to the head: an upload or a
 	// long response is not cut off, but canceling ctx still ends the exchange.
-	x.clearDeadline()
+	x.headRead()
 	return resp, nil
 }
 
@@ -129,6 +130,11 @@
 	unusable   bool
 	mismatched int
 	done       bool
+	begin      time.Time
+
+	// mu guards hasHead, which is set when the response head has been read.
+	mu      sync.Mutex
+	hasHead bool
 }
 
 func (x *exchange) run(out *Outgoing) (*http.Response, error) {
@@ -214,20 +220,42 @@
 	return err
 }
 
-// clearDeadline removes the deadline, unless ctx was canceled or sending the body failed in
-// the meantime.
-func (x *exchange) clearDeadline() {
-	_ = x.conn.SetDeadline(time.Time{})
+// setDeadline sets the deadline, unless ctx was canceled or sending the body failed in the
+// meantime. The zero time removes it.
+func (x *exchange) setDeadline(t time.Time) {
+	_ = x.conn.SetDeadline(t)
 	if x.ctx.Err() != nil || x.conn.failed.Load() {
 		_ = x.conn.SetDeadline(aLongTimeAgo)
 	}
 }
 
+// headRead removes the deadline, since the response head has been read.
+func (x *exchange) headRead() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.hasHead = true
+	x.setDeadline(time.Time{})
+}
+
 // sendBody streams the body concurrently with reading the response, which may arrive before
-// the body is sent.
+// the body is sent. Sending the body may take longer than the deadline.
 func (x *exchange) sendBody(out *Outgoing) {
-	x.clearDeadline()
-	x.sender = startSender(x.conn, out)
+	x.setDeadline(time.Time{})
+	x.sender = startSender(x.conn, out, func() { x.awaitHead(out) })
+}
+
+// awaitHead limits the wait for the response head after the body was sent: to the time that was
+// left when the exchange began. Otherwise, a request on a connection that has fallen silent would
+// wait for as long as its caller does.
+func (x *exchange) awaitHead(out *Outgoing) {
+	if out.Deadline.IsZero() {
+		return
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if !x.hasHead {
+		x.setDeadline(time.Now().Add(out.Deadline.Sub(x.begin)))
+	}
 }
 
 func writeHead(w *bufio.Writer, out *Outgoing) error {
--- a/internal/hop/upload.go
+++ b/internal/hop/upload.go
@@ -269,14 +269,15 @@
 	sourceFailed bool
 }
 
-func startSender(c *conn, out *Outgoing) *sender {
+// startSender starts to send the body. It calls sent once the whole body was written.
+func startSender(c *conn, out *Outgoing, sent func()) *sender {
 	s := &sender{out: out, conn: c, done: make(chan struct{})}
 	out.Stream.setOwner(s)
-	go s.run()
+	go s.run(sent)
 	return s
 }
 
-func (s *sender) run() {
+func (s *sender) run(sent func()) {
 	defer close(s.done)
 	var copied int64
 	copied, s.err = s.copy()
@@ -287,6 +288,9 @@
 		// connection, the peer's response may already have arrived and is still read.
 		s.conn.fail()
 	}
+	if s.err == nil {
+		sent()
+	}
 }
 
 // exited reports whether the sender's goroutine has ended.
--- a/internal/hop/upload_test.go
+++ b/internal/hop/upload_test.go
@@ -393,3 +393,40 @@
 		})
 	}
 }
+
+// Guards against an upload that waits for its response for as long as its caller does: the peer
+// or the connection to it falls silent after it has taken the body.
+func TestUploadWithoutResponseEndsAtItsDeadline(t *testing.T) {
+	const allowed = 200 * time.Millisecond
+	p := startServer(t, func(c net.Conn) {
+		readRequestHead(c)
+		_, _ = io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n")
+		_, _ = io.Copy(io.Discard, c)
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 20*allowed)
+	defer cancel()
+	begin := time.Now()
+	_, err := p.Do(ctx, &Outgoing{Method: http.MethodPost, URI: "/", Host: "h", Stream: NewBody(strings.NewReader("body"), nil), Length: 4, Deadline: begin.Add(allowed)})
+	var lost *LostError
+	assert.Assert(t, errors.As(err, &lost), "%v", err)
+	assert.Assert(t, ctx.Err() == nil && time.Since(begin) >= allowed, "ended after %v", time.Since(begin))
+}
+
+// Guards against cutting off a response that begins in time and takes longer than the deadline,
+// and an upload that takes longer.
+func TestLongUploadAndResponseAreNotCutOff(t *testing.T) {
+	const allowed = 100 * time.Millisecond
+	p := startServer(t, func(c net.Conn) {
+		readRequestHead(c)
+		_, _ = io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n")
+		_, _ = io.ReadFull(c, make([]byte, 4))
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nlong")
+		time.Sleep(3 * allowed)
+		_, _ = io.WriteString(c, "tail")
+	})
+	source := newBlockingSource("body")
+	time.AfterFunc(3*allowed, func() { close(source.release) })
+	resp, err := p.Do(t.Context(), &Outgoing{Method: http.MethodPost, URI: "/", Host: "h", Stream: NewBody(source, source.setReadDeadline), Length: 4, Deadline: time.Now().Add(allowed)})
+	assert.NilError(t, err)
+	assert.Equal(t, read(t, resp), "longtail")
+}
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -233,6 +233,8 @@
 	{"only one watch of a node moves at a time", "internal/node/watch.go", "delete(w.confirmed, address)\n\t\t\treturn true", "return true", "internal/node", "OneWatchAtATime"},
 	{"control replicas notice a silent connection before an election", "internal/replica/peers.go", "stepTimeout      = 300 * time.Millisecond", "stepTimeout      = 700 * time.Millisecond", "internal/replica", "HeardInTime"},
 	{"a replica replaces its connection to a peer that was silent", "internal/replica/peers.go", "client.CloseIdleConnections()", "_ = client", "internal/replica", "HeardInTime"},
+	{"an upload does not wait for its response without limit", "internal/hop/exchange.go", "x.setDeadline(time.Now().Add(out.Deadline.Sub(x.begin)))", "", "internal/hop", "UploadWithoutResponse"},
+	{"a response that begins in time is not cut off after an upload", "internal/hop/exchange.go", "if !x.hasHead {", "if true {", "internal/hop", "LongUpload|BodyFailure|ResponseIsRead|Streamed"},
 	{"a node reconnects promptly to the control replicas", "internal/node/watch.go", "maxWatchBackoff = 400 * time.Millisecond", "maxWatchBackoff = 2 * time.Second", "internal/node", "SoonBack"},
 	{"announcements of an earlier server process are ignored", "internal/node/announce.go", "return a.StartedAt > 0 && a.StartedAt < s.startedAt && s.address == a.Address", "return false", "internal/node", "StartsAgain|HeldUp"},
 	{"a new server process restarts the announcement sequence", "internal/node/announce.go", "if a.StartedAt > 0 && s.startedAt > 0 && a.StartedAt != s.startedAt {", "if false {", "internal/node", "StartsAgain"},
