soak: open connections fall silent without a reset

A fault that no test of ours had, which is why the report of nodes behind was not seen: the links between processes could lose what is sent while the fault lasted, and then reset the connections. TestSoakWithSilentConnections adds connections that stay open and silent for good, while new ones work; the other soak tests draw the same faults as before.

--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -34,7 +34,11 @@
 	}
 	k := anyProcess.links[0]
 	loseDisk := s.random.IntN(2) == 0
-	switch s.random.IntN(9) {
+	kinds := 9
+	if s.silence {
+		kinds++
+	}
+	switch s.random.IntN(kinds) {
 	case 0:
 		return s.replicaFault(lostReplicas, replica, func() func() {
 			replica.terminate(syscall.SIGKILL)
@@ -70,6 +74,8 @@
 	case 7:
 		delay := time.Duration(5+s.random.IntN(60)) * time.Millisecond
 		return linkFault(anyProcess, func() { k.delay.Store(int64(delay)); k.resetConnections() })
+	case 9:
+		return linkFault(anyProcess, k.silence)
 	}
 	return func() func() {
 		s.backends[node].setDraining(true)
--- a/internal/soak/link_test.go
+++ b/internal/soak/link_test.go
@@ -20,6 +20,8 @@
 	// discards all data or only the responses, and keeps connections open.
 	delay                  atomic.Int64
 	dropAll, dropResponses atomic.Bool
+	// silenced counts the calls of silence. Connections of before the last one discard all data.
+	silenced atomic.Int64
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
@@ -69,12 +71,13 @@
 
 func (k *link) copy(to, from net.Conn, responses bool) {
 	buffer := make([]byte, 32<<10)
+	opened := k.silenced.Load()
 	for {
 		n, err := from.Read(buffer)
 		if d := k.delay.Load(); d > 0 {
 			time.Sleep(time.Duration(d))
 		}
-		if k.dropAll.Load() || responses && k.dropResponses.Load() {
+		if k.dropAll.Load() || responses && k.dropResponses.Load() || opened < k.silenced.Load() {
 			// Data on the connection has been discarded. Discard all further data too, because
 			// the receiver would otherwise get a stream with missing bytes.
 			_, _ = io.Copy(io.Discard, from)
@@ -94,6 +97,9 @@
 	}
 }
 
+// silence makes all open connections discard their data from now on, without a reset. New ones work.
+func (k *link) silence() { k.silenced.Add(1) }
+
 // resetConnections resets all connections.
 func (k *link) resetConnections() {
 	k.mu.Lock()
@@ -113,3 +119,12 @@
 		k.resetConnections()
 	}
 }
+
+// Checks the guarantees while open connections between processes fall silent as well.
+func TestSoakWithSilentConnections(t *testing.T) {
+	n := uint64(1)
+	if *onlySeed != 0 {
+		n = *onlySeed
+	}
+	runWithFaults(t, n, extraFaults{silence: true}, defaultDataCenter)
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -83,13 +83,15 @@
 	uploadsInFlight []atomic.Int64
 	// accounts is nil in tests without client accounts.
 	accounts *accounts
+	// silence adds connections that fall silent to the random faults.
+	silence bool
 }
 
 // defaultDataCenter is the only data centre of a site in tests without evacuations.
 const defaultDataCenter = "dc"
 
 // extraFaults selects faults that are disabled by default.
-type extraFaults struct{ serverRestarts, accounts bool }
+type extraFaults struct{ serverRestarts, accounts, silence bool }
 
 func run(t *testing.T, n uint64, dataCenters ...string) {
 	runWithFaults(t, n, extraFaults{}, dataCenters...)
@@ -98,6 +100,7 @@
 func runWithFaults(t *testing.T, n uint64, extra extraFaults, dataCenters ...string) {
 	s := &soak{site: newSite(t, dataCenters...), t: t, seed: n, random: rand.New(rand.NewPCG(n, n)), stop: make(chan struct{})}
 	s.uploadsInFlight = make([]atomic.Int64, len(s.nodes))
+	s.silence = extra.silence
 	if extra.accounts {
 		s.accounts = &accounts{}
 	}
