--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -4,12 +4,12 @@
 //	go test ./internal/soak -run Soak -seed 7 -for 30s
 //
 // Control replicas and nodes run as processes on loopback, connected through proxies that can
-// delay, reset or drop traffic in one or both directions, or silence open connections. Processes are stopped, paused, killed and
-// restarted, disks are lost, and backend servers crash and restart. These faults are injected
-// individually and in sequences, and overlap. Meanwhile callers and operators send requests,
-// including uploads on persistent connections, and the requests and responses seen by the callers
-// and the backend servers are checked against the guarantees. At the end nodes are stopped
-// gracefully one after the other without any other fault.
+// delay, reset or drop traffic in one or both directions, or silence open connections. Processes
+// are stopped, paused, killed and restarted, disks are lost, and backend servers crash and restart.
+// These faults are injected individually and in sequences, and overlap. Meanwhile callers and
+// operators send requests, including uploads on persistent connections, and the requests and
+// responses seen by the callers and the backend servers are checked against the guarantees. At the
+// end nodes are stopped gracefully one after the other without any other fault.
 //
 // To run many seeds, three at once (a seed takes about 20 s and 1.5 cores):
 //
