e2e: a throttled process gets its processor time also beside other work

Cause: the test gave the process 5 ms of the clock in 100. Beside other work it is not even scheduled in most of these windows, and has a small part of the processor time that the test is about; a node that does not run answers nobody.

Change: the window lasts until the threads of the process have run for 5 ms, a period at most. On an idle machine nothing changes, and the process never gets more than it was to get; what is demanded is the same.

--- a/internal/e2e/processor_test.go
+++ b/internal/e2e/processor_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -15,7 +18,7 @@
 )
 
 const (
-	// throttleRunTime is how long a throttled process runs in each throttlePeriod.
+	// throttleRunTime is the processor time of a throttled process in each throttlePeriod.
 	throttleRunTime = 5 * time.Millisecond
 	throttlePeriod  = 100 * time.Millisecond
 	// callerTimeout is how long a caller waits for a response.
@@ -23,7 +26,8 @@
 )
 
 // throttle stops the process except for throttleRunTime in each throttlePeriod, as a
-// processor quota does, until stop is closed.
+// processor quota does, until stop is closed. Beside other work it takes longer until the
+// process has had this time; it gets no more than the rest of the period for it.
 func (p *process) throttle(stop <-chan struct{}) {
 	for {
 		p.signal(syscall.SIGSTOP)
@@ -33,9 +37,31 @@
 			return
 		case <-time.After(throttlePeriod - throttleRunTime):
 		}
+		used, begin := p.processorTime(), time.Now()
 		p.signal(syscall.SIGCONT)
 		time.Sleep(throttleRunTime)
+		for p.processorTime()-used < throttleRunTime && time.Since(begin) < throttlePeriod {
+			time.Sleep(throttleRunTime / 5)
+		}
+	}
+}
+
+// processorTime returns the time for which the threads of the process have run.
+func (p *process) processorTime() time.Duration {
+	files, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", p.cmd.Process.Pid))
+	total := time.Duration(0)
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			// The thread has ended.
+			continue
+		}
+		var ran int64
+		if _, err := fmt.Sscan(string(text), &ran); err == nil {
+			total += time.Duration(ran)
+		}
 	}
+	return total
 }
 
 // requestCounts counts requests by outcome.
