link: the HTTP/2 test waits until the second transfer has begun

The client closed the stream when it had the head, at times before the handler wrote its first chunk; then no transfer began that could be released, which is what the test is about.

--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -118,6 +118,10 @@
 
 	resp, err = server.Client().Get(server.URL)
 	assert.NilError(t, err)
+	// A stream that is canceled before its transfer has begun has none to release.
+	for until := time.Now().Add(10 * time.Second); l.Transfers.Value() < 2 && time.Now().Before(until); {
+		time.Sleep(time.Millisecond)
+	}
 	assert.NilError(t, resp.Body.Close())
 	assertIdle(t, l)
 	assert.Equal(t, l.Transfers.Value(), int64(2))
