node: tests of watches share how replicas are served and watchers run

Three tests of watches each wrote out the same listener, the same nodes and the same end of their goroutines. serveReplica, newWatchingNodes and runWatchers do it once. Assertions and bounds are the same; the nodes of TestNodesAreSoonBackAfterATimeWithoutALeader have names of their own now, so that each prefers the replicas in another order.

--- a/internal/node/silent_test.go
+++ b/internal/node/silent_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net/http"
-	"net/http/httptest"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -14,7 +12,6 @@
 
 	apiv1 "cactuspath/api/cactuspath/v1"
 	"cactuspath/api/cactuspath/v1/apiv1connect"
-	"cactuspath/internal/controlclient"
 	"cactuspath/internal/testnet"
 )
 
@@ -55,27 +52,14 @@
 	var network testnet.Silencer
 	var addresses []string
 	for range replicas {
-		mux := http.NewServeMux()
-		mux.Handle(apiv1connect.NewControlServiceHandler(&revisionReplica{revision: &revision}))
-		s := httptest.NewUnstartedServer(mux)
-		s.Listener = network.Listen(s.Listener)
-		s.Start()
-		defer s.Close()
-		addresses = append(addresses, s.Listener.Addr().String())
+		addresses = append(addresses, serveReplica(t, &revisionReplica{revision: &revision}, network.Listen))
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	var running sync.WaitGroup
-	defer running.Wait()
-	defer cancel()
-	var all []*Node
 	revision.Store(1)
-	for range nodes {
-		n := newTestNode(t, "")
-		n.options.Control, n.options.WatchControl = controlclient.New(nil, addresses, ""), true
-		all = append(all, n)
+	all := newWatchingNodes(t, nodes, addresses)
+	for _, n := range all {
 		openConnections(t, n, addresses)
-		running.Go(func() { newWatcher(n).run(ctx) })
 	}
+	runWatchers(t, all)
 	awaitRevision(t, all, 1, 5*time.Second)
 	network.Silence()
 	revision.Store(2)
--- a/internal/node/watch_test.go
+++ b/internal/node/watch_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -37,6 +39,47 @@
 	return connect.NewResponse(&apiv1.WatchResponse{Delta: routeDelta(1, "/a/")}), nil
 }
 
+// serveReplica serves a fake control replica until the test ends, on a listener that wrap
+// returns, and returns its address.
+func serveReplica(t *testing.T, replica apiv1connect.ControlServiceHandler, wrap func(net.Listener) net.Listener) string {
+	t.Helper()
+	mux := http.NewServeMux()
+	mux.Handle(apiv1connect.NewControlServiceHandler(replica))
+	s := httptest.NewUnstartedServer(mux)
+	s.Listener = wrap(s.Listener)
+	s.Start()
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+func unchanged(l net.Listener) net.Listener { return l }
+
+// runWatchers runs the watcher of each node until the test ends.
+func runWatchers(t *testing.T, nodes []*Node) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	for _, n := range nodes {
+		running.Go(func() { newWatcher(n).run(ctx) })
+	}
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+}
+
+// newWatchingNodes returns nodes that know the control replicas at the given addresses.
+func newWatchingNodes(t *testing.T, count int, addresses []string) []*Node {
+	t.Helper()
+	var nodes []*Node
+	for i := range count {
+		n := newTestNode(t, "")
+		n.options.Host = fmt.Sprint("host-", i)
+		n.options.Control, n.options.WatchControl = controlclient.New(nil, addresses, ""), true
+		nodes = append(nodes, n)
+	}
+	return nodes
+}
+
 // Guards against nodes that keep an old configuration for too long after a network
 // partition. Two of five control replicas are separated from the majority, and for two
 // seconds no replica has a leader, although all respond to the nodes. Once the other
@@ -58,23 +101,10 @@
 		if i >= 2 {
 			f.hasLeader = &hasLeader
 		}
-		mux := http.NewServeMux()
-		mux.Handle(apiv1connect.NewControlServiceHandler(f))
-		s := httptest.NewServer(mux)
-		defer s.Close()
-		addresses = append(addresses, s.Listener.Addr().String())
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	var running sync.WaitGroup
-	defer running.Wait()
-	defer cancel()
-	var all []*Node
-	for range nodes {
-		n := newTestNode(t, "")
-		n.options.Control, n.options.WatchControl = controlclient.New(nil, addresses, ""), true
-		all = append(all, n)
-		running.Go(func() { newWatcher(n).run(ctx) })
+		addresses = append(addresses, serveReplica(t, f, unchanged))
 	}
+	all := newWatchingNodes(t, nodes, addresses)
+	runWatchers(t, all)
 	time.Sleep(leaderless)
 	hasLeader.Store(true)
 	start := time.Now()
--- a/internal/node/watchspread_test.go
+++ b/internal/node/watchspread_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
-	"net/http/httptest"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -130,22 +128,9 @@
 	for range replicas {
 		f := &spreadReplica{hasLeader: &hasLeader, replicas: &addresses, watchers: map[string]bool{}}
 		all = append(all, f)
-		mux := http.NewServeMux()
-		mux.Handle(apiv1connect.NewControlServiceHandler(f))
-		s := httptest.NewServer(mux)
-		defer s.Close()
-		addresses = append(addresses, s.Listener.Addr().String())
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	var running sync.WaitGroup
-	defer running.Wait()
-	defer cancel()
-	for i := range nodes {
-		n := newTestNode(t, "")
-		n.options.Host = fmt.Sprint("host-", i)
-		n.options.Control, n.options.WatchControl = controlclient.New(nil, addresses[:known], ""), true
-		running.Go(func() { newWatcher(n).run(ctx) })
+		addresses = append(addresses, serveReplica(t, f, unchanged))
 	}
+	runWatchers(t, newWatchingNodes(t, nodes, addresses[:known]))
 	time.Sleep(500 * time.Millisecond)
 	hasLeader.Store(true)
 	// The nodes may move their watches for this time, and then poll all replicas that they watch.
