--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -41,7 +41,8 @@
 	// OnBodySent, if not nil, is called with the number of bytes of each part of the body
 	// that is about to be sent, also from another goroutine.
 	OnBodySent func(bytes int)
-	// Deadline limits the exchange up to the end of the response head.
+	// Deadline limits the exchange up to the end of the response head. Sending a streamed body
+	// may take longer; the response head then has the time anew that was left at the begin.
 	Deadline time.Time
 	// Attempt identifies the attempt in the log.
 	Attempt gate.AttemptID
