logs: what a relay sends, when it has a revision, and how a watch ended

Callers were refused with 404 by nodes that were late. The logs could not tell three causes apart: a poll that waits behind the node's own responses, one that meets a silent connection, and a relay that has the change later than its nodes. directory_bytes_out counts requests only, so that the megabytes that a relay sends to its nodes were in no metric.

directory_relay_bytes_sent counts them by content. Relays have a line for each revision and for each call that the leader does not answer; 'Watch ended' has the duration of the last poll and its error.

--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -16,6 +16,8 @@
 	reportsSent, reportsReceived, reportsMalformed            expvar.Int
 	quarantine                                                quarantine.Counters
 	usage                                                     usage.Counters
+	// relayBytes counts the bytes that this node sent as a relay, by content.
+	relayBytes expvar.Map
 	// viewChanged and configurationChanged hold the times of the last change of the
 	// directory view and of the configuration, in Unix milliseconds.
 	viewChanged, configurationChanged expvar.Int
@@ -83,6 +85,7 @@
 		"directory_bytes_out":           &n.peers.traffic.Out,
 		"control_bytes_in":              &n.options.Control.Traffic.In,
 		"control_bytes_out":             &n.options.Control.Traffic.Out,
+		"directory_relay_bytes_sent":    &n.counters.relayBytes,
 		"directory_changed_unix_ms":     &n.counters.viewChanged,
 		"configuration_changed_unix_ms": &n.counters.configurationChanged,
 		"configuration_heard_ms_ago":    expvar.Func(func() any { return n.sinceControlHeard().Milliseconds() }),
--- a/internal/node/relaycontrol.go
+++ b/internal/node/relaycontrol.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"k8s.io/klog/v2"
 
 	apiv1 "cactuspath/api/cactuspath/v1"
 	"cactuspath/internal/controlclient"
@@ -28,6 +29,7 @@
 		if req == nil {
 			return
 		}
+		begin := time.Now()
 		err := r.n.options.Control.Call(ctx, func(ctx context.Context, c *controlclient.Replica) error {
 			resp, err := c.Control.RelaySync(ctx, connect.NewRequest(req))
 			if err == nil {
@@ -37,6 +39,7 @@
 		})
 		if err != nil {
 			r.n.counters.controlFailures.Add(1)
+			klog.InfoS("Relay not confirmed by the leader", "host", r.n.options.Host, "revision", req.Revision, "after", time.Since(begin), "err", err)
 		}
 	}()
 }
@@ -82,7 +85,12 @@
 	}
 	r.relaysWanted += resp.MoreRelays
 	r.confirmed = time.Now()
-	if r.records.Apply(resp.Delta) || !resp.RelaysUnchanged || r.relaysWanted > 0 {
+	before := r.records.Revision()
+	changed := r.records.Apply(resp.Delta)
+	if changed {
+		klog.InfoS("Relay has a revision", "host", r.n.options.Host, "revision", r.records.Revision(), "before", before, "nodes", r.state.WatchedNodes())
+	}
+	if changed || !resp.RelaysUnchanged || r.relaysWanted > 0 {
 		r.signalChange()
 	}
 }
--- a/internal/node/relayserver.go
+++ b/internal/node/relayserver.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"expvar"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
 
 	apiv1 "cactuspath/api/cactuspath/v1"
 	"cactuspath/internal/replica"
@@ -22,11 +24,22 @@
 	for {
 		resp, changed := r.respond(req)
 		if hasUpdates(req, resp) || !waitForChange(ctx, changed, deadline) {
+			countSent(&r.n.counters.relayBytes, "configuration", resp.Delta)
+			countSent(&r.n.counters.relayBytes, "entries", resp.Entries...)
 			return resp
 		}
 	}
 }
 
+// countSent counts the bytes of what this relay sends to nodes and other relays, by content.
+func countSent[M proto.Message](counter *expvar.Map, content string, messages ...M) {
+	size := 0
+	for _, m := range messages {
+		size += proto.Size(m)
+	}
+	counter.Add(content, int64(size))
+}
+
 // maxSyncHold is the longest time for which a node may ask the relay to hold a
 // response.
 const maxSyncHold = 5 * time.Second
@@ -131,6 +144,7 @@
 		r.mu.Unlock()
 		caughtUp := len(resp.Entries) == 0 && resp.Cursor.GetEpoch() == req.Cursor.GetEpoch()
 		if !caughtUp || !waitForChange(ctx, changed, deadline) {
+			countSent(&r.n.counters.relayBytes, "exchange", resp)
 			return resp, nil
 		}
 	}
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -109,10 +109,10 @@
 		address := w.pickReplica(preferNear)
 		if address != "" {
 			begin := time.Now()
-			result := w.watchReplica(ctx, address, preferNear)
+			result, polling, err := w.watchReplica(ctx, address, preferNear)
 			w.release(address, result, time.Now())
 			if result != neverUsable {
-				klog.InfoS("Watch ended", "host", w.n.options.Host, "replica", address, "result", result.String(), "after", time.Since(begin), "revision", w.n.Revision())
+				klog.InfoS("Watch ended", "host", w.n.options.Host, "replica", address, "result", result.String(), "after", time.Since(begin), "revision", w.n.Revision(), "lastPoll", polling, "err", err)
 			}
 			if result == movedOn {
 				continue
@@ -262,15 +262,17 @@
 }
 
 // watchReplica polls a replica until a call fails, the replica reports that it has lost
-// contact with the leader or is full, or another one is preferred.
-func (w *watcher) watchReplica(ctx context.Context, address string, preferNear bool) watchResult {
-	result := neverUsable
+// contact with the leader or is full, or another one is preferred. It returns how long the last
+// poll took, and its error.
+func (w *watcher) watchReplica(ctx context.Context, address string, preferNear bool) (result watchResult, polling time.Duration, err error) {
 	for ctx.Err() == nil {
+		begin := time.Now()
 		resp, err := w.poll(ctx, address)
+		polling = time.Since(begin)
 		if err != nil {
 			w.n.counters.watchFailures.Add(1)
 			w.logStatus(address, false, err)
-			return result
+			return result, polling, err
 		}
 		w.n.counters.watches.Add(1)
 		w.setReplicas(resp.Replicas)
@@ -279,20 +281,20 @@
 		w.n.applyDelta(resp.Delta, !resp.Detached, "watch of "+address)
 		if resp.Detached {
 			w.logStatus(address, false, nil)
-			return result
+			return result, polling, nil
 		}
 		w.logStatus(address, true, nil)
 		w.n.controlHeard(0)
 		result = wasUsable
 		if resp.Full {
-			return wasFull
+			return wasFull, polling, nil
 		}
 		w.confirm(address, time.Now())
 		if w.moveWatch(address, preferNear, time.Now()) {
-			return movedOn
+			return movedOn, polling, nil
 		}
 	}
-	return result
+	return result, polling, ctx.Err()
 }
 
 func (w *watcher) poll(ctx context.Context, address string) (*apiv1.WatchResponse, error) {
