node: a test of a relay that is late since it sends a large change to all of its nodes

A change of 1,400 routes reaches all of them from the replicas. The relay, which gets it from the leader as well, sends it to each node again, 2.7 MB, and its own polls wait behind that.

--- /dev/null
+++ b/internal/node/relaylink_test.go
@@ -0,0 +1,141 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+
+	apiv1 "cactuspath/api/cactuspath/v1"
+	"cactuspath/api/cactuspath/v1/apiv1connect"
+	"cactuspath/core/rollout"
+	"cactuspath/internal/controlclient"
+	"cactuspath/internal/testnet"
+)
+
+// largeReplica is the leader of the control replicas, with an estate to which large changes are
+// made.
+type largeReplica struct {
+	apiv1connect.UnimplementedControlServiceHandler
+	relay *apiv1.RelayInfo
+
+	mu      sync.Mutex
+	routes  map[string]*apiv1.RouteSpec
+	records *rollout.Records
+	changed chan struct{}
+}
+
+func newLargeReplica(relay *apiv1.RelayInfo) *largeReplica {
+	return &largeReplica{relay: relay, routes: map[string]*apiv1.RouteSpec{}, records: rollout.NewRecords(), changed: make(chan struct{})}
+}
+
+// addRoutes makes a change that adds routes.
+func (f *largeReplica) addRoutes(count int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	revision := f.records.Revision() + 1
+	for i := range count {
+		f.routes[fmt.Sprintf("route-%d-%d", revision, i)] = &apiv1.RouteSpec{Host: "shop.example", PathPrefix: fmt.Sprintf("/route-%d-%d/", revision, i),
+			Shares: []*apiv1.RouteShare{{Service: "pay", Weight: 1}}, TimeoutMs: 1200, MaxAttempts: 2}
+	}
+	f.records.Replace("shop", rollout.Contents{Services: map[string]*apiv1.ServiceSpec{"pay": {}}, Routes: f.routes}, revision)
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// Watch returns the changes after the revision of the node.
+func (f *largeReplica) Watch(ctx context.Context, req *connect.Request[apiv1.WatchRequest]) (*connect.Response[apiv1.WatchResponse], error) {
+	hold := time.After(time.Duration(req.Msg.HoldMs) * time.Millisecond)
+	for {
+		f.mu.Lock()
+		delta, changed := f.records.Delta(req.Msg.Revision), f.changed
+		behind := f.records.Revision() > req.Msg.Revision
+		f.mu.Unlock()
+		if behind {
+			return connect.NewResponse(&apiv1.WatchResponse{Delta: delta}), nil
+		}
+		select {
+		case <-changed:
+		case <-hold:
+			return connect.NewResponse(&apiv1.WatchResponse{}), nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// RelaySync returns the changes after the revision of the relay.
+func (f *largeReplica) RelaySync(_ context.Context, req *connect.Request[apiv1.RelaySyncRequest]) (*connect.Response[apiv1.RelaySyncResponse], error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return connect.NewResponse(&apiv1.RelaySyncResponse{Delta: f.records.Delta(req.Msg.Revision), Relays: []*apiv1.RelayInfo{f.relay}}), nil
+}
+
+// FindRelays names the relay.
+func (f *largeReplica) FindRelays(context.Context, *connect.Request[apiv1.FindRelaysRequest]) (*connect.Response[apiv1.FindRelaysResponse], error) {
+	return connect.NewResponse(&apiv1.FindRelaysResponse{Relays: []*apiv1.RelayInfo{f.relay}}), nil
+}
+
+// startRelayGroup runs a relay, whose responses and polls leave through a link with the given
+// bandwidth, and nodes that report to it. The nodes watch the control replica if watch is set.
+func startRelayGroup(t *testing.T, bytesPerSecond float64, nodes int, watch bool) (replica *largeReplica, all []*Node) {
+	t.Helper()
+	uplink := testnet.NewLink(bytesPerSecond)
+	peer := httptest.NewUnstartedServer(nil)
+	replica = newLargeReplica(&apiv1.RelayInfo{Host: "host-0", DataCenter: "dc", Region: "r", PeerAddress: peer.Listener.Addr().String()})
+	replica.addRoutes(1)
+	forRelay := serveReplica(t, replica, uplink.ListenForHost)
+	direct := []string{serveReplica(t, replica, unchanged), serveReplica(t, replica, unchanged)}
+	all = newWatchingNodes(t, nodes+1, direct)
+	all[0].options.Control = controlclient.New(nil, []string{forRelay, serveReplica(t, replica, uplink.ListenForHost)}, "")
+	all[0].options.PeerAddress = replica.relay.PeerAddress
+	peer.Config.Handler = all[0].peerHandler()
+	peer.Listener = uplink.Listen(peer.Listener)
+	peer.Start()
+	t.Cleanup(peer.Close)
+	all[0].relay.start()
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { all[0].relay.run(ctx) })
+	for i, n := range all {
+		n.options.WatchControl = watch || i == 0
+		running.Go(func() { n.watcher.run(ctx) })
+		running.Go(func() { n.member.run(ctx) })
+	}
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	awaitRevision(t, all, 1, 10*time.Second)
+	return replica, all
+}
+
+// Guards against relays that are late with a change because they send the one before it to all
+// of their nodes, although these receive it from the control replicas: the polls of the relay
+// waited behind its own responses until they timed out.
+func TestRelayIsNotLateWhileItsNodesReceiveALargeChange(t *testing.T) {
+	const (
+		// bytesPerSecond is a link of 4.2 Mbit/s.
+		bytesPerSecond = 525_000
+		nodes          = 23
+		// maxDelay is the time in which a change takes effect.
+		maxDelay = 2 * time.Second
+	)
+	replica, all := startRelayGroup(t, bytesPerSecond, nodes, true)
+	replica.addRoutes(1400)
+	waitFor(t, "the relay has the first change", func() bool { return all[0].relay.revision() == 2 })
+	// The polls of the relay that were sent before end meanwhile.
+	time.Sleep(watchHold + 300*time.Millisecond)
+	replica.addRoutes(1)
+	awaitRevision(t, all, 3, maxDelay)
+}
+
+func (r *relay) revision() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.records.Revision()
+}
