node: a relay sends no configuration to nodes that watch control replicas

Callers were refused with 404, as an older configuration says, by nodes in contact that had not heard of a change for more than two seconds; other callers of these nodes waited until their deadline, and health probes failed.

Cause: a relay sent each change to all of its nodes as soon as it had it, although nodes that watch control replicas receive it from them at the same moment. 1,400 routes are 115 KB, for 23 nodes 2.7 MB, five seconds of a link of 4.2 Mbit/s. Its own polls, heartbeats and responses to callers waited behind that; the polls timed out after 1.3 s, one after the other.

Evidence: in the record of the incident, the four relays that wrote more than their link carries are the only nodes with failed polls.

A node now tells its relay that it watches (NodeSyncRequest.watching), and the relay sends it no configuration. Once no replica has responded for 1.3 s, or its last watch has failed, the node says so at once, and the relay sends what it lacks. A relay's word counts as confirmation only if the node has the relay's revision.

Why it holds: what a relay sends for a change is in proportion to the nodes that cannot reach a replica, not to all.

--- a/internal/node/heartbeat.go
+++ b/internal/node/heartbeat.go
@@ -100,7 +100,8 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	services := n.subscribedServices()
-	req := &apiv1.NodeSyncRequest{Services: services, Resubscribe: !n.view.Covers(services), Cursor: n.view.Cursor(), Revision: n.records.Revision(), RelaysDigest: replica.RelaysDigest(m.relays)}
+	req := &apiv1.NodeSyncRequest{Services: services, Resubscribe: !n.view.Covers(services), Cursor: n.view.Cursor(), Revision: n.records.Revision(), RelaysDigest: replica.RelaysDigest(m.relays),
+		Watching: n.watcher.receivesChanges(time.Now())}
 	for _, s := range services {
 		if record := n.records.Service(s); record == nil || record.Partial {
 			req.Added = append(req.Added, s)
@@ -148,7 +149,9 @@
 	if n.records.Apply(resp.Delta) {
 		changed = true
 	}
-	n.controlHeard(time.Duration(min(resp.ConfirmedAgeMs, maxConfirmedAgeMs)) * time.Millisecond)
+	if n.records.Revision() >= resp.Revision {
+		n.controlHeard(time.Duration(min(resp.ConfirmedAgeMs, maxConfirmedAgeMs)) * time.Millisecond)
+	}
 	logInForce := n.publishRevision(before, resp.ConfirmedAgeMs < uint64(staleConfirmation.Milliseconds()), "relay "+m.currentRelay.GetHost())
 	// A service that was requested in the meantime is fetched immediately. A service
 	// for which the relay has no answer yet is requested again with the next heartbeat.
--- a/internal/node/relaylink_test.go
+++ b/internal/node/relaylink_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -80,16 +81,33 @@
 	return connect.NewResponse(&apiv1.FindRelaysResponse{Relays: []*apiv1.RelayInfo{f.relay}}), nil
 }
 
+// hangingReplica does not respond to watches once hang is set.
+type hangingReplica struct {
+	*largeReplica
+	hang *atomic.Bool
+}
+
+// Watch returns the changes after the revision of the node.
+func (f hangingReplica) Watch(ctx context.Context, req *connect.Request[apiv1.WatchRequest]) (*connect.Response[apiv1.WatchResponse], error) {
+	resp, err := f.largeReplica.Watch(ctx, req)
+	if f.hang.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return resp, err
+}
+
 // startRelayGroup runs a relay, whose responses and polls leave through a link with the given
-// bandwidth, and nodes that report to it. The nodes watch the control replica if watch is set.
-func startRelayGroup(t *testing.T, bytesPerSecond float64, nodes int, watch bool) (replica *largeReplica, all []*Node) {
+// bandwidth, and nodes that report to it. The nodes watch replicas that hang once hang is set.
+func startRelayGroup(t *testing.T, bytesPerSecond float64, nodes int, hang *atomic.Bool) (replica *largeReplica, all []*Node) {
 	t.Helper()
 	uplink := testnet.NewLink(bytesPerSecond)
 	peer := httptest.NewUnstartedServer(nil)
 	replica = newLargeReplica(&apiv1.RelayInfo{Host: "host-0", DataCenter: "dc", Region: "r", PeerAddress: peer.Listener.Addr().String()})
 	replica.addRoutes(1)
 	forRelay := serveReplica(t, replica, uplink.ListenForHost)
-	direct := []string{serveReplica(t, replica, unchanged), serveReplica(t, replica, unchanged)}
+	hanging := hangingReplica{replica, hang}
+	direct := []string{serveReplica(t, hanging, unchanged), serveReplica(t, hanging, unchanged)}
 	all = newWatchingNodes(t, nodes+1, direct)
 	all[0].options.Control = controlclient.New(nil, []string{forRelay, serveReplica(t, replica, uplink.ListenForHost)}, "")
 	all[0].options.PeerAddress = replica.relay.PeerAddress
@@ -101,8 +119,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { all[0].relay.run(ctx) })
-	for i, n := range all {
-		n.options.WatchControl = watch || i == 0
+	for _, n := range all {
 		running.Go(func() { n.watcher.run(ctx) })
 		running.Go(func() { n.member.run(ctx) })
 	}
@@ -125,7 +142,7 @@
 		// maxDelay is the time in which a change takes effect.
 		maxDelay = 2 * time.Second
 	)
-	replica, all := startRelayGroup(t, bytesPerSecond, nodes, true)
+	replica, all := startRelayGroup(t, bytesPerSecond, nodes, &atomic.Bool{})
 	replica.addRoutes(1400)
 	waitFor(t, "the relay has the first change", func() bool { return all[0].relay.revision() == 2 })
 	// The polls of the relay that were sent before end meanwhile.
@@ -134,6 +151,23 @@
 	awaitRevision(t, all, 3, maxDelay)
 }
 
+// Guards against nodes that receive changes from nobody: their watches get no response any more,
+// and their relay sends them nothing since they told it that they watch control replicas.
+func TestNodesReceiveChangesFromTheirRelayOnceTheirWatchesEnd(t *testing.T) {
+	const (
+		bytesPerSecond = 10_000_000
+		nodes          = 3
+		// maxDelay is the time in which a change takes effect.
+		maxDelay = 2 * time.Second
+	)
+	var hang atomic.Bool
+	replica, all := startRelayGroup(t, bytesPerSecond, nodes, &hang)
+	time.Sleep(watchHold)
+	hang.Store(true)
+	replica.addRoutes(10)
+	awaitRevision(t, all, 2, maxDelay)
+}
+
 func (r *relay) revision() uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/node/relayserver.go
+++ b/internal/node/relayserver.go
@@ -74,7 +74,14 @@
 	refute := resp.Believed == apiv1.EndpointState_ENDPOINT_STATE_FAILED || resp.BelievedIncarnation > req.Report.Incarnation ||
 		resp.BelievedIncarnation == req.Report.Incarnation && resp.BelievedSequence > req.Report.Sequence
 	return resp.NotRelay || resp.NeedEntry || resp.BecomeRelay || refute || !resp.RelaysUnchanged || len(resp.Entries) > 0 || resp.Cursor != nil && resp.Complete ||
-		resp.Revision > req.Revision || len(req.Added) > 0
+		wantsConfiguration(req) && resp.Revision > req.Revision || len(req.Added) > 0
+}
+
+// wantsConfiguration reports whether the relay is to send a node the records that it lacks. One
+// that receives them from control replicas would have each change twice, and the relay, which
+// sends it to all of its nodes at once, could use its link for nothing else in the meantime.
+func wantsConfiguration(req *apiv1.NodeSyncRequest) bool {
+	return !req.Watching || len(req.Added) > 0
 }
 
 func (r *relay) respond(req *apiv1.NodeSyncRequest) (resp *apiv1.NodeSyncResponse, changed <-chan struct{}) {
@@ -105,7 +112,7 @@
 	} else {
 		resp.Relays = relays
 	}
-	if r.records.Revision() > 0 {
+	if r.records.Revision() > 0 && wantsConfiguration(req) {
 		resp.Delta = r.records.DeltaFor(req.Revision, req.Services, req.Added, req.Report.Host)
 	}
 	return resp
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -232,6 +232,14 @@
 	return false
 }
 
+// receivesChanges reports whether this node receives changes of the configuration without its
+// relay: a watched replica has responded recently.
+func (w *watcher) receivesChanges(now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.otherConfirmed("", now)
+}
+
 // confirm records that a watched replica responded in contact with a leader. The first one after
 // a time without any makes the node forget which replicas failed: while there is no leader all of
 // them do, and the nodes would stay with the few that they had not asked.
@@ -244,11 +252,15 @@
 	w.confirmed[address] = now
 }
 
-// release marks a replica as no longer watched and records a failure.
+// release marks a replica as no longer watched and records a failure. If it was the last one that
+// responded, the relay is told at once that this node needs its changes of the configuration.
 func (w *watcher) release(address string, result watchResult, now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	delete(w.watched, address)
+	if _, responded := w.confirmed[address]; responded && !w.otherConfirmed(address, now) {
+		w.n.member.requestSync()
+	}
 	delete(w.confirmed, address)
 	switch result {
 	case wasFull:
