node: the notice of a move to another relay names what the node has

Relays filled their links for seconds although no configuration had changed: callers waited for responses of their nodes until the deadline, and the relays' own polls timed out.

Cause: a node that reports to another relay tells the previous one. That notice named neither a revision nor that the node watches, so the relay answered it with the whole configuration, which nobody read: 230 KB for 2,800 routes, for each node that moved. Nodes move whenever a relay is added, stops or does not respond in time, as while hosts are replaced.

The notice now has the node's revision, the digest of its relays and that it watches.

--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -313,6 +313,7 @@
 	{"a suspected node is also probed from another node", "core/directory/detect.go", "if helper := r.helper(host); helper != \"\" {", "if helper := \"\"; helper != \"\" {", "core/directory", "CutBetween"},
 	{"a relay is not ready before its sibling relays have answered", "core/directory/relay.go", "if p.info.DataCenter == r.self.DataCenter && p.cursor == nil {", "if p.info.DataCenter == r.self.DataCenter && p.cursor == nil && false {", "core/directory", "SiblingAnswers"},
 	{"a relay sends no configuration to nodes that watch control replicas", "internal/node/relayserver.go", "return !req.Watching || len(req.Added) > 0", "return true", "internal/node", "RelayIsNotLate"},
+	{"the notice of a move names the revision of the node", "internal/node/heartbeat.go", "Entry: req.Entry, Revision: req.Revision, RelaysDigest: req.RelaysDigest, Watching: true}", "Entry: req.Entry}", "internal/node", "NoticeOfAMove"},
 	{"a node without watches gets the configuration from its relay", "internal/node/watch.go", "return w.otherConfirmed(\"\", now)", "return true", "internal/node", "OnceTheirWatchesEnd"},
 	{"a relay sends other data centres only the entries of its own", "core/directory/exchange.go", "return sibling || e.DataCenter == r.self.DataCenter }", "return sibling || true }", "core/directory", "OnlyItsOwn"},
 
--- a/internal/node/heartbeat.go
+++ b/internal/node/heartbeat.go
@@ -86,7 +86,7 @@
 	if previous == nil {
 		return
 	}
-	notice := &apiv1.NodeSyncRequest{Report: req.Report, Entry: req.Entry}
+	notice := moveNotice(req)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), syncTimeout)
 		defer cancel()
@@ -95,6 +95,12 @@
 	}()
 }
 
+// moveNotice returns the notice for the previous relay of a node that has sent req to another one.
+// It names what the node has, so that the response, which is not used, is short.
+func moveNotice(req *apiv1.NodeSyncRequest) *apiv1.NodeSyncRequest {
+	return &apiv1.NodeSyncRequest{Report: req.Report, Entry: req.Entry, Revision: req.Revision, RelaysDigest: req.RelaysDigest, Watching: true}
+}
+
 func (m *member) buildRequest(r *apiv1.RelayInfo) *apiv1.NodeSyncRequest {
 	n := m.n
 	n.mu.Lock()
--- a/internal/node/relaylink_test.go
+++ b/internal/node/relaylink_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
 
 	apiv1 "cactuspath/api/cactuspath/v1"
 	"cactuspath/api/cactuspath/v1/apiv1connect"
@@ -168,6 +170,21 @@
 	awaitRevision(t, all, 2, maxDelay)
 }
 
+// Guards against relays that send the whole configuration to each node that has moved to another
+// relay: the response to the notice of the move, which the node does not use, filled their link.
+func TestNoticeOfAMoveIsAnsweredWithoutConfiguration(t *testing.T) {
+	n := newTestNode(t, "")
+	n.relay.start()
+	estate := newLargeReplica(n.relay.info())
+	estate.addRoutes(100)
+	n.relay.applyControlResponse(&apiv1.RelaySyncResponse{Delta: estate.records.Delta(0), RelaysUnchanged: true})
+	n.applyDelta(estate.records.Delta(0), true, "test")
+	heartbeat := n.member.buildRequest(n.relay.info())
+	resp := n.relay.sync(context.Background(), moveNotice(heartbeat))
+	assert.Assert(t, !resp.NotRelay)
+	assert.Assert(t, proto.Size(resp) < 100, "the response has %d bytes", proto.Size(resp))
+}
+
 func (r *relay) revision() uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
