proxy: nothing is refused for good by a configuration that was not confirmed recently

Callers were told 404, which they do not repeat, by nodes that had not heard of the route that a change had added more than two seconds before.

Cause: a node refused by its table whatever the age of that. The class: a negative answer from a copy of the state that has no bound on its age. The same: 401 for an unknown key, 413 for a body over the limit of a service.

A node now knows as of when its configuration was the newest. Replicas and relays tell for how long they held a response and how old their own confirmation was at its end; the node counts from the moment at which it sent the request, so that a response that was under way for long confirms the configuration of then, not of now. A relay's confirmation dates from the request to the leader. Once the configuration is older than configurationLease (settings, 5 s; the platform's bound for changes where it names one), what it does not accept is refused as not run: 503 not-ready, with when to come back. Routes and keys that a node knows are served as before.

Why it holds: a change is acknowledged before any confirmation that does not contain it, so a node whose confirmation is younger than the time in which changes have to be in force has every change that must be in force.

--- a/api/fault/fault.go
+++ b/api/fault/fault.go
@@ -43,7 +43,8 @@
 	Malformed Kind = "malformed"
 	// TooLarge means that the body exceeds the limit of the service.
 	TooLarge Kind = "too-large"
-	// NotReady means that the node has no configuration yet. The request did not run.
+	// NotReady means that the node has no configuration yet, or none that was confirmed recently
+	// enough to refuse the request for good. The request did not run.
 	NotReady Kind = "not-ready"
 )
 
--- a/core/consensus/raft.go
+++ b/core/consensus/raft.go
@@ -11,6 +11,7 @@
 import (
 	"errors"
 	"math/rand/v2"
+	"slices"
 
 	"google.golang.org/protobuf/proto"
 
@@ -194,6 +195,28 @@
 	return voters
 }
 
+// TicksSinceConfirmed is the number of ticks for which this replica may have missed what others
+// committed: since a follower last received a message from its leader, and on the leader since a
+// majority of the voters last replied.
+func (s Status) TicksSinceConfirmed() int {
+	if s.Role != Leader {
+		return s.TicksSinceLeader
+	}
+	var silences []int
+	for _, m := range s.Membership.GetMembers() {
+		if !m.Learner && m.Id != s.ID {
+			silences = append(silences, s.TicksSinceReply[m.Id])
+		}
+	}
+	slices.Sort(silences)
+	// The leader and as many others as this are a majority.
+	others := s.Voters() / 2
+	if others == 0 || others > len(silences) {
+		return 0
+	}
+	return silences[others-1]
+}
+
 // Status returns the current state of the replica.
 func (r *Raft) Status() Status {
 	s := Status{ID: r.id, Term: r.term, Leader: r.leader, Role: r.role, Commit: r.log.committed, Applied: r.log.applied,
--- a/core/consensus/raft_test.go
+++ b/core/consensus/raft_test.go
@@ -193,3 +193,30 @@
 	drainReady(r)
 	assert.Equal(t, r.Status().Commit, index)
 }
+
+// Guards against replicas that confirm a configuration to nodes although they may have missed
+// changes: a follower since its leader was silent, a leader since a majority was.
+func TestTicksSinceConfirmed(t *testing.T) {
+	members := func(voters, learners int) *apiv1.Membership {
+		m := &apiv1.Membership{}
+		for i := range voters + learners {
+			m.Members = append(m.Members, &apiv1.Member{Id: uint64(i + 1), Learner: i >= voters})
+		}
+		return m
+	}
+	for _, c := range []struct {
+		desc    string
+		status  Status
+		confirm int
+	}{
+		{"follower", Status{ID: 1, Role: Follower, TicksSinceLeader: 7, Membership: members(3, 0)}, 7},
+		{"only voter", Status{ID: 1, Role: Leader, Membership: members(1, 0)}, 0},
+		{"two voters", Status{ID: 1, Role: Leader, Membership: members(2, 0), TicksSinceReply: map[uint64]int{2: 9}}, 9},
+		{"one of three is silent", Status{ID: 1, Role: Leader, Membership: members(3, 0), TicksSinceReply: map[uint64]int{2: 1, 3: 90}}, 1},
+		{"two of five are silent", Status{ID: 1, Role: Leader, Membership: members(5, 0), TicksSinceReply: map[uint64]int{2: 80, 3: 1, 4: 2, 5: 90}}, 2},
+		{"three of five are silent", Status{ID: 1, Role: Leader, Membership: members(5, 0), TicksSinceReply: map[uint64]int{2: 80, 3: 1, 4: 70, 5: 90}}, 70},
+		{"learners do not count", Status{ID: 1, Role: Leader, Membership: members(3, 2), TicksSinceReply: map[uint64]int{2: 8, 3: 9, 4: 0, 5: 0}}, 8},
+	} {
+		assert.Equal(t, c.status.TicksSinceConfirmed(), c.confirm, c.desc)
+	}
+}
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -314,6 +314,9 @@
 	{"a relay is not ready before its sibling relays have answered", "core/directory/relay.go", "if p.info.DataCenter == r.self.DataCenter && p.cursor == nil {", "if p.info.DataCenter == r.self.DataCenter && p.cursor == nil && false {", "core/directory", "SiblingAnswers"},
 	{"a relay sends no configuration to nodes that watch control replicas", "internal/node/relayserver.go", "return !req.Watching || len(req.Added) > 0", "return true", "internal/node", "RelayIsNotLate"},
 	{"the notice of a move names the revision of the node", "internal/node/heartbeat.go", "Entry: req.Entry, Revision: req.Revision, RelaysDigest: req.RelaysDigest, Watching: true}", "Entry: req.Entry}", "internal/node", "NoticeOfAMove"},
+	{"nothing is refused for good by an unconfirmed configuration", "internal/proxy/handler.go", "age < h.options.ConfigurationLease {", "true {", "internal/proxy", "RefusesNothingForGood"},
+	{"the time that a response was under way adds to the age of its confirmation", "internal/node/node.go", "n.controlHeard(max(0, time.Since(sent)-held) + age)", "n.controlHeard(0*held + age)", "internal/node", "ConfirmationIsAsOld"},
+	{"a relay confirms only the revision that it has", "internal/node/heartbeat.go", "if n.records.Revision() >= resp.Revision {", "if true {", "internal/node", "NewerRevisionDoesNotConfirm"},
 	{"a node without watches gets the configuration from its relay", "internal/node/watch.go", "return w.otherConfirmed(\"\", now)", "return true", "internal/node", "OnceTheirWatchesEnd"},
 	{"a relay sends other data centres only the entries of its own", "core/directory/exchange.go", "return sibling || e.DataCenter == r.self.DataCenter }", "return sibling || true }", "core/directory", "OnlyItsOwn"},
 
--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -2,6 +2,7 @@
 
 import (
 	"expvar"
+	"time"
 
 	"cactuspath/core/directory"
 	"cactuspath/internal/logs"
@@ -88,7 +89,7 @@
 		"directory_relay_bytes_sent":    &n.counters.relayBytes,
 		"directory_changed_unix_ms":     &n.counters.viewChanged,
 		"configuration_changed_unix_ms": &n.counters.configurationChanged,
-		"configuration_heard_ms_ago":    expvar.Func(func() any { return n.sinceControlHeard().Milliseconds() }),
+		"configuration_heard_ms_ago":    expvar.Func(func() any { return min(n.sinceControlHeard(), time.Since(n.start)).Milliseconds() }),
 		"configuration_revision":        expvar.Func(func() any { return n.Revision() }),
 		"configuration_confirmed":       expvar.Func(func() any { return n.isConfirmed() }),
 		"directory_known_endpoints":     expvar.Func(func() any { return n.knownEndpoints() }),
--- a/internal/node/heartbeat.go
+++ b/internal/node/heartbeat.go
@@ -53,6 +53,7 @@
 	defer cancel()
 	req.HoldMs = uint32(jitter(syncHold).Milliseconds())
 	stop := m.interruptOnRequest(cancel)
+	sent := time.Now()
 	answer, err := n.peers.at(r.PeerAddress).Sync(ctx, connect.NewRequest(req))
 	stop()
 	if err != nil {
@@ -75,7 +76,7 @@
 	if !resp.RelaysUnchanged && len(resp.Relays) > 0 {
 		m.relays = resp.Relays
 	}
-	return m.applyResponse(req.Services, resp), nil
+	return m.applyResponse(req.Services, sent, resp), nil
 }
 
 // notifyPreviousRelay tells the previous relay that this node reports to another relay
@@ -141,9 +142,9 @@
 	return true
 }
 
-// applyResponse applies a relay's response to a heartbeat that requested the given
-// services, and reports whether another heartbeat is due immediately.
-func (m *member) applyResponse(services []string, resp *apiv1.NodeSyncResponse) (again bool) {
+// applyResponse applies a relay's response to a heartbeat that was sent at the given time and
+// requested the given services, and reports whether another heartbeat is due immediately.
+func (m *member) applyResponse(services []string, sent time.Time, resp *apiv1.NodeSyncResponse) (again bool) {
 	n := m.n
 	n.mu.Lock()
 	again = m.refuteOutdated(resp)
@@ -156,7 +157,7 @@
 		changed = true
 	}
 	if n.records.Revision() >= resp.Revision {
-		n.controlHeard(time.Duration(min(resp.ConfirmedAgeMs, maxConfirmedAgeMs)) * time.Millisecond)
+		n.configurationConfirmed(sent, resp.HeldMs, time.Duration(min(resp.ConfirmedAgeMs, maxConfirmedAgeMs))*time.Millisecond)
 	}
 	logInForce := n.publishRevision(before, resp.ConfirmedAgeMs < uint64(staleConfirmation.Milliseconds()), "relay "+m.currentRelay.GetHost())
 	// A service that was requested in the meantime is fetched immediately. A service
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -68,6 +69,9 @@
 	// KeyLease is how long keys of client accounts are accepted after the last contact with
 	// the control replicas, direct or through a relay; 0 means without limit.
 	KeyLease time.Duration
+	// ConfigurationLease is how long this node refuses requests for good by its configuration after
+	// that was last confirmed; 0 means without limit.
+	ConfigurationLease time.Duration
 	// LinkBytesPerSecond is the bandwidth of the host's link; 0 means that large responses
 	// are not paced.
 	LinkBytesPerSecond float64
@@ -87,8 +91,8 @@
 	// revision is the revision of records. It is atomic because every call reads it,
 	// and a call must not wait for mu while a heartbeat response is applied.
 	revision atomic.Uint64
-	// controlHeardAt is when a control replica in contact with a leader last confirmed the
-	// configuration of this node or of its relay, in nanoseconds since start.
+	// controlHeardAt is when the configuration of this node was last known to be the newest, in
+	// nanoseconds since start.
 	controlHeardAt atomic.Int64
 	proxy          *proxy.Handler
 	calls          *proxy.Counters
@@ -149,6 +153,9 @@
 	confirmed bool
 }
 
+// neverHeard is the value of controlHeardAt before the configuration was confirmed.
+const neverHeard = math.MinInt64 / 2
+
 // New returns a node that is ready to run.
 func New(options Options) *Node {
 	n := &Node{
@@ -156,6 +163,7 @@
 		records: rollout.NewRecords(), view: directory.NewView(), requested: map[string]bool{}, candidateLists: map[string][]balancer.Candidate{}, changed: make(chan struct{}), callers: &requestCounter{},
 	}
 	n.incarnation.Store(uint64(time.Now().UnixMilli()))
+	n.controlHeardAt.Store(neverHeard)
 	n.peers = newPeerClients(options.Security)
 	n.reports = newReports(n)
 	n.quarantine = quarantine.New(quarantine.Options{Host: options.Host, Send: n.reports.sendDatagram, Counters: &n.counters.quarantine})
@@ -169,6 +177,7 @@
 	n.proxy = proxy.New(proxy.Options{
 		Host: options.Host, DataCenter: options.DataCenter, Security: options.Security, Local: n, DiscoverService: n.awaitService, ObserveRevision: n.observeRevision, Revision: n.Revision, Revoke: n.revoke, Counters: n.calls,
 		Dialect: options.Dialect, CallerService: n.service, SharedRetryBudget: options.Retry, RetryByNeed: options.RetryByNeed, ProbePeer: n.alive, Quarantine: n.quarantine, Overload: n.overload, Usage: n.usage, KeysTrusted: n.keysTrusted, Link: n.link,
+		ConfigurationAge: n.sinceControlHeard, ConfigurationLease: options.ConfigurationLease,
 	})
 	n.disabled = options.Disabled
 	n.proxy.SetDisabled(options.Disabled)
@@ -265,8 +274,16 @@
 // Revision returns the newest configuration revision that this node holds.
 func (n *Node) Revision() uint64 { return n.revision.Load() }
 
-// controlHeard records that a control replica in contact with a leader confirmed the
-// configuration the given time ago.
+// configurationConfirmed records that a control replica, or a relay that has heard from one,
+// confirmed this node's configuration. The response to a request that was sent at the given time
+// was held, and the confirmation had the given age at the end of the hold. The time that the
+// response was under way adds to the age, and that of the request is taken for it as well.
+func (n *Node) configurationConfirmed(sent time.Time, heldMs uint32, age time.Duration) {
+	held := time.Duration(heldMs) * time.Millisecond
+	n.controlHeard(max(0, time.Since(sent)-held) + age)
+}
+
+// controlHeard records that the configuration was the newest the given time ago.
 func (n *Node) controlHeard(ago time.Duration) {
 	at := int64(time.Since(n.start) - ago)
 	for before := n.controlHeardAt.Load(); at > before && !n.controlHeardAt.CompareAndSwap(before, at); {
@@ -274,8 +291,8 @@
 	}
 }
 
-// sinceControlHeard returns how long ago a control replica in contact with a leader last
-// confirmed the configuration of this node or of its relay.
+// sinceControlHeard returns how long ago the configuration of this node was last known to be the
+// newest.
 func (n *Node) sinceControlHeard() time.Duration {
 	return time.Since(n.start) - time.Duration(n.controlHeardAt.Load())
 }
--- a/internal/node/relaycontrol.go
+++ b/internal/node/relaycontrol.go
@@ -31,9 +31,10 @@
 		}
 		begin := time.Now()
 		err := r.n.options.Control.Call(ctx, func(ctx context.Context, c *controlclient.Replica) error {
+			sent := time.Now()
 			resp, err := c.Control.RelaySync(ctx, connect.NewRequest(req))
 			if err == nil {
-				r.applyControlResponse(resp.Msg)
+				r.applyControlResponse(sent, resp.Msg)
 			}
 			return err
 		})
@@ -68,7 +69,8 @@
 	return req
 }
 
-func (r *relay) applyControlResponse(resp *apiv1.RelaySyncResponse) {
+// applyControlResponse applies the leader's response to a report that was sent at the given time.
+func (r *relay) applyControlResponse(sent time.Time, resp *apiv1.RelaySyncResponse) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.state == nil {
@@ -84,7 +86,7 @@
 		r.state.TriggerPull()
 	}
 	r.relaysWanted += resp.MoreRelays
-	r.confirmed = time.Now()
+	r.confirmed = sent
 	before := r.records.Revision()
 	changed := r.records.Apply(resp.Delta)
 	if changed {
--- a/internal/node/relaylink_test.go
+++ b/internal/node/relaylink_test.go
@@ -177,7 +177,7 @@
 	n.relay.start()
 	estate := newLargeReplica(n.relay.info())
 	estate.addRoutes(100)
-	n.relay.applyControlResponse(&apiv1.RelaySyncResponse{Delta: estate.records.Delta(0), RelaysUnchanged: true})
+	n.relay.applyControlResponse(time.Now(), &apiv1.RelaySyncResponse{Delta: estate.records.Delta(0), RelaysUnchanged: true})
 	n.applyDelta(estate.records.Delta(0), true, "test")
 	heartbeat := n.member.buildRequest(n.relay.info())
 	resp := n.relay.sync(context.Background(), moveNotice(heartbeat))
--- a/internal/node/relayserver.go
+++ b/internal/node/relayserver.go
@@ -20,9 +20,11 @@
 // the node or the requested hold ends, so that the node receives a change without
 // delay.
 func (r *relay) sync(ctx context.Context, req *apiv1.NodeSyncRequest) *apiv1.NodeSyncResponse {
-	deadline := time.Now().Add(min(maxSyncHold, time.Duration(req.HoldMs)*time.Millisecond))
+	arrived := time.Now()
+	deadline := arrived.Add(min(maxSyncHold, time.Duration(req.HoldMs)*time.Millisecond))
 	for {
 		resp, changed := r.respond(req)
+		resp.HeldMs = uint32(time.Since(arrived).Milliseconds())
 		if hasUpdates(req, resp) || !waitForChange(ctx, changed, deadline) {
 			countSent(&r.n.counters.relayBytes, "configuration", resp.Delta)
 			countSent(&r.n.counters.relayBytes, "entries", resp.Entries...)
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -278,9 +278,9 @@
 // poll took, and its error.
 func (w *watcher) watchReplica(ctx context.Context, address string, preferNear bool) (result watchResult, polling time.Duration, err error) {
 	for ctx.Err() == nil {
-		begin := time.Now()
+		sent := time.Now()
 		resp, err := w.poll(ctx, address)
-		polling = time.Since(begin)
+		polling = time.Since(sent)
 		if err != nil {
 			w.n.counters.watchFailures.Add(1)
 			w.logStatus(address, false, err)
@@ -296,7 +296,7 @@
 			return result, polling, nil
 		}
 		w.logStatus(address, true, nil)
-		w.n.controlHeard(0)
+		w.n.configurationConfirmed(sent, resp.HeldMs, time.Duration(resp.ConfirmedAgeMs)*time.Millisecond)
 		result = wasUsable
 		if resp.Full {
 			return wasFull, polling, nil
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -185,7 +185,7 @@
 		Security: p.security, Control: p.client, StopTimeout: s.StopTimeout,
 		Disabled: s.Disabled, Dialect: p.dialect(), Service: n.Service, Backend: n.Backend, WatchControl: n.WatchControl,
 		Retry: proxy.SharedRetryBudget{Ratio: s.Retry.Ratio, Slack: s.Retry.Slack, Window: s.Retry.Window},
-		Usage: usage.Tolerance{Slack: s.UsageSlack, Overage: s.UsageOverage}, KeyLease: s.KeyLease,
+		Usage: usage.Tolerance{Slack: s.UsageSlack, Overage: s.UsageOverage}, KeyLease: s.KeyLease, ConfigurationLease: s.ConfigurationLease,
 		LinkBytesPerSecond: s.LinkMbps * link.BytesPerMegabit, LearnedProfiles: s.LearnedProfiles, RetryByNeed: s.RetryOrder == settings.RetryByNeed,
 	})
 	return nil
--- a/internal/proxy/account.go
+++ b/internal/proxy/account.go
@@ -134,7 +134,10 @@
 // refuseUnknownKey responds to a request without a valid key. The key stands in no message
 // and no log.
 func (h *Handler) refuseUnknownKey(w http.ResponseWriter, r *http.Request, target Target) {
-	logs.Decision(true, "Request refused: no valid key", "request", r.Header.Get(h.options.Dialect.RequestID), "route", target.routeName(), "fields", len(r.Header["Authorization"]), "revision", h.options.Revision())
+	if h.refuseUnconfirmed(w, r) {
+		return
+	}
+	logs.Decision(true, "Request refused: no valid key", "request", r.Header.Get(h.options.Dialect.RequestID), "route", target.routeName(), "fields", len(r.Header["Authorization"]), "revision", h.options.Revision(), "configurationAge", h.configurationAge())
 	w.Header().Set("WWW-Authenticate", "Bearer")
 	h.writeFault(w, r, Fault{Fault: fault.UnknownKey, Message: `the request has no valid key and was not run; send "Authorization: Bearer KEY" with a key of a client account, which the operator gives out`}, 0)
 }
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -78,6 +78,11 @@
 	// KeysTrusted reports whether this node may accept keys of client accounts; nil means
 	// always.
 	KeysTrusted func() bool
+	// ConfigurationAge returns how long ago the configuration of this node was last known to be
+	// the newest, and ConfigurationLease is the age up to which requests are refused for good by
+	// it; 0 means without limit.
+	ConfigurationAge   func() time.Duration
+	ConfigurationLease time.Duration
 	// Revoke revokes an attempt, sent the given time ago, at the endpoint's node and returns
 	// whether it was started there.
 	Revoke   func(ctx context.Context, peerAddress string, incarnation uint64, id gate.AttemptID, sentAgo time.Duration) gate.RevokeAnswer
@@ -324,11 +329,39 @@
 		h.writeFault(w, r, Fault{Fault: fault.NotReady, Message: "this node has no configuration yet; ask another node or come back when it is ready"}, time.Second)
 		return
 	}
-	logs.Decision(true, "Request refused: no route", "request", r.Header.Get(h.options.Dialect.RequestID), "revision", h.options.Revision())
+	if h.refuseUnconfirmed(w, r) {
+		return
+	}
+	logs.Decision(true, "Request refused: no route", "request", r.Header.Get(h.options.Dialect.RequestID), "revision", h.options.Revision(), "configurationAge", h.configurationAge())
 	h.writeFault(w, r, Fault{Fault: fault.NoSuchService, Message: "no service of the estate claims host " + strconv.Quote(r.Host) + " and path " + strconv.Quote(r.URL.Path) +
 		"; check the hosts and pathPrefixes with `cactusctl show`"}, 0)
 }
 
+// unconfirmedRetryAfter is when a caller should come back whose request this node cannot refuse
+// for good. Nodes that have lost a control replica have found another one by then.
+const unconfirmedRetryAfter = 500 * time.Millisecond
+
+// refuseUnconfirmed refuses a request as not run if the configuration of this node was not confirmed
+// recently, and reports whether it did. It is called before a request is refused for good by the
+// configuration, since a newer one may accept the request.
+func (h *Handler) refuseUnconfirmed(w http.ResponseWriter, r *http.Request) bool {
+	age := h.configurationAge()
+	if h.options.ConfigurationLease == 0 || age < h.options.ConfigurationLease {
+		return false
+	}
+	logs.Decision(true, "Request refused: configuration not confirmed", "request", r.Header.Get(h.options.Dialect.RequestID), "revision", h.options.Revision(), "configurationAge", age)
+	h.writeFault(w, r, Fault{Fault: fault.NotReady, Message: "this node has not heard from the control replicas recently, and its configuration does not accept the request, so it was not run; ask another node or come back after the time given"}, unconfirmedRetryAfter)
+	return true
+}
+
+// configurationAge returns how long ago the configuration was last known to be the newest.
+func (h *Handler) configurationAge() time.Duration {
+	if h.options.ConfigurationAge == nil {
+		return 0
+	}
+	return h.options.ConfigurationAge()
+}
+
 // serve applies the timeout and the body limit, prepares the request and runs the call.
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request, s *service, route *Route, key *credential, arrived time.Time) {
 	spec, rules := s.beginCall(r.Method)
@@ -343,6 +376,9 @@
 	if spec.MaxBodyBytes > 0 {
 		if r.ContentLength > int64(spec.MaxBodyBytes) {
 			h.refund(key)
+			if h.refuseUnconfirmed(w, r) {
+				return
+			}
 			h.writeFault(w, r, Fault{Fault: fault.TooLarge, Message: "the body exceeds the service's maxBodyBytes; send less, or have the estate changed"}, 0)
 			return
 		}
--- a/internal/replica/watch.go
+++ b/internal/replica/watch.go
@@ -33,7 +33,7 @@
 // replica loses contact with the leader. It returns only committed revisions, which a later leader
 // cannot revert. A node that wants a profile gets it at once if it is complete.
 func (c controlService) Watch(ctx context.Context, req *connect.Request[apiv1.WatchRequest]) (*connect.Response[apiv1.WatchResponse], error) {
-	r := c.r
+	r, arrived := c.r, time.Now()
 	resp := &apiv1.WatchResponse{}
 	r.presence.put(req.Msg.Entry)
 	r.profiles.observe(req.Msg)
@@ -50,6 +50,7 @@
 	r.watchers.active.Add(-1)
 	r.counters.watches.Add(1)
 	resp.Detached = r.detached()
+	resp.HeldMs, resp.ConfirmedAgeMs = uint32(time.Since(arrived).Milliseconds()), uint32(r.confirmedAge().Milliseconds())
 	resp.Replicas = memberAddresses(r.Status().Membership)
 	r.mu.RLock()
 	if r.state.Revision() > req.Msg.Revision {
@@ -115,6 +116,12 @@
 	return s.Leader == 0 || time.Duration(s.TicksSinceLeader)*r.options.Tick > detachedTimeout
 }
 
+// confirmedAge returns for how long this replica may have missed changes.
+func (r *Replica) confirmedAge() time.Duration {
+	s := r.status.Load()
+	return time.Since(s.at) + time.Duration(s.TicksSinceConfirmed())*r.options.Tick
+}
+
 func memberAddresses(m *apiv1.Membership) []string {
 	var list []string
 	for _, member := range m.GetMembers() {
--- a/internal/replica/watch_test.go
+++ b/internal/replica/watch_test.go
@@ -18,7 +18,10 @@
 	for until := time.Now().Add(10 * time.Second); r.Status().Role != consensus.Leader; time.Sleep(5 * time.Millisecond) {
 		assert.Assert(t, time.Now().Before(until), "no leader")
 	}
-	assert.Assert(t, !watchReplica(t, r, &apiv1.WatchRequest{HoldMs: 10}).Detached)
+	held := watchReplica(t, r, &apiv1.WatchRequest{Revision: r.state.Revision(), HoldMs: 50})
+	assert.Assert(t, !held.Detached)
+	assert.Assert(t, held.HeldMs >= 50, "the response was held for %d ms", held.HeldMs)
+	assert.Assert(t, held.ConfirmedAgeMs < uint32(detachedTimeout.Milliseconds()), "the replica was confirmed %d ms ago", held.ConfirmedAgeMs)
 	release, blocked := make(chan struct{}), make(chan struct{})
 	defer close(release)
 	go func() {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -45,6 +45,10 @@
 	// KeyLease is how long a node goes on accepting keys of client accounts after it lost the
 	// control replicas, which may have taken keys away in the meantime.
 	KeyLease time.Duration
+	// ConfigurationLease is how long a node refuses requests for good by its configuration, as for an
+	// unknown route or key, after it last heard from the control replicas. Later it refuses them as
+	// not run. It is the time in which a change has to take effect.
+	ConfigurationLease time.Duration
 	// LinkMbps is the bandwidth of the host's link in Mbit/s. If it is 0, large responses are not
 	// paced.
 	LinkMbps float64
@@ -149,6 +153,9 @@
 	// all requests that need a key after it.
 	defaultKeyLease = 10 * time.Minute
 	maxKeyLease     = 24 * time.Hour
+	// defaultConfigurationLease is the time in which a change takes effect in large fleets.
+	defaultConfigurationLease = 5 * time.Second
+	maxConfigurationLease     = time.Hour
 	// defaultGCPercent is the default of the Go runtime. With values below minGCPercent, the
 	// garbage collector would use more processor time than the rest of the process.
 	defaultGCPercent = 100
@@ -195,29 +202,30 @@
 	if len(reader.Problems()) > 0 {
 		return nil, reader.Problems()
 	}
-	s := &Settings{StopTimeout: defaultStopTimeout, KeyLease: defaultKeyLease, UsageOverage: defaultUsageOverage, GCPercent: defaultGCPercent, RetryOrder: RetryFirstCome}
+	s := &Settings{StopTimeout: defaultStopTimeout, KeyLease: defaultKeyLease, ConfigurationLease: defaultConfigurationLease, UsageOverage: defaultUsageOverage, GCPercent: defaultGCPercent, RetryOrder: RetryFirstCome}
 	allowPlainText := false
 	root.Object(map[string]func(jsonc.Node){
-		"host":            func(n jsonc.Node) { s.Host = readName(n) },
-		"dataCenter":      func(n jsonc.Node) { s.DataCenter = readName(n) },
-		"region":          func(n jsonc.Node) { s.Region = readName(n) },
-		"node":            func(n jsonc.Node) { s.Node = readNode(n) },
-		"control":         func(n jsonc.Node) { s.Control = readControl(n) },
-		"controlReplicas": func(n jsonc.Node) { s.ControlReplicas = readControlReplicas(n) },
-		"tls":             func(n jsonc.Node) { s.TLS = readTLS(n) },
-		"allowPlainText":  func(n jsonc.Node) { allowPlainText = n.Bool() },
-		"logLevel":        func(n jsonc.Node) { s.LogLevel = int(n.Uint(0, 10)) },
-		"keyLease":        func(n jsonc.Node) { s.KeyLease = n.Duration(time.Second, maxKeyLease) },
-		"usageOverage":    func(n jsonc.Node) { s.UsageOverage = n.Float(0, 1) },
-		"usageSlack":      func(n jsonc.Node) { s.UsageSlack = n.Float(0, maxUsageSlack) },
-		"gcPercent":       func(n jsonc.Node) { s.GCPercent = int(n.Uint(minGCPercent, maxGCPercent)) },
-		"linkMbps":        func(n jsonc.Node) { s.LinkMbps = n.Float(0, maxLinkMbps) },
-		"learnedProfiles": func(n jsonc.Node) { s.LearnedProfiles = n.Bool() },
-		"retryOrder":      func(n jsonc.Node) { s.RetryOrder = readRetryOrder(n) },
-		"stopTimeout":     func(n jsonc.Node) { s.StopTimeout = n.Duration(time.Second, time.Hour) },
-		"metrics":         func(n jsonc.Node) { s.Metrics = readAddress(n) },
-		"policy":          func(n jsonc.Node) { s.Disabled = readPolicy(n) },
-		"adapter":         func(n jsonc.Node) { s.Adapter = readAdapter(n) },
+		"host":               func(n jsonc.Node) { s.Host = readName(n) },
+		"dataCenter":         func(n jsonc.Node) { s.DataCenter = readName(n) },
+		"region":             func(n jsonc.Node) { s.Region = readName(n) },
+		"node":               func(n jsonc.Node) { s.Node = readNode(n) },
+		"control":            func(n jsonc.Node) { s.Control = readControl(n) },
+		"controlReplicas":    func(n jsonc.Node) { s.ControlReplicas = readControlReplicas(n) },
+		"tls":                func(n jsonc.Node) { s.TLS = readTLS(n) },
+		"allowPlainText":     func(n jsonc.Node) { allowPlainText = n.Bool() },
+		"logLevel":           func(n jsonc.Node) { s.LogLevel = int(n.Uint(0, 10)) },
+		"keyLease":           func(n jsonc.Node) { s.KeyLease = n.Duration(time.Second, maxKeyLease) },
+		"configurationLease": func(n jsonc.Node) { s.ConfigurationLease = n.Duration(time.Second, maxConfigurationLease) },
+		"usageOverage":       func(n jsonc.Node) { s.UsageOverage = n.Float(0, 1) },
+		"usageSlack":         func(n jsonc.Node) { s.UsageSlack = n.Float(0, maxUsageSlack) },
+		"gcPercent":          func(n jsonc.Node) { s.GCPercent = int(n.Uint(minGCPercent, maxGCPercent)) },
+		"linkMbps":           func(n jsonc.Node) { s.LinkMbps = n.Float(0, maxLinkMbps) },
+		"learnedProfiles":    func(n jsonc.Node) { s.LearnedProfiles = n.Bool() },
+		"retryOrder":         func(n jsonc.Node) { s.RetryOrder = readRetryOrder(n) },
+		"stopTimeout":        func(n jsonc.Node) { s.StopTimeout = n.Duration(time.Second, time.Hour) },
+		"metrics":            func(n jsonc.Node) { s.Metrics = readAddress(n) },
+		"policy":             func(n jsonc.Node) { s.Disabled = readPolicy(n) },
+		"adapter":            func(n jsonc.Node) { s.Adapter = readAdapter(n) },
 	}, "host", "dataCenter", "region", "controlReplicas")
 	if s.Node == nil && s.Control == nil {
 		root.Fail("neither node nor control is set", `add "node": {…}, "control": {…}, or both`)
