transport: calls between processes end when they make no progress, not after a fixed time

A node whose link needs longer for a configuration than a poll of a control replica may take never has it: a new host stays unready, others keep the old configuration. Below that size polls are cut off in the middle of the transfer and begin anew, which loads the link once more.

Cause: the time limit of a poll, 1.3 s with a hold of up to .8 s, covered the transfer of the response. 4,000 routes are 330 KB; two watches need 1.3 s for them on a link of 4.2 Mbit/s. The class: a fixed limit for a message whose size grows, and each repetition from the beginning. The same: heartbeats to relays and pulls between relays (2 s), calls of relays and operators to the leader (2 s, also for an upload).

transport.WithStallLimit ends a call if its response has not begun in time, or if then nothing more of it arrives; while a request is being sent, its parts count. A node that is receiving a response counts as watching, so that its relay does not send the same once more.

TestStallLimitEndsCallsWithoutProgressOnly.

--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -22,8 +22,8 @@
 const (
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 2 * time.Second
-	// attemptTimeout limits the call to one replica, so that a replica that does not
-	// respond leaves time to try others.
+	// attemptTimeout limits how long a call to one replica makes no progress, so that a replica
+	// that does not respond leaves time to try others.
 	attemptTimeout = 2 * time.Second
 )
 
@@ -163,7 +163,7 @@
 }
 
 func (c *Client) attempt(ctx context.Context, address string, call func(context.Context, *Replica) error) error {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	ctx, cancel := transport.WithStallLimit(ctx, attemptTimeout, attemptTimeout, nil)
 	defer cancel()
 	return call(ctx, c.At(address))
 }
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -317,7 +317,9 @@
 	{"nothing is refused for good by an unconfirmed configuration", "internal/proxy/handler.go", "age < h.options.ConfigurationLease {", "true {", "internal/proxy", "RefusesNothingForGood"},
 	{"the time that a response was under way adds to the age of its confirmation", "internal/node/node.go", "n.controlHeard(max(0, time.Since(sent)-held) + age)", "n.controlHeard(0*held + age)", "internal/node", "ConfirmationIsAsOld"},
 	{"a relay confirms only the revision that it has", "internal/node/heartbeat.go", "if n.records.Revision() >= resp.Revision {", "if true {", "internal/node", "NewerRevisionDoesNotConfirm"},
-	{"a node without watches gets the configuration from its relay", "internal/node/watch.go", "return w.otherConfirmed(\"\", now)", "return true", "internal/node", "OnceTheirWatchesEnd"},
+	{"a call that makes progress is not ended", "internal/transport/stall.go", "l.timer.Reset(l.stall)", "_ = l.stall", "internal/transport", "StallLimit"},
+	{"a request that is being sent is not ended", "internal/transport/stall.go", "b.limit.timer.Reset(b.limit.first)", "_ = b.limit.first", "internal/transport", "StallLimit"},
+	{"a node without watches gets the configuration from its relay", "internal/node/watch.go", "return w.otherReceiving(\"\", now)", "return true", "internal/node", "OnceTheirWatchesEnd"},
 	{"a relay sends other data centres only the entries of its own", "core/directory/exchange.go", "return sibling || e.DataCenter == r.self.DataCenter }", "return sibling || true }", "core/directory", "OnlyItsOwn"},
 
 	{"a changed byte is detected as corruption", "internal/wal/record.go", "if binary.LittleEndian.Uint64(header[8:]) != xxhash.Sum64(body) {", "if false {", "internal/wal", "Flipped"},
--- a/internal/node/heartbeat.go
+++ b/internal/node/heartbeat.go
@@ -10,6 +10,7 @@
 	apiv1 "cactuspath/api/cactuspath/v1"
 	"cactuspath/core/directory"
 	"cactuspath/internal/replica"
+	"cactuspath/internal/transport"
 )
 
 // The heartbeat between a node and its relay: building the request and applying the
@@ -21,7 +22,8 @@
 	// syncHold is how long the relay may hold its response while there are no updates,
 	// so that a node sends about one heartbeat per second.
 	syncHold = directory.HeartbeatInterval
-	// syncTimeout is the time after the hold in which the response must arrive.
+	// syncTimeout is the time after the hold in which the response must begin, and the longest
+	// pause between its parts.
 	syncTimeout = time.Second
 	// staleConfirmation is the maximum age of the last confirmation by a leader that
 	// the relay has the newest configuration. If it is older, a node that has no
@@ -49,7 +51,7 @@
 		m.sentVersion = entryVersion{}
 	}
 	req := m.buildRequest(r)
-	ctx, cancel := context.WithTimeout(ctx, syncHold+syncTimeout)
+	ctx, cancel := transport.WithStallLimit(ctx, syncHold+syncTimeout, syncTimeout, nil)
 	defer cancel()
 	req.HoldMs = uint32(jitter(syncHold).Milliseconds())
 	stop := m.interruptOnRequest(cancel)
--- a/internal/node/relaylink_test.go
+++ b/internal/node/relaylink_test.go
@@ -140,7 +140,7 @@
 	const (
 		// bytesPerSecond is a link of 4.2 Mbit/s.
 		bytesPerSecond = 525_000
-		nodes          = 23
+		nodes          = 31
 		// maxDelay is the time in which a change takes effect.
 		maxDelay = 2 * time.Second
 	)
@@ -170,6 +170,25 @@
 	awaitRevision(t, all, 2, maxDelay)
 }
 
+// Guards against nodes that never have a configuration whose transfer takes longer than the time
+// limit of a poll: each poll was cut off, and the next one began again.
+func TestNodeReceivesAConfigurationThatTakesLongToTransfer(t *testing.T) {
+	const (
+		// bytesPerSecond is a link of 4.2 Mbit/s.
+		bytesPerSecond = 525_000
+		routes         = 14_000
+		// maxDelay is four times what the link needs for the configuration.
+		maxDelay = 9 * time.Second
+	)
+	replica := newLargeReplica(&apiv1.RelayInfo{})
+	replica.addRoutes(routes)
+	downlink := testnet.NewLink(bytesPerSecond)
+	addresses := []string{serveReplica(t, replica, downlink.Listen), serveReplica(t, replica, downlink.Listen)}
+	nodes := newWatchingNodes(t, 1, addresses)
+	runWatchers(t, nodes)
+	awaitRevision(t, nodes, 1, maxDelay)
+}
+
 // Guards against relays that send the whole configuration to each node that has moved to another
 // relay: the response to the notice of the move, which the node does not use, filled their link.
 func TestNoticeOfAMoveIsAnsweredWithoutConfiguration(t *testing.T) {
--- a/internal/node/relaypulls.go
+++ b/internal/node/relaypulls.go
@@ -8,6 +8,7 @@
 
 	apiv1 "cactuspath/api/cactuspath/v1"
 	"cactuspath/core/directory"
+	"cactuspath/internal/transport"
 )
 
 // Calls to other nodes and relays that the directory requests: probes and pulls.
@@ -88,7 +89,7 @@
 }
 
 func (r *relay) pullOnce(ctx context.Context, p *directory.Pull) (more bool) {
-	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	ctx, cancel := transport.WithStallLimit(ctx, pullTimeout, pullTimeout-pullHold, nil)
 	defer cancel()
 	p.Request.HoldMs = uint32(pullHold.Milliseconds())
 	resp, err := r.n.peers.at(p.Relay.PeerAddress).Exchange(ctx, connect.NewRequest(p.Request))
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -15,6 +15,7 @@
 	apiv1 "cactuspath/api/cactuspath/v1"
 	"cactuspath/core/directory"
 	"cactuspath/internal/quarantine"
+	"cactuspath/internal/transport"
 )
 
 const (
@@ -25,9 +26,12 @@
 	// watchHold is how long a replica may hold the response to a watch while there are
 	// no updates. A shorter hold detects a broken connection earlier.
 	watchHold = 800 * time.Millisecond
-	// watchTimeoutMargin is the time after the hold in which the response must arrive.
-	// It allows for a few round trips on a busy host.
+	// watchTimeoutMargin is the time after the hold in which the response must begin. It allows
+	// for a few round trips on a busy host.
 	watchTimeoutMargin = 500 * time.Millisecond
+	// watchStallTimeout is the longest pause between the parts of a response, which share the
+	// link of the host with others.
+	watchStallTimeout = 800 * time.Millisecond
 	// minWatchBackoff and maxWatchBackoff limit the backoff between tries while no
 	// replica is usable. A change has to take effect within two seconds. If two of five
 	// replicas are partitioned from the others, the two watches of a node find a usable
@@ -59,10 +63,10 @@
 	mu sync.Mutex
 	// replicas holds the addresses of all control replicas, as reported by one of them.
 	replicas []string
-	// watched holds the addresses that are being watched, and confirmed when each of them last
-	// responded in contact with a leader.
-	watched   map[string]bool
-	confirmed map[string]time.Time
+	// watched holds the addresses that are being watched, confirmed when each of them last
+	// responded in contact with a leader, and lastPart when a part of a response last arrived.
+	watched             map[string]bool
+	confirmed, lastPart map[string]time.Time
 	// cursors holds, by replica address, the position up to which this node has
 	// received the replica's entries of other nodes.
 	cursors map[string]*apiv1.ClaimCursor
@@ -83,7 +87,7 @@
 }
 
 func newWatcher(n *Node) *watcher {
-	return &watcher{n: n, watched: map[string]bool{}, confirmed: map[string]time.Time{}, cursors: map[string]*apiv1.ClaimCursor{}, lastFailure: map[string]time.Time{}, fullUntil: map[string]time.Time{},
+	return &watcher{n: n, watched: map[string]bool{}, confirmed: map[string]time.Time{}, lastPart: map[string]time.Time{}, cursors: map[string]*apiv1.ClaimCursor{}, lastFailure: map[string]time.Time{}, fullUntil: map[string]time.Time{},
 		dataCenters: map[string]string{}, announced: map[string]*announcementState{}, wake: make(chan struct{}, 1)}
 }
 
@@ -233,11 +237,29 @@
 }
 
 // receivesChanges reports whether this node receives changes of the configuration without its
-// relay: a watched replica has responded recently.
+// relay: a watched replica has responded recently, or a response of one is arriving.
 func (w *watcher) receivesChanges(now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.otherConfirmed("", now)
+	return w.otherReceiving("", now)
+}
+
+// otherReceiving reports whether a watched replica besides the given one has responded recently, or
+// a response of it is arriving. The caller holds the lock.
+func (w *watcher) otherReceiving(address string, now time.Time) bool {
+	for other := range w.watched {
+		if at, ok := w.lastPart[other]; other != address && ok && now.Sub(at) < watchHold+watchTimeoutMargin {
+			return true
+		}
+	}
+	return false
+}
+
+// received records that a part of a response of a watched replica arrived.
+func (w *watcher) received(address string, now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lastPart[address] = now
 }
 
 // confirm records that a watched replica responded in contact with a leader. The first one after
@@ -258,10 +280,11 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	delete(w.watched, address)
-	if _, responded := w.confirmed[address]; responded && !w.otherConfirmed(address, now) {
+	if _, responded := w.lastPart[address]; responded && !w.otherReceiving(address, now) {
 		w.n.member.requestSync()
 	}
 	delete(w.confirmed, address)
+	delete(w.lastPart, address)
 	switch result {
 	case wasFull:
 		w.fullUntil[address] = now.Add(fullReplicaPause)
@@ -310,7 +333,7 @@
 }
 
 func (w *watcher) poll(ctx context.Context, address string) (*apiv1.WatchResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchHold+watchTimeoutMargin)
+	ctx, cancel := transport.WithStallLimit(ctx, watchHold+watchTimeoutMargin, watchStallTimeout, func() { w.received(address, time.Now()) })
 	defer cancel()
 	req, answered := w.buildRequest(address)
 	resp, err := w.n.options.Control.At(address).Control.Watch(ctx, connect.NewRequest(req))
--- a/internal/testnet/link.go
+++ b/internal/testnet/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -67,11 +68,19 @@
 	return n, err
 }
 
-// sendingConn sends through the link. Like a socket with a large buffer, it accepts more than
-// the link has sent.
+const (
+	// packetBytes is the size of the pieces in which connections share the link, and windowPackets
+	// the number of them that a connection has under way at most.
+	packetBytes   = 4 << 10
+	windowPackets = 16
+)
+
+// sendingConn sends through the link.
 type sendingConn struct {
 	net.Conn
-	link   *Link
+	link *Link
+	// window has a value for each packet under way.
+	window chan struct{}
 	queue  chan segment
 	closed chan struct{}
 	once   sync.Once
@@ -83,19 +92,24 @@
 }
 
 func newSendingConn(conn net.Conn, link *Link) *sendingConn {
-	c := &sendingConn{Conn: conn, link: link, queue: make(chan segment, 1024), closed: make(chan struct{})}
+	c := &sendingConn{Conn: conn, link: link, window: make(chan struct{}, windowPackets), queue: make(chan segment, windowPackets), closed: make(chan struct{})}
 	go c.send()
 	return c
 }
 
-// Write puts data into the queue of the link.
+// Write puts data into the queue of the link as the window allows.
 func (c *sendingConn) Write(p []byte) (int, error) {
-	select {
-	case <-c.closed:
-		return 0, net.ErrClosed
-	case c.queue <- segment{append([]byte(nil), p...), c.link.enqueue(len(p))}:
-		return len(p), nil
+	written := 0
+	for packet := range slices.Chunk(p, packetBytes) {
+		select {
+		case <-c.closed:
+			return written, net.ErrClosed
+		case c.window <- struct{}{}:
+		}
+		c.queue <- segment{slices.Clone(packet), c.link.enqueue(len(packet))}
+		written += len(packet)
 	}
+	return written, nil
 }
 
 func (c *sendingConn) send() {
@@ -105,7 +119,9 @@
 			return
 		case s := <-c.queue:
 			time.Sleep(time.Until(s.leaves))
+			<-c.window
 			if _, err := c.Conn.Write(s.data); err != nil {
+				_ = c.Close()
 				return
 			}
 		}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -226,32 +226,47 @@
 	r.Header["User-Agent"] = nil
 	r.Header.Del("Accept-Encoding")
 	r.Header.Del("Connect-Protocol-Version")
+	limit := stallLimitOf(r.Context())
+	if limit != nil && r.Body != nil && r.Body != http.NoBody {
+		r.Body = requestBody{r.Body, limit}
+	}
 	resp, err := t.Transport.RoundTrip(r)
 	if err != nil {
-		t.closeIdleAfterDeadline(r.Context())
-		return nil, err
+		return nil, t.failed(r.Context(), err)
 	}
-	resp.Body = responseBody{resp.Body, func() { t.closeIdleAfterDeadline(r.Context()) }}
+	limit.arrived()
+	resp.Body = responseBody{resp.Body, limit, func(err error) error { return t.failed(r.Context(), err) }}
 	return resp, nil
 }
 
-func (t controlTransport) closeIdleAfterDeadline(ctx context.Context) {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+// failed handles the error of a call. It returns the reason for which the call was ended, if it was.
+func (t controlTransport) failed(ctx context.Context, err error) error {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		t.CloseIdleConnections()
+		return context.DeadlineExceeded
 	}
+	return err
 }
 
-// responseBody calls failed when reading fails before the end of the body.
+// responseBody is the body of a response; failed is called when reading fails before its end.
 type responseBody struct {
 	io.ReadCloser
-	failed func()
+	limit  *stallLimit
+	failed func(error) error
 }
 
-// Read reads from the body.
+// Read reads from the body, not more than progressBytes if the call has a stall limit: a read from
+// the body waits until p is full or a chunk ends.
 func (b responseBody) Read(p []byte) (int, error) {
+	if b.limit != nil {
+		p = p[:min(len(p), progressBytes)]
+	}
 	n, err := b.ReadCloser.Read(p)
+	if n > 0 {
+		b.limit.arrived()
+	}
 	if err != nil && err != io.EOF {
-		b.failed()
+		err = b.failed(err)
 	}
 	return n, err
 }
