node: the relay is told once that the watches of a node have ended

While no control replica has a leader, each try of a node to watch one ended with a heartbeat at once, several a second from each node, since the first message from a replica made it count as responding. Found by reading.

The node remembers what its last heartbeat said, and sends another one only if that has changed.

TestRelayIsToldOnceThatWatchesEnded; both mutations are detected.

--- a/internal/node/heartbeat.go
+++ b/internal/node/heartbeat.go
@@ -54,6 +54,7 @@
 	ctx, cancel := transport.WithStallLimit(ctx, syncHold+syncTimeout, syncTimeout, nil)
 	defer cancel()
 	req.HoldMs = uint32(jitter(syncHold).Milliseconds())
+	m.saidWatching.Store(req.Watching)
 	stop := m.interruptOnRequest(cancel)
 	sent := time.Now()
 	answer, err := n.peers.at(r.PeerAddress).Sync(ctx, connect.NewRequest(req))
--- a/internal/node/member.go
+++ b/internal/node/member.go
@@ -28,6 +28,8 @@
 	unreachableUntil map[string]time.Time
 	currentRelay     *apiv1.RelayInfo
 	searchBackoff    time.Duration
+	// saidWatching is set if the last heartbeat said that this node watches control replicas.
+	saidWatching atomic.Bool
 	// sentVersion is the version of this node's entry that was last sent to the current
 	// relay.
 	sentVersion entryVersion
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -274,17 +274,17 @@
 	w.confirmed[address] = now
 }
 
-// release marks a replica as no longer watched and records a failure. If it was the last one that
-// responded, the relay is told at once that this node needs its changes of the configuration.
+// release marks a replica as no longer watched and records a failure. If no other one responds, the
+// relay is told at once that this node needs its changes of the configuration.
 func (w *watcher) release(address string, result watchResult, now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	delete(w.watched, address)
-	if _, responded := w.lastPart[address]; responded && !w.otherReceiving(address, now) {
-		w.n.member.requestSync()
-	}
 	delete(w.confirmed, address)
 	delete(w.lastPart, address)
+	if w.n.member.saidWatching.Load() && !w.otherReceiving("", now) {
+		w.n.member.requestSync()
+	}
 	switch result {
 	case wasFull:
 		w.fullUntil[address] = now.Add(fullReplicaPause)
--- a/internal/node/watchspread_test.go
+++ b/internal/node/watchspread_test.go
@@ -147,6 +147,35 @@
 	assert.Assert(t, fewest >= nodes/replicas, "a replica is watched by %d nodes, half of its share is %d", fewest, nodes/replicas)
 }
 
+// Guards against a burst of heartbeats while no control replica has a leader: the relay is told
+// that the watches of a node have ended once, not after each try.
+func TestRelayIsToldOnceThatWatchesEnded(t *testing.T) {
+	w := newTestNode(t, "").watcher
+	requested := func() bool {
+		select {
+		case <-w.n.member.syncRequests:
+			return true
+		default:
+			return false
+		}
+	}
+	end := func(address string) bool {
+		now := time.Now()
+		w.watched[address] = true
+		w.received(address, now)
+		w.release(address, wasUsable, now)
+		return requested()
+	}
+	assert.Assert(t, !end("r-0"), "the relay does not know of watches")
+	w.n.member.saidWatching.Store(true)
+	w.watched["r-1"] = true
+	w.received("r-1", time.Now())
+	assert.Assert(t, !end("r-0"), "another replica responds")
+	assert.Assert(t, end("r-1"), "the relay does not learn that this node needs its changes")
+	w.n.member.saidWatching.Store(false)
+	assert.Assert(t, !end("r-0"))
+}
+
 // Guards against a node that leaves both replicas that it watches at once, for others that it
 // prefers and that may not respond: it would have no news until their deadlines.
 func TestNodeMovesOneWatchAtATime(t *testing.T) {
