node: a node that starts waits three seconds for a confirmed configuration

After a restart of all processes, requests were served in a data centre that had been evacuated, as an older configuration said: the evacuation had been acknowledged before.

Cause: a replica that has just started does not know of its newest entries whether they are committed, until there is a leader. It sent a node that had no configuration what it knew to be committed, and the node served by it until its next poll.

TestNodeThatStartsWaitsForAConfirmedConfiguration fails without the check; the mutation is detected.

--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -321,6 +321,7 @@
 	{"a request that is being sent is not ended", "internal/transport/stall.go", "b.limit.timer.Reset(b.limit.first)", "_ = b.limit.first", "internal/transport", "StallLimit"},
 	{"the relay is told once that watches have ended", "internal/node/watch.go", "if w.n.member.saidWatching.Load() && !w.otherReceiving", "if !w.otherReceiving", "internal/node", "RelayIsToldOnce"},
 	{"the relay is told at once that watches have ended", "internal/node/watch.go", "if w.n.member.saidWatching.Load() && !w.otherReceiving", "if false && !w.otherReceiving", "internal/node", "RelayIsToldOnce"},
+	{"a node that starts waits for a confirmed configuration", "internal/node/watch.go", "if !resp.Detached || w.n.takesUnconfirmed() {", "if true {", "internal/node", "WaitsForAConfirmed"},
 	{"a node without watches gets the configuration from its relay", "internal/node/watch.go", "return w.otherReceiving(\"\", now)", "return true", "internal/node", "OnceTheirWatchesEnd"},
 	{"a relay sends other data centres only the entries of its own", "core/directory/exchange.go", "return sibling || e.DataCenter == r.self.DataCenter }", "return sibling || true }", "core/directory", "OnlyItsOwn"},
 
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -49,6 +49,9 @@
 	takeoverHold = 250 * time.Millisecond
 	// failureMemory is how long a replica that failed is watched only if no other one is left.
 	failureMemory = 30 * time.Second
+	// unconfirmedWait is how long a node that has started without a configuration does not take
+	// one from a replica without a leader. It is longer than an election.
+	unconfirmedWait = 3 * time.Second
 	// fullReplicaPause is how long a node does not watch replicas that have reached
 	// their limit of watchers; meanwhile its relay provides the updates.
 	fullReplicaPause = time.Minute
@@ -313,7 +316,9 @@
 		w.setReplicas(resp.Replicas)
 		w.n.applyProvisional(resp.Entries)
 		w.storeCursor(address, resp.Heard)
-		w.n.applyDelta(resp.Delta, !resp.Detached, "watch of "+address)
+		if !resp.Detached || w.n.takesUnconfirmed() {
+			w.n.applyDelta(resp.Delta, !resp.Detached, "watch of "+address)
+		}
 		if resp.Detached {
 			w.logStatus(address, false, nil)
 			return result, polling, nil
@@ -461,6 +466,14 @@
 	klog.InfoS("Control replica lost", "host", w.n.options.Host, "replica", address, "detached", err == nil, "err", err)
 }
 
+// takesUnconfirmed reports whether this node takes a configuration from a replica that has no leader.
+// After a restart, such a replica does not know of its newest entries whether they are committed,
+// and so may have an older configuration than was acknowledged. A node that has none yet waits for
+// a confirmed one, but not for good.
+func (n *Node) takesUnconfirmed() bool {
+	return n.Revision() > 0 || time.Since(n.start) >= unconfirmedWait
+}
+
 // applyDelta applies a delta from a replica, but never an older revision.
 func (n *Node) applyDelta(delta *apiv1.EstateDelta, confirmed bool, from string) {
 	if delta == nil {
--- a/internal/node/watch_test.go
+++ b/internal/node/watch_test.go
@@ -115,3 +115,49 @@
 		assert.Assert(t, time.Since(start) < maxDelay, "a node received the change only after %v", time.Since(start))
 	}
 }
+
+// Guards against a node that serves by an older configuration than was acknowledged after all
+// processes have restarted: a replica without a leader does not know yet that its newest entry is
+// committed, and the node took what the replica had.
+func TestNodeThatStartsWaitsForAConfirmedConfiguration(t *testing.T) {
+	const election = time.Second
+	for _, test := range []struct {
+		name    string
+		elects  bool
+		atFirst uint64
+	}{{"a leader is elected", true, 2}, {"no leader is elected", false, 1}} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			replica := &restartedReplica{}
+			address := serveReplica(t, replica, unchanged)
+			n := newWatchingNodes(t, 1, []string{address})[0]
+			runWatchers(t, []*Node{n})
+			if test.elects {
+				time.AfterFunc(election, func() { replica.elected.Store(true) })
+			}
+			for n.Revision() == 0 && time.Since(n.start) < 10*time.Second {
+				time.Sleep(2 * time.Millisecond)
+			}
+			assert.Equal(t, n.Revision(), test.atFirst, "after %v", time.Since(n.start))
+		})
+	}
+}
+
+// restartedReplica is a control replica that knows of revision 1 that it is committed, and of
+// revision 2 once there is a leader.
+type restartedReplica struct {
+	apiv1connect.UnimplementedControlServiceHandler
+	elected atomic.Bool
+}
+
+// Watch returns what the replica knows to be committed.
+func (f *restartedReplica) Watch(_ context.Context, req *connect.Request[apiv1.WatchRequest]) (*connect.Response[apiv1.WatchResponse], error) {
+	elected := f.elected.Load()
+	revision := uint64(1)
+	if elected {
+		revision = 2
+	}
+	delta := routeDelta(revision, "/a/")
+	delta.Since = 0
+	return connect.NewResponse(&apiv1.WatchResponse{Detached: !elected, Delta: delta}), nil
+}
