--- a/internal/node/watchspread_test.go
+++ b/internal/node/watchspread_test.go
@@ -18,7 +18,9 @@
 
 // testWatcher returns the watcher of a node that knows the replicas and their data centres.
 func testWatcher(host, dataCenter string, replicas int) *watcher {
-	w := newWatcher(&Node{options: Options{Host: host, DataCenter: dataCenter, Control: controlclient.New(nil, nil, "")}})
+	n := &Node{options: Options{Host: host, DataCenter: dataCenter, Control: controlclient.New(nil, nil, "")}}
+	n.member = newMember(n)
+	w := newWatcher(n)
 	for i := range replicas {
 		address := fmt.Sprintf("10.0.0.%d:1", i)
 		w.replicas = append(w.replicas, address)
