--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -319,10 +319,10 @@
 	{"a relay confirms only the revision that it has", "internal/node/heartbeat.go", "if n.records.Revision() >= resp.Revision {", "if true {", "internal/node", "NewerRevisionDoesNotConfirm"},
 	{"a call that makes progress is not ended", "internal/transport/stall.go", "l.timer.Reset(l.stall)", "_ = l.stall", "internal/transport", "StallLimit"},
 	{"a request that is being sent is not ended", "internal/transport/stall.go", "b.limit.timer.Reset(b.limit.first)", "_ = b.limit.first", "internal/transport", "StallLimit"},
-	{"the relay is told once that watches have ended", "internal/node/watch.go", "if w.n.member.saidWatching.Load() && !w.otherReceiving", "if !w.otherReceiving", "internal/node", "RelayIsToldOnce"},
-	{"the relay is told at once that watches have ended", "internal/node/watch.go", "if w.n.member.saidWatching.Load() && !w.otherReceiving", "if false && !w.otherReceiving", "internal/node", "RelayIsToldOnce"},
+	{"the relay is told once that watches have ended", "internal/node/watch.go", "if w.n.member.saidWatching.Load() && !w.receiving", "if !w.receiving", "internal/node", "RelayIsToldOnce"},
+	{"the relay is told at once that watches have ended", "internal/node/watch.go", "if w.n.member.saidWatching.Load() && !w.receiving", "if false && !w.receiving", "internal/node", "RelayIsToldOnce"},
 	{"a node that starts waits for a confirmed configuration", "internal/node/watch.go", "if !resp.Detached || w.n.takesUnconfirmed() {", "if true {", "internal/node", "WaitsForAConfirmed"},
-	{"a node without watches gets the configuration from its relay", "internal/node/watch.go", "return w.otherReceiving(\"\", now)", "return true", "internal/node", "OnceTheirWatchesEnd"},
+	{"a node without watches gets the configuration from its relay", "internal/node/watch.go", "return w.receiving(now)", "return true", "internal/node", "OnceTheirWatchesEnd"},
 	{"a relay sends other data centres only the entries of its own", "core/directory/exchange.go", "return sibling || e.DataCenter == r.self.DataCenter }", "return sibling || true }", "core/directory", "OnlyItsOwn"},
 
 	{"a changed byte is detected as corruption", "internal/wal/record.go", "if binary.LittleEndian.Uint64(header[8:]) != xxhash.Sum64(body) {", "if false {", "internal/wal", "Flipped"},
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -244,14 +244,13 @@
 func (w *watcher) receivesChanges(now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.otherReceiving("", now)
+	return w.receiving(now)
 }
 
-// otherReceiving reports whether a watched replica besides the given one has responded recently, or
-// a response of it is arriving. The caller holds the lock.
-func (w *watcher) otherReceiving(address string, now time.Time) bool {
-	for other := range w.watched {
-		if at, ok := w.lastPart[other]; other != address && ok && now.Sub(at) < watchHold+watchTimeoutMargin {
+// receiving is receivesChanges for a caller that holds the lock.
+func (w *watcher) receiving(now time.Time) bool {
+	for address := range w.watched {
+		if at, ok := w.lastPart[address]; ok && now.Sub(at) < watchHold+watchTimeoutMargin {
 			return true
 		}
 	}
@@ -285,7 +284,7 @@
 	delete(w.watched, address)
 	delete(w.confirmed, address)
 	delete(w.lastPart, address)
-	if w.n.member.saidWatching.Load() && !w.otherReceiving("", now) {
+	if w.n.member.saidWatching.Load() && !w.receiving(now) {
 		w.n.member.requestSync()
 	}
 	switch result {
