e2e: the backend server is killed once it has received the payment

The test was wrong: it killed the server when the gate had started the payment, which may be before the node has sent it; then nothing was sent, and "not-run" is true.

The test now also waits until the server has the payment: its limit parameter takes effect on receipt, and the test asks the server for it directly. The assertions are unchanged.

--- a/internal/e2e/path_test.go
+++ b/internal/e2e/path_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"os"
+	"regexp"
 	"strconv"
 	"strings"
 	"sync"
@@ -15,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"cactuspath/api/fault"
+	"cactuspath/internal/hop"
 )
 
 // Tests a request through two nodes to a backend server with all components as separate processes:
@@ -53,13 +55,14 @@
 	front.waitServing(t, "pay")
 	outcome := make(chan *http.Response, 1)
 	go func() {
-		resp, _, err := front.request(http.MethodPost, "pay", "/charge?id=p1&sleep=60s", strings.NewReader("amount=5"))
+		resp, _, err := front.request(http.MethodPost, "pay", "/charge?id=p1&sleep=60s&limit="+paymentLimit, strings.NewReader("amount=5"))
 		if err == nil {
 			outcome <- resp
 		}
 		close(outcome)
 	}()
 	eventually(t, "the payment is running", func() bool { return runningRequests(t, one) == 1 })
+	eventually(t, "the payment has reached the backend server", func() bool { return namedLimit(t, backend) == paymentLimit })
 	backend.kill()
 	resp := <-outcome
 	assert.Assert(t, resp != nil)
@@ -67,6 +70,21 @@
 	assert.Equal(t, resp.StatusCode, http.StatusBadGateway)
 }
 
+// paymentLimit is the limit that a stand-in names once it has received the payment.
+const paymentLimit = "1000"
+
+var standinAddress = regexp.MustCompile(`stand-in of \S+ on (\S+)`)
+
+// namedLimit returns the limit that a stand-in names to a request that does not pass its node.
+func namedLimit(t testing.TB, backend *process) string {
+	match := standinAddress.FindStringSubmatch(backend.log.String())
+	assert.Assert(t, match != nil, "the stand-in has not told its address")
+	resp, err := http.Get("http://" + match[1] + "/")
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	return resp.Header.Get(hop.LimitHeader)
+}
+
 func runningRequests(t testing.TB, n *nodeProcess) int {
 	load, ok := n.metrics(t)["gate_load"].(map[string]any)
 	if !ok {
