--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -19,6 +19,7 @@
 	"broken-off":     brokenOff,
 	"frozen":         frozenMidAnswer,
 	"stress":         stress,
+	"leaving":        leavingRestart,
 	"readded":        readded,
 	"control":        controlStress,
 }
