node: a relay that stops releases the responses that it holds

What callers saw: nothing directly. Operators saw the planned stop of a relay last longer, and end with exit code 1 and "requests were still in flight when stopTimeout passed and were cut" although all callers' requests had ended.

Cause: relays hold heartbeats of nodes (1 s) and pulls of relays (0.9 s) until there are updates, and go on with that during the shutdown of the peer listener, which waits for all responses.

Change: when the peer listener shuts down, held responses are released. Calls that come later are not held.

Why it holds: Shutdown runs the release before it waits, and both calls wait in one function.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -243,6 +243,8 @@
 
 func (n *Node) serve() []httpServer {
 	peer := &http.Server{Handler: n.peerHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnContext: hangup.Watch}
+	// The shutdown waits for all responses, and held ones would use up the stop timeout.
+	peer.RegisterOnShutdown(n.relay.releaseHeld)
 	admin := &http.Server{Handler: n.adminHandler(), ReadHeaderTimeout: headerTimeout}
 	start := func(s httpServer, l net.Listener) {
 		go func() {
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -38,13 +38,15 @@
 	inProgress map[string]bool
 	// changed is closed and replaced when there are updates to send.
 	changed chan struct{}
+	// released is closed when the node's listeners close. Responses are not held any more then.
+	released chan struct{}
 	// wake triggers a tick when this node becomes a relay, or is contacted by a relay
 	// that it does not know.
 	wake chan struct{}
 }
 
 func newRelay(n *Node) *relay {
-	return &relay{n: n, records: rollout.NewRecords(), inProgress: map[string]bool{}, changed: make(chan struct{}), wake: make(chan struct{}, 1)}
+	return &relay{n: n, records: rollout.NewRecords(), inProgress: map[string]bool{}, changed: make(chan struct{}), released: make(chan struct{}), wake: make(chan struct{}, 1)}
 }
 
 // info describes this node as a relay.
@@ -110,6 +112,10 @@
 	return relayTickInterval, true
 }
 
+// releaseHeld makes the calls respond that hold their responses until there are updates. It is called
+// once.
+func (r *relay) releaseHeld() { close(r.released) }
+
 // signalChange wakes the calls that hold their responses until there are updates. The
 // caller holds the lock.
 func (r *relay) signalChange() {
--- a/internal/node/relayserver.go
+++ b/internal/node/relayserver.go
@@ -25,7 +25,7 @@
 	for {
 		resp, changed := r.respond(req)
 		resp.HeldMs = uint32(time.Since(arrived).Milliseconds())
-		if hasUpdates(req, resp) || !waitForChange(ctx, changed, deadline) {
+		if hasUpdates(req, resp) || !r.waitForChange(ctx, changed, deadline) {
 			countSent(&r.n.counters.relayBytes, "configuration", resp.Delta)
 			countSent(&r.n.counters.relayBytes, "entries", resp.Entries...)
 			return resp
@@ -56,15 +56,16 @@
 	}
 }
 
-// waitForChange waits until changed is closed. It returns false if the deadline passes
-// or ctx ends first.
-func waitForChange(ctx context.Context, changed <-chan struct{}, deadline time.Time) bool {
+// waitForChange waits until changed is closed. It returns false if the deadline passes, ctx ends or
+// held responses are released first.
+func (r *relay) waitForChange(ctx context.Context, changed <-chan struct{}, deadline time.Time) bool {
 	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
 	select {
 	case <-changed:
 		return true
 	case <-timer.C:
+	case <-r.released:
 	case <-ctx.Done():
 	}
 	return false
@@ -152,7 +153,7 @@
 		resp, changed := r.state.Exchange(r.now(), req), r.changed
 		r.mu.Unlock()
 		caughtUp := len(resp.Entries) == 0 && resp.Cursor.GetEpoch() == req.Cursor.GetEpoch()
-		if !caughtUp || !waitForChange(ctx, changed, deadline) {
+		if !caughtUp || !r.waitForChange(ctx, changed, deadline) {
 			countSent(&r.n.counters.relayBytes, "exchange", resp)
 			return resp, nil
 		}
