node, proxy: a stopping node accepts only requests that it has time to finish

Cause: the callers' listener stays open while the gate drains, the directory is told and the node lingers. All stages share stopTimeout, nothing compares a request's deadline with what is left of it, and what is accepted near the end is cut.

Evidence: between "Gate closed" and "Node stopped", 4.5 s apart, the log had nothing. Ruled out: a shutdown that does not wait (requests of 1.8 s sent up to 3.6 s after SIGTERM got their answers), and requests that hang (those cut were sent on within a millisecond and ran as long as they were to).

Change: core/shutdown has the schedule of a stop. For 3 s, at most half of the stop, every request is accepted; then only one whose deadline lies before the last response, others get 503 "stopping", as not run, with the rest of the stop as Retry-After. No attempt gets more time than is left. Each stage has a latest end, so a request that never ends at the gate, or an unreachable directory, does not take the time of the stages behind it.

Why it holds: what is accepted late ends by its own deadline before the end; what is accepted early has half of the stop. It rests on nothing that callers do.

--- a/api/fault/fault.go
+++ b/api/fault/fault.go
@@ -46,6 +46,9 @@
 	// NotReady means that the node has no configuration yet, or none that was confirmed recently
 	// enough to refuse the request for good. The request did not run.
 	NotReady Kind = "not-ready"
+	// Stopping means that the node is being stopped and the request could outlast it. The request
+	// did not run.
+	Stopping Kind = "stopping"
 )
 
 // Kinds that concern the client account of a request. It did not run.
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -179,6 +180,8 @@
 // nodeOptions contains the options of a node.
 type nodeOptions struct {
 	dataCenter, service string
+	// stopTimeout is the stop timeout of the node, or empty for one that no stop reaches.
+	stopTimeout string
 	// env is added to the environment of the node's process.
 	env []string
 	// interposePeer, if not nil, places a proxy in front of the peer listener and returns the
@@ -194,12 +197,13 @@
 	if options.interposePeer != nil {
 		peerAddress = options.interposePeer(n.peer)
 	}
+	stopTimeout := cmp.Or(options.stopTimeout, "60s")
 	file := filepath.Join(c.folder, n.host+".jsonc")
 	c.writeFile(file, fmt.Sprintf(`{
-  "host": %q, "dataCenter": %q, "region": "r", "stopTimeout": "60s",
+  "host": %q, "dataCenter": %q, "region": "r", "stopTimeout": %q,
   "controlReplicas": [%s], %s
   "node": {"callers": %q, "peer": %q, "peerAddress": %q, "admin": %q, "watchControl": %t},
-}`, n.host, options.dataCenter, c.replicaList(), c.tlsSettings+c.extraSettings, n.callers, n.peer, peerAddress, n.admin, c.watchControl))
+}`, n.host, options.dataCenter, stopTimeout, c.replicaList(), c.tlsSettings+c.extraSettings, n.callers, n.peer, peerAddress, n.admin, c.watchControl))
 	n.process = c.spawnWith(options.env, n.host, "cactuspath", "run", "--settings", file)
 	c.nodes = append(c.nodes, n)
 	if options.service != "" {
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -110,6 +110,8 @@
 	{"a node asks for the profile when its server is announced", "internal/node/profiles.go", "case p.ask <- struct{}{}:", "case <-p.ask:", "internal/node", "ServerIsAnnounced"},
 	{"a lost report of what a gate has learned is repeated", "internal/node/profiles.go", "	return func(resp *apiv1.WatchResponse) {\n\t\tif report", "	if report != nil {\n\t\tp.mu.Lock()\n\t\tp.reported[address] = *report\n\t\tp.mu.Unlock()\n\t}\n\treturn func(resp *apiv1.WatchResponse) {\n\t\tif report", "internal/node", "LostReport"},
 	{"a restart resets the failure record of the previous process", "core/gate/server.go", "g.outlier = outlier{}", "", "core/gate", "RestartForgets"},
+	{"a stopping node refuses requests that could outlast it", "core/shutdown/schedule.go", "return s == nil || now.Before(s.acceptAllUntil) || !deadline.After(s.lastResponse)", "return true", "internal/proxy", "CouldOutlastIt"},
+	{"attempts of a stopping node end before it", "core/shutdown/schedule.go", "if s == nil || deadline.Before(s.lastResponse) {", "if true {", "internal/proxy", "LateAttempts"},
 	{"a stopping relay holds no responses", "internal/node/relayserver.go", "\tcase <-r.released:\n", "", "internal/node", "HoldsNoResponses"},
 	{"a response that the handler abandoned is not completed with an implied 200", "internal/front/response.go", "if w.status == 0 && w.c.ctx.Err() != nil {", "if false {", "internal/front", "HalfClosed"},
 	{"an overloaded process refuses requests", "internal/proxy/handler.go", "if !h.options.Overload.Admit(coreoverload.FromCaller, target.rank(key.account)) {", "if false {", "internal/e2e", "ThrottledNode"},
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -8,19 +8,16 @@
 	"k8s.io/klog/v2"
 
 	"cactuspath/core/directory"
+	"cactuspath/core/shutdown"
 )
 
-// In a planned stop, the node accepts no new requests, lets those in flight finish and
-// notifies the directory. It then still responds for a while, for peers and callers
-// that do not know yet that it is stopping.
+// In a planned stop, the node closes the gate of its backend server, lets the requests there
+// finish and notifies the directory. It still serves callers all this time, since they may not
+// know yet that it is stopping, but accepts only requests that can finish before the end of the
+// stop.
 
 const (
 	drainPollInterval = 20 * time.Millisecond
-	// preDrainDelay is how long a stopping node keeps its gate open. The process has to
-	// run for about two more seconds anyway, until its callers see that it is not
-	// ready. Closing the gate immediately would leave the backend server unused for all
-	// of that time.
-	preDrainDelay = time.Second
 	// lingerDuration is how long a node keeps responding after its gate has closed. By
 	// the end of it, all nodes know from the directory that the gate is closed. A
 	// request that is refused in the meantime is sent to another node; if the
@@ -35,24 +32,41 @@
 // stop performs a planned stop. It returns an error if requests were cut off because
 // the stop timeout passed.
 func (n *Node) stop(servers []httpServer) error {
-	klog.InfoS("Planned stop began", "host", n.options.Host, "callersInFlight", n.callers.current(), "gateInFlight", n.InFlight())
+	schedule := shutdown.New(time.Now(), n.options.StopTimeout)
+	n.logStop("Planned stop began", schedule)
+	n.proxy.BeginStop(schedule)
 	n.front.Drain()
 	n.mu.Lock()
 	n.unready = true
 	n.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), n.options.StopTimeout)
-	defer cancel()
-	n.keepServing(ctx)
+	n.keepServing(schedule.GateOpenUntil())
 	n.mu.Lock()
 	n.stopping = true
 	n.mu.Unlock()
 	n.applyDraining()
 	n.member.requestSync()
-	closed := time.Now()
-	klog.InfoS("Gate closed for the planned stop", "host", n.options.Host, "callersInFlight", n.callers.current(), "gateInFlight", n.InFlight())
-	n.waitDrained(ctx)
-	n.announceDeparture(ctx)
-	n.linger(ctx, max(departureLinger, lingerDuration-time.Since(closed)))
+	lingerUntil := time.Now().Add(lingerDuration)
+	n.logStop("Gate closed for the planned stop", schedule)
+	// A request that never ends at the gate must not use up the time in which other nodes learn
+	// that this one leaves.
+	n.waitDrained(schedule.LatestStart(departureLinger))
+	n.logStop("Gate drained for the planned stop", schedule)
+	n.announceDeparture(schedule.LastResponse())
+	n.lingerUntil(latest(lingerUntil, time.Now().Add(departureLinger)), schedule.LastResponse())
+	n.logStop("Listeners close for the planned stop", schedule)
+	return shutDown(servers, schedule.End())
+}
+
+// logStop logs a stage of the planned stop with the requests in flight and the time left.
+func (n *Node) logStop(stage string, schedule *shutdown.Schedule) {
+	klog.InfoS(stage, "host", n.options.Host, "callersInFlight", n.callers.current(), "gateInFlight", n.InFlight(), "left", time.Until(schedule.End()))
+}
+
+// shutDown shuts the servers down one after the other. Those behind keep responding to their
+// requests while it waits for the ones before. At the given time, all that is left is cut.
+func shutDown(servers []httpServer, until time.Time) error {
+	ctx, cancel := context.WithDeadline(context.Background(), until)
+	defer cancel()
 	var cutErr error
 	for _, s := range servers {
 		if err := s.Shutdown(ctx); err != nil {
@@ -63,10 +77,10 @@
 	return cutErr
 }
 
-// keepServing keeps the gate open for preDrainDelay, or until its backend server is
+// keepServing keeps the gate open until the given time, or until its backend server is
 // draining or withdrawn.
-func (n *Node) keepServing(ctx context.Context) {
-	for deadline := time.Now().Add(preDrainDelay); time.Now().Before(deadline) && ctx.Err() == nil; time.Sleep(drainPollInterval) {
+func (n *Node) keepServing(until time.Time) {
+	for ; time.Now().Before(until); time.Sleep(drainPollInterval) {
 		n.mu.Lock()
 		serving := n.server != nil && !n.draining()
 		n.mu.Unlock()
@@ -76,26 +90,37 @@
 	}
 }
 
-// waitDrained waits until no request is running or queued at the gate. It does not wait
-// for callers' requests that this node sends to other nodes: new ones may arrive until
+// waitDrained waits until no request is running or queued at the gate, or until the given time. It
+// does not wait for callers' requests that this node sends to other nodes: new ones may arrive until
 // the listeners are shut down, and the shutdown waits for those in progress.
-func (n *Node) waitDrained(ctx context.Context) {
-	for n.InFlight() > 0 && ctx.Err() == nil {
+func (n *Node) waitDrained(until time.Time) {
+	for n.InFlight() > 0 && time.Now().Before(until) {
 		time.Sleep(drainPollInterval)
 	}
 }
 
-// announceDeparture tells the directory that this node has left for good.
-func (n *Node) announceDeparture(ctx context.Context) {
+// announceDeparture tells the directory that this node has left for good. It waits until a relay
+// has confirmed this, or until the given time.
+func (n *Node) announceDeparture(until time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), until)
+	defer cancel()
 	n.mu.Lock()
 	n.departed = true
 	n.mu.Unlock()
 	n.member.syncNow(ctx)
 }
 
-func (n *Node) linger(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
+// lingerUntil waits until the given time, but no later than limit.
+func (n *Node) lingerUntil(t, limit time.Time) {
+	if t.After(limit) {
+		t = limit
+	}
+	time.Sleep(time.Until(t))
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
+	return b
 }
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -79,6 +79,7 @@
 	id          gate.AttemptID
 	incarnation uint64
 	sent        time.Time
+	deadline    time.Time
 	ctx         context.Context
 	onHint      func(to string)
 }
@@ -205,8 +206,8 @@
 
 // tryEndpoint makes one attempt, which is aborted when ctx ends. onHint may be nil.
 func (c *call) tryEndpoint(ctx context.Context, to *selectedEndpoint, number uint32, onHint func(to string)) result {
-	a := attempt{ctx: ctx, to: to, id: gate.AttemptID{Request: c.id, Attempt: number}, incarnation: to.Incarnation, sent: time.Now(), onHint: onHint}
-	timeout := c.deadline.Sub(a.sent)
+	a := attempt{ctx: ctx, to: to, id: gate.AttemptID{Request: c.id, Attempt: number}, incarnation: to.Incarnation, sent: time.Now(), deadline: c.attemptDeadline(), onHint: onHint}
+	timeout := a.deadline.Sub(a.sent)
 	if timeout <= 0 {
 		c.s.done(c.h.now(), to, true)
 		return result{to: to, ended: retry.NotRunAnywhere, reply: hop.Reply{Verdict: hop.Refused, Reason: gate.TooLate}, hasReply: true}
@@ -216,10 +217,10 @@
 	req := hop.Request{ID: a.id, Incarnation: a.incarnation, Timeout: timeout, Movable: c.movable(), Revision: c.h.options.Revision(), Caller: c.caller, Content: c.content,
 		From: c.h.options.DataCenter, Repeatable: onHint != nil, LargeBody: c.out.Stream != nil || len(c.out.Buffered) >= largeBodyBytes}
 	c.applyRoute(&req, a.sent)
-	out := c.outgoing(a.id)
+	out := c.outgoing(a)
 	if to.Host == c.h.options.Host {
 		if local := c.h.options.Local.Endpoint(c.s.name); local != nil {
-			out.Deadline = c.deadline
+			out.Deadline = a.deadline
 			resp, reply := local.Attempt(ctx, req, out, onHint)
 			return c.handleReply(a, resp, reply)
 		}
@@ -251,10 +252,10 @@
 func (c *call) resendable() bool { return c.out.Stream == nil || c.out.Stream.Unread() }
 
 // outgoing returns a copy of the request for one attempt.
-func (c *call) outgoing(id gate.AttemptID) *hop.Outgoing {
+func (c *call) outgoing(a attempt) *hop.Outgoing {
 	out := *c.out
-	out.Deadline = c.deadline.Add(gracePeriod)
-	out.Attempt = id
+	out.Deadline = a.deadline.Add(gracePeriod)
+	out.Attempt = a.id
 	return &out
 }
 
@@ -376,7 +377,7 @@
 	}
 	f := Fault{Attempts: c.attempts, Reason: c.reason()}
 	switch {
-	case action == retry.GiveUpUnknown && !time.Now().Before(c.deadline):
+	case action == retry.GiveUpUnknown && !time.Now().Before(c.attemptDeadline()):
 		f.Fault, f.status = fault.OutcomeUnknown, http.StatusGatewayTimeout
 		f.Message = "the time allowed has passed while the request may have run; find out at the service before you repeat it, unless it is idempotent"
 	case action == retry.GiveUpUnknown:
--- a/internal/proxy/fault.go
+++ b/internal/proxy/fault.go
@@ -34,6 +34,7 @@
 	fault.Overloaded:     http.StatusServiceUnavailable,
 	fault.NoEndpoint:     http.StatusServiceUnavailable,
 	fault.NotReady:       http.StatusServiceUnavailable,
+	fault.Stopping:       http.StatusServiceUnavailable,
 	fault.OutcomeUnknown: http.StatusBadGateway,
 	fault.NoSuchService:  http.StatusNotFound,
 	fault.DeadlinePassed: http.StatusServiceUnavailable,
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -19,6 +19,7 @@
 	coreoverload "cactuspath/core/overload"
 	corequarantine "cactuspath/core/quarantine"
 	"cactuspath/core/retry"
+	"cactuspath/core/shutdown"
 	"cactuspath/internal/endpoint"
 	"cactuspath/internal/hangup"
 	"cactuspath/internal/hop"
@@ -99,6 +100,8 @@
 	disabledSet     atomic.Uint32
 	requestSequence atomic.Uint64
 	requestIDSeed   uint64
+	// stop is the schedule of the planned stop of this process; nil before the stop.
+	stop atomic.Pointer[shutdown.Schedule]
 
 	mu       sync.RWMutex
 	services map[string]*service
@@ -373,6 +376,11 @@
 	if stated, ok := statedLimit(r.Header, dialect); ok {
 		timeout = min(timeout, stated)
 	}
+	deadline := arrived.Add(timeout - deliveryReserve(timeout))
+	if h.refuseStopping(w, r, deadline) {
+		h.refund(key)
+		return
+	}
 	if spec.MaxBodyBytes > 0 {
 		if r.ContentLength > int64(spec.MaxBodyBytes) {
 			h.refund(key)
@@ -396,7 +404,7 @@
 	if out.Stream != nil {
 		_ = http.NewResponseController(w).EnableFullDuplex()
 	}
-	c := &call{h: h, w: w, r: r, s: s, rules: rules, out: out, arrived: arrived, deadline: arrived.Add(timeout - deliveryReserve(timeout)), caller: h.callerID(r, key.account), key: key, route: route, awaitsContinue: awaitsContinue}
+	c := &call{h: h, w: w, r: r, s: s, rules: rules, out: out, arrived: arrived, deadline: deadline, caller: h.callerID(r, key.account), key: key, route: route, awaitsContinue: awaitsContinue}
 	if out.Stream == nil {
 		c.content = corequarantine.ContentOf(corequarantine.Target{Method: out.Method, Host: out.Host, URI: out.URI, Caller: h.callerService()}, corequarantine.SumOf(out.Buffered))
 	}
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -107,7 +107,7 @@
 // pickSecondEndpoint returns the endpoint for a hedged attempt, or nil if no hedged attempt
 // may be made.
 func (c *call) pickSecondEndpoint(first *selectedEndpoint, host string) *selectedEndpoint {
-	if c.hedged || host == first.Host || time.Until(c.deadline) <= 0 {
+	if c.hedged || host == first.Host || time.Until(c.attemptDeadline()) <= 0 {
 		return nil
 	}
 	to := c.s.pickHedge(c.h.now(), &c.rules, host, first.Host)
--- a/internal/proxy/outcome.go
+++ b/internal/proxy/outcome.go
@@ -117,7 +117,7 @@
 	}
 	c.h.options.Counters.LostAttempts.Add(1)
 	timeout := revokeTimeout
-	if time.Now().After(c.deadline) {
+	if time.Now().After(c.attemptDeadline()) {
 		timeout = lateRevokeTimeout
 	}
 	ctx, cancel := context.WithTimeout(a.ctx, timeout)
