front: a shutdown closes connections on which requests overlap

Cause: while the server drains, a response announces the close only if no further request is in progress, and Shutdown closes only connections without any. Both wait for a moment that such a caller never grants.

Evidence: at the node whose caller paused for a moment the stop ended after 3 s; at the next one the connection went on to be served until 5.5 s, though the listeners closed at 3 s and each request took 0.24 s.

Change: from Shutdown on no further request on a connection is started, not even one that is being received. Those in progress get their responses, the last one announces the close, and the rest is read and discarded for a moment so that the close does not reset the connection. A caller that leaves in the meantime is still noticed.

Why it holds: from then on the number of requests in progress on a connection only falls, so one response is the last; what lies behind it has not run and is sent again.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -39,10 +39,17 @@
 	mu sync.Mutex
 	// pending is the number of requests that were read and whose responses were not sent yet.
 	pending int
-	// closing is set once a response has announced that the connection closes or was aborted,
-	// or when the server shuts down. No further request on the connection is started then.
-	closing  bool
+	// closing is set once a response has announced that the connection closes or was aborted.
+	// No further request on the connection is started then.
+	closing bool
+	// stopping is set when the server shuts down. No further request is started, and the
+	// response to the last one that is in progress announces that the connection closes.
+	stopping bool
 	handlers sync.WaitGroup
+
+	// requestsUnread is set by the reading goroutine when it leaves requests unread that the
+	// caller may have sent.
+	requestsUnread bool
 }
 
 func newConn(s *Server, raw net.Conn, ctx context.Context, cancel context.CancelFunc) *conn {
@@ -104,6 +111,10 @@
 	}
 	for c.serveNext() {
 	}
+	if c.requestsUnread {
+		c.awaitResponses()
+		c.lingerClose()
+	}
 }
 
 // isHTTP2 waits for the first bytes and reports whether they begin an HTTP/2 preface.
@@ -153,9 +164,12 @@
 		if !c.armIdleDeadline(limits) {
 			return false
 		}
-		// Empty lines between requests are allowed.
 		b, err := c.reader.Peek(1)
 		switch {
+		case err == nil && c.isStopping():
+			c.requestsUnread = true
+			return false
+		// Empty lines between requests are allowed.
 		case err == nil && (b[0] == '\r' || b[0] == '\n'):
 			_, _ = c.reader.Discard(1)
 			continue
@@ -184,6 +198,12 @@
 	return true
 }
 
+func (c *conn) isStopping() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stopping
+}
+
 func (c *conn) hasPending() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -291,10 +311,11 @@
 		return false
 	}
 	c.mu.Lock()
-	if c.closing {
-		// An earlier response has announced that the connection closes, so this request must
-		// not run.
+	if c.closing || c.stopping {
+		// An earlier response has announced that the connection closes, or will do so: the caller
+		// takes this request for unread and sends it again.
 		c.mu.Unlock()
+		c.requestsUnread = true
 		return false
 	}
 	c.pending++
@@ -369,8 +390,17 @@
 	return false
 }
 
-// hangupPollInterval is how often watchHangup checks whether all responses have been sent, and
-// waitForBody whether the caller has disconnected.
+// awaitResponses waits until all responses have been sent. It cancels the running requests if the
+// caller disconnects, and does not read the requests that the caller still sends.
+func (c *conn) awaitResponses() {
+	for c.hasPending() {
+		hangup.Gone(c.ctx)
+		time.Sleep(hangupPollInterval)
+	}
+}
+
+// hangupPollInterval is how often watchHangup and awaitResponses check whether all responses have
+// been sent, and waitForBody whether the caller has disconnected.
 const hangupPollInterval = 50 * time.Millisecond
 
 func wantsClose(r *http.Request) bool {
@@ -433,7 +463,8 @@
 
 // decideClose reports whether the response about to be sent is the connection's last,
 // and if so stops further reads. A response announces the close only when no request
-// behind it is in progress, since that request would be lost.
+// behind it is in progress, since that request would be lost. A caller whose requests overlap
+// may keep one in progress all the time; from Shutdown on no further one is started.
 func (c *conn) decideClose(mustClose bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -443,13 +474,14 @@
 	return c.closing
 }
 
-// closeIfIdle closes a connection that has no request in progress.
-func (c *conn) closeIfIdle() {
+// stop makes the connection start no further request, and closes it if none is in progress.
+// Otherwise the response to the last one announces the close.
+func (c *conn) stop() {
 	c.mu.Lock()
-	idle := c.pending == 0
-	c.closing = c.closing || idle
-	c.mu.Unlock()
-	if idle {
+	defer c.mu.Unlock()
+	c.stopping = true
+	if c.pending == 0 {
+		c.closing = true
 		_ = c.raw.Close()
 	}
 }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -150,11 +150,12 @@
 
 // Drain makes each connection close after its next response, unless another request is in
 // progress behind it. Until Shutdown, other connections stay open and requests on them are
-// served.
+// served: callers that come back may find no other server to send them to.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// Shutdown closes the listener and the idle connections, and waits until the other
-// connections have closed. If ctx ends first, it returns the context's error.
+// Shutdown closes the listener and the idle connections. The other connections get the responses
+// to the requests that are in progress, and no further request on them is started. Shutdown waits
+// until they have closed. If ctx ends first, it returns the context's error.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.Drain()
 	s.mu.Lock()
@@ -163,7 +164,7 @@
 		_ = s.listener.Close()
 	}
 	for c := range s.conns {
-		c.closeIfIdle()
+		c.stop()
 	}
 	s.mu.Unlock()
 	h2err := s.h2.Shutdown(ctx)
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -112,6 +112,8 @@
 	{"a restart resets the failure record of the previous process", "core/gate/server.go", "g.outlier = outlier{}", "", "core/gate", "RestartForgets"},
 	{"a stopping node refuses requests that could outlast it", "core/shutdown/schedule.go", "return s == nil || now.Before(s.acceptAllUntil) || !deadline.After(s.lastResponse)", "return true", "internal/proxy", "CouldOutlastIt"},
 	{"attempts of a stopping node end before it", "core/shutdown/schedule.go", "if s == nil || deadline.Before(s.lastResponse) {", "if true {", "internal/proxy", "LateAttempts"},
+	{"a shutdown starts no further request on a connection", "internal/front/conn.go", "if c.closing || c.stopping {", "if c.closing {", "internal/front", "StartsNoRequest"},
+	{"a caller that leaves during a shutdown is noticed", "internal/front/conn.go", "\t\thangup.Gone(c.ctx)\n\t\ttime.Sleep", "\t\ttime.Sleep", "internal/front", "CallerThatLeft"},
 	{"a stopping relay holds no responses", "internal/node/relayserver.go", "\tcase <-r.released:\n", "", "internal/node", "HoldsNoResponses"},
 	{"a response that the handler abandoned is not completed with an implied 200", "internal/front/response.go", "if w.status == 0 && w.c.ctx.Err() != nil {", "if false {", "internal/front", "HalfClosed"},
 	{"an overloaded process refuses requests", "internal/proxy/handler.go", "if !h.options.Overload.Admit(coreoverload.FromCaller, target.rank(key.account)) {", "if false {", "internal/e2e", "ThrottledNode"},
