node: a backend server whose lease has expired is accepted again

What callers and operators saw: a configuration took a service out, a later one, 14 s after, brought it back.

Cause: heartbeats are refused while the service is not in the estate, so the lease expires after 10 s, and withdraw remembered the server's process as ended for good. A server that is paused for longer than its lease, or a host that cannot take its heartbeats, ends in the same way.

Evidence: each node's log has "Announcement left out", "this instance has ended", for every heartbeat after the second change. Ruled out: the configuration (the other service is served by it) and the order of the heartbeats (their sequence increases).

Change: a lease that expires ends the registration, not the process. An announcement with a later sequence, or of a later start, registers the server again. Delayed announcements are left out by their sequence, and the instance counts as ended once another one is registered or it says that it leaves, also after its lease has expired.

A check of TestServerThatStartsAgainAsSameInstanceIsAccepted asked for the old rule by the words "lease expired". It guards against a process that has ended, so it now withdraws it as one that left; TestServerWhoseLeaseExpiredIsAcceptedAgain has ten cases of what may and may not register after a lease has expired.

--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -114,6 +114,8 @@
 	{"attempts of a stopping node end before it", "core/shutdown/schedule.go", "if s == nil || deadline.Before(s.lastResponse) {", "if true {", "internal/proxy", "LateAttempts"},
 	{"a shutdown starts no further request on a connection", "internal/front/conn.go", "if c.closing || c.stopping {", "if c.closing {", "internal/front", "StartsNoRequest"},
 	{"a caller that leaves during a shutdown is noticed", "internal/front/conn.go", "\t\thangup.Gone(c.ctx)\n\t\ttime.Sleep", "\t\ttime.Sleep", "internal/front", "CallerThatLeft"},
+	{"a delayed announcement does not register a server whose lease has expired", "internal/node/announce.go", "case n.expired.sentAfter(a):", "case false:", "internal/node", "LeaseExpired"},
+	{"a server that left after its lease had expired stays away", "internal/node/announce.go", "if n.expired != nil && n.expired.instance == instance {", "if false {", "internal/node", "LeaseExpired"},
 	{"a stopping relay holds no responses", "internal/node/relayserver.go", "\tcase <-r.released:\n", "", "internal/node", "HoldsNoResponses"},
 	{"a response that the handler abandoned is not completed with an implied 200", "internal/front/response.go", "if w.status == 0 && w.c.ctx.Err() != nil {", "if false {", "internal/front", "HalfClosed"},
 	{"an overloaded process refuses requests", "internal/proxy/handler.go", "if !h.options.Overload.Admit(coreoverload.FromCaller, target.rank(key.account)) {", "if false {", "internal/e2e", "ThrottledNode"},
--- a/internal/node/announce.go
+++ b/internal/node/announce.go
@@ -60,11 +60,15 @@
 	return n.records.Revision() == 0 || record != nil && !record.Removed
 }
 
-// Withdraw ends the registration of an instance. It does nothing if another instance is
-// registered.
+// Withdraw ends the registration of an instance, also if its lease has expired. It does nothing if
+// another instance is registered.
 func (n *Node) Withdraw(instance, why string) {
 	n.mu.Lock()
 	current := n.server != nil && n.server.instance == instance
+	if n.expired != nil && n.expired.instance == instance {
+		n.endedProcesses.add(n.expired.instance, n.expired.startedAt)
+		n.expired = nil
+	}
 	n.mu.Unlock()
 	if current {
 		n.withdraw(why)
@@ -95,6 +99,11 @@
 	if s.instance != "" && s.instance != a.Instance {
 		n.endedProcesses.add(s.instance, s.startedAt)
 	}
+	if n.expired != nil && n.expired.instance != a.Instance {
+		// The server has been replaced.
+		n.endedProcesses.add(n.expired.instance, n.expired.startedAt)
+	}
+	n.expired = nil
 	s.update(a)
 	if changed {
 		n.sequence++
@@ -139,6 +148,8 @@
 	switch {
 	case a.Instance != "" && n.endedProcesses.has(a.Instance, a.StartedAt):
 		return "this instance has ended"
+	case n.expired.sentAfter(a):
+		return "a later announcement was applied before the lease expired"
 	case n.server != nil && n.server.startedAfter(a):
 		return "the backend server has restarted since"
 	case n.server != nil && n.server.olderSequence(a):
@@ -178,6 +189,22 @@
 	startedAt int64
 }
 
+// expiredServer is a backend server whose lease has expired, with the sequence of the last
+// announcement that was applied.
+type expiredServer struct {
+	instanceProcess
+	sequence uint64
+}
+
+// sentAfter reports whether the last announcement of the server was sent after a. The lease of a
+// server that has ended expires as well, and its delayed announcements must not register it again.
+func (e *expiredServer) sentAfter(a Announcement) bool {
+	if e == nil || a.Instance != e.instance || a.StartedAt > e.startedAt {
+		return false
+	}
+	return a.StartedAt < e.startedAt && a.StartedAt > 0 || a.Sequence > 0 && a.Sequence <= e.sequence
+}
+
 // endedProcesses holds the server processes that ended most recently, at most
 // maxEndedProcesses of them.
 type endedProcesses struct{ processes []instanceProcess }
--- a/internal/node/announce_test.go
+++ b/internal/node/announce_test.go
@@ -178,13 +178,52 @@
 	n.mu.Lock()
 	assert.Assert(t, !n.draining())
 	n.mu.Unlock()
-	n.withdraw("lease expired")
+	n.withdraw("it left")
 	assert.NilError(t, n.Announce(startedAt(announcement("i-1", 52, false), 2000)))
 	assert.Assert(t, n.server == nil, "a process that has ended was registered again")
 	assert.NilError(t, n.Announce(startedAt(announcement("i-1", 1, false), 3000)))
 	assert.Assert(t, n.server != nil, "an instance that was started again after it had ended was ignored")
 }
 
+// expireLease ends the lease of the registered server.
+func expireLease(n *Node) {
+	n.mu.Lock()
+	n.server.expires = time.Now()
+	n.mu.Unlock()
+	n.expire()
+}
+
+// Guards against a server that is never served again after its lease has expired, although it is well
+// and its heartbeats arrive: it was paused, or they were refused while its service was not in the
+// estate. Announcements that were sent before, or by a server that was replaced, must still be ignored.
+func TestServerWhoseLeaseExpiredIsAcceptedAgain(t *testing.T) {
+	n := newTestNode(t, "")
+	register := func(instance string, sequence uint64, started int64) bool {
+		assert.NilError(t, n.Announce(startedAt(announcement(instance, sequence, false), started)))
+		return n.server != nil && n.server.instance == instance && n.server.startedAt == started
+	}
+	assert.Assert(t, register("i-1", 7, 1000))
+	n.expire()
+	assert.Assert(t, n.server != nil, "the lease has not expired yet")
+	expireLease(n)
+	assert.Assert(t, n.server == nil)
+	assert.Assert(t, !register("i-1", 7, 1000), "a repeated announcement")
+	assert.Assert(t, !register("i-1", 6, 1000), "a delayed announcement")
+	assert.Assert(t, !register("i-1", 9, 900), "an announcement of an earlier process")
+	assert.Assert(t, register("i-1", 8, 1000), "a later announcement")
+	expireLease(n)
+	assert.Assert(t, register("i-1", 1, 2000), "an announcement after a restart")
+	assert.Assert(t, !register("i-1", 9, 1000), "an announcement of the process before the restart")
+	expireLease(n)
+	assert.Assert(t, register("i-2", 1, 3000), "an announcement of another server")
+	assert.Assert(t, !register("i-1", 9, 2000), "an announcement of a server that was replaced")
+	assert.Equal(t, n.server.instance, "i-2")
+	expireLease(n)
+	assert.Assert(t, !register("i-1", 10, 2000), "an announcement of a server that was replaced before")
+	n.Withdraw("i-2", "it left")
+	assert.Assert(t, !register("i-2", 2, 3000), "an announcement of a server that left after its lease had expired")
+}
+
 // Guards against treating a server as restarted when its start time becomes known.
 // After a restart of only the node, it discovers the server through a health check,
 // whose response does not contain the start time. The next announcement adds the start
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -122,6 +122,8 @@
 	view           *directory.View
 	server         *server
 	endedProcesses endedProcesses
+	// expired is the last backend server whose lease expired, until a server is registered again.
+	expired *expiredServer
 	// hadServer is set when the first backend server is announced to this process, and
 	// stays set.
 	hadServer bool
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -111,18 +111,43 @@
 	}
 }
 
-// withdraw ends the registration of the backend server.
+// withdraw ends the registration of the backend server for good: no later announcement of this
+// process is accepted.
 func (n *Node) withdraw(why string) {
 	n.mu.Lock()
 	s := n.server
-	if s == nil {
+	if s != nil && s.instance != "" {
+		n.endedProcesses.add(s.instance, s.startedAt)
+	}
+	n.mu.Unlock()
+	n.unregister(s, why)
+}
+
+// expire ends the registration of a backend server whose lease has expired. The server may be well:
+// it was paused, or its announcements did not arrive or were refused. It is registered again with
+// its next announcement.
+func (n *Node) expire() {
+	n.mu.Lock()
+	s := n.server
+	if s == nil || time.Now().Before(s.expires) {
 		n.mu.Unlock()
 		return
 	}
-	n.server = nil
 	if s.instance != "" {
-		n.endedProcesses.add(s.instance, s.startedAt)
+		n.expired = &expiredServer{instanceProcess{s.instance, s.startedAt}, s.sequence}
 	}
+	n.mu.Unlock()
+	n.unregister(s, "lease expired")
+}
+
+// unregister ends the registration of s, unless that has happened already.
+func (n *Node) unregister(s *server, why string) {
+	n.mu.Lock()
+	if s == nil || n.server != s {
+		n.mu.Unlock()
+		return
+	}
+	n.server = nil
 	n.sequence++
 	n.mu.Unlock()
 	klog.InfoS("Backend server withdrawn", "host", n.options.Host, "service", s.service, "why", why)
@@ -152,12 +177,7 @@
 			return
 		case <-ticker.C:
 		}
-		n.mu.Lock()
-		expired := n.server != nil && time.Now().After(n.server.expires)
-		n.mu.Unlock()
-		if expired {
-			n.withdraw("lease expired")
-		}
+		n.expire()
 	}
 }
 
