proxy: a broken-off answer does not end the requests behind it

Cause: deliver aborts the caller's connection when the answer is cut short, also where nothing of it has been sent: up to 64 KiB are held back, and all of it while earlier responses are due.

Evidence: in the record the lost requests run to their end at sound servers, and their connection is reset in the moment in which an answer before them is cut short. Ruled out: faults of the sound servers, and callers that leave.

Change: if the response can be discarded, the attempt counts as lost. An idempotent request goes to another endpoint under the retry budget, others get 502 "outcome-unknown". Otherwise the connection is aborted as before.

Why it holds: the front gives a response back only if no byte of it, and no interim response with a part of it, was written; a lost attempt is handled in the one place that decides on retries.

--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -125,8 +125,10 @@
 		r := c.attemptEndpoint(to)
 		to = r.to
 		if r.resp != nil {
-			c.deliver(r.resp)
-			return
+			if c.deliver(r.resp) {
+				return
+			}
+			r.ended = retry.Lost
 		}
 		if c.r.Context().Err() != nil {
 			// The caller disconnected, so no response can be delivered.
@@ -331,10 +333,15 @@
 	}
 }
 
-// deliver relays the response to the caller. If the response is cut short, it aborts the
-// caller's connection by panicking with http.ErrAbortHandler.
-func (c *call) deliver(resp *http.Response) {
-	c.h.options.Counters.Answered.Add(1)
+// resettableWriter is a response writer that can discard what was written to it. Reset returns
+// false if a part of it was already sent.
+type resettableWriter interface{ Reset() bool }
+
+// deliver relays the response to the caller and returns true. If the response is cut short before
+// a part of it was sent, it returns false, and another response can be written: to abort the
+// connection would also end the requests that the caller has sent behind this one. Otherwise it
+// aborts the connection by panicking with http.ErrAbortHandler.
+func (c *call) deliver(resp *http.Response) bool {
 	status := resp.StatusCode
 	if c.awaitsContinue && c.out.Stream != nil && c.out.Stream.InUse() {
 		// The server responds before it has received the body. The goroutine that sends
@@ -347,12 +354,17 @@
 	logs.Decision(status >= http.StatusInternalServerError || err != nil, "Answered", "request", c.requestID(), "service", c.s.name, "route", c.routeName(),
 		"status", status, "attempts", c.attempts, "took", time.Since(c.arrived), "left", time.Until(c.deadline), "err", err)
 	var truncated *hop.TruncatedResponseError
-	if errors.As(err, &truncated) {
-		c.h.options.Counters.Truncated.Add(1)
-		// Abort the connection so that the caller does not take a truncated response for
-		// a complete one.
-		panic(http.ErrAbortHandler)
+	if !errors.As(err, &truncated) {
+		c.h.options.Counters.Answered.Add(1)
+		return true
+	}
+	c.h.options.Counters.Truncated.Add(1)
+	if w, ok := c.w.(resettableWriter); ok && w.Reset() {
+		return false
 	}
+	// Abort the connection so that the caller does not take a truncated response for
+	// a complete one.
+	panic(http.ErrAbortHandler)
 }
 
 // relay sends the response to the caller. A large one is paced on this host's link.
--- a/internal/proxy/counters.go
+++ b/internal/proxy/counters.go
@@ -9,7 +9,8 @@
 // Counters holds the metrics of calls, measured at the callers' node.
 type Counters struct {
 	// Answered counts the calls that got a response of a backend server, Canceled those whose
-	// callers disconnected, and Truncated the responses that ended prematurely. Retries, Moves
+	// callers disconnected, and Truncated the responses of backend servers that ended
+	// prematurely, whether another response took their place or not. Retries, Moves
 	// and Hedges count the additional attempts after a failure, after a move by a gate and
 	// concurrently with a stuck attempt. LostAttempts counts the attempts without a valid
 	// response, SilentPeers the failed probes of silent nodes. Faults counts the fault
