hop: an answer that stops within its body is not waited for without limit

Cause: Pool.Do removed the connection's deadline with the head of the answer, since long answers may take longer than it, and nothing took its place. The watch of silent peers ends with the head too.

Ruled out: the server (it sends its body in time) and the front, which has sent nothing yet.

Change: each read of a body of known length may last until the request's deadline, and after it for 250 ms, or 5 s for large ones, whose parts may wait for a link. What makes progress is delivered, however late. Bodies of unknown length are not limited, since they may be streams of events.

Why it holds: a read that ends so is an answer cut short; the proxy answers 504 in its place if nothing of it was sent, since the deadline has passed. Each process on the way applies the same rule, so the slot at the gate is free again too.

--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"cactuspath/core/gate"
+	"cactuspath/core/link"
 	"cactuspath/internal/hangup"
 )
 
@@ -41,8 +42,9 @@
 	// OnBodySent, if not nil, is called with the number of bytes of each part of the body
 	// that is about to be sent, also from another goroutine.
 	OnBodySent func(bytes int)
-	// Deadline limits the exchange up to the end of the response head. Sending a streamed body
-	// may take longer; the response head then has the time anew that was left at the begin.
+	// Deadline limits the exchange up to the end of the response head. The response body may take
+	// longer as long as it makes progress. Sending a streamed body may take longer; the response
+	// head then has the time anew that was left at the begin, and its body is not limited.
 	Deadline time.Time
 	// Attempt identifies the attempt in the log.
 	Attempt gate.AttemptID
@@ -113,9 +115,7 @@
 		}
 		return nil, &LostError{err, c.reused}
 	}
-	// The body may take longer than the deadline, which applies to the head: an upload or a
-	// long response is not cut off, but canceling ctx still ends the exchange.
-	x.headRead()
+	x.headRead(out, resp)
 	return resp, nil
 }
 
@@ -230,12 +230,37 @@
 	}
 }
 
-// headRead removes the deadline, since the response head has been read.
-func (x *exchange) headRead() {
+// headRead replaces the deadline, since the response head has been read. The body may take longer:
+// an upload or a long response is not cut off, but canceling ctx still ends the exchange.
+func (x *exchange) headRead(out *Outgoing, resp *http.Response) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.hasHead = true
 	x.setDeadline(time.Time{})
+	if body, ok := resp.Body.(*responseBody); ok && x.sender == nil {
+		body.deadline, body.progressTimeout = out.Deadline, progressTimeout(resp.ContentLength)
+	}
+}
+
+const (
+	// bodyProgressTimeout is how long a response body may pause after the deadline of its
+	// request, if it is short enough to be on its way as a whole.
+	bodyProgressTimeout = 250 * time.Millisecond
+	// largeBodyProgressTimeout replaces it for large bodies, whose parts may wait for the link
+	// of a host.
+	largeBodyProgressTimeout = 5 * time.Second
+)
+
+// progressTimeout returns how long a body of the given length may pause after the deadline, or 0 if
+// the length is unknown: such a body may be a stream of events that are far apart.
+func progressTimeout(length int64) time.Duration {
+	switch {
+	case length < 0:
+		return 0
+	case length < link.LargeBytes:
+		return bodyProgressTimeout
+	}
+	return largeBodyProgressTimeout
 }
 
 // sendBody streams the body concurrently with reading the response, which may arrive before
@@ -353,10 +378,33 @@
 	x        *exchange
 	reusable bool
 	ended    bool
+	// deadline is that of the request. After it, each read ends after progressTimeout; 0 means no
+	// limit.
+	deadline        time.Time
+	progressTimeout time.Duration
+	limited         bool
+}
+
+// limitRead limits the next read. Otherwise, a response whose sender fails within the body would be
+// waited for until the caller leaves.
+func (b *responseBody) limitRead() {
+	if b.progressTimeout == 0 || b.deadline.IsZero() {
+		return
+	}
+	end := time.Now().Add(b.progressTimeout)
+	if end.Before(b.deadline) {
+		if b.limited {
+			return
+		}
+		end = b.deadline
+	}
+	b.limited = true
+	b.x.setDeadline(end)
 }
 
 // Read reads the response body.
 func (b *responseBody) Read(p []byte) (int, error) {
+	b.limitRead()
 	n, err := b.ReadCloser.Read(p)
 	switch {
 	case err == nil:
