endpoint: the first request waits for the first health response

What was seen: a server leaves, its node is killed and starts again, and a heartbeat of before arrives late and calls the server ready.

Cause: before the first report of the load its age counts from the creation of the gate, so for 20 ms the gate takes the report that it does not have for a recent one and asks nothing.

Evidence: "Gate decided" of that request has waited=23µs and loadAge=11.9ms, 12 ms after "Backend server announced" and 16 ms before "Backend server leaving".

Change: the first load query of a gate is waited for until it ends, 300 ms at most, and the gate knows the health path before its server is announced.

--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -103,6 +103,8 @@
 	// loadOverdue is set if the backend server did not respond to the last load query in
 	// time.
 	loadOverdue atomic.Bool
+	// firstQueryEnded is set once a load query has ended, with a response or without.
+	firstQueryEnded atomic.Bool
 	// lastResponse is when the backend server last sent any response.
 	lastResponse atomic.Int64
 	dialFailures atomic.Int32
--- a/internal/endpoint/load_test.go
+++ b/internal/endpoint/load_test.go
@@ -57,6 +57,33 @@
 	return e
 }
 
+// Guards against requests that reach a server which is shutting down: its node has just started, a
+// delayed heartbeat says that the server is ready, and the health response that says otherwise takes
+// longer than the load of a known server is waited for.
+func TestFirstRequestWaitsForTheFirstHealthResponse(t *testing.T) {
+	var reached atomic.Int64
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/health" {
+			time.Sleep(4 * maxLoadWait)
+		} else {
+			reached.Add(1)
+		}
+		w.Header().Set(hop.LeavingHeader, hop.LeavingValue)
+	}))
+	t.Cleanup(s.Close)
+	e := New(Options{Host: "h", Incarnation: func() uint64 { return 1 }, Revision: func() uint64 { return 1 }, ObserveRevision: func(uint64) {}, SendReport: func(string, gate.Report) {},
+		Counters: NewCounters(), Dialect: &hop.Dialect{Load: "X-Load"}}, gate.Config{Slots: 8, Queue: 8})
+	t.Cleanup(e.Close)
+	e.SetHealthPath("/health")
+	e.ReplaceServer("i-1", s.Listener.Addr().String())
+	var wait sync.WaitGroup
+	for range 4 {
+		wait.Go(func() { assert.Check(t, attempt(e) != hop.Ran) })
+	}
+	wait.Wait()
+	assert.Equal(t, reached.Load(), int64(0))
+}
+
 var attempts atomic.Uint64
 
 // attempt sends a request with an aim of 300 ms, for which the gate assumes 100 ms of work,
--- a/internal/endpoint/watch.go
+++ b/internal/endpoint/watch.go
@@ -126,15 +126,26 @@
 // is younger than maxLoadAge. It does not wait for a server that did not respond to the last
 // query in time, nor does it trouble one whose named limit is reached: the request will not
 // run there.
+//
+// The first query of an endpoint is waited for until it ends. A node that has just started does not
+// know yet whether the server is shutting down, and a delayed heartbeat may say that it is ready.
 func (e *Endpoint) refreshLoad(ctx context.Context) {
-	if e.options.Dialect.Load == "" || e.loadOverdue.Load() || e.loadAge() < maxLoadAge || e.limitReached() {
+	if e.options.Dialect.Load == "" || e.limitReached() {
+		return
+	}
+	first := !e.firstQueryEnded.Load()
+	if !first && (e.loadOverdue.Load() || e.loadAge() < maxLoadAge) {
 		return
 	}
 	done := e.startLoadQuery()
 	if done == nil {
 		return
 	}
-	timer := time.NewTimer(maxLoadWait)
+	wait := maxLoadWait
+	if first {
+		wait = loadQueryTimeout
+	}
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-done:
@@ -185,6 +196,7 @@
 		e.loadQuery = ended
 		go func() {
 			e.queryLoad(pool, *path)
+			e.firstQueryEnded.Store(true)
 			e.mu.Lock()
 			e.loadQuery = nil
 			e.mu.Unlock()
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -70,6 +70,8 @@
 	e := endpoint.New(endpoint.Options{
 		Host: n.options.Host, Incarnation: n.incarnation.Load, SendReport: n.reports.send, Revision: n.Revision, ObserveRevision: n.observeRevision, LeavingChanged: n.applyLeaving, Counters: n.gates, Dialect: n.options.Dialect, Quarantine: n.quarantine, Overload: n.overload, Link: n.link, LinkBacklog: n.link.Backlog,
 	}, config)
+	// The first requests may arrive before the configuration is applied to the gate.
+	e.SetHealthPath(n.records.Service(a.Service).GetSpec().GetHealthPath())
 	if n.hadServer {
 		e.SetReplacesEarlierEndpoint()
 	}
