node: a stop waits for the directory as long as it lingers, and no longer

A planned stop told the directory that the node leaves with all of the time that was left before the last response. Other nodes that were not told find out by themselves.

--- a/core/shutdown/schedule.go
+++ b/core/shutdown/schedule.go
@@ -52,8 +52,8 @@
 	return s == nil || now.Before(s.acceptAllUntil) || !deadline.After(s.lastResponse)
 }
 
-// Limit returns the deadline of an attempt for a request with the given deadline. A response after
-// LastResponse might not reach the caller any more.
+// Limit returns the given deadline or, if that is earlier, LastResponse: a later response might not
+// reach the caller any more.
 func (s *Schedule) Limit(deadline time.Time) time.Time {
 	if s == nil || deadline.Before(s.lastResponse) {
 		return deadline
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -51,8 +51,10 @@
 	// that this one leaves.
 	n.waitDrained(schedule.LatestStart(departureLinger))
 	n.logStop("Gate drained for the planned stop", schedule)
-	n.announceDeparture(schedule.LastResponse())
-	n.lingerUntil(latest(lingerUntil, time.Now().Add(departureLinger)), schedule.LastResponse())
+	lingerEnd := func() time.Time { return schedule.Limit(latest(lingerUntil, time.Now().Add(departureLinger))) }
+	// If no relay can be reached, other nodes find out by themselves.
+	n.announceDeparture(lingerEnd())
+	time.Sleep(time.Until(lingerEnd()))
 	n.logStop("Listeners close for the planned stop", schedule)
 	return shutDown(servers, schedule.End())
 }
@@ -110,14 +112,6 @@
 	n.member.syncNow(ctx)
 }
 
-// lingerUntil waits until the given time, but no later than limit.
-func (n *Node) lingerUntil(t, limit time.Time) {
-	if t.After(limit) {
-		t = limit
-	}
-	time.Sleep(time.Until(t))
-}
-
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
