node: a lease that expires is ended under one lock

Between the look at the lease and the end of the registration a renewal could be applied, and was lost until the next heartbeat. Seen while reading, not shown by a run. The constants of core/shutdown have like names.

--- a/core/shutdown/schedule.go
+++ b/core/shutdown/schedule.go
@@ -1,18 +1,18 @@
 // Package shutdown divides the time of a planned stop: which requests a stopping process still
 // accepts, how long these may take, and when each stage of the stop ends.
 //
-// Invariant: a request that is accepted later than AcceptAllFor after the beginning of the stop has
-// its final response before the process closes its connections. One that is accepted earlier has
-// at least half of the stop to finish.
+// Invariant: a request has at least half of the stop to finish if it is accepted in the first part
+// of it. One that is accepted later has its final response before the process closes its
+// connections.
 package shutdown
 
 import "time"
 
 const (
-	// AcceptAllFor is how long a stopping process accepts requests whatever their deadlines are:
-	// callers need about this long to switch to other processes, and few requests use up their
-	// deadlines. It is at most half of the stop.
-	AcceptAllFor = 3 * time.Second
+	// maxAcceptAll is how long a stopping process accepts requests whatever their deadlines are, at
+	// most for half of the stop: callers need about this long to switch to other processes, and few
+	// requests use up their deadlines.
+	maxAcceptAll = 3 * time.Second
 	// maxGateOpen is how long a stopping node keeps its gate open. It has to run for about two more
 	// seconds anyway, until its callers see that it is not ready. Closing the gate immediately would
 	// leave the backend server unused for all of that time.
@@ -39,7 +39,7 @@
 func New(began time.Time, timeout time.Duration) *Schedule {
 	end := began.Add(timeout)
 	return &Schedule{
-		acceptAllUntil: began.Add(min(AcceptAllFor, timeout/2)),
+		acceptAllUntil: began.Add(min(maxAcceptAll, timeout/2)),
 		gateOpenUntil:  began.Add(min(maxGateOpen, timeout/stageDivisor)),
 		lastResponse:   end.Add(-min(maxResponseReserve, timeout/reserveDivisor)),
 		end:            end,
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -118,11 +118,16 @@
 func (n *Node) withdraw(why string) {
 	n.mu.Lock()
 	s := n.server
-	if s != nil && s.instance != "" {
+	if s == nil {
+		n.mu.Unlock()
+		return
+	}
+	if s.instance != "" {
 		n.endedProcesses.add(s.instance, s.startedAt)
 	}
+	n.unregister()
 	n.mu.Unlock()
-	n.unregister(s, why)
+	n.closeUnregistered(s, why)
 }
 
 // expire ends the registration of a backend server whose lease has expired. The server may be well:
@@ -138,20 +143,19 @@
 	if s.instance != "" {
 		n.expired = &expiredServer{instanceProcess{s.instance, s.startedAt}, s.sequence}
 	}
+	n.unregister()
 	n.mu.Unlock()
-	n.unregister(s, "lease expired")
+	n.closeUnregistered(s, "lease expired")
 }
 
-// unregister ends the registration of s, unless that has happened already.
-func (n *Node) unregister(s *server, why string) {
-	n.mu.Lock()
-	if s == nil || n.server != s {
-		n.mu.Unlock()
-		return
-	}
+// unregister removes the backend server. The caller holds the lock.
+func (n *Node) unregister() {
 	n.server = nil
 	n.sequence++
-	n.mu.Unlock()
+}
+
+// closeUnregistered closes the gate of a backend server that is not registered any more.
+func (n *Node) closeUnregistered(s *server, why string) {
 	klog.InfoS("Backend server withdrawn", "host", n.options.Host, "service", s.service, "why", why)
 	s.endpoint.SetDraining(true)
 	n.profiles.forget()
