hop: an upload whose body stops on its way is not waited for without limit

What callers saw: nothing, since they stay away themselves.

Cause: the deadline of an exchange is removed while its body is streamed, since long uploads may take longer than it, and nothing takes its place.

Ruled out: a response that is due (it has a limit of its own once the body was sent).

Change: once the deadline has passed and no part of the body was read for 5 s, the exchange ends. That is longer than hosts are usually paused or bodies wait for a link; what makes progress goes on.

Why it holds: reads stop in both cases, since a receiver that does not read fills the buffers. The watch and the end of the sender exclude each other, so a connection that was reused is never failed.

Test: TestUploadThatStopsIsNotWaitedForWithoutLimit ends after 5 s instead of at its own limit.

--- a/internal/hop/stalled_test.go
+++ b/internal/hop/stalled_test.go
@@ -1,6 +1,7 @@
 package hop
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -78,3 +79,68 @@
 		})
 	}
 }
+
+// Guards against an upload that stops on its way and is waited for without limit: its receiver reads
+// no more, or its sender sends no more, and neither closes its connection. A body that makes progress
+// may take longer than the deadline.
+func TestUploadThatStopsIsNotWaitedForWithoutLimit(t *testing.T) {
+	const timeout = 200 * time.Millisecond
+	// The body is larger than the buffers of the connections.
+	const length = 64 << 20
+	receive := func(bytes int64) *Pool {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		tested, ended := make(chan struct{}), make(chan struct{})
+		go func() {
+			defer close(ended)
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = io.CopyN(io.Discard, c, bytes)
+			<-tested
+			_ = c.Close()
+		}()
+		t.Cleanup(func() {
+			close(tested)
+			_ = l.Close()
+			<-ended
+		})
+		p := NewPool(l.Addr().String(), nil)
+		t.Cleanup(p.Close)
+		return p
+	}
+	cases := []struct {
+		desc   string
+		pool   *Pool
+		source func() *Body
+	}{
+		{"receiver", receive(1000), func() *Body { return NewBody(io.LimitReader(zeros{}, length), nil) }},
+		{"sender", receive(length), func() *Body {
+			near, far := net.Pipe()
+			t.Cleanup(func() { _ = far.Close() })
+			go func() { _, _ = far.Write(make([]byte, 1000)) }()
+			return NewBody(near, near.SetReadDeadline)
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.desc, func(t *testing.T) {
+			t.Parallel()
+			ctx, cancel := context.WithTimeout(t.Context(), 2*uploadProgressTimeout)
+			defer cancel()
+			begin := time.Now()
+			_, err := c.pool.Do(ctx, &Outgoing{Method: "POST", URI: "/", Host: "a.example", Stream: c.source(), Length: length, SkipContinue: true, Deadline: begin.Add(timeout)})
+			assert.Assert(t, err != nil)
+			took := time.Since(begin)
+			assert.Assert(t, took >= uploadProgressTimeout && took < uploadProgressTimeout*3/2, "took %v", took)
+		})
+	}
+}
+
+type zeros struct{}
+
+// Read returns zeros.
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
--- a/internal/hop/upload.go
+++ b/internal/hop/upload.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http/httputil"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -267,11 +268,18 @@
 	read, sent, dropped int64
 	// sourceFailed is set if reading the body failed. Only the sender uses it.
 	sourceFailed bool
+	// progressAt is when a part of the body was last read, in nanoseconds since begin.
+	progressAt atomic.Int64
+	begin      time.Time
 }
 
+// uploadProgressTimeout is how long a streamed body may make no progress after the deadline of its
+// request. The parts of a body may wait for the link of a host, and a host may be paused for seconds.
+const uploadProgressTimeout = 5 * time.Second
+
 // startSender starts to send the body. It calls sent once the whole body was written.
 func startSender(c *conn, out *Outgoing, sent func()) *sender {
-	s := &sender{out: out, conn: c, done: make(chan struct{})}
+	s := &sender{out: out, conn: c, done: make(chan struct{}), begin: time.Now()}
 	out.Stream.setOwner(s)
 	go s.run(sent)
 	return s
@@ -279,6 +287,9 @@
 
 func (s *sender) run(sent func()) {
 	defer close(s.done)
+	if !s.out.Deadline.IsZero() {
+		defer s.watchProgress().stop()
+	}
 	var copied int64
 	copied, s.err = s.copy()
 	s.sent = max(0, copied-int64(s.conn.writer.Buffered()))
@@ -293,6 +304,60 @@
 	}
 }
 
+// progressWatch ends the exchange of a sender whose body stops on its way. Without a limit, a body
+// whose source or receiver has failed would keep its connections and a slot of the backend server
+// until the caller leaves.
+type progressWatch struct {
+	sender *sender
+	timer  *time.Timer
+
+	mu sync.Mutex
+	// ended is set when the sender has ended: its connection may belong to another exchange.
+	ended bool
+}
+
+// watchProgress starts the watch of a sender.
+func (s *sender) watchProgress() *progressWatch {
+	w := &progressWatch{sender: s}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(time.Until(s.progressDeadline()), w.check)
+	return w
+}
+
+// check ends the exchange if the body has made no progress for too long.
+func (w *progressWatch) check() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.ended {
+		return
+	}
+	s := w.sender
+	if left := time.Until(s.progressDeadline()); left > 0 {
+		w.timer.Reset(left)
+		return
+	}
+	logs.Decision(true, "Body stopped on its way", "request", s.out.ID, "attempt", FormatID(s.out.Attempt), "to", s.conn.RemoteAddr().String(), "length", s.out.Length)
+	s.conn.fail()
+	_ = s.out.Stream.removeOwner(s)
+}
+
+func (w *progressWatch) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ended = true
+	w.timer.Stop()
+}
+
+// progressDeadline returns the time at which the body counts as stopped unless more of it is read.
+func (s *sender) progressDeadline() time.Time {
+	end := s.begin.Add(time.Duration(s.progressAt.Load()) + uploadProgressTimeout)
+	if end.Before(s.out.Deadline) {
+		return s.out.Deadline
+	}
+	return end
+}
+
 // exited reports whether the sender's goroutine has ended.
 func (s *sender) exited() bool {
 	select {
@@ -326,6 +391,7 @@
 func (s *sender) Read(p []byte) (int, error) {
 	n, err := ownerReader{s.out.Stream, s}.Read(p)
 	s.read += int64(n)
+	s.progressAt.Store(int64(time.Since(s.begin)))
 	s.out.reportBodySent(n)
 	s.sourceFailed = err != nil && !errors.Is(err, io.EOF)
 	return n, err
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -120,6 +120,7 @@
 	{"a response body that makes progress may take longer than the deadline", "internal/hop/exchange.go", "\t\tend = b.deadline\n", "", "internal/hop", "BodyThatStops"},
 	{"a broken-off response that was not sent is replaced", "internal/proxy/call.go", "ok && w.Reset() {", "ok && false && w.Reset() {", "internal/proxy", "BrokenOff"},
 	{"the first request of an endpoint waits for the first health response", "internal/endpoint/watch.go", "first := !e.firstQueryEnded.Load()", "first := false", "internal/endpoint", "FirstRequestWaits"},
+	{"an upload that stops is not waited for without limit", "internal/hop/upload.go", "\t\tdefer s.watchProgress().stop()\n", "", "internal/hop", "UploadThatStops"},
 	{"a stopping relay holds no responses", "internal/node/relayserver.go", "\tcase <-r.released:\n", "", "internal/node", "HoldsNoResponses"},
 	{"a response that the handler abandoned is not completed with an implied 200", "internal/front/response.go", "if w.status == 0 && w.c.ctx.Err() != nil {", "if false {", "internal/front", "HalfClosed"},
 	{"an overloaded process refuses requests", "internal/proxy/handler.go", "if !h.options.Overload.Admit(coreoverload.FromCaller, target.rank(key.account)) {", "if false {", "internal/e2e", "ThrottledNode"},
