hop: an idle connection is not closed for the deadline of its last request

What was seen: nothing by callers. Since the deadline of a request, or the end of the last wait for its body, stayed set on the connection when it went back to the pool. Once it had passed, the look at the idle connection failed, so the connection was closed and the next request opened a new one.

Cause: headRead used to lift the deadline, and sets it again with the first read of the body. Found while reading the change again.

Change: the deadline is lifted when the connection goes back to the pool. The exchange leaves the deadline of the request in force for the body, in place of lifting and setting it, so the flag that said whether it was set is gone, and so are two changes of the deadline for each response.

Test: TestConnectionIsReusedAfterTheDeadlineOfItsLastRequest fails without the change (the second request is sent on a new connection) and passes with it; internal/hop passes with the race detector.

--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -230,16 +230,20 @@
 	}
 }
 
-// headRead replaces the deadline, since the response head has been read. The body may take longer:
-// an upload or a long response is not cut off, but canceling ctx still ends the exchange.
+// headRead lifts the deadline, since the response head has been read. The body may take longer: an
+// upload or a long response is not cut off, but canceling ctx still ends the exchange.
 func (x *exchange) headRead(out *Outgoing, resp *http.Response) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.hasHead = true
-	x.setDeadline(time.Time{})
-	if body, ok := resp.Body.(*responseBody); ok && x.sender == nil {
-		body.deadline, body.progressTimeout = out.Deadline, progressTimeout(resp.ContentLength)
+	timeout := progressTimeout(resp.ContentLength)
+	body, ok := resp.Body.(*responseBody)
+	if !ok || x.sender != nil || timeout == 0 || out.Deadline.IsZero() {
+		x.setDeadline(time.Time{})
+		return
 	}
+	// The deadline of the request stays in force until limitRead moves it.
+	body.deadline, body.progressTimeout = out.Deadline, timeout
 }
 
 const (
@@ -369,6 +373,8 @@
 	if x.sender != nil {
 		x.sender.stopAndWait()
 	}
+	// An idle connection whose deadline has passed would count as broken.
+	_ = x.conn.SetDeadline(time.Time{})
 	x.pool.put(x.conn)
 }
 
@@ -382,24 +388,17 @@
 	// limit.
 	deadline        time.Time
 	progressTimeout time.Duration
-	limited         bool
 }
 
 // limitRead limits the next read. Otherwise, a response whose sender fails within the body would be
 // waited for until the caller leaves.
 func (b *responseBody) limitRead() {
-	if b.progressTimeout == 0 || b.deadline.IsZero() {
+	if b.progressTimeout == 0 {
 		return
 	}
-	end := time.Now().Add(b.progressTimeout)
-	if end.Before(b.deadline) {
-		if b.limited {
-			return
-		}
-		end = b.deadline
+	if end := time.Now().Add(b.progressTimeout); end.After(b.deadline) {
+		b.x.setDeadline(end)
 	}
-	b.limited = true
-	b.x.setDeadline(end)
 }
 
 // Read reads the response body.
--- a/internal/hop/stalled_test.go
+++ b/internal/hop/stalled_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -144,3 +145,17 @@
 	clear(p)
 	return len(p), nil
 }
+
+// Guards against a connection that is closed instead of reused because the deadline of its last
+// request has passed since: each request would open a new one.
+func TestConnectionIsReusedAfterTheDeadlineOfItsLastRequest(t *testing.T) {
+	const timeout = 50 * time.Millisecond
+	p := serve(t, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "done") })
+	for i := range 3 {
+		resp, err := p.Do(t.Context(), &Outgoing{Method: "GET", URI: "/", Host: "a.example", Deadline: time.Now().Add(timeout)})
+		assert.NilError(t, err)
+		assert.Equal(t, resp.Body.(*responseBody).x.conn.reused, i > 0)
+		assert.Equal(t, read(t, resp), "done")
+		time.Sleep(timeout + 2*bodyProgressTimeout)
+	}
+}
