front: a shutdown uses the state and the wait that the connection had

A connection kept a flag of its own for what Server.closed says, and polled for the end of its responses beside waitForBody, which waits for the same event without reading.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -41,10 +41,7 @@
 	pending int
 	// closing is set once a response has announced that the connection closes or was aborted.
 	// No further request on the connection is started then.
-	closing bool
-	// stopping is set when the server shuts down. No further request is started, and the
-	// response to the last one that is in progress announces that the connection closes.
-	stopping bool
+	closing  bool
 	handlers sync.WaitGroup
 
 	// requestsUnread is set by the reading goroutine when it leaves requests unread that the
@@ -112,7 +109,7 @@
 	for c.serveNext() {
 	}
 	if c.requestsUnread {
-		c.awaitResponses()
+		c.awaitUnread(nil, c.prevDone)
 		c.lingerClose()
 	}
 }
@@ -166,7 +163,7 @@
 		}
 		b, err := c.reader.Peek(1)
 		switch {
-		case err == nil && c.isStopping():
+		case err == nil && c.server.closed.Load():
 			c.requestsUnread = true
 			return false
 		// Empty lines between requests are allowed.
@@ -198,12 +195,6 @@
 	return true
 }
 
-func (c *conn) isStopping() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.stopping
-}
-
 func (c *conn) hasPending() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -311,7 +302,7 @@
 		return false
 	}
 	c.mu.Lock()
-	if c.closing || c.stopping {
+	if c.closing || c.server.closed.Load() {
 		// An earlier response has announced that the connection closes, or will do so: the caller
 		// takes this request for unread and sends it again.
 		c.mu.Unlock()
@@ -344,7 +335,7 @@
 		return !w.mustClose || c.watchHangup()
 	}
 	// The handler reads the body. The next request can be read only after it.
-	c.waitForBody(bodyFinished, w.done)
+	c.awaitUnread(bodyFinished, w.done)
 	if w.bodyUnread() {
 		// The response announced that the connection closes; the caller may still be
 		// sending.
@@ -354,10 +345,10 @@
 	return !w.mustClose || c.watchHangup()
 }
 
-// waitForBody waits until the handler has read the body or has responded. The handler may wait
-// long before it reads, and nothing else reads the connection meanwhile, so the request is
-// canceled here if the caller disconnects.
-func (c *conn) waitForBody(bodyFinished, responded <-chan struct{}) {
+// awaitUnread waits until one of the channels is closed: the handler has read the body of the last
+// request, or its response has been sent. This may take long, and nothing else reads the connection
+// meanwhile, so the running requests are canceled here if the caller disconnects.
+func (c *conn) awaitUnread(bodyFinished, responded <-chan struct{}) {
 	ticker := time.NewTicker(hangupPollInterval)
 	defer ticker.Stop()
 	for {
@@ -390,17 +381,8 @@
 	return false
 }
 
-// awaitResponses waits until all responses have been sent. It cancels the running requests if the
-// caller disconnects, and does not read the requests that the caller still sends.
-func (c *conn) awaitResponses() {
-	for c.hasPending() {
-		hangup.Gone(c.ctx)
-		time.Sleep(hangupPollInterval)
-	}
-}
-
-// hangupPollInterval is how often watchHangup and awaitResponses check whether all responses have
-// been sent, and waitForBody whether the caller has disconnected.
+// hangupPollInterval is how often watchHangup checks whether all responses have been sent, and
+// awaitUnread whether the caller has disconnected.
 const hangupPollInterval = 50 * time.Millisecond
 
 func wantsClose(r *http.Request) bool {
@@ -474,14 +456,13 @@
 	return c.closing
 }
 
-// stop makes the connection start no further request, and closes it if none is in progress.
-// Otherwise the response to the last one announces the close.
-func (c *conn) stop() {
+// closeIfIdle closes a connection that has no request in progress.
+func (c *conn) closeIfIdle() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.stopping = true
-	if c.pending == 0 {
-		c.closing = true
+	idle := c.pending == 0
+	c.closing = c.closing || idle
+	c.mu.Unlock()
+	if idle {
 		_ = c.raw.Close()
 	}
 }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -164,7 +164,7 @@
 		_ = s.listener.Close()
 	}
 	for c := range s.conns {
-		c.stop()
+		c.closeIfIdle()
 	}
 	s.mu.Unlock()
 	h2err := s.h2.Shutdown(ctx)
