--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -8,7 +8,7 @@
   echo "build the programs first: the command of deploy/system.toml, then review/build-2.sh" >&2
   exit 2
 fi
-timeout --kill-after=5 110 target/lab2 timeout "$folder/record.txt"
+timeout --kill-after=5 110 target/lab2 upload "$folder/record.txt"
 code=$?
 if [ "$code" -gt 2 ]; then
   code=2
--- a/review/lab2/client.go
+++ b/review/lab2/client.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 )
@@ -55,6 +56,26 @@
 	return o
 }
 
+// post sends a POST with a body of the given length on a new connection and reads the answer. The client
+// leaves at its time limit.
+func post(m *machine, host, path string, limit time.Duration, length int) outcome {
+	o := outcome{id: newID(), sent: time.Now()}
+	c, err := net.DialTimeout("tcp", m.outbound, time.Second)
+	if err != nil {
+		o.ended, o.err = time.Now(), err
+		return o
+	}
+	defer c.Close()
+	_ = c.SetDeadline(o.sent.Add(limit))
+	text := requestHead(http.MethodPost, host, path, o.id, limit) + fmt.Sprintf("Content-Length: %d\r\n\r\n", length) + strings.Repeat("p", length)
+	if _, err := io.WriteString(c, text); err != nil {
+		o.ended, o.err = time.Now(), err
+		return o
+	}
+	o.read(bufio.NewReader(c), http.MethodPost)
+	return o
+}
+
 // read reads the answer to the request. It reports whether the answer announces that the connection
 // closes.
 func (o *outcome) read(r *bufio.Reader, method string) (closes bool) {
--- a/review/lab2/timeout.go
+++ b/review/lab2/timeout.go
@@ -7,31 +7,63 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
 )
 
-func init() { cases["timeout"] = timeoutCase }
+func init() {
+	cases["timeout"] = func(l *lab) (bool, error) {
+		return timeoutCase(l, frozenAnswers{
+			service: "snaglist", kind: "safe", servers: 3, interval: 10 * time.Millisecond, answer: answerInParts,
+			send: func(m *machine) outcome { return get(m, "snag.example", "/route/a", clientLimit) },
+		})
+	}
+	cases["upload"] = func(l *lab) (bool, error) {
+		return timeoutCase(l, frozenAnswers{
+			service: "defects", kind: "upload", servers: 4, interval: 12500 * time.Microsecond, answer: answerUploadInParts,
+			send: func(m *machine) outcome { return post(m, "snag.example", "/route/a", clientLimit, uploadBytes) },
+		})
+	}
+}
+
+// frozenAnswers is a case in which a machine stands still within answers that have begun.
+type frozenAnswers struct {
+	service, kind string
+	// servers is the number of the service's servers.
+	servers int
+	// interval is the time between two requests.
+	interval time.Duration
+	send     func(*machine) outcome
+	answer   func(*server, net.Conn, *http.Request, []byte) bool
+}
 
 const (
 	routeTimeout = time.Second
 	// freezeTime is how long a machine stands still, freezes how often one does.
 	freezeTime = 4 * time.Second
 	freezes    = 2
-	// requestInterval is the time between two requests, serverSlots what a server runs at once.
-	requestInterval = 10 * time.Millisecond
-	serverSlots     = 18
+	// serverSlots is what a server runs at once.
+	serverSlots = 18
 	// clientLimit is how long the clients wait. It is longer than the route's timeout.
 	clientLimit = 6 * time.Second
-	workTime    = 300 * time.Millisecond
+	// lookupTime and uploadTime are how long a server takes.
+	lookupTime = 300 * time.Millisecond
+	uploadTime = 500 * time.Millisecond
+	// uploadBytes is the size of a picture.
+	uploadBytes = 60_000
 )
 
-// timeoutCase freezes a node whose server answers in parts. The answers have no length and end with
-// their connections. The clients are at another machine, which runs and is connected all the time.
-func timeoutCase(l *lab) (bool, error) {
+// timeoutCase freezes a node whose server answers in parts. The clients are at another machine, which
+// runs and is connected all the time.
+func timeoutCase(l *lab, x frozenAnswers) (bool, error) {
 	var machines []*machine
-	for _, service := range []string{"signoff", "snaglist", "snaglist", "snaglist"} {
+	for i := range 1 + x.servers {
+		service := "signoff"
+		if i > 0 {
+			service = x.service
+		}
 		m, err := l.addMachine(service)
 		if err != nil {
 			return false, err
@@ -39,12 +71,12 @@
 		machines = append(machines, m)
 	}
 	for _, m := range machines {
-		if _, err := l.startServer(m, serverSlots, answerInParts); err != nil {
+		if _, err := l.startServer(m, serverSlots, x.answer); err != nil {
 			return false, err
 		}
 	}
-	routes := map[string]route{"list": {Host: "snag.example", PathPrefix: "/list/", Kind: "safe", TimeoutS: routeTimeout.Seconds(), TargetS: 0.4, Priority: 2, Service: "snaglist", MaxAttempts: 2}}
-	if err := l.configure(routes, "signoff", "snaglist"); err != nil {
+	routes := map[string]route{"route": {Host: "snag.example", PathPrefix: "/route/", Kind: x.kind, TimeoutS: routeTimeout.Seconds(), TargetS: 0.6, Priority: 2, Service: x.service, MaxAttempts: 2}}
+	if err := l.configure(routes, "signoff", x.service); err != nil {
 		return false, err
 	}
 	if err := l.awaitReady(); err != nil {
@@ -57,7 +89,7 @@
 	var wait sync.WaitGroup
 	stop := make(chan struct{})
 	wait.Go(func() {
-		ticker := time.NewTicker(requestInterval)
+		ticker := time.NewTicker(x.interval)
 		defer ticker.Stop()
 		for {
 			select {
@@ -66,7 +98,7 @@
 			case <-ticker.C:
 			}
 			wait.Go(func() {
-				o := get(machines[0], "snag.example", "/list/a", clientLimit)
+				o := x.send(machines[0])
 				l.log("client: %v", o)
 				mu.Lock()
 				defer mu.Unlock()
@@ -120,7 +152,18 @@
 	if _, err := io.WriteString(c, s.head(r)+"Connection: close\r\n\r\n"+string(part)); err != nil {
 		return false
 	}
-	time.Sleep(workTime)
+	time.Sleep(lookupTime)
 	_, _ = c.Write(part)
 	return false
 }
+
+// answerUploadInParts sends the head and a part of the answer at once and the rest when its work is
+// done. The answer has a length; its first part is longer than a buffer of 4 KiB.
+func answerUploadInParts(s *server, c net.Conn, r *http.Request, _ []byte) bool {
+	if _, err := io.WriteString(c, s.head(r)+"Content-Length: 9000\r\n\r\n"+strings.Repeat("a", 6000)); err != nil {
+		return false
+	}
+	time.Sleep(uploadTime)
+	_, err := io.WriteString(c, strings.Repeat("b", 3000))
+	return err == nil
+}
