--- a/review/lab2/client.go
+++ b/review/lab2/client.go
@@ -21,6 +21,8 @@
 	status int
 	// stamped is set if the answer has the stamp of a server.
 	stamped bool
+	// leaving is set if the answer says that its server is shutting down.
+	leaving bool
 	// complete is set if the answer came whole.
 	complete bool
 	err      error
@@ -82,6 +84,7 @@
 	resp, err := http.ReadResponse(r, &http.Request{Method: method})
 	if err == nil {
 		o.status, o.stamped = resp.StatusCode, resp.Header.Get(names.Stamp) != ""
+		o.leaving = resp.Header.Get(names.Leaving) != ""
 		_, err = io.Copy(io.Discard, resp.Body)
 		closes = resp.Close
 	}
--- a/review/lab2/deploy.go
+++ b/review/lab2/deploy.go
@@ -26,6 +26,7 @@
 	// configApply the time in which an acknowledged configuration is in force.
 	contact     = 3 * time.Second
 	configApply = 2 * time.Second
+	drainTime   = 2 * time.Second
 )
 
 // process is a process that the test has started.
--- a/review/lab2/server.go
+++ b/review/lab2/server.go
@@ -4,8 +4,6 @@
 
 import (
 	"bufio"
-	"bytes"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -74,20 +72,7 @@
 	if s.draining.Load() {
 		state = "draining"
 	}
-	body, _ := json.Marshal(map[string]any{"service": s.m.service, "address": s.m.app, "zone": "zone-a", "version": "v1", "slots": s.slots, "state": state,
-		"cold_left_s": 0, "seq": s.seq.Add(1), "born": s.born})
-	req, err := http.NewRequest(http.MethodPut, "http://"+s.m.control+names.InstancesPath+s.id, bytes.NewReader(body))
-	if err != nil {
-		return false, time.Now()
-	}
-	req.Header.Set("Content-Type", "application/json")
-	resp, err := (&http.Client{Timeout: time.Second}).Do(req)
-	if err != nil {
-		return false, time.Now()
-	}
-	_, _ = io.Copy(io.Discard, resp.Body)
-	_ = resp.Body.Close()
-	return resp.StatusCode/100 == 2, time.Now()
+	return s.send(s.beatBody(state))
 }
 
 func (s *server) serve(c net.Conn) {
