--- a/review/lab2/deploy.go
+++ b/review/lab2/deploy.go
@@ -77,18 +77,20 @@
 	version  int
 	// accounts are the client accounts of the configuration; nil for none.
 	accounts map[string]any
+	// trace records what is sent to the control replicas and what they answer.
+	trace func(format string, args ...any)
 
 	mu  sync.Mutex
 	all []*process
 }
 
 // newDeployment starts the control replicas and waits for no more than their listeners.
-func newDeployment(program string) (*deployment, error) {
+func newDeployment(program string, trace func(string, ...any)) (*deployment, error) {
 	folder, err := os.MkdirTemp("", "review2-")
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{folder: folder, program: program}
+	d := &deployment{folder: folder, program: program, trace: trace}
 	for range controlReplicas {
 		d.core = append(d.core, freeAddress())
 	}
@@ -234,12 +236,14 @@
 		if err == nil {
 			text, _ := io.ReadAll(resp.Body)
 			_ = resp.Body.Close()
+			d.trace("operator: %s %.60s to %s: %d", method, body, req.URL.Host, resp.StatusCode)
 			if resp.StatusCode == http.StatusOK {
 				return nil
 			}
 			last = fmt.Sprintf("%d %s", resp.StatusCode, text)
 		} else {
 			last = err.Error()
+			d.trace("operator: %s %.60s to %s: %v", method, body, req.URL.Host, err)
 		}
 		time.Sleep(200 * time.Millisecond)
 	}
--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -68,7 +68,7 @@
 	defer file.Close()
 	l := &lab{record: &record{file: file, begin: time.Now()}, trouble: os.Getenv("TROUBLE") != "0"}
 	l.log("case %s, disruption %t", os.Args[1], l.trouble)
-	l.deployment, err = newDeployment("target/cactuspath")
+	l.deployment, err = newDeployment("target/cactuspath", l.log)
 	interrupted := make(chan os.Signal, 1)
 	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
--- a/review/lab2/member.go
+++ b/review/lab2/member.go
@@ -74,6 +74,7 @@
 				continue
 			}
 			status, text := readConfig(address)
+			l.log("operator: GET from %s: %d %.130s", address, status, text)
 			if status == http.StatusOK && strings.Contains(text, `"version":"`+want+`"`) {
 				l.log("version %s is read back %.3f s after the machines are back", want, time.Since(began).Seconds())
 				fmt.Println("the configuration was read back after", time.Since(began).Round(time.Millisecond))
