consensus: the time without a leader is counted apart from the election timer

Cause: Status.TicksSinceLeader was the election timer, which each campaign resets after 28 ticks (1.4 s) at the latest. mayNeedToJoin waits for 2 s of silence and never saw them, so the removed replica campaigned for good. The same number made a learner that was cut off count as attached again after each election timeout, and a leader that had just stepped down as just confirmed.

Change: the core counts ticksSinceLeader, which only a message of the leader resets; a leader that steps down starts with the silence of its majority. A replica that asks to join also asks the members that it knows. Metrics and a log line show a group with silent voters.

Why it holds: a replica without a leader, for whatever reason, asks to join after 2 s, and for a member that is harmless.

--- a/core/consensus/election.go
+++ b/core/consensus/election.go
@@ -69,6 +69,9 @@
 const minLeaderlessElectionTicks = 3
 
 func (r *Raft) becomeFollower(term, leader uint64) {
+	if r.role == Leader {
+		r.ticksSinceLeader = r.Status().TicksSinceConfirmed()
+	}
 	if term > r.term {
 		r.term, r.vote = term, 0
 	}
@@ -127,7 +130,7 @@
 
 func (r *Raft) becomeLeader() {
 	r.role, r.leader = Leader, r.id
-	r.heartbeatElapsed, r.electionElapsed = 0, 0
+	r.heartbeatElapsed, r.electionElapsed, r.ticksSinceLeader = 0, 0, 0
 	r.progress = map[uint64]*progress{}
 	r.syncProgress()
 	// Entries of earlier terms are committed only together with an entry of this term
--- a/core/consensus/raft.go
+++ b/core/consensus/raft.go
@@ -119,11 +119,17 @@
 	// configIndex is the log index of the latest membership change.
 	configIndex uint64
 
-	role             Role
-	leader           uint64
+	role   Role
+	leader uint64
+	// electionElapsed counts the ticks since the election timer was last reset, which each campaign
+	// and each granted vote does.
 	electionElapsed  int
 	heartbeatElapsed int
 	electionTimeout  int
+	// ticksSinceLeader counts the ticks for which this replica may have missed committed entries. In
+	// contrast to electionElapsed, only a message of the leader resets it: a replica that was removed
+	// or is cut off campaigns again and again and would otherwise never notice.
+	ticksSinceLeader int
 	votes            map[uint64]bool
 	progress         map[uint64]*progress
 	transferee       uint64
@@ -177,8 +183,8 @@
 	// TicksSinceReply is the number of ticks since each member last replied; set
 	// only on the leader.
 	TicksSinceReply map[uint64]int
-	// TicksSinceLeader is the number of ticks since a follower last received a
-	// message from its leader.
+	// TicksSinceLeader is the number of ticks since this replica last received a message from a
+	// leader, or was one in contact with a majority; since its start if it never did.
 	TicksSinceLeader int
 	// ConfigCommitted reports whether the latest membership change is committed.
 	ConfigCommitted bool
@@ -221,9 +227,9 @@
 func (r *Raft) Status() Status {
 	s := Status{ID: r.id, Term: r.term, Leader: r.leader, Role: r.role, Commit: r.log.committed, Applied: r.log.applied,
 		LastIndex: r.log.lastIndex(), SnapshotIndex: r.log.snapIndex, Membership: r.membership,
-		TicksSinceLeader: r.electionElapsed, ConfigCommitted: r.configIndex <= r.log.committed}
+		TicksSinceLeader: r.ticksSinceLeader, ConfigCommitted: r.configIndex <= r.log.committed}
 	if r.role == Leader {
-		s.Match, s.TicksSinceReply, s.TicksSinceLeader = map[uint64]uint64{}, map[uint64]int{}, 0
+		s.Match, s.TicksSinceReply = map[uint64]uint64{}, map[uint64]int{}
 		for id, p := range r.progress {
 			s.Match[id] = p.match
 			if id != r.id {
@@ -241,6 +247,7 @@
 		r.tickLeader()
 		return
 	}
+	r.ticksSinceLeader++
 	if r.electionElapsed >= r.electionTimeout {
 		r.electionElapsed = 0
 		r.campaign(true, false)
--- a/core/consensus/raft_test.go
+++ b/core/consensus/raft_test.go
@@ -220,3 +220,54 @@
 		assert.Equal(t, c.status.TicksSinceConfirmed(), c.confirm, c.desc)
 	}
 }
+
+// Guards against a replica that never notices that it was removed: the group sends it nothing more, and
+// each of its campaigns resets the election timer.
+func TestTicksSinceLeaderCountAcrossCampaigns(t *testing.T) {
+	withLearner := threeVoters()
+	withLearner.Members[1].Learner = true
+	heartbeat := &apiv1.RaftMessage{Kind: apiv1.MessageKind_MESSAGE_KIND_HEARTBEAT, From: 1, To: 2, Term: 5}
+	preVote := func(term uint64) *apiv1.RaftMessage {
+		return &apiv1.RaftMessage{Kind: apiv1.MessageKind_MESSAGE_KIND_PRE_VOTE, From: 3, To: 2, Term: term}
+	}
+	for _, c := range []struct {
+		desc    string
+		members *apiv1.Membership
+		heard   bool
+		term    uint64
+	}{
+		{"voter", threeVoters(), true, 6},
+		{"learner", withLearner, true, 6},
+		{"voter since its restart", threeVoters(), false, 1},
+	} {
+		r := newRaft(2, PersistentState{Founders: c.members})
+		if c.heard {
+			r.Step(heartbeat)
+			drainReady(r)
+		}
+		for range 200 {
+			r.Tick()
+			drainReady(r)
+		}
+		assert.Equal(t, r.Status().TicksSinceLeader, 200, c.desc)
+		r.Step(preVote(c.term))
+		replies := drainReady(r)
+		assert.Equal(t, len(replies), 1, "%s: a candidate gets no answer from a replica without a leader", c.desc)
+		r.Step(&apiv1.RaftMessage{Kind: apiv1.MessageKind_MESSAGE_KIND_HEARTBEAT, From: 1, To: 2, Term: r.term + 1})
+		assert.Equal(t, r.Status().TicksSinceLeader, 0, c.desc)
+	}
+}
+
+// Guards against a leader that steps down and counts as just confirmed, although a majority was silent
+// before.
+func TestTicksSinceLeaderIncludeThoseOfALeaderWithoutMajority(t *testing.T) {
+	r := newRaft(1, PersistentState{Founders: threeVoters()})
+	elect(t, r, 2)
+	drainReady(r)
+	ticks := 0
+	for ; r.Status().Role == Leader; ticks++ {
+		r.Tick()
+		drainReady(r)
+	}
+	assert.Equal(t, r.Status().TicksSinceLeader, ticks)
+}
--- a/core/consensus/step.go
+++ b/core/consensus/step.go
@@ -31,7 +31,7 @@
 		// While this replica still receives messages from the leader, a vote request with a
 		// newer term comes from a replica that was partitioned or removed. Adopting its term
 		// would depose a healthy leader.
-		if m.Hint != forcedCampaign && r.leader != 0 && r.electionElapsed < r.electionTicks {
+		if m.Hint != forcedCampaign && r.leader != 0 && r.ticksSinceLeader < r.electionTicks {
 			return false
 		}
 		if m.Kind == apiv1.MessageKind_MESSAGE_KIND_VOTE {
@@ -93,7 +93,7 @@
 	if r.role != Follower || r.leader != m.From {
 		r.becomeFollower(m.Term, m.From)
 	}
-	r.electionElapsed = 0
+	r.electionElapsed, r.ticksSinceLeader = 0, 0
 }
 
 func (r *Raft) handleVoteRequest(m *apiv1.RaftMessage) {
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -125,8 +125,13 @@
 // leader that the response names, if any, and then the other addresses, each once,
 // until a call succeeds. If none does, it returns the last error.
 func (c *Client) Call(ctx context.Context, call func(context.Context, *Replica) error) error {
+	return c.CallAmong(ctx, nil, call)
+}
+
+// CallAmong is like Call, but also tries the given addresses.
+func (c *Client) CallAmong(ctx context.Context, addresses []string, call func(context.Context, *Replica) error) error {
 	tried := map[string]bool{}
-	queue := c.candidateAddresses()
+	queue := c.candidateAddresses(addresses)
 	var lastErr error = ErrUnreachable
 	for len(queue) > 0 {
 		address := queue[0]
@@ -189,11 +194,11 @@
 	}
 }
 
-func (c *Client) candidateAddresses() []string {
+func (c *Client) candidateAddresses(more []string) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	list := []string{c.leader}
-	for _, addresses := range [][]string{c.discovered, c.addresses} {
+	for _, addresses := range [][]string{c.discovered, c.addresses, more} {
 		start := rand.IntN(max(1, len(addresses)))
 		for i := range addresses {
 			list = append(list, addresses[(start+i)%len(addresses)])
--- a/internal/process/group_test.go
+++ b/internal/process/group_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -54,7 +55,13 @@
 
 func (g *controlGroup) start(i int, bootstrap bool) {
 	g.t.Helper()
-	p, err := Open(&settings.Settings{Host: fmt.Sprint("h", i), ControlReplicas: g.addresses[:3], Control: &settings.Control{
+	g.startKnowing(i, bootstrap, g.addresses[:3])
+}
+
+// startKnowing starts a replica whose settings name the given control replicas.
+func (g *controlGroup) startKnowing(i int, bootstrap bool, replicas []string) {
+	g.t.Helper()
+	p, err := Open(&settings.Settings{Host: fmt.Sprint("h", i), ControlReplicas: replicas, Control: &settings.Control{
 		Name: fmt.Sprint("c", i), Address: g.addresses[i], Listen: g.addresses[i], DataFolder: g.dataFolder(i), Group: &settings.Group{Tolerate: 2, Bootstrap: bootstrap}}}, nil)
 	assert.NilError(g.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -169,6 +176,37 @@
 	assert.Equal(t, g.newest(), uint64(2))
 }
 
+// isMember reports whether replica i is a member of the group as its leader knows it.
+func (g *controlGroup) isMember(i int) bool {
+	for _, r := range g.running {
+		if st := r.process.Replica.Status(); st.Leader == st.ID {
+			return slices.ContainsFunc(st.Membership.GetMembers(), func(m *apiv1.Member) bool { return m.Address == g.addresses[i] })
+		}
+	}
+	return false
+}
+
+// Guards against a group that lacks a voter for good: a replica that was removed while it was down
+// takes itself for a member and campaigns in vain instead of joining again, or knows nobody to ask
+// because its settings name only replicas that are gone.
+func TestRemovedReplicaJoinsAgain(t *testing.T) {
+	g := newControlGroup(t, 7)
+	for i := range 5 {
+		g.start(i, true)
+	}
+	eventually(t, "five voters", 15*time.Second, func() bool { return g.voters() == 5 })
+	// The leader keeps a request to join for 3 s and would admit the removed replica because of its first one.
+	time.Sleep(4 * time.Second)
+	g.stop(4)
+	g.start(5, false)
+	eventually(t, "the replica that is down is replaced", 10*time.Second, func() bool { return g.voters() == 5 && g.isMember(5) && !g.isMember(4) })
+	g.startKnowing(4, false, g.addresses[6:])
+	eventually(t, "the removed replica is a member again", 10*time.Second, func() bool { return g.isMember(4) })
+	g.stop(3)
+	eventually(t, "it votes in place of another one", 10*time.Second, func() bool { return g.voters() == 5 && !g.isMember(3) })
+	eventually(t, "a change is accepted", 5*time.Second, func() bool { return g.submit(1, 0) })
+}
+
 // evacuate sends an evacuation to each replica in turn until one accepts it.
 func (g *controlGroup) evacuate(dataCenter string, evacuated bool) bool {
 	for _, r := range g.running {
--- a/internal/replica/counters.go
+++ b/internal/replica/counters.go
@@ -39,6 +39,9 @@
 		"control_profiles":            gauge(func() any { return r.profiles.services() }),
 		"control_revision":            gauge(func() any { return r.Revision() }),
 		"control_role":                gauge(func() any { return r.Status().Role.String() }),
+		"control_voters":              gauge(func() any { return r.Status().Voters() }),
+		"control_silent_voters":       gauge(func() any { return len(silentVoters(r.Status(), r.options.Tick)) }),
+		"control_confirmed_age_ms":    gauge(func() any { return r.confirmedAge().Milliseconds() }),
 		"control_term":                gauge(func() any { return r.Status().Term }),
 		"control_commit":              gauge(func() any { return r.Status().Commit }),
 	}
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -82,6 +82,7 @@
 		switch {
 		case s.Role == consensus.Leader:
 			r.reconcileMembers(ctx)
+			r.voterLog.logSilent(s, r.options.Tick)
 		case r.mayNeedToJoin(s) && time.Since(lastJoin) >= joinInterval:
 			lastJoin = time.Now()
 			r.requestJoin(ctx)
@@ -102,7 +103,9 @@
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	req := &apiv1.JoinRequest{MemberId: r.identity.MemberID, Name: r.options.Name, Address: r.options.Address}
-	err := r.options.Group.Control.Call(ctx, func(ctx context.Context, c *controlclient.Replica) error {
+	// The replicas at the configured addresses may all have been replaced.
+	known := memberAddresses(r.Status().Membership)
+	err := r.options.Group.Control.CallAmong(ctx, known, func(ctx context.Context, c *controlclient.Replica) error {
 		if c.Address == r.options.Address {
 			return fault.NotLeaderAt("")
 		}
@@ -112,6 +115,30 @@
 	r.joinLog.logResult(err)
 }
 
+// silentVoters returns the names of the voters that a leader with status s counts as lost.
+func silentVoters(s consensus.Status, tick time.Duration) []string {
+	var names []string
+	for _, m := range s.Membership.GetMembers() {
+		if !m.Learner && m.Id != s.ID && time.Duration(s.TicksSinceReply[m.Id])*tick >= silenceTimeout {
+			names = append(names, m.Name)
+		}
+	}
+	return names
+}
+
+// voterLogger logs when the number of silent voters changes. A group with a silent voter that no
+// learner replaces tolerates one failure less.
+type voterLogger struct{ silent int }
+
+func (l *voterLogger) logSilent(s consensus.Status, tick time.Duration) {
+	silent := silentVoters(s, tick)
+	if len(silent) == l.silent {
+		return
+	}
+	l.silent = len(silent)
+	klog.InfoS("Silent voters of the control group", "voters", s.Voters(), "silent", silent)
+}
+
 // joinLogger logs the first of consecutive failures and the first success after them.
 type joinLogger struct{ failing bool }
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -84,6 +84,7 @@
 
 	joinRequests *joinRequests
 	joinLog      joinLogger
+	voterLog     voterLogger
 	watchers     watchers
 	presence     *presence
 	// quarantine stores what the nodes report about servers that crashed, and passes it on to the
