hop: one limit in time for response bodies of every framing

An answer without end was read until its caller left.

Cause: the deadline was lifted with the response head. A body without a length had no limit after that, a large one only a limit on its pauses, and none of them a limit as long as it made progress.

Ruled out: the frozen node holding requests back. The callers' node has no line about them before the frozen one continues, and the unit test shows the wait without any node.

Change: bodyLimit, at the reads of the connection and so below the framing. Once a body is due, only the time counts in which the exchange waits for its peer: 225 ms in all for the backend server, 225 ms a pause for another node, 5 s for a large body if that node responds to a probe. A body from the backend server without an end in sight gets at most 5 s and 8 MiB more, held up or not.

Why it holds: the limit no longer depends on the framing, and the time in which the receiver or this host's link holds a body up is not counted, so that a download on a thin link ends (TestLateBodyOfASlowReceiverIsNotCutOff). An answer that is cut off counts as cut short as before: 504, or a connection that is broken off.

The old test's case "has no known length" took a pause of 2 s behind a deadline of 1 s as allowed, which is the fault. It is replaced by pauses before the deadline, for each framing; "makes progress after the deadline" now runs against another node, as the backend server's time is limited in total.

--- /dev/null
+++ b/internal/hop/bodylimit.go
@@ -0,0 +1,156 @@
+package hop
+
+import (
+	"context"
+	"net"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cactuspath/core/link"
+	"cactuspath/internal/logs"
+)
+
+const (
+	// bodyGrace is how long an exchange waits for parts of a response body after the body was due: for
+	// a backend server in total, for another node without a part.
+	bodyGrace = 225 * time.Millisecond
+	// largeBodyPause replaces it for large bodies from another node that responds otherwise: their
+	// parts may wait for the link of its host.
+	largeBodyPause = 5 * time.Second
+	// aliveTimeout bounds the question whether another node responds.
+	aliveTimeout = 150 * time.Millisecond
+	// A body that may have no end gets, after it was due, at most maxLateTime and maxLateBytes, also if
+	// it is its receiver that takes so long. That is as much as a link of 13 Mbit/s carries.
+	maxLateTime  = 5 * time.Second
+	maxLateBytes = 8 << 20
+	// maxKnownLength is the length above which a body is not expected to end either.
+	maxKnownLength = 64 << 20
+	// minOversleep is how much later than its deadline a read returns if the process was stopped. What
+	// arrived meanwhile is still read.
+	minOversleep = 100 * time.Millisecond
+)
+
+// errLateBody is the error of a body whose rest did not arrive in time.
+var errLateBody = errors.New("the rest of the response did not arrive in time")
+
+// bodyLimit limits in time how the body of a response is read, whatever its framing. The body is due
+// at the deadline of the request; the time of a streamed request body counts from its last part. Until
+// then, nothing is limited. After that, only the time is counted in which the exchange waits for its
+// peer: a body that its own receiver or the link of this host holds up is not ended for it. A body
+// whose end is not in sight is limited in that case as well, or it would be read until its receiver
+// leaves.
+type bodyLimit struct {
+	x   *exchange
+	out *Outgoing
+	// length is that of the body; negative if unknown.
+	length int64
+	// received counts the bytes since the head, late those since the body was due.
+	received, late int64
+	// waited is how long the exchange has waited for the peer since the body was due.
+	waited time.Duration
+}
+
+// due returns when the body has to be complete.
+func (l *bodyLimit) due() time.Time {
+	return l.out.Deadline
+}
+
+// mayBeEndless reports whether the end of the body is not in sight.
+func (l *bodyLimit) mayBeEndless() bool { return l.length < 0 || l.length > maxKnownLength }
+
+// isLarge reports whether parts of the body may wait for the link of the peer's host. It sends as much
+// as link.LargeBytes of a body of unknown length without a wait.
+func (l *bodyLimit) isLarge() bool {
+	return l.length >= link.LargeBytes || l.length < 0 && l.received >= link.LargeBytes
+}
+
+// read reads from the connection within the limits.
+func (l *bodyLimit) read(p []byte) (int, error) {
+	begin, patience := time.Now(), bodyGrace
+	asked := false
+	for {
+		due := l.due()
+		from := latest(begin, due)
+		if l.x.pool.toServer {
+			patience = bodyGrace - l.waited
+		}
+		if patience <= 0 || l.mayBeEndless() && (l.late > maxLateBytes || from.Sub(due) > maxLateTime) {
+			return 0, l.end(due)
+		}
+		until := from.Add(patience)
+		l.x.setReadDeadline(until)
+		n, err := l.x.conn.Conn.Read(p)
+		now := time.Now()
+		l.account(n, from, due, earliest(now, until))
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || l.x.ctx.Err() != nil || l.x.conn.failed.Load() {
+			return n, err
+		}
+		switch {
+		case now.Sub(until) > minOversleep:
+			begin, l.waited = now, 0
+		case l.due().After(due):
+		case !l.x.pool.toServer && l.isLarge() && !asked:
+			asked = true
+			if l.peerResponds() {
+				patience = largeBodyPause
+			} else {
+				// What arrived while the peer was asked is still read.
+				patience = time.Since(from) + time.Millisecond
+			}
+		default:
+			return 0, l.end(due)
+		}
+	}
+}
+
+// account counts n bytes that were read, and the part of the wait after the body was due.
+func (l *bodyLimit) account(n int, from, due, to time.Time) {
+	l.received += int64(n)
+	if to.After(due) {
+		l.late += int64(n)
+		l.waited += max(0, to.Sub(from))
+	}
+}
+
+// peerResponds asks another node whether it responds at all.
+func (l *bodyLimit) peerResponds() bool {
+	if l.out.PeerResponds == nil {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(l.x.ctx, aliveTimeout)
+	defer cancel()
+	return l.out.PeerResponds(ctx)
+}
+
+// end logs that the body ends before it is complete.
+func (l *bodyLimit) end(due time.Time) error {
+	logs.Decision(true, "Response body is late", "request", l.out.ID, "attempt", FormatID(l.out.Attempt), "from", l.x.conn.RemoteAddr().String(), "backendServer", l.x.pool.toServer,
+		"length", l.length, "received", l.received, "late", time.Since(due), "waited", l.waited)
+	return errLateBody
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// Read reads from the connection, and while a response body is read, within its limits.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.bodyLimit != nil {
+		return c.bodyLimit.read(p)
+	}
+	return c.Conn.Read(p)
+}
+
+var _ net.Conn = (*conn)(nil)
--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -38,6 +38,8 @@
 
 	// maxIdleTime is how long an idle connection is kept.
 	maxIdleTime time.Duration
+	// toServer is set for connections to a backend server, which runs on this host.
+	toServer bool
 
 	mu   sync.Mutex
 	idle []*conn
@@ -53,7 +55,7 @@
 // NewPool returns an empty pool of connections to a backend server; security is nil for plain
 // text.
 func NewPool(address string, security *transport.Security) *Pool {
-	return &Pool{address: address, security: security, maxIdleTime: backendIdleTimeout}
+	return &Pool{address: address, security: security, maxIdleTime: backendIdleTimeout, toServer: true}
 }
 
 // NewPeerPool returns an empty pool of connections to another node; security is nil for plain
@@ -72,6 +74,8 @@
 	raw       syscall.RawConn
 	idleSince time.Time
 	reused    bool
+	// bodyLimit limits the reads of a response body; nil outside one.
+	bodyLimit *bodyLimit
 	// failed is set when sending a body failed; nothing more is read from or written to the
 	// connection.
 	failed atomic.Bool
@@ -93,7 +97,7 @@
 // takeBuffers assigns buffers to the connection for an exchange.
 func (c *conn) takeBuffers() {
 	c.reader, c.writer = readerPool.Get().(*bufio.Reader), writerPool.Get().(*bufio.Writer)
-	c.reader.Reset(c.Conn)
+	c.reader.Reset(c)
 	c.writer.Reset(c.Conn)
 }
 
--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -14,7 +14,6 @@
 	"github.com/cockroachdb/errors"
 
 	"cactuspath/core/gate"
-	"cactuspath/core/link"
 	"cactuspath/internal/hangup"
 )
 
@@ -43,9 +42,12 @@
 	// that is about to be sent, also from another goroutine.
 	OnBodySent func(bytes int)
 	// Deadline limits the exchange up to the end of the response head. The response body may take
-	// longer as long as it makes progress. Sending a streamed body may take longer; the response
-	// head then has the time anew that was left at the begin, and its body is not limited.
+	// longer within the limits of bodyLimit. Sending a streamed body may take longer; the response
+	// then has the time anew that was left at the begin. If it is zero, nothing is limited.
 	Deadline time.Time
+	// PeerResponds reports whether the node that the request was sent to responds to another one; nil
+	// if that cannot be found out.
+	PeerResponds func(context.Context) bool
 	// Attempt identifies the attempt in the log.
 	Attempt gate.AttemptID
 }
@@ -223,48 +225,28 @@
 
 // setDeadline sets the deadline, unless ctx was canceled or sending the body failed in the
 // meantime. The zero time removes it.
-func (x *exchange) setDeadline(t time.Time) {
-	_ = x.conn.SetDeadline(t)
+func (x *exchange) setDeadline(t time.Time) { x.limitTime(x.conn.SetDeadline, t) }
+
+// setReadDeadline is like setDeadline, for reads only: the rest of a streamed body may still be sent.
+func (x *exchange) setReadDeadline(t time.Time) { x.limitTime(x.conn.SetReadDeadline, t) }
+
+func (x *exchange) limitTime(set func(time.Time) error, t time.Time) {
+	_ = set(t)
 	if x.ctx.Err() != nil || x.conn.failed.Load() {
 		_ = x.conn.SetDeadline(aLongTimeAgo)
 	}
 }
 
-// headRead lifts the deadline, since the response head has been read. The body may take longer: an
-// upload or a long response is not cut off, but canceling ctx still ends the exchange.
+// headRead replaces the deadline by the limits of the body, since the response head has been read.
+// Canceling ctx still ends the exchange.
 func (x *exchange) headRead(out *Outgoing, resp *http.Response) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.hasHead = true
-	timeout := progressTimeout(resp.ContentLength)
-	body, ok := resp.Body.(*responseBody)
-	if !ok || x.sender != nil || timeout == 0 || out.Deadline.IsZero() {
-		x.setDeadline(time.Time{})
-		return
-	}
-	// The deadline of the request stays in force until limitRead moves it.
-	body.deadline, body.progressTimeout = out.Deadline, timeout
-}
-
-const (
-	// bodyProgressTimeout is how long a response body may pause after the deadline of its
-	// request, if it is short enough to be on its way as a whole.
-	bodyProgressTimeout = 250 * time.Millisecond
-	// largeBodyProgressTimeout replaces it for large bodies, whose parts may wait for the link
-	// of a host.
-	largeBodyProgressTimeout = 5 * time.Second
-)
-
-// progressTimeout returns how long a body of the given length may pause after the deadline, or 0 if
-// the length is unknown: such a body may be a stream of events that are far apart.
-func progressTimeout(length int64) time.Duration {
-	switch {
-	case length < 0:
-		return 0
-	case length < link.LargeBytes:
-		return bodyProgressTimeout
+	x.setDeadline(time.Time{})
+	if x.sender == nil && !out.Deadline.IsZero() {
+		x.conn.bodyLimit = &bodyLimit{x: x, out: out, length: resp.ContentLength}
 	}
-	return largeBodyProgressTimeout
 }
 
 // sendBody streams the body concurrently with reading the response, which may arrive before
@@ -373,6 +355,7 @@
 	if x.sender != nil {
 		x.sender.stopAndWait()
 	}
+	x.conn.bodyLimit = nil
 	// An idle connection whose deadline has passed would count as broken.
 	_ = x.conn.SetDeadline(time.Time{})
 	x.pool.put(x.conn)
@@ -384,26 +367,10 @@
 	x        *exchange
 	reusable bool
 	ended    bool
-	// deadline is that of the request. After it, each read ends after progressTimeout; 0 means no
-	// limit.
-	deadline        time.Time
-	progressTimeout time.Duration
-}
-
-// limitRead limits the next read. Otherwise, a response whose sender fails within the body would be
-// waited for until the caller leaves.
-func (b *responseBody) limitRead() {
-	if b.progressTimeout == 0 {
-		return
-	}
-	if end := time.Now().Add(b.progressTimeout); end.After(b.deadline) {
-		b.x.setDeadline(end)
-	}
 }
 
 // Read reads the response body.
 func (b *responseBody) Read(p []byte) (int, error) {
-	b.limitRead()
 	n, err := b.ReadCloser.Read(p)
 	switch {
 	case err == nil:
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -280,6 +280,9 @@
 	if c.h.options.Link.Enabled() {
 		out.OnBodySent = c.h.options.Link.Count
 	}
+	if probe := c.h.options.ProbePeer; probe != nil {
+		out.PeerResponds = func(ctx context.Context) bool { return probe(ctx, a.to.PeerAddress) }
+	}
 	endWatch := c.h.watchAttempt(&a)
 	resp, err := c.h.peer(a.to.PeerAddress).Do(a.ctx, out)
 	endWatch(err == nil)
