hop: the response to a streamed request body has the same limit

Cause: sending the body may take longer than the deadline, so the exchange had none from then on, and only the wait for the head got a new one.

Change: bodyLimit holds for these responses too. The body is due at the deadline or, if that is later, when the time that the request had at its begin has passed since the last part of the upload was read.

Why it holds: an upload that makes progress moves the time at which its response is due, so it is not cut; one that has ended or stands still does not.

The cases of TestResponseBodyHasALimitInTime after an upload fail without the change.

--- a/internal/hop/bodylimit.go
+++ b/internal/hop/bodylimit.go
@@ -54,6 +54,14 @@
 
 // due returns when the body has to be complete.
 func (l *bodyLimit) due() time.Time {
+	s := l.x.sender
+	if s == nil {
+		return l.out.Deadline
+	}
+	progress := s.begin.Add(time.Duration(s.progressAt.Load()))
+	if due := progress.Add(l.out.Deadline.Sub(l.x.begin)); due.After(l.out.Deadline) {
+		return due
+	}
 	return l.out.Deadline
 }
 
--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -244,7 +244,7 @@
 	defer x.mu.Unlock()
 	x.hasHead = true
 	x.setDeadline(time.Time{})
-	if x.sender == nil && !out.Deadline.IsZero() {
+	if !out.Deadline.IsZero() {
 		x.conn.bodyLimit = &bodyLimit{x: x, out: out, length: resp.ContentLength}
 	}
 }
--- a/internal/hop/stalled_test.go
+++ b/internal/hop/stalled_test.go
@@ -133,7 +133,7 @@
 		limitCase{"a little late", sentBody{framing: ofLength(4), first: 1, pieces: 4, pieceBytes: 1, pause: 350 * time.Millisecond, ends: true}, false, nil, 0},
 		limitCase{"makes progress at another node after the deadline", drips(ofLength(40), 40, true), true, alive, 0})
 	for _, c := range cases {
-		for _, upload := range []bool{false} {
+		for _, upload := range []bool{false, true} {
 			name := c.desc
 			if upload {
 				name += ", after an upload"
