Accounts: an empty table is not a missing one

Cause: requests need no key where a configuration has no table of accounts, and an empty table was taken for a missing one on the whole way: omitempty in the platform's document, a map that is never nil in the estate, records for accounts only, and "no accounts" in the proxy.

Evidence: the configuration that is read back has the empty table while the records of the replica do not; TestEmptyTenantsRequireAKeyThatNobodyHas on the old code fails for a replica's own records, a restart, a new node and one that has missed a revision; TestWithoutTheLastAccountNoKeyIsValid gets 200.

Change: the presence of the table is a record of its own, an account record without a name.

Why it holds: a node requires a key as soon as there is any account record, so nothing depends on how many accounts there are. A node of the version before takes the record for an account without keys and requires one as well. A configuration without the table has no such record and needs no key, as before.

--- a/core/estate/accounts.go
+++ b/core/estate/accounts.go
@@ -28,6 +28,7 @@
 
 // readAccounts reads the client accounts into doc.
 func readAccounts(n jsonc.Node, doc *Document) {
+	doc.Accounts = map[string]*apiv1.AccountSpec{}
 	members := n.Members()
 	if len(members) > maxAccounts {
 		n.Fail(fmt.Sprintf("%d accounts, more than the %d allowed", len(members), maxAccounts), "split the institution's text")
--- a/core/estate/document.go
+++ b/core/estate/document.go
@@ -27,7 +27,8 @@
 	Revision uint64
 	Services map[string]*apiv1.ServiceSpec
 	Routes   map[string]*apiv1.RouteSpec
-	// Accounts holds the client accounts by name. If there are none, requests need no key.
+	// Accounts holds the client accounts by name. If it is nil, requests need no key; if it is empty,
+	// no key is valid.
 	Accounts map[string]*apiv1.AccountSpec
 	// Limits are the limits on the size and timeouts of callers' requests, or nil if the
 	// text sets none.
@@ -91,7 +92,7 @@
 	if len(reader.Problems()) > 0 {
 		return nil, reader.Problems()
 	}
-	doc := &Document{Services: map[string]*apiv1.ServiceSpec{}, Routes: map[string]*apiv1.RouteSpec{}, Accounts: map[string]*apiv1.AccountSpec{}}
+	doc := &Document{Services: map[string]*apiv1.ServiceSpec{}, Routes: map[string]*apiv1.RouteSpec{}}
 	contract := terms{
 		measure: &apiv1.MeasureBudget{ReportsPerSecond: defaultReportsPerSecond, BytesPerSecond: defaultBytesPerSecond,
 			ReportsPerEndpoint: defaultReportsPerEndpoint, BytesPerEndpoint: defaultBytesPerEndpoint},
--- a/core/rollout/records.go
+++ b/core/rollout/records.go
@@ -35,6 +35,7 @@
 type Contents struct {
 	Services map[string]*apiv1.ServiceSpec
 	Routes   map[string]*apiv1.RouteSpec
+	// Accounts is nil if the institution does not use client accounts; an empty table accepts no key.
 	Accounts map[string]*apiv1.AccountSpec
 	Limits   *apiv1.CallerLimits
 }
@@ -112,6 +113,10 @@
 }
 
 func (r *Records) replaceAccounts(institution string, specs map[string]*apiv1.AccountSpec, revision uint64) {
+	if specs != nil {
+		specs = maps.Clone(specs)
+		specs[keysRequiredName] = &apiv1.AccountSpec{}
+	}
 	for key, current := range r.accounts {
 		if _, kept := specs[current.Name]; !kept && current.Institution == institution && !current.Removed {
 			r.accounts[key] = &apiv1.AccountRecord{Name: current.Name, Institution: institution, ChangedAt: revision, Removed: true}
@@ -127,9 +132,24 @@
 	}
 }
 
+// keysRequiredName is the name of the account record which states that an institution uses client
+// accounts, so that requests need a key also while it has none. No account can have this name. Nodes
+// that do not know this record take it for an account without keys, and require a key as well.
+const keysRequiredName = ""
+
+// RequiresKeys reports whether the record states that requests need a key, instead of describing an
+// account.
+func RequiresKeys(r *apiv1.AccountRecord) bool { return r.Name == keysRequiredName }
+
 // Accounts returns the client accounts that are not removed, sorted by institution and
 // name.
-func (r *Records) Accounts() []*apiv1.AccountRecord { return notRemoved(r.accounts) }
+func (r *Records) Accounts() []*apiv1.AccountRecord {
+	return slices.DeleteFunc(r.AccountRecords(), RequiresKeys)
+}
+
+// AccountRecords returns the client accounts that are not removed, and the records for which
+// RequiresKeys returns true.
+func (r *Records) AccountRecords() []*apiv1.AccountRecord { return notRemoved(r.accounts) }
 
 // qualifiedName returns the key of a route or client account. It includes the institution
 // because two institutions may use the same name.
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -36,6 +36,8 @@
 	{"a replica that lost its disk ignores messages to its previous member id", "core/consensus/step.go", "if m.To != r.id {", "if false {", "core/consensus", "EmptyDisk"},
 	{"voters in contact with the leader ignore candidates with a newer term", "core/consensus/step.go", "if m.Hint != forcedCampaign && r.leader != 0 && r.ticksSinceLeader < r.electionTicks {", "if false {", "core/consensus", "ReturningReplica"},
 	{"a campaign does not hide that a replica has no leader", "core/consensus/raft.go", "TicksSinceLeader: r.ticksSinceLeader,", "TicksSinceLeader: r.electionElapsed,", "core/consensus", "TicksSinceLeader"},
+	{"an empty table of accounts accepts no key", "internal/proxy/account.go", "if !t.accounts.required {", "if len(t.accounts.byID) == 0 {", "internal/proxy", "WithoutTheLastAccount"},
+	{"an empty table of accounts is no missing one", "core/rollout/records.go", "if specs != nil {", "if len(specs) > 0 {", "platform", "EmptyTenants"},
 	{"a leader without a majority steps down", "core/consensus/election.go", "if !r.quorumActive() {", "if false {", "core/consensus", "IsolatedLeader"},
 	{"a new leader serves no reads before it commits an entry of its term", "core/consensus/raft.go", "if term, _ := r.log.term(r.log.committed); term != r.term {", "if false {", "core/consensus", "NewLeaderAnswers"},
 	{"a learner is promoted only after it has caught up", "core/consensus/members.go", "if p == nil || !p.active || p.match+MaxPromotionLag < r.log.lastIndex() || p.match == 0 {", "if p == nil {", "core/consensus", "LearnerMust"},
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -284,9 +284,10 @@
 // front. An empty configuration must not be applied: every request would be answered with "no
 // route", after which callers do not retry. The caller holds the lock.
 func (n *Node) configuration() func() {
-	services, routes, accounts, limits := n.records.Services(), n.records.Routes(), n.records.Accounts(), n.records.Limits()
+	services, routes, limits := n.records.Services(), n.records.Routes(), n.records.Limits()
+	accountRecords, accounts := n.records.AccountRecords(), n.records.Accounts()
 	return func() {
-		n.proxy.Configure(services, routes, accounts)
+		n.proxy.Configure(services, routes, accountRecords)
 		n.usage.SetCaps(usageCaps(accounts))
 		n.front.SetLimits(frontLimits(limits))
 	}
--- a/internal/proxy/account.go
+++ b/internal/proxy/account.go
@@ -13,6 +13,7 @@
 	apiv1 "cactuspath/api/cactuspath/v1"
 	"cactuspath/api/fault"
 	"cactuspath/core/estate"
+	"cactuspath/core/rollout"
 	"cactuspath/core/usage"
 	"cactuspath/internal/logs"
 )
@@ -40,9 +41,10 @@
 // AccountID returns the name by which nodes identify an account in their messages.
 func AccountID(r *apiv1.AccountRecord) string { return r.Institution + "/" + r.Name }
 
-// accounts holds the client accounts by the digests of their keys. It is immutable. If it
-// is empty, requests need no key.
+// accounts holds the client accounts by the digests of their keys. It is immutable.
 type accounts struct {
+	// required is set if requests need a key, also if there is no account whose key they could have.
+	required bool
 	byDigest map[[sha256.Size]byte]*Account
 	byID     map[string]*Account
 }
@@ -51,6 +53,10 @@
 func newAccounts(records []*apiv1.AccountRecord, previous *accounts) *accounts {
 	list := &accounts{byDigest: map[[sha256.Size]byte]*Account{}, byID: map[string]*Account{}}
 	for _, r := range records {
+		list.required = true
+		if rollout.RequiresKeys(r) {
+			continue
+		}
 		a := &Account{Name: r.Name, ID: AccountID(r), Revision: r.ChangedAt, Spec: r.Spec}
 		if before := previous.byID[a.ID]; before != nil {
 			a.admitted.Store(before.admitted.Load())
@@ -68,8 +74,7 @@
 
 // credential is the outcome of the check of a request's key.
 type credential struct {
-	// account is nil if the estate has no accounts, or if a request on a public route has
-	// no valid key.
+	// account is nil if requests need no key, or if a request on a public route has no valid one.
 	account *Account
 	digest  [sha256.Size]byte
 	table   *Table
@@ -120,7 +125,7 @@
 // nothing about valid keys.
 func (t *Table) authenticate(r *http.Request, target Target) (c credential, ok bool) {
 	c.table = t
-	if len(t.accounts.byID) == 0 {
+	if !t.accounts.required {
 		return c, true
 	}
 	key, found := bearerKey(r.Header)
@@ -217,7 +222,7 @@
 func (h *Handler) setAccountFields(header http.Header, c *credential) {
 	name := h.options.Dialect.AccountField()
 	header.Del(name)
-	if len(c.table.accounts.byID) == 0 {
+	if !c.table.accounts.required {
 		return
 	}
 	header.Del("Authorization")
--- a/internal/proxy/account_test.go
+++ b/internal/proxy/account_test.go
@@ -258,3 +258,20 @@
 		}
 	}
 }
+
+// Guards against a request that runs with any key, which its backend server is told, once the last
+// client account was removed.
+func TestWithoutTheLastAccountNoKeyIsValid(t *testing.T) {
+	record := &recordedRequests{}
+	node := newFakeNode(t, record.answer)
+	h := newTestHandler(gate.RevokeUnknown, node.Listener.Addr().String())
+	withAccounts(h, accountRecord("", 1))
+	for _, header := range []http.Header{nil, bearer("k1"), {"Authorization": {"Basic x"}}} {
+		w := serveRequest(h, "/keyed/", header)
+		assert.Equal(t, w.Code, 401)
+		assert.Equal(t, faultOf(t, w.Result(), w.Body.String()).Fault, fault.UnknownKey)
+	}
+	assert.Equal(t, node.hits.Load(), int64(0))
+	assert.Equal(t, serveRequest(h, "/public/", bearer("k1")).Code, 200)
+	assert.Equal(t, len(record.last()["Authorization"]), 0, "the backend server gets the key")
+}
