hop, transport: what a peer sends is limited in size

What callers saw: a backend server that answers with a head without end took the memory of its node (users' report: 112 to 2,300 MB within a dozen seconds, 170 MB by a health response), and its requests were lost at their deadlines, too late for another server.

Cause: http.ReadResponse does not limit a head, and what is read only to be dropped (rejections, refusals, health responses, responses to other requests) was not limited either. Messages of other processes were read whole.

Change: 64 KiB for a head with the interim responses before it, 64 KiB and about a quarter of a second for what is dropped, 40 MiB for a message of another process (256 MiB between replicas). A head over its limit ends the exchange at once. A server whose health responses have such heads counts as silent.

Why it holds: the limits are at the reads of the connection, so they do not depend on what the bytes look like. An exchange that ends this way is one that was lost: its connection is closed, the run counts as failed and an idempotent request is sent to another server.

--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -64,6 +64,7 @@
 func New(security *transport.Security, addresses []string, token string) *Client {
 	c := &Client{security: security, addresses: addresses, replicas: map[string]*Replica{}}
 	c.http = security.ControlClient(&c.Traffic)
+	c.options = append(c.options, transport.ReadLimit())
 	if token != "" {
 		c.options = append(c.options, connect.WithInterceptors(bearer(token)))
 	}
--- a/internal/endpoint/backend.go
+++ b/internal/endpoint/backend.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -139,7 +138,6 @@
 		return false
 	}
 	e.observeAnswer(pool, resp.Header, true)
-	_, _ = io.Copy(io.Discard, resp.Body)
-	_ = resp.Body.Close()
+	hop.Discard(resp)
 	return true
 }
--- a/internal/endpoint/forward.go
+++ b/internal/endpoint/forward.go
@@ -197,8 +197,7 @@
 // handleRejection discards a response which states that the backend server did not run the
 // request, and returns the reply to send instead.
 func (e *Endpoint) handleRejection(handle gate.Handle, resp *http.Response, reply hop.Reply) hop.Reply {
-	_, _ = io.Copy(io.Discard, resp.Body)
-	_ = resp.Body.Close()
+	hop.Discard(resp)
 	e.tracker.remove(handle, true)
 	e.finish(handle, gate.NeverReached)
 	reply.Verdict = hop.Rejected
--- a/internal/endpoint/silence_test.go
+++ b/internal/endpoint/silence_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"net"
 	"net/http"
+	"runtime"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -21,6 +23,8 @@
 type silentServer struct {
 	address string
 	silent  atomic.Bool
+	// endless makes it respond to everything with a head that does not end.
+	endless atomic.Bool
 }
 
 func startSilentServer(t *testing.T) *silentServer {
@@ -47,6 +51,14 @@
 		if err != nil {
 			return
 		}
+		if s.endless.Load() {
+			fields := bytes.Repeat([]byte("A: x\r\n"), 1000)
+			_, err := fmt.Fprint(c, "HTTP/1.1 200 OK\r\n")
+			for err == nil {
+				_, err = c.Write(fields)
+			}
+			return
+		}
 		if s.silent.Load() || req.URL.Path == "/slow" {
 			continue
 		}
@@ -110,3 +122,38 @@
 	s.silent.Store(false)
 	eventually(t, "the server is back", func() bool { return !e.down.Load() })
 }
+
+// Guards against a backend server that responds to requests and to load queries with heads that do not
+// end: its host runs out of memory, its requests are lost only at their deadlines, and the server goes
+// on to count as one that responds.
+func TestServerThatSendsWithoutEndCountsAsFailing(t *testing.T) {
+	const maxMemory = 32 << 20
+	s := startSilentServer(t)
+	dialect := &hop.Dialect{Load: "X-Load", ParseLoad: func(string) (hop.ServerLoad, bool) { return hop.ServerLoad{Slots: 4, Slowdown: 1}, true }}
+	e := New(Options{Host: "h", Incarnation: func() uint64 { return 1 }, Revision: func() uint64 { return 1 }, ObserveRevision: func(uint64) {}, SendReport: func(string, gate.Report) {},
+		Counters: NewCounters(), Dialect: dialect}, gate.Config{Slots: 4, Queue: 4})
+	defer e.Close()
+	e.SetHealthPath("/health")
+	e.SetBackend(s.address)
+	eventually(t, "the load is known", func() bool { return e.loadReportedAt.Load() > 0 })
+	attempt := func(n uint64) (hop.Reply, time.Duration) {
+		begin := time.Now()
+		req := hop.Request{ID: gate.AttemptID{Request: [2]uint64{1, n}, Attempt: 1}, Incarnation: 1, Timeout: 3 * time.Second}
+		_, reply := e.Attempt(context.Background(), req, &hop.Outgoing{Method: "GET", URI: "/", Host: "a", Header: http.Header{}, Deadline: time.Now().Add(3 * time.Second)}, nil)
+		return reply, time.Since(begin)
+	}
+	s.endless.Store(true)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	reply, took := attempt(1)
+	assert.Equal(t, reply.Verdict, hop.ConnectionLost)
+	assert.Assert(t, took < time.Second, "the loss was noticed after %v", took)
+	eventually(t, "it counts as failing", func() bool {
+		reply, _ := attempt(uint64(time.Now().UnixNano()))
+		return reply.Verdict == hop.Refused && reply.Reason == gate.Down
+	})
+	runtime.ReadMemStats(&after)
+	assert.Assert(t, after.Sys-before.Sys < maxMemory, "the process has %d more bytes", after.Sys-before.Sys)
+	s.endless.Store(false)
+	eventually(t, "it is used again", func() bool { reply, _ := attempt(uint64(time.Now().UnixNano())); return reply.Verdict == hop.Ran })
+}
--- a/internal/endpoint/watch.go
+++ b/internal/endpoint/watch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"maps"
 	"net"
 	"net/http"
@@ -215,8 +214,9 @@
 	if err != nil {
 		// Most errors need no action: requests detect a broken connection themselves, and
 		// without a new report the last one only becomes older. A timeout may mean that the
-		// server is silent; requests to such a server would wait until their deadlines.
-		if isTimeout(err) {
+		// server is silent; requests to such a server would wait until their deadlines. One that
+		// sends without end does not answer either.
+		if isTimeout(err) || errors.Is(err, hop.ErrHeadTooLong) {
 			e.checkSilence()
 		}
 		return
@@ -226,6 +226,5 @@
 	e.observeLoad(resp.Header)
 	e.observeCold(resp.Header)
 	e.observeAnswer(pool, resp.Header, true)
-	_, _ = io.Copy(io.Discard, resp.Body)
-	_ = resp.Body.Close()
+	hop.Discard(resp)
 }
--- a/internal/hop/bodylimit.go
+++ b/internal/hop/bodylimit.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"os"
 	"time"
 
@@ -44,6 +43,8 @@
 type bodyLimit struct {
 	x   *exchange
 	out *Outgoing
+	// discardBy is when the body has to be complete that nobody wants; zero if it is wanted.
+	discardBy time.Time
 	// length is that of the body; negative if unknown.
 	length int64
 	// received counts the bytes since the head, late those since the body was due.
@@ -55,7 +56,10 @@
 // due returns when the body has to be complete.
 func (l *bodyLimit) due() time.Time {
 	s := l.x.sender
-	if s == nil {
+	if !l.discardBy.IsZero() {
+		return l.discardBy
+	}
+	if s == nil || l.out.Deadline.IsZero() {
 		return l.out.Deadline
 	}
 	progress := s.begin.Add(time.Duration(s.progressAt.Load()))
@@ -80,6 +84,9 @@
 	asked := false
 	for {
 		due := l.due()
+		if due.IsZero() {
+			return l.x.conn.Conn.Read(p)
+		}
 		from := latest(begin, due)
 		if l.x.pool.toServer {
 			patience = bodyGrace - l.waited
@@ -152,13 +159,3 @@
 	}
 	return b
 }
-
-// Read reads from the connection, and while a response body is read, within its limits.
-func (c *conn) Read(p []byte) (int, error) {
-	if c.bodyLimit != nil {
-		return c.bodyLimit.read(p)
-	}
-	return c.Conn.Read(p)
-}
-
-var _ net.Conn = (*conn)(nil)
--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -74,7 +74,9 @@
 	raw       syscall.RawConn
 	idleSince time.Time
 	reused    bool
-	// bodyLimit limits the reads of a response body; nil outside one.
+	// headLeft is the number of bytes that may still be read before the end of the response head, and
+	// bodyLimit limits the reads of the body behind it; it is nil before that.
+	headLeft  int
 	bodyLimit *bodyLimit
 	// failed is set when sending a body failed; nothing more is read from or written to the
 	// connection.
--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -107,6 +107,7 @@
 		return nil, ErrCallerGone
 	}
 	_ = c.SetDeadline(out.Deadline)
+	c.headLeft, c.bodyLimit = maxHeadBytes, nil
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(aLongTimeAgo) })
 	x := &exchange{ctx: ctx, pool: p, conn: c, stop: stop, begin: time.Now()}
 	resp, err := x.run(out)
@@ -163,6 +164,10 @@
 	request := &http.Request{Method: out.Method}
 	for {
 		resp, err := http.ReadResponse(x.conn.reader, request)
+		if err != nil && x.conn.headLeft <= 0 {
+			// A line that was cut off by the limit may have been parsed.
+			err = ErrHeadTooLong
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -219,7 +224,9 @@
 	if x.mismatched > maxMismatched || resp.Close {
 		return errMismatchedResponses
 	}
-	_, err := io.Copy(io.Discard, resp.Body)
+	x.conn.headLeft = maxDiscardedBytes + bufferSize
+	err := copyShort(resp.Body)
+	x.conn.headLeft = maxHeadBytes
 	return err
 }
 
@@ -244,9 +251,7 @@
 	defer x.mu.Unlock()
 	x.hasHead = true
 	x.setDeadline(time.Time{})
-	if !out.Deadline.IsZero() {
-		x.conn.bodyLimit = &bodyLimit{x: x, out: out, length: resp.ContentLength}
-	}
+	x.conn.bodyLimit = &bodyLimit{x: x, out: out, length: resp.ContentLength}
 }
 
 // sendBody streams the body concurrently with reading the response, which may arrive before
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -74,8 +73,7 @@
 	if err != nil {
 		return Announcement{}, false
 	}
-	defer resp.Body.Close()
-	_, _ = io.Copy(io.Discard, resp.Body)
+	hop.Discard(resp)
 	d := n.options.Dialect
 	instance := resp.Header.Get(d.Instance)
 	if resp.StatusCode != http.StatusOK || instance == "" {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -38,7 +38,7 @@
 	defer p.mu.Unlock()
 	c := p.clients[address]
 	if c == nil {
-		c = apiv1connect.NewNodeServiceClient(p.client, p.security.URL(address))
+		c = apiv1connect.NewNodeServiceClient(p.client, p.security.URL(address), transport.ReadLimit())
 		p.clients[address] = c
 	}
 	return c
@@ -47,7 +47,7 @@
 // peerHandler serves other nodes: requests for the backend server, and control calls.
 func (n *Node) peerHandler() http.Handler {
 	mux := http.NewServeMux()
-	path, control := apiv1connect.NewNodeServiceHandler(nodeService{n}, transport.Uncompressed())
+	path, control := apiv1connect.NewNodeServiceHandler(nodeService{n}, transport.Uncompressed(), transport.ReadLimit())
 	mux.Handle(path, transport.OmitUnneededHeaders(control))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if _, isHop := r.Header[hop.Header]; !isHop {
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -300,8 +300,7 @@
 		return result{to: a.to, ended: c.resolveUnanswered(a, err)}
 	}
 	if reply.Verdict != hop.Ran {
-		_, _ = io.Copy(io.Discard, resp.Body)
-		_ = resp.Body.Close()
+		hop.Discard(resp)
 		resp = nil
 	}
 	return c.handleReply(a, resp, reply)
--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -125,7 +125,7 @@
 	p.clients[id] = client
 	p.mu.Unlock()
 	p.wg.Add(1)
-	go p.run(ctx, s, apiv1connect.NewReplicaServiceClient(client, p.security.URL(address)))
+	go p.run(ctx, s, apiv1connect.NewReplicaServiceClient(client, p.security.URL(address), transport.ReadLimit()))
 	return s
 }
 
--- a/internal/replica/serve.go
+++ b/internal/replica/serve.go
@@ -10,15 +10,20 @@
 	apiv1 "cactuspath/api/cactuspath/v1"
 	"cactuspath/api/cactuspath/v1/apiv1connect"
 	"cactuspath/api/fault"
+	"cactuspath/internal/transport"
 )
 
+// maxStepBytes limits the messages of another replica. A snapshot holds the whole state.
+const maxStepBytes = 256 << 20
+
 // Handler returns the handler for all services of a control replica.
 func (r *Replica) Handler() http.Handler {
 	m := http.NewServeMux()
-	m.Handle(apiv1connect.NewReplicaServiceHandler(replicaService{r}))
-	m.Handle(apiv1connect.NewControlServiceHandler(controlService{r}))
-	m.Handle(apiv1connect.NewOperatorCommandServiceHandler(commandService{r}))
-	m.Handle(apiv1connect.NewOperatorQueryServiceHandler(queryService{r}))
+	limit := transport.ReadLimit()
+	m.Handle(apiv1connect.NewReplicaServiceHandler(replicaService{r}, connect.WithReadMaxBytes(maxStepBytes)))
+	m.Handle(apiv1connect.NewControlServiceHandler(controlService{r}, limit))
+	m.Handle(apiv1connect.NewOperatorCommandServiceHandler(commandService{r}, limit))
+	m.Handle(apiv1connect.NewOperatorQueryServiceHandler(queryService{r}, limit))
 	return m
 }
 
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -153,6 +153,10 @@
 	dialTimeout         = 300 * time.Millisecond
 	idleConnTimeout     = 90 * time.Second
 	maxIdleConnsPerHost = 4
+
+	maxResponseHeaderBytes = 64 << 10
+	// maxMessageBytes limits a message. The largest is an estate, whose text may have 32 MiB.
+	maxMessageBytes = 40 << 20
 )
 
 // Traffic counts the bytes of a client's connections, including the overhead of TLS and HTTP.
@@ -195,6 +199,8 @@
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
+		// A peer that fails, or another process that has got its address, may send without end.
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
 	if s != nil {
 		// Each connection uses the certificate that is current when it is opened. A client that
@@ -235,7 +241,7 @@
 		return nil, t.failed(r.Context(), err)
 	}
 	limit.arrived()
-	resp.Body = responseBody{resp.Body, limit, func(err error) error { return t.failed(r.Context(), err) }}
+	resp.Body = &responseBody{resp.Body, limit, func(err error) error { return t.failed(r.Context(), err) }, maxMessageBytes + progressBytes}
 	return resp, nil
 }
 
@@ -253,15 +259,24 @@
 	io.ReadCloser
 	limit  *stallLimit
 	failed func(error) error
+	// left is how much of it may still be read. connect-go drops what exceeds its own limit, and would
+	// do so until the call ends.
+	left int64
 }
 
+var errMessageTooLong = errors.Newf("the message of another process exceeds %d bytes; check what listens at its address", maxMessageBytes)
+
 // Read reads from the body, not more than progressBytes if the call has a stall limit: a read from
 // the body waits until p is full or a chunk ends.
-func (b responseBody) Read(p []byte) (int, error) {
+func (b *responseBody) Read(p []byte) (int, error) {
+	if b.left <= 0 {
+		return 0, errMessageTooLong
+	}
 	if b.limit != nil {
 		p = p[:min(len(p), progressBytes)]
 	}
 	n, err := b.ReadCloser.Read(p)
+	b.left -= int64(n)
 	if n > 0 {
 		b.limit.arrived()
 	}
@@ -280,6 +295,9 @@
 	})
 }
 
+// ReadLimit returns an option that limits the messages that are read from another process.
+func ReadLimit() connect.Option { return connect.WithReadMaxBytes(maxMessageBytes) }
+
 // Uncompressed returns an option that disables compression in a handler, for responses that are too
 // short to benefit from it.
 func Uncompressed() connect.HandlerOption { return connect.WithCompression("gzip", nil, nil) }
