hop: a body without end is cut off by its rate, not after 8 MiB

Cause: a body that may be endless got 8 MiB after it was due, whether its receiver held it up or not. In small chunks these take the processor for a while.

Change: a link holds a body up only if its receiver takes no more than 13 Mbit/s, besides 1 MiB that is read ahead. A body that flows faster is cut off when it is due.

Why it holds: a body on a thin link flows at the rate of that link, which the limit allows for 5 s as before; a faster one had its time.

--- a/internal/hop/bodylimit.go
+++ b/internal/hop/bodylimit.go
@@ -20,10 +20,12 @@
 	largeBodyPause = 5 * time.Second
 	// aliveTimeout bounds the question whether another node responds.
 	aliveTimeout = 150 * time.Millisecond
-	// A body that may have no end gets, after it was due, at most maxLateTime and maxLateBytes, also if
-	// it is its receiver that takes so long. That is as much as a link of 13 Mbit/s carries.
-	maxLateTime  = 5 * time.Second
-	maxLateBytes = 8 << 20
+	// A body that may have no end gets at most maxLateTime after it was due, also if it is its receiver
+	// that takes so long. It is a link that holds it up only if the receiver takes no more than
+	// lateBytesPerSecond, 13 Mbit/s, besides lateBytes, which are read ahead of it.
+	maxLateTime        = 5 * time.Second
+	lateBytes          = 1 << 20
+	lateBytesPerSecond = 1600 << 10
 	// maxKnownLength is the length above which a body is not expected to end either.
 	maxKnownLength = 64 << 20
 	// minOversleep is how much later than its deadline a read returns if the process was stopped. What
@@ -72,6 +74,11 @@
 // mayBeEndless reports whether the end of the body is not in sight.
 func (l *bodyLimit) mayBeEndless() bool { return l.length < 0 || l.length > maxKnownLength }
 
+// isLate reports whether a body that may be endless has had its time. late is how long ago it was due.
+func (l *bodyLimit) isLate(late time.Duration) bool {
+	return late > maxLateTime || l.late > lateBytes+int64(late.Seconds()*lateBytesPerSecond)
+}
+
 // isLarge reports whether parts of the body may wait for the link of the peer's host. It sends as much
 // as link.LargeBytes of a body of unknown length without a wait.
 func (l *bodyLimit) isLarge() bool {
@@ -91,7 +98,7 @@
 		if l.x.pool.toServer {
 			patience = bodyGrace - l.waited
 		}
-		if patience <= 0 || l.mayBeEndless() && (l.late > maxLateBytes || from.Sub(due) > maxLateTime) {
+		if patience <= 0 || l.mayBeEndless() && l.isLate(from.Sub(due)) {
 			return 0, l.end(due)
 		}
 		until := from.Add(patience)
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -123,7 +123,7 @@
 	{"a delayed announcement does not register a server whose lease has expired", "internal/node/announce.go", "case n.expired.sentAfter(a):", "case false:", "internal/node", "LeaseExpired"},
 	{"a server that left after its lease had expired stays away", "internal/node/announce.go", "if n.expired != nil && n.expired.instance == instance {", "if false {", "internal/node", "LeaseExpired"},
 	{"a response body that stops is not waited for without limit", "internal/hop/bodylimit.go", "l.x.setReadDeadline(until)", "l.x.setReadDeadline(time.Time{})", "internal/hop", "LimitInTime"},
-	{"a response body without end is not read until its caller leaves", "internal/hop/bodylimit.go", "l.late > maxLateBytes", "false", "internal/hop", "LimitInTime"},
+	{"a response body without end is not read until its caller leaves", "internal/hop/bodylimit.go", "l.mayBeEndless() && l.isLate(from.Sub(due))", "false", "internal/hop", "LimitInTime"},
 	{"an upload does not take the limit from its response", "internal/hop/bodylimit.go", "return due", "return progress.Add(24 * time.Hour)", "internal/hop", "LimitInTime"},
 	{"a response body that makes progress may take longer than the deadline", "internal/hop/bodylimit.go", "from := latest(begin, due)", "from := due", "internal/hop", "LimitInTime"},
 	{"an idle connection is not closed for the deadline of its last request", "internal/hop/exchange.go", "\t_ = x.conn.SetDeadline(time.Time{})\n\tx.pool.put", "\tx.pool.put", "internal/hop", "ConnectionIsReusedAfter"},
