endpoint, front: the buffers of long responses are reused

What was seen: a body without end, several at once, took up to 101 MB in the callers' node and 75 MB in the server's (e2e trial), where live data is a few MB.

Cause: each piece of a response was read ahead into a new buffer, and a chunk was copied into a new one again before it was sent to the caller. At the rate of a server on the same host that is garbage faster than it is collected.

Change: both kinds of buffers come from a pool. A buffer goes back once its bytes were taken or written.

--- a/internal/endpoint/large.go
+++ b/internal/endpoint/large.go
@@ -61,13 +61,24 @@
 
 	mu      sync.Mutex
 	changed *sync.Cond
-	chunks  [][]byte
+	chunks  []aheadChunk
 	// size is the number of bytes in chunks.
 	size   int
 	err    error
 	closed bool
 }
 
+// aheadChunk is a piece of a body that is held.
+type aheadChunk struct {
+	unread []byte
+	// buffer is the buffer that holds the piece; nil if it has one of its own size.
+	buffer *[]byte
+}
+
+// aheadBuffers are reused: at the rate at which a server on the same host sends, garbage would take
+// many times the memory of what is held.
+var aheadBuffers = sync.Pool{New: func() any { b := make([]byte, readAheadChunk); return &b }}
+
 // readAheadLimits are the limits of one readAhead.
 type readAheadLimits struct {
 	// bytes is how much of the response is read ahead as long as all responses hold less than
@@ -109,15 +120,17 @@
 func (r *readAhead) fill() {
 	defer r.source.Close()
 	for {
-		chunk := make([]byte, readAheadChunk)
-		n, err := r.source.Read(chunk)
+		buffer := aheadBuffers.Get().(*[]byte)
+		n, err := r.source.Read(*buffer)
+		chunk := aheadChunk{(*buffer)[:n], buffer}
 		if n <= readAheadChunk/2 {
 			// Small pieces must not hold more memory than is counted.
-			chunk = bytes.Clone(chunk[:n])
+			chunk = aheadChunk{bytes.Clone(chunk.unread), nil}
+			aheadBuffers.Put(buffer)
 		}
 		r.mu.Lock()
 		if n > 0 && !r.closed {
-			r.chunks = append(r.chunks, chunk[:n])
+			r.chunks = append(r.chunks, chunk)
 			r.resize(n)
 		}
 		r.err = err
@@ -178,9 +191,13 @@
 	}
 	n := 0
 	for n < len(p) && len(r.chunks) > 0 {
-		some := copy(p[n:], r.chunks[0])
+		first := &r.chunks[0]
+		some := copy(p[n:], first.unread)
 		n += some
-		if r.chunks[0] = r.chunks[0][some:]; len(r.chunks[0]) == 0 {
+		if first.unread = first.unread[some:]; len(first.unread) == 0 {
+			if first.buffer != nil {
+				aheadBuffers.Put(first.buffer)
+			}
 			r.chunks = r.chunks[1:]
 		}
 	}
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -220,14 +220,19 @@
 	if len(p) == 0 {
 		return nil
 	}
-	chunk := make([]byte, 0, len(p)+16)
-	chunk = strconv.AppendInt(chunk, int64(len(p)), 16)
+	buffer := chunkBuffers.Get().(*[]byte)
+	defer chunkBuffers.Put(buffer)
+	chunk := strconv.AppendInt((*buffer)[:0], int64(len(p)), 16)
 	chunk = append(chunk, "\r\n"...)
 	chunk = append(chunk, p...)
 	chunk = append(chunk, "\r\n"...)
+	*buffer = chunk
 	return w.writeConn(chunk)
 }
 
+// chunkBuffers are reused, since a long response would otherwise leave as much garbage as it has bytes.
+var chunkBuffers = sync.Pool{New: func() any { return new([]byte) }}
+
 func (w *response) writeConn(p []byte) error {
 	return w.writeWithTimeout(p, writeTimeout)
 }
