hop: a large body is cut off only if its node has not responded for a quarter of a second

Found by reading the change: a node that is asked whether it responds had 150 ms, less than a lost packet takes to be sent again. It has 250 ms now and is asked after 125 ms, so that the sum stays the same. A body of unknown length from another node has twice the time of one from the backend server, since that node still sends what it has read when its own limit passes. Discard leaves a connection alone that another exchange may use already.

The loop of bodyLimit.read is split, its behavior otherwise unchanged.

--- a/internal/hop/bodylimit.go
+++ b/internal/hop/bodylimit.go
@@ -15,14 +15,16 @@
 	// bodyGrace is how long an exchange waits for parts of a response body after the body was due: for
 	// a backend server in total, for another node without a part.
 	bodyGrace = 225 * time.Millisecond
-	// largeBodyPause replaces it for large bodies from another node that responds otherwise: their
-	// parts may wait for the link of its host.
+	// Parts of a large body may wait for the link of the node that sends it. After largeBodyGrace
+	// without one, the node is asked whether it responds at all, within aliveTimeout. If it does, they
+	// may pause for largeBodyPause.
+	largeBodyGrace = 125 * time.Millisecond
+	aliveTimeout   = 250 * time.Millisecond
 	largeBodyPause = 5 * time.Second
-	// aliveTimeout bounds the question whether another node responds.
-	aliveTimeout = 150 * time.Millisecond
 	// A body that may have no end gets at most maxLateTime after it was due, also if it is its receiver
 	// that takes so long. It is a link that holds it up only if the receiver takes no more than
-	// lateBytesPerSecond, 13 Mbit/s, besides lateBytes, which are read ahead of it.
+	// lateBytesPerSecond, 13 Mbit/s, besides lateBytes, which are read ahead of it. From another node,
+	// which has the same limit for its server and sends what it has read, it gets twice the time.
 	maxLateTime        = 5 * time.Second
 	lateBytes          = 1 << 20
 	lateBytesPerSecond = 1600 << 10
@@ -57,10 +59,10 @@
 
 // due returns when the body has to be complete.
 func (l *bodyLimit) due() time.Time {
-	s := l.x.sender
 	if !l.discardBy.IsZero() {
 		return l.discardBy
 	}
+	s := l.x.sender
 	if s == nil || l.out.Deadline.IsZero() {
 		return l.out.Deadline
 	}
@@ -76,7 +78,11 @@
 
 // isLate reports whether a body that may be endless has had its time. late is how long ago it was due.
 func (l *bodyLimit) isLate(late time.Duration) bool {
-	return late > maxLateTime || l.late > lateBytes+int64(late.Seconds()*lateBytesPerSecond)
+	longest := maxLateTime
+	if !l.x.pool.toServer {
+		longest *= 2
+	}
+	return late > longest || l.late > lateBytes+int64(late.Seconds()*lateBytesPerSecond)
 }
 
 // isLarge reports whether parts of the body may wait for the link of the peer's host. It sends as much
@@ -87,21 +93,17 @@
 
 // read reads from the connection within the limits.
 func (l *bodyLimit) read(p []byte) (int, error) {
-	begin, patience := time.Now(), bodyGrace
-	asked := false
+	w := wait{begin: time.Now(), patience: l.patience()}
 	for {
 		due := l.due()
 		if due.IsZero() {
 			return l.x.conn.Conn.Read(p)
 		}
-		from := latest(begin, due)
-		if l.x.pool.toServer {
-			patience = bodyGrace - l.waited
-		}
-		if patience <= 0 || l.mayBeEndless() && l.isLate(from.Sub(due)) {
+		from := latest(w.begin, due)
+		if w.patience <= 0 || l.mayBeEndless() && l.isLate(from.Sub(due)) {
 			return 0, l.end(due)
 		}
-		until := from.Add(patience)
+		until := from.Add(w.patience)
 		l.x.setReadDeadline(until)
 		n, err := l.x.conn.Conn.Read(p)
 		now := time.Now()
@@ -109,24 +111,52 @@
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || l.x.ctx.Err() != nil || l.x.conn.failed.Load() {
 			return n, err
 		}
-		switch {
-		case now.Sub(until) > minOversleep:
-			begin, l.waited = now, 0
-		case l.due().After(due):
-		case !l.x.pool.toServer && l.isLarge() && !asked:
-			asked = true
-			if l.peerResponds() {
-				patience = largeBodyPause
-			} else {
-				// What arrived while the peer was asked is still read.
-				patience = time.Since(from) + time.Millisecond
-			}
-		default:
+		if !l.extend(&w, due, until, now) {
 			return 0, l.end(due)
 		}
 	}
 }
 
+// wait is the wait for one part of a body.
+type wait struct {
+	// begin is when it began, and patience how long it may last after that and after the body was due.
+	begin    time.Time
+	patience time.Duration
+	// asked is set once the peer was asked whether it responds.
+	asked bool
+}
+
+// patience returns how long the exchange may wait for the next part after the body was due.
+func (l *bodyLimit) patience() time.Duration {
+	switch {
+	case l.x.pool.toServer:
+		return bodyGrace - l.waited
+	case l.isLarge():
+		return largeBodyGrace
+	}
+	return bodyGrace
+}
+
+// extend reports whether to wait on for a part that had not arrived until the given time. It changes
+// the wait accordingly.
+func (l *bodyLimit) extend(w *wait, due, until, now time.Time) bool {
+	switch {
+	case now.Sub(until) > minOversleep:
+		l.waited = 0
+		*w = wait{begin: now, patience: l.patience()}
+	case l.due().After(due):
+		w.patience = l.patience()
+	case l.x.pool.toServer || !l.isLarge() || w.asked:
+		return false
+	case l.peerResponds():
+		w.asked, w.patience = true, largeBodyPause
+	default:
+		// What arrived while the peer was asked is still read.
+		w.asked, w.patience = true, time.Since(latest(w.begin, due))+time.Millisecond
+	}
+	return true
+}
+
 // account counts n bytes that were read, and the part of the wait after the body was due.
 func (l *bodyLimit) account(n int, from, due, to time.Time) {
 	l.received += int64(n)
--- a/internal/hop/size.go
+++ b/internal/hop/size.go
@@ -39,7 +39,7 @@
 
 // Discard drops a response, and closes its connection unless the body is short and arrives at once.
 func Discard(resp *http.Response) {
-	if b, ok := resp.Body.(*responseBody); ok && b.x.conn.bodyLimit != nil {
+	if b, ok := resp.Body.(*responseBody); ok && !b.ended {
 		b.x.conn.bodyLimit.discardBy = time.Now().Add(discardTime)
 	}
 	_ = copyShort(resp.Body)
