e2e: all founders are initialized before the first one starts

Cause: the harness initialized and started one control replica after the other. Under that load it took 0.8 s for each, and the first two had elected a leader before the third was initialized, which then refused, as it should.

Change: the harness initializes all of them first. No check is changed.

--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -116,11 +116,14 @@
 	return c
 }
 
-// start initializes and starts the control replicas as founders.
+// start initializes and starts the control replicas as founders. All are initialized first: a founder
+// refuses to be initialized once the others have elected a leader.
 func (c *cluster) start() *cluster {
 	for i := range c.controlAddresses {
 		c.writeReplicaSettings(i, true)
 		c.mustRun("cactuspath", "init", "--settings", c.replicaSettingsFile(i))
+	}
+	for i := range c.controlAddresses {
 		c.replicas = append(c.replicas, c.spawn(fmt.Sprintf("control-%d", i+1), "cactuspath", "run", "--settings", c.replicaSettingsFile(i)))
 	}
 	c.client = &operator.Client{Control: controlclient.New(nil, c.controlAddresses, ""), Name: "tester"}
