replica: logs and metrics tell how far a replica is behind its leader

In the incident, nodes in contact with their replicas routed by an older version. No line told whether the replicas that they watched had the change: a heartbeat carried the commit index of the leader only as far as the log of the receiver was known to match, so that a replica which lacked entries did not know that it did.

Heartbeats now carry the commit index of the leader as well (replicas of earlier builds ignore it). No decision changes.

go test ./core/consensus ./internal/replica: ok.

--- a/core/consensus/raft.go
+++ b/core/consensus/raft.go
@@ -130,9 +130,11 @@
 	// contrast to electionElapsed, only a message of the leader resets it: a replica that was removed
 	// or is cut off campaigns again and again and would otherwise never notice.
 	ticksSinceLeader int
-	votes            map[uint64]bool
-	progress         map[uint64]*progress
-	transferee       uint64
+	// knownCommit is the highest index that is known to be committed, which the log may lack.
+	knownCommit uint64
+	votes       map[uint64]bool
+	progress    map[uint64]*progress
+	transferee  uint64
 
 	round          uint64
 	roundRequested bool
@@ -186,6 +188,9 @@
 	// TicksSinceLeader is the number of ticks since this replica last received a message from a
 	// leader, or was one in contact with a majority; since its start if it never did.
 	TicksSinceLeader int
+	// KnownCommit is the highest log index that this replica knows to be committed. It is above Commit
+	// while the log lacks committed entries.
+	KnownCommit uint64
 	// ConfigCommitted reports whether the latest membership change is committed.
 	ConfigCommitted bool
 }
@@ -226,7 +231,7 @@
 // Status returns the current state of the replica.
 func (r *Raft) Status() Status {
 	s := Status{ID: r.id, Term: r.term, Leader: r.leader, Role: r.role, Commit: r.log.committed, Applied: r.log.applied,
-		LastIndex: r.log.lastIndex(), SnapshotIndex: r.log.snapIndex, Membership: r.membership,
+		LastIndex: r.log.lastIndex(), SnapshotIndex: r.log.snapIndex, KnownCommit: max(r.knownCommit, r.log.committed), Membership: r.membership,
 		TicksSinceLeader: r.ticksSinceLeader, ConfigCommitted: r.configIndex <= r.log.committed}
 	if r.role == Leader {
 		s.Match, s.TicksSinceReply = map[uint64]uint64{}, map[uint64]int{}
--- a/core/consensus/step.go
+++ b/core/consensus/step.go
@@ -74,6 +74,7 @@
 	case apiv1.MessageKind_MESSAGE_KIND_HEARTBEAT:
 		r.recordLeaderContact(m)
 		r.log.committed = max(r.log.committed, min(m.Commit, r.log.lastIndex()))
+		r.knownCommit = max(r.knownCommit, m.LeaderCommit)
 		r.send(&apiv1.RaftMessage{Kind: apiv1.MessageKind_MESSAGE_KIND_HEARTBEAT_REPLY, To: m.From, Round: m.Round})
 	case apiv1.MessageKind_MESSAGE_KIND_SNAPSHOT:
 		r.recordLeaderContact(m)
@@ -144,6 +145,7 @@
 		return
 	}
 	r.appendMissing(m.Entries)
+	r.knownCommit = max(r.knownCommit, m.Commit)
 	last := m.Index + uint64(len(m.Entries))
 	r.log.committed = max(r.log.committed, min(m.Commit, last))
 	reply.Index = last
@@ -271,7 +273,7 @@
 		}
 		// Commit is limited to the member's known match index: beyond it, its log
 		// may still differ from the leader's.
-		r.send(&apiv1.RaftMessage{Kind: apiv1.MessageKind_MESSAGE_KIND_HEARTBEAT, To: m.Id, Commit: min(p.match, r.log.committed), Round: r.round})
+		r.send(&apiv1.RaftMessage{Kind: apiv1.MessageKind_MESSAGE_KIND_HEARTBEAT, To: m.Id, Commit: min(p.match, r.log.committed), LeaderCommit: r.log.committed, Round: r.round})
 	}
 	r.confirmReads()
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -85,6 +85,7 @@
 	joinRequests *joinRequests
 	joinLog      joinLogger
 	voterLog     voterLogger
+	lagLog       lagLogger
 	watchers     watchers
 	presence     *presence
 	// quarantine stores what the nodes report about servers that crashed, and passes it on to the
@@ -140,6 +141,7 @@
 	seed := rand.New(rand.NewPCG(rand.Uint64(), identity.MemberID))
 	r.raft = consensus.New(consensus.Config{ID: identity.MemberID, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, Rand: seed}, restored)
 	r.publishStatus()
+	klog.InfoS("Log opened", "replica", options.Name, "bytes", disk.Size(), "entries", len(restored.Entries), "snapshot", restored.Snapshot.GetIndex(), "commit", r.Status().Commit, "revision", r.state.Revision())
 	if disk.TornBytes > 0 {
 		klog.InfoS("Truncated a torn tail of the log", "bytes", disk.TornBytes)
 	}
@@ -250,6 +252,32 @@
 			r.relays.reset()
 		}
 	}
+	r.lagLog.observe(r.options.Name, s, time.Now())
+}
+
+// lagLogThreshold is how long a replica lacks committed entries before this is logged.
+const lagLogThreshold = 250 * time.Millisecond
+
+// lagLogger logs when a replica has lacked committed entries for a while, and when it has caught up.
+type lagLogger struct {
+	since  time.Time
+	logged bool
+}
+
+func (l *lagLogger) observe(replica string, s consensus.Status, now time.Time) {
+	behind := s.Applied < s.KnownCommit
+	switch {
+	case behind && l.since.IsZero():
+		l.since = now
+	case behind && !l.logged && now.Sub(l.since) >= lagLogThreshold:
+		l.logged = true
+		klog.InfoS("Control replica behind", "replica", replica, "applied", s.Applied, "lastIndex", s.LastIndex, "knownCommit", s.KnownCommit, "term", s.Term)
+	case !behind:
+		if l.logged {
+			klog.InfoS("Control replica caught up", "replica", replica, "applied", s.Applied, "after", now.Sub(l.since))
+		}
+		*l = lagLogger{}
+	}
 }
 
 func memberName(m *apiv1.Membership, id uint64) string {
