estate: a change carries its compiled form and is not compiled again when it is applied

Cause: the entry of a change is the institution's whole text. Each replica unpacked and parsed it when it applied the entry, and once more for each entry of its log when it started: work that grows with the product of the estate and of the history.

Change: the replica that proposes a change has parsed the text anyway. It adds what the change does to the records of its base revision, the revision that the text states and the digest of the change. Applying stores these records. An entry without them is compiled as before.

Why it holds: a change is applied only if its base is the institution's newest document, and only such changes alter the institution's records, so the difference is exact where it is applied. Names that another institution has taken in between are checked when the entry is applied.

Replicas of earlier builds ignore the new field and compile the text, with the same result.

--- a/core/estate/state.go
+++ b/core/estate/state.go
@@ -74,7 +74,10 @@
 // returns the first record again, so that a change resent after a lost response is not
 // applied twice. A different change with the same id gets the outcome "id reused".
 func (s *State) Apply(index uint64, change *apiv1.Change) *apiv1.AuditRecord {
-	digest := Digest(change)
+	digest := change.GetSubmit().GetCompiled().GetDigest()
+	if change.GetSubmit().GetCompiled() == nil {
+		digest = Digest(change)
+	}
 	if first := s.byID[change.Id]; first != nil && !s.reevaluates(change, first) {
 		if first.Digest != digest {
 			return &apiv1.AuditRecord{Id: change.Id, Digest: digest, Outcome: apiv1.Outcome_OUTCOME_ID_REUSED, Revision: first.Revision, Index: index}
@@ -112,16 +115,15 @@
 		record.Revision = current
 		return
 	}
-	text, err := Gunzip(change.TextGzip)
-	if err != nil {
-		refuse(record, jsonc.Problem{Line: 1, Column: 1, Message: "the text cannot be unpacked: " + err.Error(), Remedy: "submit it again"})
-		return
-	}
-	doc, problems := Parse(text)
-	if problems == nil {
-		problems = s.nameConflicts(doc)
+	compiled := change.Compiled
+	if compiled == nil {
+		var problems []jsonc.Problem
+		if compiled, problems = s.compileText(change); problems != nil {
+			refuse(record, problems...)
+			return
+		}
 	}
-	if problems != nil {
+	if problems := s.nameConflicts(change.Institution, compiled.Difference); problems != nil {
 		refuse(record, problems...)
 		return
 	}
@@ -132,30 +134,58 @@
 	// evacuation.
 	nextRevision := s.records.Revision() + 1
 	revision := nextRevision
-	if doc.Revision != 0 {
-		if doc.Revision <= current {
-			refuse(record, jsonc.Problem{Line: 1, Column: 1, Field: "revision", Message: fmt.Sprintf("revision %d is not above the current one, %d", doc.Revision, current),
+	if compiled.Revision != 0 {
+		if compiled.Revision <= current {
+			refuse(record, jsonc.Problem{Line: 1, Column: 1, Field: "revision", Message: fmt.Sprintf("revision %d is not above the current one, %d", compiled.Revision, current),
 				Remedy: "choose a higher number"})
 			return
 		}
-		revision = doc.Revision
+		revision = compiled.Revision
 	}
-	s.records.Replace(doc.Institution, doc.Contents(), max(nextRevision, revision))
-	s.documents[doc.Institution] = &apiv1.Document{Institution: doc.Institution, Revision: revision, TextGzip: change.TextGzip, SourceGzip: change.SourceGzip}
+	s.records.ApplyDifference(compiled.Difference, max(nextRevision, revision))
+	s.documents[change.Institution] = &apiv1.Document{Institution: change.Institution, Revision: revision, TextGzip: change.TextGzip, SourceGzip: change.SourceGzip}
 	record.Outcome = apiv1.Outcome_OUTCOME_ACCEPTED
 	record.Revision = revision
 }
 
-// nameConflicts returns a problem for each service name that another institution
+// Compile compiles the document of a change against the state, so that all replicas can apply the
+// change without its text. It returns nil if the change is not based on the institution's newest
+// document: it will most likely be a conflict.
+func (s *State) Compile(change *apiv1.Change, doc *Document) *apiv1.CompiledChange {
+	if submit := change.GetSubmit(); submit.GetBaseRevision() != s.documents[doc.Institution].GetRevision() {
+		return nil
+	}
+	return &apiv1.CompiledChange{Revision: doc.Revision, Digest: Digest(change), Difference: s.records.Difference(doc.Institution, doc.Contents())}
+}
+
+// compileText compiles the text of a change that was proposed without a compiled form.
+func (s *State) compileText(change *apiv1.SubmitChange) (*apiv1.CompiledChange, []jsonc.Problem) {
+	text, err := Gunzip(change.TextGzip)
+	if err != nil {
+		return nil, []jsonc.Problem{{Line: 1, Column: 1, Message: "the text cannot be unpacked: " + err.Error(), Remedy: "submit it again"}}
+	}
+	doc, problems := Parse(text)
+	if problems != nil {
+		return nil, problems
+	}
+	return &apiv1.CompiledChange{Revision: doc.Revision, Difference: s.records.Difference(doc.Institution, doc.Contents())}, nil
+}
+
+// nameConflicts returns a problem for each service name of a difference that another institution
 // already uses. Nodes route by service name, so a name must identify a single service.
-func (s *State) nameConflicts(doc *Document) []jsonc.Problem {
-	var problems []jsonc.Problem
-	for _, name := range slices.Sorted(maps.Keys(doc.Services)) {
-		if current := s.records.Service(name); current != nil && !current.Removed && current.Institution != doc.Institution {
-			problems = append(problems, jsonc.Problem{Line: 1, Column: 1, Field: "services." + name,
-				Message: fmt.Sprintf("institution %q holds a service named %q", current.Institution, name), Remedy: "choose another name"})
+func (s *State) nameConflicts(institution string, difference *apiv1.EstateDelta) []jsonc.Problem {
+	var names []string
+	for _, service := range difference.GetServices() {
+		if current := s.records.Service(service.Name); current != nil && !current.Removed && current.Institution != institution {
+			names = append(names, service.Name)
 		}
 	}
+	var problems []jsonc.Problem
+	slices.Sort(names)
+	for _, name := range names {
+		problems = append(problems, jsonc.Problem{Line: 1, Column: 1, Field: "services." + name,
+			Message: fmt.Sprintf("institution %q holds a service named %q", s.records.Service(name).Institution, name), Remedy: "choose another name"})
+	}
 	return problems
 }
 
--- a/core/rollout/records.go
+++ b/core/rollout/records.go
@@ -72,64 +72,96 @@
 // Replace replaces the services, routes, client accounts and limits of an institution at the given
 // revision. Unchanged records keep their ChangedAt, so they are not sent again.
 func (r *Records) Replace(institution string, contents Contents, revision uint64) {
-	r.replaceServices(institution, contents.Services, revision)
-	r.replaceRoutes(institution, contents.Routes, revision)
-	r.replaceAccounts(institution, contents.Accounts, revision)
+	r.ApplyDifference(r.Difference(institution, contents), revision)
+}
+
+// Difference returns the records to store for the contents of an institution to become the given
+// ones. Their ChangedAt is not set. A service that another institution has is always among them.
+func (r *Records) Difference(institution string, contents Contents) *apiv1.EstateDelta {
+	d := &apiv1.EstateDelta{Services: r.serviceDifference(institution, contents.Services)}
+	d.Routes = r.routeDifference(institution, contents.Routes)
+	d.Accounts = r.accountDifference(institution, contents.Accounts)
 	if current := r.limits[institution]; (current != nil || contents.Limits != nil) && !proto.Equal(current.GetLimits(), contents.Limits) {
-		r.limits[institution] = &apiv1.LimitsRecord{Institution: institution, ChangedAt: revision, Limits: contents.Limits}
+		d.Limits = append(d.Limits, &apiv1.LimitsRecord{Institution: institution, Limits: contents.Limits})
 	}
-	r.revision = revision
+	return d
 }
 
-func (r *Records) replaceServices(institution string, specs map[string]*apiv1.ServiceSpec, revision uint64) {
+func (r *Records) serviceDifference(institution string, specs map[string]*apiv1.ServiceSpec) []*apiv1.ServiceRecord {
+	var list []*apiv1.ServiceRecord
 	for name, current := range r.services {
 		if _, kept := specs[name]; !kept && current.Institution == institution && !current.Removed {
-			r.services[name] = &apiv1.ServiceRecord{Name: name, Institution: institution, ChangedAt: revision, Removed: true}
+			list = append(list, &apiv1.ServiceRecord{Name: name, Institution: institution, Removed: true})
 		}
 	}
 	for name, spec := range specs {
 		current := r.services[name]
-		if current != nil && !current.Removed && proto.Equal(current.Spec, spec) {
+		if current != nil && !current.Removed && current.Institution == institution && proto.Equal(current.Spec, spec) {
 			continue
 		}
-		r.services[name] = &apiv1.ServiceRecord{Name: name, Institution: institution, ChangedAt: revision, Spec: spec}
+		list = append(list, &apiv1.ServiceRecord{Name: name, Institution: institution, Spec: spec})
 	}
+	return list
 }
 
-func (r *Records) replaceRoutes(institution string, specs map[string]*apiv1.RouteSpec, revision uint64) {
-	for key, current := range r.routes {
+func (r *Records) routeDifference(institution string, specs map[string]*apiv1.RouteSpec) []*apiv1.RouteRecord {
+	var list []*apiv1.RouteRecord
+	for _, current := range r.routes {
 		if _, kept := specs[current.Name]; !kept && current.Institution == institution && !current.Removed {
-			r.routes[key] = &apiv1.RouteRecord{Name: current.Name, Institution: institution, ChangedAt: revision, Removed: true}
+			list = append(list, &apiv1.RouteRecord{Name: current.Name, Institution: institution, Removed: true})
 		}
 	}
 	for name, spec := range specs {
-		key := qualifiedName(institution, name)
-		current := r.routes[key]
+		current := r.routes[qualifiedName(institution, name)]
 		if current != nil && !current.Removed && proto.Equal(current.Spec, spec) {
 			continue
 		}
-		r.routes[key] = &apiv1.RouteRecord{Name: name, Institution: institution, ChangedAt: revision, Spec: spec}
+		list = append(list, &apiv1.RouteRecord{Name: name, Institution: institution, Spec: spec})
 	}
+	return list
 }
 
-func (r *Records) replaceAccounts(institution string, specs map[string]*apiv1.AccountSpec, revision uint64) {
+func (r *Records) accountDifference(institution string, specs map[string]*apiv1.AccountSpec) []*apiv1.AccountRecord {
 	if specs != nil {
 		specs = maps.Clone(specs)
 		specs[keysRequiredName] = &apiv1.AccountSpec{}
 	}
-	for key, current := range r.accounts {
+	var list []*apiv1.AccountRecord
+	for _, current := range r.accounts {
 		if _, kept := specs[current.Name]; !kept && current.Institution == institution && !current.Removed {
-			r.accounts[key] = &apiv1.AccountRecord{Name: current.Name, Institution: institution, ChangedAt: revision, Removed: true}
+			list = append(list, &apiv1.AccountRecord{Name: current.Name, Institution: institution, Removed: true})
 		}
 	}
 	for name, spec := range specs {
-		key := qualifiedName(institution, name)
-		current := r.accounts[key]
+		current := r.accounts[qualifiedName(institution, name)]
 		if current != nil && !current.Removed && proto.Equal(current.Spec, spec) {
 			continue
 		}
-		r.accounts[key] = &apiv1.AccountRecord{Name: name, Institution: institution, ChangedAt: revision, Spec: spec}
+		list = append(list, &apiv1.AccountRecord{Name: name, Institution: institution, Spec: spec})
+	}
+	return list
+}
+
+// ApplyDifference stores the records of a difference at the given revision. It keeps and modifies
+// them, so the caller must not use them any more.
+func (r *Records) ApplyDifference(d *apiv1.EstateDelta, revision uint64) {
+	for _, s := range d.GetServices() {
+		s.ChangedAt = revision
+		r.services[s.Name] = s
+	}
+	for _, route := range d.GetRoutes() {
+		route.ChangedAt = revision
+		r.routes[routeRecordKey(route)] = route
 	}
+	for _, a := range d.GetAccounts() {
+		a.ChangedAt = revision
+		r.accounts[accountRecordKey(a)] = a
+	}
+	for _, l := range d.GetLimits() {
+		l.ChangedAt = revision
+		r.limits[l.Institution] = l
+	}
+	r.revision = revision
 }
 
 // keysRequiredName is the name of the account record which states that an institution uses client
--- a/internal/replica/commands.go
+++ b/internal/replica/commands.go
@@ -48,6 +48,9 @@
 		submit.SourceGzip = estate.Gzip(s.Source)
 	}
 	change.Kind = &apiv1.Change_Submit{Submit: submit}
+	r.mu.RLock()
+	submit.Compiled = r.state.Compile(change, doc)
+	r.mu.RUnlock()
 	return r.propose(ctx, change)
 }
 
