--- a/core/consensus/explore_test.go
+++ b/core/consensus/explore_test.go
@@ -105,7 +105,15 @@
 
 // processReady processes one batch. If mayCrash is set, the replica may crash
 // before, during or after the sync.
+//
+// What a batch applies is reported with the next one, as by a caller that applies in the background.
 func (x *explorer) processReady(r *replica, mayCrash bool) {
+	r.raft.AppliedTo(r.applied)
+	if r.applied > r.raft.Status().SnapshotIndex+compactionLag {
+		if s := r.raft.Compact(r.applied, r.state.snapshot()); s != nil {
+			r.disk.compact(s)
+		}
+	}
 	rd, ok := r.raft.Ready()
 	if !ok {
 		return
@@ -128,11 +136,6 @@
 	}
 	r.raft.Advance()
 	x.checkLeader(r)
-	if r.applied > r.raft.Status().SnapshotIndex+compactionLag {
-		if s := r.raft.Compact(r.applied, r.state.snapshot()); s != nil {
-			r.disk.compact(s)
-		}
-	}
 }
 
 // savePartially saves a prefix of the entries being written, as a crash during
--- a/core/consensus/log.go
+++ b/core/consensus/log.go
@@ -8,15 +8,17 @@
 
 // raftLog is the part of the log that follows the last snapshot.
 //
-// Invariants: snapIndex ≤ applied ≤ committed ≤ lastIndex; entries[i] has
+// Invariants: applied ≤ applying ≤ committed ≤ lastIndex and snapIndex ≤ applying; entries[i] has
 // index snapIndex+1+i; the caller has synced the entries up to stable to disk. A replica
 // counts only its synced entries towards a quorum, since it could lose others in a crash.
 type raftLog struct {
 	snapIndex, snapTerm uint64
 	entries             []*apiv1.LogEntry
 	committed           uint64
-	applied             uint64
-	stable              uint64
+	// applying is the last entry that the caller was given to apply, applied the last one that it
+	// has applied. applied is below snapIndex while the caller restores a received snapshot.
+	applying, applied uint64
+	stable            uint64
 }
 
 func (l *raftLog) lastIndex() uint64 { return l.snapIndex + uint64(len(l.entries)) }
@@ -71,9 +73,9 @@
 	l.snapIndex, l.snapTerm = index, term
 }
 
-// reset replaces the whole log with a snapshot at (index, term).
+// reset replaces the whole log with a snapshot at (index, term), which the caller is yet to apply.
 func (l *raftLog) reset(index, term uint64) {
-	*l = raftLog{snapIndex: index, snapTerm: term, committed: index, applied: index, stable: index}
+	*l = raftLog{snapIndex: index, snapTerm: term, committed: index, applying: index, applied: l.applied, stable: index}
 }
 
 // upToDate reports whether a log that ends at (index, term) is at least as
--- a/core/consensus/raft.go
+++ b/core/consensus/raft.go
@@ -72,7 +72,7 @@
 }
 
 // PersistentState is the persistent state that a replica reads from disk at
-// startup.
+// startup. The caller has applied its snapshot.
 type PersistentState struct {
 	HardState *apiv1.HardState
 	Snapshot  *apiv1.Snapshot
@@ -153,6 +153,7 @@
 	r.baseMembership = cloneMembership(restored.Founders)
 	if s := restored.Snapshot; s != nil {
 		r.log.reset(s.Index, s.Term)
+		r.log.applied = s.Index
 		r.baseMembership = cloneMembership(s.Membership)
 		r.snapshot = s
 	}
--- a/core/consensus/ready.go
+++ b/core/consensus/ready.go
@@ -5,9 +5,12 @@
 )
 
 // Ready is a batch of work. The caller must, in this order: save Snapshot,
-// append Entries, save HardState, sync if MustSync, send Messages, restore the
-// state machine from Snapshot, apply Committed, answer Reads, call Advance.
+// append Entries, save HardState, sync if MustSync, send Messages, hand over Snapshot
+// and Committed to be applied, answer Reads, call Advance.
 // Messages sent before the sync would acknowledge state that a crash can lose.
+//
+// The state machine is restored from Snapshot and applies Committed in the order of the
+// batches, but it may do so later: the caller reports with AppliedTo how far it is.
 type Ready struct {
 	Snapshot  *apiv1.Snapshot
 	Entries   []*apiv1.LogEntry
@@ -40,7 +43,7 @@
 	}
 	rd.MustSync = len(rd.Entries) > 0 || rd.Snapshot != nil || hard.Term != r.saved.Term || hard.Vote != r.saved.Vote
 	rd.Messages = r.messages
-	rd.Committed = r.log.slice(r.log.applied, r.log.committed)
+	rd.Committed = r.log.slice(r.log.applying, r.log.committed)
 	rd.Reads = r.readyReads
 	r.pendingReady = rd
 	ok = rd.HardState != nil || rd.MustSync || len(rd.Messages) > 0 || len(rd.Committed) > 0 || len(rd.Reads) > 0
@@ -60,7 +63,7 @@
 	r.messages = r.messages[len(rd.Messages):]
 	r.readyReads = r.readyReads[len(rd.Reads):]
 	if n := len(rd.Committed); n > 0 {
-		r.log.applied = max(r.log.applied, rd.Committed[n-1].Index)
+		r.log.applying = max(r.log.applying, rd.Committed[n-1].Index)
 	}
 	if n := len(rd.Entries); n > 0 {
 		last := rd.Entries[n-1]
@@ -76,6 +79,11 @@
 	}
 }
 
+// AppliedTo reports that the state machine has applied all entries up to index.
+func (r *Raft) AppliedTo(index uint64) {
+	r.log.applied = max(r.log.applied, min(index, r.log.applying))
+}
+
 // Compact discards the log up to index and returns the snapshot that replaces it. data is
 // the encoded state machine after the entry at index. Compact returns nil and does nothing
 // unless that entry has been applied and is newer than the last snapshot.
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -34,7 +34,7 @@
 		var index, term uint64
 		index, term, proposeErr = r.raft.Propose(data)
 		if proposeErr == nil {
-			r.proposals[index] = pendingProposal{term: term, done: answer}
+			r.proposals.add(index, pendingProposal{term: term, done: answer})
 		}
 	})
 	if err == nil {
--- a/internal/replica/propose_test.go
+++ b/internal/replica/propose_test.go
@@ -34,7 +34,7 @@
 // functions passed to runInLoop until the test ends.
 func newTestReplica(t *testing.T, group *Group, raft *consensus.Raft) *Replica {
 	t.Helper()
-	r := &Replica{options: Options{Group: group}, raft: raft, calls: make(chan func()), done: make(chan struct{}), proposals: map[uint64]pendingProposal{}, relays: newRelayTable()}
+	r := &Replica{options: Options{Group: group}, raft: raft, calls: make(chan func()), done: make(chan struct{}), relays: newRelayTable()}
 	r.publishStatus()
 	go func() {
 		for call := range r.calls {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -66,8 +66,10 @@
 	calls chan func()
 	done  chan struct{}
 
+	proposals  proposals
+	applyQueue *applyQueue
+
 	// These fields are used only in the run loop.
-	proposals  map[uint64]pendingProposal
 	reads      map[uint64]chan<- consensus.Read
 	lastReadID uint64
 	hardState  *apiv1.HardState
@@ -102,11 +104,6 @@
 	at time.Time
 }
 
-type pendingProposal struct {
-	term uint64
-	done chan<- *apiv1.AuditRecord
-}
-
 // Open reads the data folder and returns a replica on which Run can be called.
 func Open(options Options) (*Replica, error) {
 	if options.Tick == 0 {
@@ -120,7 +117,7 @@
 		options: options, identity: identity, disk: disk,
 		relays: newRelayTable(), counters: newCounters(),
 		inbox: make(chan []*apiv1.RaftMessage, inputQueueSize), calls: make(chan func(), inputQueueSize), done: make(chan struct{}),
-		proposals: map[uint64]pendingProposal{}, reads: map[uint64]chan<- consensus.Read{},
+		applyQueue: newApplyQueue(), reads: map[uint64]chan<- consensus.Read{},
 		state: estate.NewState(), appliedSignal: make(chan struct{}),
 		hardState: restored.HardState, joinRequests: newJoinRequests(), presence: newPresence(),
 	}
@@ -160,14 +157,24 @@
 	defer cancel()
 	go r.manageMembership(background)
 	go r.quarantine.Store(background, r.options.DataFolder)
-	var stores sync.WaitGroup
-	stores.Go(func() { r.profiles.run(background, r.options.DataFolder) })
-	defer stores.Wait()
+	var loops sync.WaitGroup
+	loops.Go(func() { r.profiles.run(background, r.options.DataFolder) })
+	applyFailed := make(chan error, 1)
+	loops.Go(func() {
+		if err := r.runApply(background); err != nil {
+			applyFailed <- err
+		}
+	})
+	defer loops.Wait()
 	defer cancel()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case err := <-applyFailed:
+			return err
+		case <-r.applyQueue.progressed:
+			r.raft.AppliedTo(r.appliedIndex())
 		case <-ticker.C:
 			r.raft.Tick()
 		case messages := <-r.inbox:
@@ -210,25 +217,15 @@
 		rd, ok := r.raft.Ready()
 		if !ok {
 			r.publishStatus()
-			return nil
+			return r.maybeCompact()
 		}
 		if err := r.persist(rd); err != nil {
 			return err
 		}
 		r.peers.send(rd.Messages, r.raft.Status().Membership)
-		if rd.Snapshot != nil {
-			if err := r.restore(rd.Snapshot); err != nil {
-				return err
-			}
-		}
-		for _, e := range rd.Committed {
-			r.apply(e)
-		}
+		r.applyQueue.put(applyBatch{snapshot: rd.Snapshot, entries: rd.Committed})
 		r.completeReads(rd.Reads)
 		r.raft.Advance()
-		if err := r.maybeCompact(); err != nil {
-			return err
-		}
 	}
 }
 
