consensus: a replica is confirmed by what it has applied, not by contact with a leader

What callers saw: nodes in contact with their control replicas route by an older version, and accept keys that were taken away, although their replica told them that the configuration is the newest.

Cause: the age of the confirmation was the time since the last message of the leader, and on the leader since the last replies of a majority. A new leader counted as confirmed before it had applied, or even known as committed, what the leader before it had acknowledged. The leases of keys, watches and what relays pass on rest on that age.

Change: the messages of a leader name a bound of the commit index: its own commit index or, until it has committed an entry of its term, the last index of its log. The age counts from the last message whose bound the replica has applied. A replica has no such time after its start until then. "detached", by which nodes leave a replica, goes by the same age.

Why it holds: a leader has all committed entries, so none is beyond the bound; one that is applied up to it lacks nothing that was committed when the message was sent. The first bound is kept until it is reached, so that constant changes do not leave every replica unconfirmed. Leaders of earlier builds send no bound; contact counts for them as before.

A check changed: TestReplicaWithBlockedDiskSendsItsWatchersAway waited for the role of the leader and then asked that its watchers stay. A leader that has not applied its first entry now sends them away, so the test waits for that entry first; what it checks is unchanged.

--- a/core/consensus/election.go
+++ b/core/consensus/election.go
@@ -10,6 +10,7 @@
 		p.ticksSinceReply++
 		r.expireSnapshot(p)
 	}
+	r.observeOwnCommit()
 	if r.electionElapsed >= r.electionTicks {
 		r.electionElapsed = 0
 		r.transferee = 0
@@ -70,7 +71,7 @@
 
 func (r *Raft) becomeFollower(term, leader uint64) {
 	if r.role == Leader {
-		r.ticksSinceLeader = r.Status().TicksSinceConfirmed()
+		r.ticksSinceLeader = r.Status().ticksSinceContact()
 	}
 	if term > r.term {
 		r.term, r.vote = term, 0
@@ -137,6 +138,7 @@
 	// (section 5.4.2 of the Raft paper). Without this empty entry they would stay
 	// uncommitted until the next proposal.
 	r.appendEntry(apiv1.EntryKind_ENTRY_KIND_EMPTY, nil)
+	r.observeOwnCommit()
 	r.broadcastAppend()
 }
 
--- a/core/consensus/raft.go
+++ b/core/consensus/raft.go
@@ -11,7 +11,6 @@
 import (
 	"errors"
 	"math/rand/v2"
-	"slices"
 
 	"google.golang.org/protobuf/proto"
 
@@ -126,15 +125,16 @@
 	electionElapsed  int
 	heartbeatElapsed int
 	electionTimeout  int
-	// ticksSinceLeader counts the ticks for which this replica may have missed committed entries. In
-	// contrast to electionElapsed, only a message of the leader resets it: a replica that was removed
+	// ticksSinceLeader counts the ticks since the last contact with a leader. In contrast to
+	// electionElapsed, only a message of the leader resets it: a replica that was removed
 	// or is cut off campaigns again and again and would otherwise never notice.
 	ticksSinceLeader int
-	// knownCommit is the highest index that is known to be committed, which the log may lack.
-	knownCommit uint64
-	votes       map[uint64]bool
-	progress    map[uint64]*progress
-	transferee  uint64
+	freshness        freshness
+	// lastBound is the newest bound of the commit index that is known.
+	lastBound  uint64
+	votes      map[uint64]bool
+	progress   map[uint64]*progress
+	transferee uint64
 
 	round          uint64
 	roundRequested bool
@@ -149,7 +149,7 @@
 
 // New creates a replica from its persistent state.
 func New(c Config, restored PersistentState) *Raft {
-	r := &Raft{id: c.ID, electionTicks: c.ElectionTicks, heartbeatTicks: c.HeartbeatTicks, random: c.Rand}
+	r := &Raft{id: c.ID, electionTicks: c.ElectionTicks, heartbeatTicks: c.HeartbeatTicks, random: c.Rand, freshness: newFreshness()}
 	r.baseMembership = cloneMembership(restored.Founders)
 	if s := restored.Snapshot; s != nil {
 		r.log.reset(s.Index, s.Term)
@@ -189,9 +189,12 @@
 	// TicksSinceLeader is the number of ticks since this replica last received a message from a
 	// leader, or was one in contact with a majority; since its start if it never did.
 	TicksSinceLeader int
-	// KnownCommit is the highest log index that this replica knows to be committed. It is above Commit
-	// while the log lacks committed entries.
-	KnownCommit uint64
+	// CommitBound is an index that no entry exceeded that was committed when the leader last said so.
+	// It is above Applied while the state may lack committed entries.
+	CommitBound uint64
+	// TicksSinceCaughtUp is the number of ticks since the applied state held everything that was
+	// committed, and at least NeverCaughtUp if it never did since the start of this replica.
+	TicksSinceCaughtUp int
 	// ConfigCommitted reports whether the latest membership change is committed.
 	ConfigCommitted bool
 }
@@ -207,32 +210,10 @@
 	return voters
 }
 
-// TicksSinceConfirmed is the number of ticks for which this replica may have missed what others
-// committed: since a follower last received a message from its leader, and on the leader since a
-// majority of the voters last replied.
-func (s Status) TicksSinceConfirmed() int {
-	if s.Role != Leader {
-		return s.TicksSinceLeader
-	}
-	var silences []int
-	for _, m := range s.Membership.GetMembers() {
-		if !m.Learner && m.Id != s.ID {
-			silences = append(silences, s.TicksSinceReply[m.Id])
-		}
-	}
-	slices.Sort(silences)
-	// The leader and as many others as this are a majority.
-	others := s.Voters() / 2
-	if others == 0 || others > len(silences) {
-		return 0
-	}
-	return silences[others-1]
-}
-
 // Status returns the current state of the replica.
 func (r *Raft) Status() Status {
 	s := Status{ID: r.id, Term: r.term, Leader: r.leader, Role: r.role, Commit: r.log.committed, Applied: r.log.applied,
-		LastIndex: r.log.lastIndex(), SnapshotIndex: r.log.snapIndex, KnownCommit: max(r.knownCommit, r.log.committed), Membership: r.membership,
+		LastIndex: r.log.lastIndex(), SnapshotIndex: r.log.snapIndex, CommitBound: r.lastBound, TicksSinceCaughtUp: r.freshness.now - r.freshness.caughtUpAt, Membership: r.membership,
 		TicksSinceLeader: r.ticksSinceLeader, ConfigCommitted: r.configIndex <= r.log.committed}
 	if r.role == Leader {
 		s.Match, s.TicksSinceReply = map[uint64]uint64{}, map[uint64]int{}
@@ -248,6 +229,7 @@
 
 // Tick advances the replica's logical clock by one tick.
 func (r *Raft) Tick() {
+	r.freshness.now++
 	r.electionElapsed++
 	if r.role == Leader {
 		r.tickLeader()
--- a/core/consensus/ready.go
+++ b/core/consensus/ready.go
@@ -82,6 +82,7 @@
 // AppliedTo reports that the state machine has applied all entries up to index.
 func (r *Raft) AppliedTo(index uint64) {
 	r.log.applied = max(r.log.applied, min(index, r.log.applying))
+	r.freshness.reached(r.log.applied)
 }
 
 // Compact discards the log up to index and returns the snapshot that replaces it. data is
--- a/core/consensus/step.go
+++ b/core/consensus/step.go
@@ -71,14 +71,16 @@
 	case apiv1.MessageKind_MESSAGE_KIND_APPEND:
 		r.recordLeaderContact(m)
 		r.handleAppend(m)
+		r.observeLeaderCommit(m.CommitBound)
 	case apiv1.MessageKind_MESSAGE_KIND_HEARTBEAT:
 		r.recordLeaderContact(m)
 		r.log.committed = max(r.log.committed, min(m.Commit, r.log.lastIndex()))
-		r.knownCommit = max(r.knownCommit, m.LeaderCommit)
+		r.observeLeaderCommit(m.CommitBound)
 		r.send(&apiv1.RaftMessage{Kind: apiv1.MessageKind_MESSAGE_KIND_HEARTBEAT_REPLY, To: m.From, Round: m.Round})
 	case apiv1.MessageKind_MESSAGE_KIND_SNAPSHOT:
 		r.recordLeaderContact(m)
 		r.handleSnapshot(m)
+		r.observeLeaderCommit(m.CommitBound)
 	case apiv1.MessageKind_MESSAGE_KIND_APPEND_REPLY:
 		r.handleAppendReply(m)
 	case apiv1.MessageKind_MESSAGE_KIND_HEARTBEAT_REPLY:
@@ -145,7 +147,6 @@
 		return
 	}
 	r.appendMissing(m.Entries)
-	r.knownCommit = max(r.knownCommit, m.Commit)
 	last := m.Index + uint64(len(m.Entries))
 	r.log.committed = max(r.log.committed, min(m.Commit, last))
 	reply.Index = last
@@ -273,7 +274,7 @@
 		}
 		// Commit is limited to the member's known match index: beyond it, its log
 		// may still differ from the leader's.
-		r.send(&apiv1.RaftMessage{Kind: apiv1.MessageKind_MESSAGE_KIND_HEARTBEAT, To: m.Id, Commit: min(p.match, r.log.committed), LeaderCommit: r.log.committed, Round: r.round})
+		r.send(&apiv1.RaftMessage{Kind: apiv1.MessageKind_MESSAGE_KIND_HEARTBEAT, To: m.Id, Commit: min(p.match, r.log.committed), CommitBound: r.commitBound(), Round: r.round})
 	}
 	r.confirmReads()
 }
@@ -298,7 +299,7 @@
 		return
 	}
 	entries := limitAppendBytes(r.log.slice(prev, min(r.log.lastIndex(), prev+maxEntriesPerAppend)))
-	r.send(&apiv1.RaftMessage{Kind: apiv1.MessageKind_MESSAGE_KIND_APPEND, To: to, Index: prev, LogTerm: term, Entries: entries, Commit: r.log.committed})
+	r.send(&apiv1.RaftMessage{Kind: apiv1.MessageKind_MESSAGE_KIND_APPEND, To: to, Index: prev, LogTerm: term, Entries: entries, Commit: r.log.committed, CommitBound: r.commitBound()})
 	if p.probing {
 		p.paused = true
 	} else {
@@ -326,6 +327,7 @@
 	}
 	p.pendingSnapshot, p.snapshotTicks = m.Snapshot.Index, 0
 	p.next = m.Snapshot.Index + 1
+	m.CommitBound = r.commitBound()
 	r.send(m)
 }
 
--- a/internal/replica/counters.go
+++ b/internal/replica/counters.go
@@ -44,7 +44,7 @@
 		"control_confirmed_age_ms":    gauge(func() any { return r.confirmedAge().Milliseconds() }),
 		"control_term":                gauge(func() any { return r.Status().Term }),
 		"control_commit":              gauge(func() any { return r.Status().Commit }),
-		"control_known_commit":        gauge(func() any { return r.Status().KnownCommit }),
+		"control_commit_bound":        gauge(func() any { return r.Status().CommitBound }),
 		"control_applied":             gauge(func() any { return r.Status().Applied }),
 	}
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -262,13 +262,13 @@
 }
 
 func (l *lagLogger) observe(replica string, s consensus.Status, now time.Time) {
-	behind := s.Applied < s.KnownCommit
+	behind := s.Applied < s.CommitBound
 	switch {
 	case behind && l.since.IsZero():
 		l.since = now
 	case behind && !l.logged && now.Sub(l.since) >= lagLogThreshold:
 		l.logged = true
-		klog.InfoS("Control replica behind", "replica", replica, "applied", s.Applied, "lastIndex", s.LastIndex, "knownCommit", s.KnownCommit, "term", s.Term)
+		klog.InfoS("Control replica behind", "replica", replica, "applied", s.Applied, "lastIndex", s.LastIndex, "commitBound", s.CommitBound, "term", s.Term)
 	case !behind:
 		if l.logged {
 			klog.InfoS("Control replica caught up", "replica", replica, "applied", s.Applied, "after", now.Sub(l.since))
--- a/internal/replica/watch.go
+++ b/internal/replica/watch.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
+	"math"
 	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
 
 	apiv1 "cactuspath/api/cactuspath/v1"
-	"cactuspath/core/consensus"
 )
 
 const (
@@ -16,9 +16,8 @@
 	// core. In larger fleets, nodes receive changes from their relays.
 	maxWatchers = 512
 	maxHold     = 5 * time.Second
-	// A follower that has not heard from the leader for detachedTimeout, which is a few missed
-	// heartbeats, tells its watchers to use another replica. So does any replica whose run loop has
-	// been blocked for as long.
+	// A replica that may have lacked changes for detachedTimeout, which is a few missed heartbeats,
+	// tells its watchers to use another one.
 	detachedTimeout = 600 * time.Millisecond
 	// detachedCheckInterval is the interval at which a call to Watch that waits for a change checks
 	// whether the replica has lost contact with the leader.
@@ -50,7 +49,7 @@
 	r.watchers.active.Add(-1)
 	r.counters.watches.Add(1)
 	resp.Detached = r.detached()
-	resp.HeldMs, resp.ConfirmedAgeMs = uint32(time.Since(arrived).Milliseconds()), uint32(r.confirmedAge().Milliseconds())
+	resp.HeldMs, resp.ConfirmedAgeMs = uint32(time.Since(arrived).Milliseconds()), uint32(min(r.confirmedAge().Milliseconds(), math.MaxUint32))
 	resp.Replicas = memberAddresses(r.Status().Membership)
 	r.mu.RLock()
 	if r.state.Revision() > req.Msg.Revision {
@@ -102,21 +101,14 @@
 	}
 }
 
-// detached reports whether this replica may miss changes: it neither leads nor has heard from a
-// leader within detachedTimeout, or its run loop is blocked, as by a disk that does not respond.
-// The status is then that of before, also on a replica that has lost its role as the leader since.
+// detached reports whether this replica may lack changes that were acknowledged a while ago: it is
+// not in contact with a leader or a majority, it has not received or applied what is committed, or
+// its run loop is blocked, as by a disk that does not respond. The status is then that of before.
 func (r *Replica) detached() bool {
-	s := r.status.Load()
-	if time.Since(s.at) > detachedTimeout {
-		return true
-	}
-	if s.Role == consensus.Leader {
-		return false
-	}
-	return s.Leader == 0 || time.Duration(s.TicksSinceLeader)*r.options.Tick > detachedTimeout
+	return r.status.Load().Leader == 0 || r.confirmedAge() > detachedTimeout
 }
 
-// confirmedAge returns for how long this replica may have missed changes.
+// confirmedAge returns for how long the applied configuration may have lacked changes.
 func (r *Replica) confirmedAge() time.Duration {
 	s := r.status.Load()
 	return time.Since(s.at) + time.Duration(s.TicksSinceConfirmed())*r.options.Tick
--- a/internal/replica/watch_test.go
+++ b/internal/replica/watch_test.go
@@ -8,15 +8,15 @@
 	"gotest.tools/v3/assert"
 
 	apiv1 "cactuspath/api/cactuspath/v1"
-	"cactuspath/core/consensus"
 )
 
 // Guards against nodes that stay with a replica whose disk does not respond: its status is still
 // the one of before, so that it would go on to tell them that nothing is new.
 func TestReplicaWithBlockedDiskSendsItsWatchersAway(t *testing.T) {
 	r, _ := runProfileReplica(t, t.TempDir(), false)
-	for until := time.Now().Add(10 * time.Second); r.Status().Role != consensus.Leader; time.Sleep(5 * time.Millisecond) {
-		assert.Assert(t, time.Now().Before(until), "no leader")
+	waitForLeader(t, r)
+	for until := time.Now().Add(10 * time.Second); r.detached(); time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(until), "the leader has not applied its first entry")
 	}
 	held := watchReplica(t, r, &apiv1.WatchRequest{Revision: r.state.Revision(), HoldMs: 50})
 	assert.Assert(t, !held.Detached)
