replica: the log is compacted by entries too, and in the background

Cause: only the bytes of the log file were limited, 8 MiB. Entries of 50 to 300 bytes fit in by the ten thousands, and each is applied again.

Change: the log is compacted after 4,096 applied entries as well.

Why it holds: published records are replaced and never modified, so they can be encoded while the state changes.

--- a/internal/replica/disk.go
+++ b/internal/replica/disk.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
+	apiv1 "cactuspath/api/cactuspath/v1"
 	"cactuspath/core/consensus"
 	"cactuspath/core/estate"
 )
@@ -13,8 +16,9 @@
 // This file stores the state, compacts the log and handles a disk that rejects writes.
 
 const (
-	// compactThresholdBytes limits the size of the log file, and thus the time to restart.
-	compactThresholdBytes = 8 << 20
+	// compactThresholdBytes and compactThresholdEntries limit the log, and thus the time to restart.
+	compactThresholdBytes   = 8 << 20
+	compactThresholdEntries = 4096
 	// compactRetryInterval is the delay before compaction is retried after a disk error.
 	compactRetryInterval = 5 * time.Second
 	// diskRetryInterval is the interval of retries on a disk that rejected a write.
@@ -70,26 +74,61 @@
 	return r.disk.Flush(rd.MustSync)
 }
 
-func (r *Replica) maybeCompact() error {
-	if r.disk.Size() < compactThresholdBytes || time.Now().Before(r.compactAfter) {
-		return nil
+// maybeCompact starts to compact the log if it is long. The snapshot is made and stored in the
+// background, since that takes a time that grows with the state.
+func (r *Replica) maybeCompact(ctx context.Context, loops *sync.WaitGroup) {
+	s := r.status.Load()
+	if r.compacting || time.Now().Before(r.compactAfter) || r.disk.Size() < compactThresholdBytes && s.Applied < s.SnapshotIndex+compactThresholdEntries {
+		return
 	}
+	r.compacting = true
+	loops.Go(func() {
+		err := r.compact(ctx)
+		if err != nil && ctx.Err() == nil {
+			// The existing log stays valid; it is only longer than necessary.
+			klog.ErrorS(err, "Log not compacted; will retry", "replica", r.options.Name)
+		}
+		_ = r.runInLoop(ctx, func() {
+			r.compacting = false
+			if err != nil {
+				r.compactAfter = time.Now().Add(compactRetryInterval)
+			}
+		})
+	})
+}
+
+// compact replaces the applied part of the log by a snapshot. It is called outside the run loop.
+func (r *Replica) compact(ctx context.Context) error {
+	begin := time.Now()
 	r.mu.RLock()
-	data, err := estate.Marshal(r.state.Snapshot())
-	applied := r.applied
+	state, index := r.state.Snapshot(), r.applied
 	r.mu.RUnlock()
+	// Records that are in use are replaced and never modified, so that they can be encoded meanwhile.
+	data, err := estate.Marshal(state)
 	if err != nil {
 		return err
 	}
-	s := r.raft.Compact(applied, data)
-	if s == nil {
-		return nil
+	var s *apiv1.Snapshot
+	err = r.runInLoop(ctx, func() {
+		r.raft.AppliedTo(index)
+		s = r.raft.Compact(index, data)
+	})
+	if err != nil || s == nil {
+		return err
+	}
+	if err := r.disk.PrepareSnapshot(s); err != nil {
+		return err
 	}
-	r.counters.compactions.Add(1)
-	if err := r.disk.Compact(s, r.raft.EntriesAfter(s.Index), r.hardState); err != nil {
-		// The existing log stays valid; it is only longer than necessary.
-		klog.ErrorS(err, "Log not compacted; will retry", "replica", r.options.Name)
-		r.compactAfter = time.Now().Add(compactRetryInterval)
+	var installErr error
+	err = r.runInLoop(ctx, func() {
+		if r.raft.Status().SnapshotIndex == s.Index {
+			installErr = r.disk.InstallSnapshot(s, r.raft.EntriesAfter(s.Index), r.hardState)
+		}
+	})
+	if err != nil || installErr != nil {
+		return errors.CombineErrors(err, installErr)
 	}
+	r.counters.compactions.Add(1)
+	klog.InfoS("Log compacted", "replica", r.options.Name, "index", s.Index, "bytes", len(data), "after", time.Since(begin))
 	return nil
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -73,7 +73,9 @@
 	reads      map[uint64]chan<- consensus.Read
 	lastReadID uint64
 	hardState  *apiv1.HardState
-	// compactAfter is the earliest time at which compaction of the log is retried after a failure.
+	// compacting is set while the log is being compacted, and compactAfter is the earliest time at
+	// which this is retried after a failure.
+	compacting   bool
 	compactAfter time.Time
 
 	mu      sync.RWMutex
@@ -148,7 +150,6 @@
 // Run runs the replica until ctx ends. While the disk rejects writes, the replica is not the leader
 // and acknowledges neither changes nor log entries.
 func (r *Replica) Run(ctx context.Context) error {
-	defer close(r.done)
 	defer r.peers.close()
 	defer r.disk.Close()
 	ticker := time.NewTicker(r.options.Tick)
@@ -166,6 +167,7 @@
 		}
 	})
 	defer loops.Wait()
+	defer close(r.done)
 	defer cancel()
 	for {
 		select {
@@ -186,6 +188,7 @@
 		if err := r.processReady(); err != nil && !r.waitForDisk(ctx, err) {
 			return nil
 		}
+		r.maybeCompact(background, &loops)
 	}
 }
 
@@ -217,7 +220,7 @@
 		rd, ok := r.raft.Ready()
 		if !ok {
 			r.publishStatus()
-			return r.maybeCompact()
+			return nil
 		}
 		if err := r.persist(rd); err != nil {
 			return err
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -17,6 +17,8 @@
 const (
 	logName      = "log"
 	snapshotName = "snapshot"
+	// preparedName is a complete snapshot that does not replace the current one yet.
+	preparedName = "snapshot.prepared"
 	identityName = "identity.json"
 	lockName     = "lock"
 	filePerm     = 0o600
@@ -342,16 +344,36 @@
 
 // Compact saves a snapshot and rewrites the log to hold only the entries that follow it.
 func (l *Log) Compact(s *apiv1.Snapshot, entries []*apiv1.LogEntry, hardState *apiv1.HardState) error {
-	payload, err := proto.Marshal(s)
-	if err != nil {
+	if err := l.writeSnapshot(snapshotName, s); err != nil {
 		return err
 	}
-	if err := WriteSynced(l.folder, snapshotName, appendRecord(nil, kindBase, payload)); err != nil {
-		return err
+	return l.rewrite(s, entries, hardState)
+}
+
+// PrepareSnapshot saves a snapshot for InstallSnapshot. In contrast to all other methods, it may be
+// called while the log is in use.
+func (l *Log) PrepareSnapshot(s *apiv1.Snapshot) error { return l.writeSnapshot(preparedName, s) }
+
+// InstallSnapshot replaces the current snapshot by the prepared one, which must be s, and rewrites the
+// log to hold only the entries that follow it.
+func (l *Log) InstallSnapshot(s *apiv1.Snapshot, entries []*apiv1.LogEntry, hardState *apiv1.HardState) error {
+	if err := os.Rename(filepath.Join(l.folder, preparedName), filepath.Join(l.folder, snapshotName)); err != nil {
+		return errors.Wrap(err, "install the snapshot")
+	}
+	if err := syncFolder(l.folder); err != nil {
+		return errors.Wrap(err, "sync the data folder")
 	}
 	return l.rewrite(s, entries, hardState)
 }
 
+func (l *Log) writeSnapshot(name string, s *apiv1.Snapshot) error {
+	payload, err := proto.Marshal(s)
+	if err != nil {
+		return err
+	}
+	return WriteSynced(l.folder, name, appendRecord(nil, kindBase, payload))
+}
+
 // rewrite replaces the log file. The snapshot that it continues is already on disk, so a crash at
 // any point leaves a consistent log and snapshot.
 func (l *Log) rewrite(s *apiv1.Snapshot, entries []*apiv1.LogEntry, hardState *apiv1.HardState) error {
