rollout: a delta sorts only the records that it holds

For each watch that a change answers, a replica sorted the keys of all records: 3.6 ms at 10,890 routes, 1.9 s of processor time for the 512 watchers that it may have.

Change: the records that changed are picked out first and then sorted.

--- a/core/rollout/records.go
+++ b/core/rollout/records.go
@@ -384,13 +384,19 @@
 	return slices.DeleteFunc(sortedByKey(records), R.GetRemoved)
 }
 
-// changedSince returns the records with ChangedAt above since, sorted by key.
+// changedSince returns the records with ChangedAt above since, sorted by key. There are few of them in
+// most cases, so they are picked out before they are sorted.
 func changedSince[R interface{ GetChangedAt() uint64 }](records map[string]R, since uint64) []R {
-	var list []R
-	for _, record := range sortedByKey(records) {
+	var keys []string
+	for key, record := range records {
 		if record.GetChangedAt() > since {
-			list = append(list, record)
+			keys = append(keys, key)
 		}
 	}
+	slices.Sort(keys)
+	var list []R
+	for _, key := range keys {
+		list = append(list, records[key])
+	}
 	return list
 }
