node: a planned stop does not wait for connections on which no request has arrived

What callers saw: nothing. Operators saw a node that used all of its stop timeout and ended with exit code 1 and "requests were still in flight", with none in flight; beside other stops that is close to the end of the grace time, after which processes are killed.

Cause: the shutdown of a net/http server waits for connections that are not five seconds old and have sent nothing. Peers open such spare connections, and so may anybody at the admin address.

TestPlannedStopDoesNotWaitForConnectionsWithoutRequests fails on the code before for the peer and the admin address (exit code 1).

Change: 0.25 s after a shutdown began, connections on which nothing has arrived are closed; what such a peer sends later goes to a node that has left the directory.

--- a/internal/e2e/stop_test.go
+++ b/internal/e2e/stop_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -141,3 +142,36 @@
 	assert.Equal(t, counts.interrupted.Load(), int64(0))
 	assert.Assert(t, counts.answered.Load() > 0 && counts.notServed.Load() > 0)
 }
+
+// Guards against a planned stop that waits for connections on which no request has arrived, and that
+// reports requests as cut.
+func TestPlannedStopDoesNotWaitForConnectionsWithoutRequests(t *testing.T) {
+	c := newCluster(t, 1).start()
+	n := c.addNodeWith(nodeOptions{dataCenter: "dc-a", stopTimeout: shortStop})
+	eventually(t, "the node runs", func() bool { return adminResponds(n) })
+	for _, address := range []string{n.callers, n.peer, n.admin} {
+		stop := make(chan struct{})
+		var dialers sync.WaitGroup
+		dialers.Go(func() {
+			for {
+				conn, err := net.Dial("tcp", address)
+				if err == nil {
+					defer conn.Close()
+				}
+				select {
+				case <-stop:
+					return
+				case <-time.After(200 * time.Millisecond):
+				}
+			}
+		})
+		time.Sleep(500 * time.Millisecond)
+		n.signal(syscall.SIGTERM)
+		<-n.done
+		close(stop)
+		dialers.Wait()
+		assert.Check(t, n.cmd.ProcessState.ExitCode() == 0, "connections to %s: %s", address, n.log)
+		n.start(t)
+		eventually(t, "the node runs", func() bool { return adminResponds(n) })
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -248,6 +248,8 @@
 	// The shutdown waits for all responses, and held ones would use up the stop timeout.
 	peer.RegisterOnShutdown(n.relay.releaseHeld)
 	admin := &http.Server{Handler: n.adminHandler(), ReadHeaderTimeout: headerTimeout}
+	transport.CloseUnusedOnShutdown(peer)
+	transport.CloseUnusedOnShutdown(admin)
 	start := func(s httpServer, l net.Listener) {
 		go func() {
 			if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
