--- a/internal/capacity/data.go
+++ b/internal/capacity/data.go
@@ -64,12 +64,13 @@
 }
 
 // EstateSlope is the cost of one institution's configuration text with Services services:
-// the sizes of its forms, and the times to parse it and to apply a change.
+// the sizes of its forms, and the times to propose a change of one service, which compiles the
+// text, and to apply it on each replica.
 type EstateSlope struct {
 	Services      int     `json:"services"`
 	TextBytes     int     `json:"textBytes"`
 	PackedBytes   int     `json:"packedBytes"`
-	ParseMillis   float64 `json:"parseMillis"`
+	ProposeMillis float64 `json:"proposeMillis"`
 	ApplyMillis   float64 `json:"applyMillis"`
 	SnapshotBytes int     `json:"snapshotBytes"`
 }
@@ -89,9 +90,10 @@
 	SyncMicros     float64 `json:"syncMicros"`
 }
 
-// RecoverySlope is the time in which a control replica restarts with Entries entries in its
-// log.
+// RecoverySlope is the time in which a control replica restarts with Entries changes in its
+// log, each of one service of a text with Services services.
 type RecoverySlope struct {
+	Services int     `json:"services"`
 	Entries  int     `json:"entries"`
 	LogBytes int64   `json:"logBytes"`
 	Millis   float64 `json:"millis"`
--- a/internal/capacity/render.go
+++ b/internal/capacity/render.go
@@ -72,7 +72,13 @@
 	nodeBytes, nodeCPU, nodeMB   Fit
 	relayCPU, relayMB, leaderCPU Fit
 	relayHeap, heartbeat, tick   Fit
-	apply, snapshot, packed      Fit
+	propose, apply               Fit
+	snapshot, packed             Fit
+}
+
+// change returns the milliseconds that a change costs the leader.
+func (f fittedLines) change(services float64) float64 {
+	return f.propose.At(services) + f.apply.At(services)
 }
 
 func fitAll(d *Data) fittedLines {
@@ -91,6 +97,7 @@
 		relayHeap: fitMeasurements(d.Slopes.Directory, entries, func(s DirectorySlope) float64 { return s.HeapMB }),
 		heartbeat: fitMeasurements(d.Slopes.Directory, entries, func(s DirectorySlope) float64 { return s.HeartbeatMicros }),
 		tick:      fitMeasurements(d.Slopes.Directory, entries, func(s DirectorySlope) float64 { return s.TickMicros }),
+		propose:   fitMeasurements(d.Slopes.Estate, services, func(s EstateSlope) float64 { return s.ProposeMillis }),
 		apply:     fitMeasurements(d.Slopes.Estate, services, func(s EstateSlope) float64 { return s.ApplyMillis }),
 		snapshot:  fitMeasurements(d.Slopes.Estate, services, func(s EstateSlope) float64 { return float64(s.SnapshotBytes) }),
 		packed:    fitMeasurements(d.Slopes.Estate, services, func(s EstateSlope) float64 { return float64(s.PackedBytes) }),
@@ -112,7 +119,8 @@
 	add("relay, heap of the directory", "entries", f.relayHeap, "MB", "slopes")
 	add("relay, one heartbeat without transport", "entries", f.heartbeat, "µs", "slopes")
 	add("relay, one tick", "entries", f.tick, "µs", "slopes")
-	add("replica, applying one change", "services in the text", f.apply, "ms", "slopes")
+	add("replica that is asked, compiling and proposing one change", "services in the text", f.propose, "ms", "slopes")
+	add("each replica, applying one change", "services in the text", f.apply, "ms", "slopes")
 	add("replica, snapshot without audit trail", "services in the text", f.snapshot, "B", "slopes")
 	add("replica, one change in the log", "services in the text", f.packed, "B", "slopes")
 	return t.String()
@@ -160,7 +168,7 @@
 	servedBytes := nodesPerRelay * nodeBytes
 	pulls := 2 + math.Ceil((targetDataCenters-1)/relaysPerCenter)
 	add("relay", "bytes", fmt.Sprintf("%d nodes × %s B/s + %.0f pulls/s sent and as many served × 400 B (assumed)", nodesPerRelay, formatNumber(nodeBytes), pulls), servedBytes+2*pulls*400, "B/s", limitBytesPerSecond)
-	add("control replica as leader", "processor", fmt.Sprintf("%s + %.3g × %.0f relays + %.2f changes/s × %s ms", formatNumber(f.leaderCPU.Intercept), f.leaderCPU.Slope, relays, changesPerSecond, formatNumber(f.apply.At(targetServices))), f.leaderCPU.At(relays)+changesPerSecond*f.apply.At(targetServices)/10, "% of a core", 0)
+	add("control replica as leader", "processor", fmt.Sprintf("%s + %.3g × %.0f relays + %.2f changes/s × %s ms", formatNumber(f.leaderCPU.Intercept), f.leaderCPU.Slope, relays, changesPerSecond, formatNumber(f.change(targetServices))), f.leaderCPU.At(relays)+changesPerSecond*f.change(targetServices)/10, "% of a core", 0)
 	add("control replica as leader", "messages", fmt.Sprintf("%.0f relays × 1/s, 5 peers × 5 heartbeats/s", relays), relays+25, "/s", 0)
 	add("control replica", "log written", fmt.Sprintf("%d changes × %s KB", targetChangesPerDay, formatNumber(f.packed.At(targetServices)/1000)), float64(targetChangesPerDay)*f.packed.At(targetServices)/1e6, "MB a day", 0)
 	add("control replica", "snapshot", fmt.Sprintf("%s KB + 50,000 audit records × 100 B (assumed)", formatNumber(f.snapshot.At(targetServices)/1000)), (f.snapshot.At(targetServices)+50_000*100)/1e6, "MB", 0)
@@ -195,7 +203,7 @@
 	changedEntries := 600.0 / secondsPerDay * float64(targetRestartsPerDay+targetFailuresPerDay)
 	t.row("two regions apart for 10 minutes", fmt.Sprintf("%.0f entries changed meanwhile", changedEntries), fmt.Sprintf("cursors go on: %.0f × %d B = %s KB to each relay; no entry is marked failed across the cut", changedEntries, entryBytes, formatNumber(changedEntries*entryBytes/1000)))
 	burst := d.Slopes.Rejoin[1]
-	t.row("100 changes in a minute", "every relay pulls once a second", fmt.Sprintf("%s KB to each relay, %s KB to each node in all, in whichever pulls; the leader applies 1.7/s × %s ms = %s %% of a core", formatNumber(float64(burst.RelayBytes)/1000), formatNumber(float64(burst.Bytes)/1000), formatNumber(f.apply.At(targetServices)), formatNumber(1.67*f.apply.At(targetServices)/10)))
+	t.row("100 changes in a minute", "every relay pulls once a second", fmt.Sprintf("%s KB to each relay, %s KB to each node in all, in whichever pulls; the leader compiles and applies 1.7/s × %s ms = %s %% of a core", formatNumber(float64(burst.RelayBytes)/1000), formatNumber(float64(burst.Bytes)/1000), formatNumber(f.change(targetServices)), formatNumber(1.67*f.change(targetServices)/10)))
 	t.row("all nodes of a data centre restart together", fmt.Sprintf("%.0f nodes look for a relay", perCenter), fmt.Sprintf("pauses grow from 0.1 s to 5 s with jitter: at most %.0f requests in the first second and %.0f a second after, against %.0f relay syncs a second in any case; each node then takes %s KB", perCenter*4, perCenter/5, math.Ceil(perCenter/nodesPerRelay)*targetDataCenters, formatNumber(float64(d.Slopes.Rejoin[0].FirstBytes)/1000)))
 	t.row("the leader lost at the same time", "no answer for 1 to 4 s", "nodes and relays go on with what they have; a submit under way is sent again under its id; relays report to the new leader within 1 s")
 	slow, fast := d.Path.Data[0], d.Path.Data[2]
@@ -216,7 +224,7 @@
 	t.WriteString(u.String() + "\n")
 	v := newTable("restart of a replica", "log", "until applied")
 	for _, r := range d.Slopes.Recovery {
-		v.row(fmt.Sprintf("%d entries", r.Entries), formatNumber(float64(r.LogBytes)/1000)+" KB", formatNumber(r.Millis)+" ms")
+		v.row(fmt.Sprintf("%d changes of %d services", r.Entries, r.Services), formatNumber(float64(r.LogBytes)/1000)+" KB", formatNumber(r.Millis)+" ms")
 	}
 	t.WriteString(v.String() + "\n")
 	w := newTable("submits, one replica", "a second", "syncs a change", "one sync")
--- a/internal/capacity/slopes_test.go
+++ b/internal/capacity/slopes_test.go
@@ -62,8 +62,8 @@
 		for _, w := range []int{1, 16} {
 			s.Submit = append(s.Submit, measureSubmit(b, w))
 		}
-		for _, n := range []int{500, 2000, 8000} {
-			s.Recovery = append(s.Recovery, measureRecovery(b, n))
+		for _, n := range []int{1, 250, 950} {
+			s.Recovery = append(s.Recovery, measureRecovery(b, 990, n))
 		}
 		text, err := json.MarshalIndent(s, "", "  ")
 		assert.NilError(b, err)
@@ -233,22 +233,37 @@
 func measureEstate(b *testing.B, services int) EstateSlope {
 	text := testEstate(services, 0)
 	s := EstateSlope{Services: services, TextBytes: len(text), PackedBytes: len(estate.Gzip([]byte(text)))}
-	s.ParseMillis = micros(5, func() { estate.Parse([]byte(text)) }) / 1000
-	state := estate.NewState()
-	const changes = 20
-	s.ApplyMillis = micros(1, func() {
-		for v := range changes {
-			change := &apiv1.Change{Id: fmt.Sprint(v), Operator: "mai", UnixMs: 1764700000000, Kind: &apiv1.Change_Submit{Submit: &apiv1.SubmitChange{
-				Institution: "a", BaseRevision: uint64(v), TextGzip: estate.Gzip([]byte(testEstate(services, v)))}}}
-			state.Apply(uint64(v+1), change)
-		}
-	}) / changes / 1000
+	proposer, state := estate.NewState(), estate.NewState()
+	var changes []*apiv1.Change
+	begin := time.Now()
+	for v := range 20 {
+		changes = append(changes, compiledChange(b, proposer, services, v))
+	}
+	s.ProposeMillis = float64(time.Since(begin).Microseconds()) / float64(len(changes)) / 1000
+	i := 0
+	s.ApplyMillis = micros(len(changes), func() {
+		state.Apply(uint64(i+1), changes[i])
+		i++
+	}) / 1000
 	snapshot, err := estate.Marshal(state.Snapshot())
 	assert.NilError(b, err)
 	s.SnapshotBytes = len(snapshot)
 	return s
 }
 
+// compiledChange returns the change that makes a text of one version that of the next, as a replica
+// proposes it, and applies it to the state.
+func compiledChange(b *testing.B, state *estate.State, services, version int) *apiv1.Change {
+	text := []byte(testEstate(services, version))
+	doc, problems := estate.Parse(text)
+	assert.Assert(b, len(problems) == 0, "%v", problems)
+	submit := &apiv1.SubmitChange{Institution: "a", BaseRevision: uint64(version), TextGzip: estate.Gzip(text)}
+	change := &apiv1.Change{Id: fmt.Sprint(version), Operator: "mai", UnixMs: 1764700000000, Kind: &apiv1.Change_Submit{Submit: submit}}
+	submit.Compiled = state.Compile(change, doc)
+	state.Apply(uint64(version+1), proto.CloneOf(change))
+	return change
+}
+
 func pickNanos(n int) float64 {
 	p := balancer.NewPool(leastoutstanding.New(rand.New(rand.NewPCG(1, 1))))
 	var list []balancer.Candidate
@@ -331,15 +346,14 @@
 	})
 }
 
-func measureRecovery(b *testing.B, entries int) RecoverySlope {
+func measureRecovery(b *testing.B, services, entries int) RecoverySlope {
 	folder := filepath.Join(b.TempDir(), "data")
 	assert.NilError(b, wal.WriteIdentity(folder, wal.Identity{MemberID: 1, Name: "c", Founders: map[string]wal.Member{"c": {ID: 1, Address: "127.0.0.1:1"}}}))
 	log, _, _, err := wal.Open(folder)
 	assert.NilError(b, err)
-	packed := estate.Gzip([]byte(testEstate(10, 0)))
+	proposer := estate.NewState()
 	for i := range entries {
-		change := &apiv1.Change{Id: fmt.Sprint(i), Kind: &apiv1.Change_Submit{Submit: &apiv1.SubmitChange{Institution: "a", BaseRevision: uint64(i), TextGzip: packed}}}
-		data, err := proto.Marshal(change)
+		data, err := proto.Marshal(compiledChange(b, proposer, services, i))
 		assert.NilError(b, err)
 		assert.NilError(b, log.Append([]*apiv1.LogEntry{{Term: 1, Index: uint64(i + 1), Data: data}}, nil))
 	}
@@ -354,5 +368,5 @@
 	}
 	took := time.Since(start)
 	stop()
-	return RecoverySlope{Entries: entries, LogBytes: size, Millis: float64(took.Milliseconds())}
+	return RecoverySlope{Services: services, Entries: entries, LogBytes: size, Millis: float64(took.Milliseconds())}
 }
