front: no request is started behind a response that may yet be broken off

Cause: responses of more than 64 KiB are sent before they are complete and can then only be broken off with their connection, but requests behind them were started at once.

Change: none is started while such a response is being sent.

Why it holds: both sides are decided under the lock of the connection, so a response either becomes one that is sent early before the next request is admitted, or sees that request behind it.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -37,8 +37,12 @@
 	prevDone chan struct{}
 
 	mu sync.Mutex
-	// pending is the number of requests that were read and whose responses were not sent yet.
-	pending int
+	// pending is the number of requests that were read and whose responses were not sent yet, and
+	// lastNumber the number of the last one that was started.
+	pending    int
+	lastNumber uint64
+	// streaming is the number of responses that are sent, or will be, before they are complete.
+	streaming int
 	// closing is set once a response has announced that the connection closes or was aborted.
 	// No further request on the connection is started then.
 	closing  bool
@@ -301,26 +305,21 @@
 	case <-c.ctx.Done():
 		return false
 	}
-	c.mu.Lock()
-	if c.closing || c.server.closed.Load() {
-		// An earlier response has announced that the connection closes, or will do so: the caller
-		// takes this request for unread and sends it again.
-		c.mu.Unlock()
-		c.requestsUnread = true
+	number, ok := c.admitRequest()
+	if !ok {
 		return false
 	}
-	c.pending++
-	c.mu.Unlock()
 	ctx, cancel := context.WithCancel(c.ctx)
 	r = r.WithContext(ctx)
 	r.RemoteAddr = c.raw.RemoteAddr().String()
 	w := newResponse(c, r, c.prevDone)
+	w.number = number
 	c.prevDone = w.done
 	w.mustClose = wantsClose(r)
 	bodyFinished, ok := c.prepareBody(r, w)
 	if !ok {
 		cancel()
-		c.finishRequest()
+		c.finishRequest(w)
 		close(w.done)
 		<-c.pipelineSlots
 		c.cancel()
@@ -345,6 +344,48 @@
 	return !w.mustClose || c.watchHangup()
 }
 
+// admitRequest reports whether another request may be started, and returns its number. It waits while
+// an earlier response is sent before it is complete: if that one is broken off, the connection is
+// reset, and a request that was started behind it would run and get no response.
+func (c *conn) admitRequest() (number uint64, ok bool) {
+	for {
+		c.mu.Lock()
+		switch {
+		case c.closing || c.server.closed.Load():
+			// An earlier response has announced that the connection closes, or will do so: the caller
+			// takes this request for unread and sends it again.
+			c.mu.Unlock()
+			c.requestsUnread = true
+			return 0, false
+		case c.streaming == 0:
+			defer c.mu.Unlock()
+			c.pending++
+			c.lastNumber++
+			return c.lastNumber, true
+		}
+		c.mu.Unlock()
+		c.awaitUnread(nil, c.prevDone)
+		if c.ctx.Err() != nil {
+			return 0, false
+		}
+	}
+}
+
+// beginStreaming reports whether the response may be sent before it is complete. It may not while
+// requests behind it have been started, unless force is set.
+func (c *conn) beginStreaming(w *response, force bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !w.streaming && !force && c.lastNumber > w.number {
+		return false
+	}
+	if !w.streaming {
+		w.streaming = true
+		c.streaming++
+	}
+	return true
+}
+
 // awaitUnread waits until one of the channels is closed: the handler has read the body of the last
 // request, or its response has been sent. This may take long, and nothing else reads the connection
 // meanwhile, so the running requests are canceled here if the caller disconnects.
@@ -421,7 +462,8 @@
 			}
 			w.abort()
 		}
-		w.closeAfter = c.finishRequest() || w.closeAfter
+		w.release()
+		w.closeAfter = c.finishRequest(w) || w.closeAfter
 		close(w.done)
 		w.closeIfLast()
 	}()
@@ -433,10 +475,13 @@
 // Shutdown that runs after the response was sent and before this call considers the
 // connection busy and leaves it open. Without the second check here, the connection would
 // stay open for the idle timeout and delay the shutdown.
-func (c *conn) finishRequest() bool {
+func (c *conn) finishRequest(w *response) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pending--
+	if w.streaming {
+		c.streaming--
+	}
 	if c.pending == 0 && c.server.closed.Load() {
 		c.closing = true
 	}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -404,7 +404,7 @@
 	s.conns[c], c.pending = true, 1
 	assert.Assert(t, !c.decideClose(false), "the response precedes the shutdown")
 	assert.NilError(t, s.Shutdown(t.Context()))
-	assert.Assert(t, c.finishRequest())
+	assert.Assert(t, c.finishRequest(&response{}))
 	assert.Assert(t, !c.armIdleDeadline(s.limits.Load()))
 }
 
--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -16,6 +16,14 @@
 // response. A longer one is sent as it is written, once all earlier responses have been sent.
 const maxBufferedResponse = 64 << 10
 
+// maxHeldResponse bounds the buffer of a response while requests behind it on its connection are in
+// progress, and maxHeldResponses that of all such responses of a server beyond maxBufferedResponse. If
+// such a response is broken off before any of it is sent, the requests behind it still get theirs.
+const (
+	maxHeldResponse  = 2 << 20
+	maxHeldResponses = 16 << 20
+)
+
 // writeTimeout bounds one write to the connection, which blocks if the caller does not read.
 const writeTimeout = 30 * time.Second
 
@@ -38,6 +46,12 @@
 	interimMu sync.Mutex
 	started   bool
 	broken    atomic.Bool
+	// number is that of the request on its connection; streaming is set, under the connection's lock,
+	// if the response is sent before it is complete.
+	number    uint64
+	streaming bool
+	// held is the number of bytes that are buffered beyond maxBufferedResponse.
+	held int64
 	// length is the announced Content-Length, or -1.
 	length, written int64
 	body            *streamedBody
@@ -74,7 +88,7 @@
 	}
 	w.written += int64(len(p))
 	if !w.started {
-		if w.buffered.Len()+len(p) <= maxBufferedResponse {
+		if w.buffered.Len()+len(p) <= maxBufferedResponse || w.hold(int64(len(p))) {
 			return w.buffered.Write(p)
 		}
 		if err := w.sendHeader(false); err != nil {
@@ -84,8 +98,30 @@
 	return len(p), w.writeBody(p)
 }
 
-// Flush sends the buffered part if all earlier responses have been sent; otherwise it does
-// nothing.
+// hold reports whether the next bytes are buffered although they exceed maxBufferedResponse, since
+// requests behind this one are in progress.
+func (w *response) hold(size int64) bool {
+	if w.c.beginStreaming(w, false) {
+		return false
+	}
+	if int64(w.buffered.Len())+size <= maxHeldResponse {
+		w.held += size
+		if w.c.server.heldBytes.Add(size) <= maxHeldResponses {
+			return true
+		}
+	}
+	w.c.beginStreaming(w, true)
+	return false
+}
+
+// release returns the bytes that are held to the budget of the server.
+func (w *response) release() {
+	w.c.server.heldBytes.Add(-w.held)
+	w.held = 0
+}
+
+// Flush sends the buffered part if all earlier responses have been sent and no request behind this one
+// is in progress; otherwise it does nothing.
 func (w *response) Flush() {
 	if w.broken.Load() {
 		return
@@ -94,7 +130,9 @@
 	if !w.started {
 		select {
 		case <-w.prevDone:
-			_ = w.sendHeader(false)
+			if w.c.beginStreaming(w, false) {
+				_ = w.sendHeader(false)
+			}
 		default:
 		}
 	}
@@ -107,6 +145,7 @@
 		return false
 	}
 	w.buffered.Reset()
+	w.release()
 	w.header, w.status, w.length, w.written = http.Header{}, 0, -1, 0
 	return true
 }
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -58,6 +58,8 @@
 	h2Listener *handoffListener
 
 	draining atomic.Bool
+	// heldBytes is the size of all response buffers beyond maxBufferedResponse.
+	heldBytes atomic.Int64
 	// closed is set under mu, so that no connection can be added after Shutdown or Close has
 	// gone through conns.
 	closed    atomic.Bool
--- a/internal/proxy/truncated_test.go
+++ b/internal/proxy/truncated_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -70,3 +72,60 @@
 		}
 	}
 }
+
+// Guards against requests that run behind a large response on the caller's connection and get no
+// response, because the large one is broken off after a part of it was sent. Requests that arrive with
+// the large one must be answered, and those that arrive once it is being sent must not be passed on.
+func TestRequestsBehindALargeResponseThatIsBrokenOff(t *testing.T) {
+	var small atomic.Int64
+	release := make(chan struct{})
+	node := newFakeNode(t, func(w http.ResponseWriter, r *http.Request, req hop.Request) {
+		if r.URL.Path != "/large" {
+			small.Add(1)
+			respondWith("ok")(w, r, req)
+			return
+		}
+		w.Header().Set("Content-Length", "400000")
+		writeReply(w, req, hop.Reply{})
+		_, _ = w.Write(make([]byte, 200_000))
+		_ = http.NewResponseController(w).Flush()
+		<-release
+		panic(http.ErrAbortHandler)
+	})
+	get := func(conn net.Conn, path string) {
+		_, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: pay.example\r\n\r\n", path)
+		assert.NilError(t, err)
+	}
+	conn := func() net.Conn {
+		c, err := net.Dial("tcp", serveCallers(t, newTestHandler(gate.RevokeUnknown, node.Listener.Addr().String())))
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+		return c
+	}
+
+	late := conn()
+	get(late, "/large")
+	_, err := io.ReadFull(late, make([]byte, 1000))
+	assert.NilError(t, err)
+	get(late, "/small")
+	get(late, "/small")
+	time.Sleep(200 * time.Millisecond)
+	close(release)
+	_, err = io.Copy(io.Discard, late)
+	assert.ErrorIs(t, err, syscall.ECONNRESET)
+	assert.Equal(t, small.Load(), int64(0), "requests behind were passed on")
+
+	together := conn()
+	get(together, "/large")
+	get(together, "/small")
+	get(together, "/small")
+	reader := bufio.NewReader(together)
+	for _, want := range []int{http.StatusBadGateway, http.StatusOK, http.StatusOK} {
+		resp, err := http.ReadResponse(reader, nil)
+		assert.NilError(t, err)
+		_, err = io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, want)
+	}
+}
