replica, node: one judgment of silent voters, account records are sorted once

Node.configuration sorted the account records twice; caps are taken from the same list, in which the record that an institution uses accounts has none. No behavior changes.

go test ./internal/replica -run 'Plan|Group|Silent', ./internal/mutation: ok.

--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -285,10 +285,10 @@
 // route", after which callers do not retry. The caller holds the lock.
 func (n *Node) configuration() func() {
 	services, routes, limits := n.records.Services(), n.records.Routes(), n.records.Limits()
-	accountRecords, accounts := n.records.AccountRecords(), n.records.Accounts()
+	accountRecords := n.records.AccountRecords()
 	return func() {
 		n.proxy.Configure(services, routes, accountRecords)
-		n.usage.SetCaps(usageCaps(accounts))
+		n.usage.SetCaps(usageCaps(accountRecords))
 		n.front.SetLimits(frontLimits(limits))
 	}
 }
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -119,13 +119,23 @@
 func silentVoters(s consensus.Status, tick time.Duration) []string {
 	var names []string
 	for _, m := range s.Membership.GetMembers() {
-		if !m.Learner && m.Id != s.ID && time.Duration(s.TicksSinceReply[m.Id])*tick >= silenceTimeout {
+		if isSilentVoter(s, m, tick) {
 			names = append(names, m.Name)
 		}
 	}
 	return names
 }
 
+// isSilentVoter reports whether a leader with status s counts a member as a voter that is lost.
+func isSilentVoter(s consensus.Status, m *apiv1.Member, tick time.Duration) bool {
+	return !m.Learner && m.Id != s.ID && silence(s, m, tick) >= silenceTimeout
+}
+
+// silence returns how long ago a member last replied to the leader.
+func silence(s consensus.Status, m *apiv1.Member, tick time.Duration) time.Duration {
+	return time.Duration(s.TicksSinceReply[m.Id]) * tick
+}
+
 // voterLogger logs when the number of silent voters changes. A group with a silent voter that no
 // learner replaces tolerates one failure less.
 type voterLogger struct{ silent int }
@@ -219,17 +229,16 @@
 	if s.Role != consensus.Leader || !s.ConfigCommitted {
 		return nil
 	}
-	silence := func(m *apiv1.Member) time.Duration { return time.Duration(s.TicksSinceReply[m.Id]) * tick }
 	var silentVoter, learner *apiv1.Member
 	for _, m := range s.Membership.GetMembers() {
 		switch {
-		case m.Learner && silence(m) > learnerRemovalTimeout:
+		case m.Learner && silence(s, m, tick) > learnerRemovalTimeout:
 			return &memberChange{remove, m, "the learner does not respond"}
 		case m.Learner:
-			if caughtUp(s, m) && silence(m) < silenceTimeout && learner == nil {
+			if caughtUp(s, m) && silence(s, m, tick) < silenceTimeout && learner == nil {
 				learner = m
 			}
-		case m.Id != s.ID && silence(m) >= silenceTimeout && (silentVoter == nil || silence(m) > silence(silentVoter)):
+		case isSilentVoter(s, m, tick) && (silentVoter == nil || silence(s, m, tick) > silence(s, silentVoter, tick)):
 			silentVoter = m
 		}
 	}
