endpoint: the first requests wait until the health path is known

Cause: the first health answer of an endpoint is waited for, but a node without a configuration does not know where to ask. An unset path was taken for a service without one.

Change: a node sets the path once it has a configuration, and the first requests of an endpoint wait for that, up to a second after its start. A service without a health path is not waited for.

The new test fails on the code before (4 requests reach the server). go test ./internal/endpoint, and a part of node and e2e: ok.

--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -93,6 +93,9 @@
 	healthPool atomic.Pointer[hop.Pool]
 	instance   atomic.Pointer[string]
 	healthPath atomic.Pointer[string]
+	// healthPathKnown is closed once the health path is set.
+	healthPathKnown chan struct{}
+	setHealthPath   sync.Once
 	// loadReportedAt is when the backend server last reported its load.
 	loadReportedAt atomic.Int64
 	// coldReportedAt is when the backend server last reported how long it stays cold.
@@ -121,7 +124,7 @@
 	if options.Dialect == nil {
 		options.Dialect = &hop.Dialect{}
 	}
-	e := &Endpoint{options: options, start: time.Now(), waiters: map[gate.Handle]chan gate.Event{}, hints: map[gate.Handle]func(string){}, tracker: newRunTracker(), transfers: newTransfers(), transit: transit.NewEstimator()}
+	e := &Endpoint{options: options, start: time.Now(), waiters: map[gate.Handle]chan gate.Event{}, hints: map[gate.Handle]func(string){}, tracker: newRunTracker(), transfers: newTransfers(), transit: transit.NewEstimator(), healthPathKnown: make(chan struct{})}
 	e.gate = gate.New(options.Host, config, 0)
 	var ctx context.Context
 	ctx, e.stopWatch = context.WithCancel(context.Background())
--- a/internal/endpoint/load_test.go
+++ b/internal/endpoint/load_test.go
@@ -61,6 +61,19 @@
 // delayed heartbeat says that the server is ready, and the health response that says otherwise takes
 // longer than the load of a known server is waited for.
 func TestFirstRequestWaitsForTheFirstHealthResponse(t *testing.T) {
+	testFirstRequest(t, 0)
+}
+
+// Guards against the same at a node that has no configuration yet, and so does not know the path of the
+// health query.
+func TestFirstRequestWaitsForTheHealthPath(t *testing.T) {
+	testFirstRequest(t, 300*time.Millisecond)
+}
+
+// testFirstRequest sends requests to an endpoint whose server leaves, and whose health path is known
+// after a while.
+func testFirstRequest(t *testing.T, configuredAfter time.Duration) {
+	t.Helper()
 	var reached atomic.Int64
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/health" {
@@ -74,9 +87,17 @@
 	e := New(Options{Host: "h", Incarnation: func() uint64 { return 1 }, Revision: func() uint64 { return 1 }, ObserveRevision: func(uint64) {}, SendReport: func(string, gate.Report) {},
 		Counters: NewCounters(), Dialect: &hop.Dialect{Load: "X-Load"}}, gate.Config{Slots: 8, Queue: 8})
 	t.Cleanup(e.Close)
-	e.SetHealthPath("/health")
-	e.ReplaceServer("i-1", s.Listener.Addr().String())
 	var wait sync.WaitGroup
+	configure := func() { e.SetHealthPath("/health") }
+	if configuredAfter == 0 {
+		configure()
+	} else {
+		wait.Go(func() {
+			time.Sleep(configuredAfter)
+			configure()
+		})
+	}
+	e.ReplaceServer("i-1", s.Listener.Addr().String())
 	for range 4 {
 		wait.Go(func() { assert.Check(t, attempt(e) != hop.Ran) })
 	}
--- a/internal/endpoint/watch.go
+++ b/internal/endpoint/watch.go
@@ -36,8 +36,32 @@
 )
 
 // SetHealthPath sets the path on which the backend server reports its load; empty for
-// none.
-func (e *Endpoint) SetHealthPath(path string) { e.healthPath.Store(&path) }
+// none. It is not called before the node has a configuration.
+func (e *Endpoint) SetHealthPath(path string) {
+	e.healthPath.Store(&path)
+	e.setHealthPath.Do(func() { close(e.healthPathKnown) })
+}
+
+// healthPathTimeout is how long the first requests of an endpoint wait for its health path. A node
+// that has just started has its configuration within an election of the control replicas.
+const healthPathTimeout = time.Second
+
+// awaitHealthPath waits until the health path is known, healthPathTimeout has passed since the start of
+// the endpoint, or ctx ends.
+func (e *Endpoint) awaitHealthPath(ctx context.Context) {
+	select {
+	case <-e.healthPathKnown:
+		return
+	default:
+	}
+	timer := time.NewTimer(healthPathTimeout - e.now())
+	defer timer.Stop()
+	select {
+	case <-e.healthPathKnown:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
 
 // watchLoad queries the load until ctx ends, if the backend server reports it.
 func (e *Endpoint) watchLoad(ctx context.Context) {
@@ -128,11 +152,15 @@
 //
 // The first query of an endpoint is waited for until it ends. A node that has just started does not
 // know yet whether the server is shutting down, and a delayed heartbeat may say that it is ready.
+// Without a configuration it does not even know where to ask.
 func (e *Endpoint) refreshLoad(ctx context.Context) {
 	if e.options.Dialect.Load == "" || e.limitReached() {
 		return
 	}
 	first := !e.firstQueryEnded.Load()
+	if first {
+		e.awaitHealthPath(ctx)
+	}
 	if !first && (e.loadOverdue.Load() || e.loadAge() < maxLoadAge) {
 		return
 	}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -70,8 +70,10 @@
 	e := endpoint.New(endpoint.Options{
 		Host: n.options.Host, Incarnation: n.incarnation.Load, SendReport: n.reports.send, Revision: n.Revision, ObserveRevision: n.observeRevision, LeavingChanged: n.applyLeaving, Counters: n.gates, Dialect: n.options.Dialect, Quarantine: n.quarantine, Overload: n.overload, Link: n.link, LinkBacklog: n.link.Backlog,
 	}, config)
-	// The first requests may arrive before the configuration is applied to the gate.
-	e.SetHealthPath(n.records.Service(a.Service).GetSpec().GetHealthPath())
+	if n.records.Revision() > 0 {
+		// The first requests may arrive before the configuration is applied to the gate.
+		e.SetHealthPath(n.records.Service(a.Service).GetSpec().GetHealthPath())
+	}
 	if n.hadServer {
 		e.SetReplacesEarlierEndpoint()
 	}
@@ -370,13 +372,15 @@
 func (n *Node) configureGate(s *server, entries []*apiv1.Entry) {
 	n.mu.Lock()
 	spec, slots := n.specAndSlots(s.service, s.slots)
-	config := n.gateConfig(spec, slots, max(1, len(entries)))
+	config, configured := n.gateConfig(spec, slots, max(1, len(entries))), n.records.Revision() > 0
 	n.mu.Unlock()
 	if slots == 0 {
 		return
 	}
 	s.endpoint.Configure(config)
-	s.endpoint.SetHealthPath(spec.HealthPath)
+	if configured {
+		s.endpoint.SetHealthPath(spec.HealthPath)
+	}
 	// Siblings are selected by their hosts, whatever the state of their entries is.
 	if generation := n.applied.generation; time.Since(s.siblingsSetAt) > distanceRefresh || s.siblingsGeneration != generation || !sameHosts(s.siblingEntries, entries) {
 		s.endpoint.SetSiblings(n.siblings(entries))
