e2e: the test of killed leaders submits until leaders were killed

TestLeaderKilledAtAnyStageOfSubmits kills a replica each 0.7 s while 25 changes are submitted. They take 0.4 s on this machine, so that no replica was killed at all. It now goes on until six were.

--- a/internal/e2e/control_test.go
+++ b/internal/e2e/control_test.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -28,6 +29,7 @@
 	c.leader()
 	stop := make(chan struct{})
 	var chaos sync.WaitGroup
+	var kills atomic.Int64
 	chaos.Go(func() {
 		for i := 0; ; i++ {
 			select {
@@ -36,11 +38,16 @@
 			case <-time.After(700 * time.Millisecond):
 			}
 			c.replicas[i%3].restart(t)
+			kills.Add(1)
 		}
 	})
 	accepted := map[string]uint64{}
 	base := uint64(0)
-	for i := range 25 {
+	for i := 0; i < 25 || kills.Load() < 6; i++ {
+		if i >= 25 {
+			// The audit trail is read with one call, which returns a limited number of records.
+			time.Sleep(20 * time.Millisecond)
+		}
 		id := fmt.Sprintf("change-%d", i)
 		record, err := c.client.Submit(ctx, []byte(estateText(id, "hello")), base, id)
 		assert.NilError(t, err, id)
