replica: a compaction that fails leaves the log as it was, and is retried after a pause

Found when the change was read once more.

TestFailedCompactionIsRetriedAfterAPause fails on the code before ("no pause after a failed compaction") and passes.

--- a/core/consensus/ready.go
+++ b/core/consensus/ready.go
@@ -85,19 +85,27 @@
 	r.freshness.reached(r.log.applied)
 }
 
-// Compact discards the log up to index and returns the snapshot that replaces it. data is
-// the encoded state machine after the entry at index. Compact returns nil and does nothing
-// unless that entry has been applied and is newer than the last snapshot.
-func (r *Raft) Compact(index uint64, data []byte) *apiv1.Snapshot {
+// SnapshotAt returns the snapshot that could replace the log up to index. data is the encoded state
+// machine after the entry at index. It returns nil unless that entry has been applied and is newer
+// than the last snapshot.
+func (r *Raft) SnapshotAt(index uint64, data []byte) *apiv1.Snapshot {
 	if index <= r.log.snapIndex || index > r.log.applied {
 		return nil
 	}
-	membership := r.membershipAt(index)
 	term, _ := r.log.term(index)
-	r.snapshot = &apiv1.Snapshot{Index: index, Term: term, Membership: membership, Data: data}
-	r.baseMembership = membership
+	return &apiv1.Snapshot{Index: index, Term: term, Membership: r.membershipAt(index), Data: data}
+}
+
+// Compact discards the log up to index and returns the snapshot that replaces it, or does nothing
+// and returns nil if SnapshotAt does.
+func (r *Raft) Compact(index uint64, data []byte) *apiv1.Snapshot {
+	s := r.SnapshotAt(index, data)
+	if s == nil {
+		return nil
+	}
+	r.snapshot, r.baseMembership = s, s.Membership
 	r.log.compact(index)
-	return r.snapshot
+	return s
 }
 
 // EntriesAfter returns the synced entries above index, for rewriting the log on
--- a/internal/replica/disk.go
+++ b/internal/replica/disk.go
@@ -83,22 +83,23 @@
 	}
 	r.compacting = true
 	loops.Go(func() {
-		err := r.compact(ctx)
+		compacted, err := r.compact(ctx)
 		if err != nil && ctx.Err() == nil {
 			// The existing log stays valid; it is only longer than necessary.
 			klog.ErrorS(err, "Log not compacted; will retry", "replica", r.options.Name)
 		}
 		_ = r.runInLoop(ctx, func() {
 			r.compacting = false
-			if err != nil {
+			if !compacted {
 				r.compactAfter = time.Now().Add(compactRetryInterval)
 			}
 		})
 	})
 }
 
-// compact replaces the applied part of the log by a snapshot. It is called outside the run loop.
-func (r *Replica) compact(ctx context.Context) error {
+// compact replaces the applied part of the log by a snapshot, unless the log already begins there. It
+// is called outside the run loop.
+func (r *Replica) compact(ctx context.Context) (compacted bool, err error) {
 	begin := time.Now()
 	r.mu.RLock()
 	state, index := r.state.Snapshot(), r.applied
@@ -106,29 +107,31 @@
 	// Records that are in use are replaced and never modified, so that they can be encoded meanwhile.
 	data, err := estate.Marshal(state)
 	if err != nil {
-		return err
+		return false, err
 	}
 	var s *apiv1.Snapshot
 	err = r.runInLoop(ctx, func() {
 		r.raft.AppliedTo(index)
-		s = r.raft.Compact(index, data)
+		s = r.raft.SnapshotAt(index, data)
 	})
 	if err != nil || s == nil {
-		return err
+		return false, err
 	}
 	if err := r.disk.PrepareSnapshot(s); err != nil {
-		return err
+		return false, err
 	}
 	var installErr error
 	err = r.runInLoop(ctx, func() {
-		if r.raft.Status().SnapshotIndex == s.Index {
-			installErr = r.disk.InstallSnapshot(s, r.raft.EntriesAfter(s.Index), r.hardState)
+		// A snapshot that another replica sent may have replaced the log meanwhile.
+		if r.raft.Compact(index, data) != nil {
+			installErr = r.disk.InstallSnapshot(s, r.raft.EntriesAfter(index), r.hardState)
+			compacted = installErr == nil
 		}
 	})
-	if err != nil || installErr != nil {
-		return errors.CombineErrors(err, installErr)
+	if !compacted {
+		return false, errors.CombineErrors(err, installErr)
 	}
 	r.counters.compactions.Add(1)
 	klog.InfoS("Log compacted", "replica", r.options.Name, "index", s.Index, "bytes", len(data), "after", time.Since(begin))
-	return nil
+	return true, nil
 }
--- a/internal/replica/restart_test.go
+++ b/internal/replica/restart_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -83,6 +85,30 @@
 	awaitRevision(t, r, changes)
 }
 
+// Guards against a replica that makes one snapshot after the other while the disk rejects them, and
+// against one that then takes a log for compacted that is not.
+func TestFailedCompactionIsRetriedAfterAPause(t *testing.T) {
+	const changes = compactThresholdEntries + 100
+	folder := t.TempDir()
+	writeLog(t, folder, nil, hostChanges(changes))
+	// The snapshot cannot be written.
+	obstacle := filepath.Join(folder, "snapshot.prepared.new")
+	assert.NilError(t, os.Mkdir(obstacle, 0o700))
+	r, _ := runProfileReplica(t, folder, false)
+	awaitRevision(t, r, changes)
+	retryIn := func() (pause time.Duration) {
+		assert.NilError(t, r.runInLoop(t.Context(), func() { pause = time.Until(r.compactAfter) }))
+		return pause
+	}
+	for range 2 {
+		for until := time.Now().Add(10 * time.Second); retryIn() <= 0; time.Sleep(time.Millisecond) {
+			assert.Assert(t, time.Now().Before(until), "no pause after a failed compaction")
+		}
+		assert.Equal(t, r.counters.compactions.Value(), int64(0))
+		assert.NilError(t, r.runInLoop(t.Context(), func() { r.compactAfter = time.Time{} }))
+	}
+}
+
 // The estate and the history of the size that docs/CAPACITY.md works out: 990 services with 11 routes
 // each, 50,000 records of changes, and the longest log. Guards against a replica that takes longer to
 // restart than the two seconds within which a change has to take effect.
