front: the time that a request waits behind a large response counts towards its timeout

Found when the change was read once more: a request that is read, but not started while a response ahead of it is being sent, got its whole timeout once it was started. The handler now counts from when the request was read.

TestTimeBehindALargeResponseCountsTowardsTheTimeout fails on the code before and passes.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -305,11 +305,12 @@
 	case <-c.ctx.Done():
 		return false
 	}
+	read := time.Now()
 	number, ok := c.admitRequest()
 	if !ok {
 		return false
 	}
-	ctx, cancel := context.WithCancel(c.ctx)
+	ctx, cancel := context.WithCancel(context.WithValue(c.ctx, readKey{}, read))
 	r = r.WithContext(ctx)
 	r.RemoteAddr = c.raw.RemoteAddr().String()
 	w := newResponse(c, r, c.prevDone)
@@ -344,6 +345,18 @@
 	return !w.mustClose || c.watchHangup()
 }
 
+// readKey is the context key of the time at which a request was read.
+type readKey struct{}
+
+// ReadAt returns when the header of the request with the given context was read, or the current time
+// if this is not known. A request may wait for a response ahead of it before it is started.
+func ReadAt(ctx context.Context) time.Time {
+	if read, ok := ctx.Value(readKey{}).(time.Time); ok {
+		return read
+	}
+	return time.Now()
+}
+
 // admitRequest reports whether another request may be started, and returns its number. It waits while
 // an earlier response is sent before it is complete: if that one is broken off, the connection is
 // reset, and a request that was started behind it would run and get no response.
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -21,6 +21,7 @@
 	"cactuspath/core/retry"
 	"cactuspath/core/shutdown"
 	"cactuspath/internal/endpoint"
+	"cactuspath/internal/front"
 	"cactuspath/internal/hangup"
 	"cactuspath/internal/hop"
 	"cactuspath/internal/link"
@@ -275,7 +276,7 @@
 		logs.Decision(false, "Caller disconnected before its request was read", "request", r.Header.Get(h.options.Dialect.RequestID))
 		return
 	}
-	arrived := time.Now()
+	arrived := front.ReadAt(r.Context())
 	// Load ready before the table. In the reverse order, the first configuration could
 	// arrive between the two loads, and the caller would get a permanent "no such service"
 	// fault from the empty table.
--- a/internal/proxy/truncated_test.go
+++ b/internal/proxy/truncated_test.go
@@ -129,3 +129,50 @@
 		assert.Equal(t, resp.StatusCode, want)
 	}
 }
+
+// Guards against requests that get more time than is left, because they waited behind a large response
+// before they were started.
+func TestTimeBehindALargeResponseCountsTowardsTheTimeout(t *testing.T) {
+	const waited = 300 * time.Millisecond
+	release := make(chan struct{})
+	var timeout atomic.Int64
+	node := newFakeNode(t, func(w http.ResponseWriter, r *http.Request, req hop.Request) {
+		if r.URL.Path != "/large" {
+			timeout.Store(int64(req.Timeout))
+			respondWith("ok")(w, r, req)
+			return
+		}
+		w.Header().Set("Content-Length", "200000")
+		writeReply(w, req, hop.Reply{})
+		_, _ = w.Write(make([]byte, 100_000))
+		_ = http.NewResponseController(w).Flush()
+		<-release
+		_, _ = w.Write(make([]byte, 100_000))
+	})
+	conn, err := net.Dial("tcp", serveCallers(t, newTestHandler(gate.RevokeUnknown, node.Listener.Addr().String())))
+	assert.NilError(t, err)
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(20 * time.Second))
+	for _, path := range []string{"/small", "/large"} {
+		_, err = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: pay.example\r\n\r\n", path)
+		assert.NilError(t, err)
+	}
+	reader := bufio.NewReader(conn)
+	small, err := http.ReadResponse(reader, nil)
+	assert.NilError(t, err)
+	_, err = io.ReadAll(small.Body)
+	assert.NilError(t, err)
+	atOnce := time.Duration(timeout.Load())
+	large, err := http.ReadResponse(reader, nil)
+	assert.NilError(t, err)
+	_, err = fmt.Fprintf(conn, "GET /small HTTP/1.1\r\nHost: pay.example\r\n\r\n")
+	assert.NilError(t, err)
+	time.Sleep(waited)
+	close(release)
+	_, err = io.Copy(io.Discard, large.Body)
+	assert.NilError(t, err)
+	_, err = http.ReadResponse(reader, nil)
+	assert.NilError(t, err)
+	behind := time.Duration(timeout.Load())
+	assert.Assert(t, behind <= atOnce-waited*8/10, "the request behind got %v, one that did not wait %v", behind, atOnce)
+}
