hop: a response whose connection is reset during the upload is not complete

Callers got a part of a response as a complete one: a backend server responded to an upload without a length, sent a part and reset the connection while the body was being sent.

Cause: a socket reports its error once. The goroutine that sends the body and the one that reads the response use the same connection; if the sender gets ECONNRESET, the reader sees the same end as after an orderly close, which ends a body without a length.

Change: the end of such a body counts only if the sender, which has ended by then, did not learn of a reset. After an orderly close a write fails with EPIPE instead, since the reset that answers it arrives behind the end. Bodies with a length or chunks, and heads, were not affected: an end within them is an error in any case.

The test fails on the code before (241 to 286 of 400 uploads got the part as whole) and passes 20 times; its second half checks that a response which is closed in order during an upload stays complete.

--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -196,7 +196,7 @@
 			// connection is uncertain.
 			x.unusable = true
 		}
-		resp.Body = &responseBody{ReadCloser: resp.Body, x: x, reusable: !resp.Close}
+		resp.Body = &responseBody{ReadCloser: resp.Body, x: x, reusable: !resp.Close, endsWithConn: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0}
 		return resp, nil
 	}
 }
@@ -366,12 +366,16 @@
 	x.pool.put(x.conn)
 }
 
+var errResetDuringBody = errors.New("the connection was reset before the end of the response")
+
 // responseBody ends the exchange at the end of the response body.
 type responseBody struct {
 	io.ReadCloser
 	x        *exchange
 	reusable bool
 	ended    bool
+	// endsWithConn is set if only the end of the connection tells the end of the body.
+	endsWithConn bool
 }
 
 // Read reads the response body.
@@ -382,6 +386,9 @@
 	case errors.Is(err, io.EOF):
 		b.ended = true
 		b.x.finish(b.reusable)
+		if b.endsWithConn && b.x.sender.wasReset() {
+			return n, errResetDuringBody
+		}
 	default:
 		b.x.abort()
 	}
--- a/internal/hop/upload.go
+++ b/internal/hop/upload.go
@@ -7,6 +7,7 @@
 	"net/http/httputil"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -371,6 +372,13 @@
 // completed reports whether the whole body was sent.
 func (s *sender) completed() bool { return s.exited() && s.err == nil }
 
+// wasReset reports whether the sender learned that the peer has reset the connection. A socket reports
+// this once: the reader of the response then sees the same end as after an orderly close. A write
+// after an orderly close fails with EPIPE. The exchange must have ended.
+func (s *sender) wasReset() bool {
+	return s != nil && s.exited() && errors.Is(s.err, syscall.ECONNRESET)
+}
+
 // stopAndWait revokes the sender's access to the body and waits for its goroutine to end. The
 // connection that it writes to must be closed, or the body sent completely.
 func (s *sender) stopAndWait() {
