hop: malformed heads and trailers of responses are not passed on

Callers got responses of a failing backend server with a line whose name held a blank, or with "Content-Length : 2", a body that was not the server's: net/http keeps such a field under its odd name, so that the response had no length and ended with the connection. Also passed on: HTTP/9.9, the statuses 600, 999 and 101, and responses behind one with status 000 or 099, which was taken for an interim one.

Cause: http.ReadResponse accepts blanks in the names of fields, any version and any status of three digits, and leaves it to its caller to check them. The listener for callers did so for requests, the exchange did not for responses.

Change: each head, interim ones too, and each trailer is checked: names are tokens, values have no control bytes (golang.org/x/net/http/httpguts, now used for requests as well), the version is HTTP/1 and the status lies in 100 to 599 and is not 101. Anything else ends the exchange as one without a response. All responses of backend servers, to health checks too, and of other nodes are read there.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -238,7 +238,7 @@
 		return http.StatusBadRequest
 	case r.Method == http.MethodConnect:
 		return http.StatusNotImplemented
-	case !validFieldNames(r.Header):
+	case !hop.ValidFields(r.Header):
 		return http.StatusBadRequest
 	case limits.MaxBodyBytes > 0 && r.ContentLength > limits.MaxBodyBytes:
 		return http.StatusRequestEntityTooLarge
@@ -246,24 +246,6 @@
 	return 0
 }
 
-// validFieldNames reports whether all field names are tokens. Programs interpret a name with
-// a space before its colon differently: what is one field to some is another to others, so
-// such a field can be smuggled past a program that checks requests for another one.
-func validFieldNames(h http.Header) bool {
-	for name := range h {
-		for i := range len(name) {
-			if !isTokenChar(name[i]) {
-				return false
-			}
-		}
-	}
-	return true
-}
-
-func isTokenChar(b byte) bool {
-	return b >= '0' && b <= '9' || b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
-}
-
 // reject responds to a request that could not be read, after all earlier responses, and
 // closes the connection.
 func (c *conn) reject(status int) {
--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -171,6 +171,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := validateHead(resp); err != nil {
+			return nil, err
+		}
 		if resp.StatusCode == http.StatusContinue && out.Stream != nil && x.sender == nil {
 			if hangup.Gone(x.ctx) {
 				// The source may hold a whole body whose caller has left since.
@@ -196,7 +199,7 @@
 			// connection is uncertain.
 			x.unusable = true
 		}
-		resp.Body = &responseBody{ReadCloser: resp.Body, x: x, reusable: !resp.Close, endsWithConn: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0}
+		resp.Body = &responseBody{ReadCloser: resp.Body, x: x, resp: resp, reusable: !resp.Close, endsWithConn: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0}
 		return resp, nil
 	}
 }
@@ -372,6 +375,7 @@
 type responseBody struct {
 	io.ReadCloser
 	x        *exchange
+	resp     *http.Response
 	reusable bool
 	ended    bool
 	// endsWithConn is set if only the end of the connection tells the end of the body.
@@ -385,6 +389,10 @@
 	case err == nil:
 	case errors.Is(err, io.EOF):
 		b.ended = true
+		if !ValidFields(b.resp.Trailer) {
+			b.x.abort()
+			return n, ErrMalformedResponse
+		}
 		b.x.finish(b.reusable)
 		if b.endsWithConn && b.x.sender.wasReset() {
 			return n, errResetDuringBody
