resources: the listeners for other processes keep to the memory and descriptors of their host

Any process that can connect could end a node or a control replica: the listeners for other nodes, the backend server, the platform, metrics and operators accepted any number of connections, each with a head of up to 1 MiB, which takes 20 MB if its lines are short, and read bodies of up to 40 MiB at a time. What a crowd of callers sends through one node also reaches the node of the backend server.

Cause: as for callers, nothing limited what all connections hold.

Change: Resources.Listen wraps the listener of a server of net/http. The connection takes memory for what it reads of a head before the server parses it, and is closed without a response if it may not have more. Each kind of listener has a share of the descriptors, and a connection without a request is closed for a new one. Bodies that are read as a whole take memory as they are read. A request of another node that there is no memory for is refused as not run, with "overloaded", so that its node tries another one or tells the caller when to come back.

A test counts that everything that is taken is returned.

--- a/internal/endpoint/serve.go
+++ b/internal/endpoint/serve.go
@@ -239,13 +239,17 @@
 	return body, nil
 }
 
-// RefuseDeparted refuses a request for a backend server that no longer runs beside this
-// node.
-func RefuseDeparted(w http.ResponseWriter, r *http.Request, incarnation, revision uint64) {
+// RefuseUnadmitted refuses a request that does not get to a gate: the backend server no longer runs
+// beside this node, or there is no memory for the request.
+func RefuseUnadmitted(w http.ResponseWriter, r *http.Request, reason gate.Reason, incarnation, revision uint64) {
 	req, err := hop.ParseRequest(r.Header.Get(hop.Header))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	writeRefusal(w, hop.Reply{ID: req.ID, Verdict: hop.Refused, Reason: gate.Draining, Incarnation: incarnation, Revision: revision})
+	reply := hop.Reply{ID: req.ID, Verdict: hop.Refused, Reason: reason, Incarnation: incarnation, Revision: revision}
+	if reason == gate.Overloaded {
+		reply.RetryAfter = overload.RetryAfter()
+	}
+	writeRefusal(w, reply)
 }
--- a/internal/front/head_test.go
+++ b/internal/front/head_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
@@ -131,3 +132,49 @@
 	go func() { _, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n"+fields+"\r\n") }()
 	return http.ReadResponse(bufio.NewReader(conn), nil)
 }
+
+// Guards against memory and places that are taken and not returned, until no request is served any more.
+func TestResourcesAreReturned(t *testing.T) {
+	limited := resources.New(64, 1024)
+	address := startLimited(t, limited, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		switch r.URL.Path {
+		case "/panic":
+			panic(http.ErrAbortHandler)
+		case "/large":
+			_, _ = w.Write(make([]byte, 300<<10))
+		}
+		fmt.Fprint(w, "ok")
+	})
+	large := strings.Repeat("X: y\r\n", 5000)
+	for range 20 {
+		for _, sent := range []string{
+			"", "G", "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\x00\x00\x05\x01\x05\x00\x00\x00\x01\x82\x86\x84\x01\x00",
+			"GET / HTTP/1.1\r\n\r\n", "GET / HTTP/1.1\r\nHost: a\r\n" + large, "GET / HTTP/1.1\r\nHost: a\r\n" + large + "\r\n",
+			strings.Repeat("GET /large HTTP/1.1\r\nHost: a\r\n\r\n", 20), "GET /panic HTTP/1.1\r\nHost: a\r\n\r\nGET / HTTP/1.1\r\nHost: a\r\n\r\n",
+			"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nabc", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\nabc",
+			"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\nGET / HTTP/1.1\r\nHost: a\r\n\r\n",
+			"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", strings.Repeat("x", 2<<20),
+		} {
+			conn, err := net.Dial("tcp", address)
+			assert.NilError(t, err)
+			go func() {
+				_, _ = io.WriteString(conn, sent)
+				_, _ = conn.Read(make([]byte, 16))
+				_ = conn.Close()
+			}()
+			t.Cleanup(func() { _ = conn.Close() })
+			if sent == "" || sent == "G" || strings.HasSuffix(sent, "abc") || strings.HasSuffix(sent, large) {
+				_ = conn.Close()
+			}
+		}
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		used, _ := limited.MemoryUsed()
+		requests, _ := limited.RequestsInProgress()
+		if used != 0 || requests != 0 {
+			return poll.Continue("%d bytes and %d requests are taken", used, requests)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second))
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -250,7 +250,7 @@
 	peer := &http.Server{Handler: n.peerHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnContext: hangup.Watch}
 	// The shutdown waits for all responses, and held ones would use up the stop timeout.
 	peer.RegisterOnShutdown(n.relay.releaseHeld)
-	admin := &http.Server{Handler: n.adminHandler(), ReadHeaderTimeout: headerTimeout}
+	admin := &http.Server{Handler: resources.HoldBodies(n.adminHandler()), ReadHeaderTimeout: headerTimeout}
 	transport.CloseUnusedOnShutdown(peer)
 	transport.CloseUnusedOnShutdown(admin)
 	start := func(s httpServer, l net.Listener) {
@@ -261,8 +261,8 @@
 		}()
 	}
 	start(n.front, n.options.Callers)
-	start(peer, n.options.Security.Wrap(n.options.Peer))
-	start(admin, n.options.Admin)
+	start(peer, n.options.Resources.Listen(peer, n.options.Security.Wrap(n.options.Peer), resources.Peers))
+	start(admin, n.options.Resources.Listen(admin, n.options.Admin, resources.Others))
 	return []httpServer{n.front, peer, admin}
 }
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -14,6 +14,7 @@
 	"cactuspath/core/gate"
 	"cactuspath/internal/endpoint"
 	"cactuspath/internal/hop"
+	"cactuspath/internal/resources"
 	"cactuspath/internal/transport"
 )
 
@@ -48,7 +49,7 @@
 func (n *Node) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	path, control := apiv1connect.NewNodeServiceHandler(nodeService{n}, transport.Uncompressed(), transport.ReadLimit())
-	mux.Handle(path, transport.OmitUnneededHeaders(control))
+	mux.Handle(path, resources.HoldBodies(transport.OmitUnneededHeaders(control)))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if _, isHop := r.Header[hop.Header]; !isHop {
 			mux.ServeHTTP(w, r)
@@ -59,13 +60,31 @@
 }
 
 func (n *Node) serveHop(w http.ResponseWriter, r *http.Request) {
+	held, ok := resources.AccountOf(r.Context()).Hold(resources.RequestBytes + hopBodyBytes(r))
+	if !ok {
+		endpoint.RefuseUnadmitted(w, r, gate.Overloaded, n.incarnation.Load(), n.Revision())
+		return
+	}
+	defer held.End()
+	r = r.WithContext(resources.WithRequest(r.Context(), held))
 	service := r.Header.Get(hop.ServiceHeader)
 	if e := n.Endpoint(service); e != nil {
 		e.ServeHop(w, r)
 		return
 	}
 	// The backend server was withdrawn after the sender read its entry.
-	endpoint.RefuseDeparted(w, r, n.incarnation.Load(), n.Revision())
+	endpoint.RefuseUnadmitted(w, r, gate.Draining, n.incarnation.Load(), n.Revision())
+}
+
+// streamedBodyBytes is the memory of a body that is sent on as it arrives.
+const streamedBodyBytes = 64 << 10
+
+// hopBodyBytes returns the memory that the body of a request of another node may need.
+func hopBodyBytes(r *http.Request) int64 {
+	if r.ContentLength < 0 {
+		return streamedBodyBytes
+	}
+	return min(r.ContentLength, streamedBodyBytes)
 }
 
 // nodeService implements apiv1connect.NodeServiceHandler.
--- a/internal/process/extra.go
+++ b/internal/process/extra.go
@@ -14,6 +14,7 @@
 	"cactuspath/internal/adapter"
 	"cactuspath/internal/hop"
 	"cactuspath/internal/node"
+	"cactuspath/internal/resources"
 	"cactuspath/internal/settings"
 )
 
@@ -87,10 +88,11 @@
 func (p *Process) serveExtra() (closeAll func()) {
 	var servers []*http.Server
 	for _, e := range p.extra {
-		server := &http.Server{Handler: e.handler, ReadHeaderTimeout: controlHeaderTimeout}
+		server := &http.Server{Handler: resources.HoldBodies(e.handler), ReadHeaderTimeout: controlHeaderTimeout}
 		servers = append(servers, server)
+		listener := p.resources.Listen(server, e.listener, resources.Others)
 		go func() {
-			if err := server.Serve(e.listener); !errors.Is(err, http.ErrServerClosed) {
+			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 				klog.ErrorS(err, "Listener failed", "address", e.listener.Addr())
 			}
 		}()
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -265,9 +265,10 @@
 		handler = routeByPrefix(handler, p.adapter.EstateHandler(p.Replica))
 	}
 	router.PathPrefix("/").Handler(handler)
-	server := &http.Server{Handler: router, ReadHeaderTimeout: controlHeaderTimeout}
+	server := &http.Server{Handler: resources.HoldBodies(router), ReadHeaderTimeout: controlHeaderTimeout}
+	listener := p.resources.Listen(server, p.control, resources.Control)
 	go func() {
-		if err := server.Serve(p.control); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			klog.ErrorS(err, "Control listener failed")
 		}
 	}()
