hop: the head of a response takes memory of its request

Nodes could run out of memory because of a backend server that fails: a response head may have 64 KiB, which takes 1.2 MB if its lines are short, at the node of the server and at that of the caller, for as long as callers do not read their responses.

Cause: the limit counts the bytes of one head, as it did for callers.

Change: what is read of a head is taken from the memory of the request before it is parsed.

--- a/internal/e2e/crowd_test.go
+++ b/internal/e2e/crowd_test.go
@@ -252,6 +252,44 @@
 	}
 }
 
+// largeHeadServer starts a backend server whose responses have heads of legal size with many short
+// fields, and announces it to the node.
+func largeHeadServer(t *testing.T, n *nodeProcess) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	head := "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n" + fields(9000, 9000, "") + "\r\n"
+	go func() {
+		_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			_, _ = io.WriteString(conn, head)
+			_, _ = conn.Write(make([]byte, 1000000))
+		}))
+	}()
+	t.Cleanup(func() { _ = l.Close() })
+	announcement := fmt.Sprintf(`{"service": "heads", "address": %q, "slots": 200}`, l.Addr())
+	eventually(t, "the node accepts the server", func() bool { return n.announceServer(announcement) })
+	go func() {
+		for n.running() {
+			_ = n.announceServer(announcement)
+			time.Sleep(time.Second)
+		}
+	}()
+}
+
+// Guards against nodes that run out of memory because of the heads of responses: a backend server that
+// fails sends many fields in each, and callers do not read the responses.
+func TestCrowdOfResponseHeadsStaysWithinMemory(t *testing.T) {
+	front, _, c := newCrowdSite(t)
+	largeHeadServer(t, c.addNode(""))
+	c.submit(estateText("crowd", "pay", "heads"))
+	c.crowd(100, front.callers, pipelined("GET / HTTP/1.1\r\nHost: heads.example\r\n\r\n"))
+}
+
 // Guards against a process that runs out of memory because of heads that arrive at its listeners for
 // other processes: any process that can connect may send them.
 func TestCrowdAtEachListenerStaysWithinMemory(t *testing.T) {
--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"cactuspath/internal/resources"
 	"cactuspath/internal/transport"
 )
 
@@ -78,6 +79,8 @@
 	// bodyLimit limits the reads of the body behind it; it is nil before that.
 	headLeft  int
 	bodyLimit *bodyLimit
+	// request holds the memory of the response head; nil if that is not limited.
+	request *resources.Request
 	// failed is set when sending a body failed; nothing more is read from or written to the
 	// connection.
 	failed atomic.Bool
--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -15,6 +15,7 @@
 
 	"cactuspath/core/gate"
 	"cactuspath/internal/hangup"
+	"cactuspath/internal/resources"
 )
 
 // Outgoing is a request to send. Header must not contain hop-by-hop fields.
@@ -107,7 +108,7 @@
 		return nil, ErrCallerGone
 	}
 	_ = c.SetDeadline(out.Deadline)
-	c.headLeft, c.bodyLimit = maxHeadBytes, nil
+	c.headLeft, c.bodyLimit, c.request = maxHeadBytes, nil, resources.RequestOf(ctx)
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(aLongTimeAgo) })
 	x := &exchange{ctx: ctx, pool: p, conn: c, stop: stop, begin: time.Now()}
 	resp, err := x.run(out)
@@ -363,7 +364,7 @@
 	if x.sender != nil {
 		x.sender.stopAndWait()
 	}
-	x.conn.bodyLimit = nil
+	x.conn.bodyLimit, x.conn.request = nil, nil
 	// An idle connection whose deadline has passed would count as broken.
 	_ = x.conn.SetDeadline(time.Time{})
 	x.pool.put(x.conn)
--- a/internal/hop/size.go
+++ b/internal/hop/size.go
@@ -1,11 +1,14 @@
 package hop
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"cactuspath/internal/resources"
 )
 
 // What a peer sends is limited in size wherever it is read into memory or only to be dropped. A
@@ -24,6 +27,9 @@
 // ErrHeadTooLong means that a peer sent more than a response head may have.
 var ErrHeadTooLong = errors.New("the response head exceeds 64 KiB; check what listens at the address of the backend server")
 
+// ErrNoMemoryForHead means that the request may not have the memory that a response head takes.
+var ErrNoMemoryForHead = errors.New("this process has no memory left for the response head; look at resources_memory in the metrics")
+
 // Read reads from the connection within the limits of the part of the response that is read.
 func (c *conn) Read(p []byte) (int, error) {
 	if c.bodyLimit != nil {
@@ -34,6 +40,9 @@
 	}
 	n, err := c.Conn.Read(p)
 	c.headLeft -= n
+	if !c.request.Take(resources.HeadBytes(n, bytes.Count(p[:n], []byte{'\n'}))) {
+		return 0, ErrNoMemoryForHead
+	}
 	return n, err
 }
 
