hop: idle connections of all pools are limited

A process could run out of descriptors for its own calls: each pool keeps up to 256 idle connections, and a node has a pool for each host that it calls. A crowd of callers makes it open as many connections to one host after the other as it has requests in progress.

The test keeps 12 idle connections on the code before, and 6 now, as it asks for.

--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -65,6 +66,17 @@
 	return &Pool{address: address, security: security, maxIdleTime: peerIdleTimeout}
 }
 
+// Idle connections of all pools take descriptors, of which a process has a limited number.
+var (
+	idleConns    atomic.Int64
+	maxIdleTotal atomic.Int64
+)
+
+func init() { maxIdleTotal.Store(math.MaxInt64) }
+
+// LimitIdle limits the number of idle connections of all pools of the process.
+func LimitIdle(connections int) { maxIdleTotal.Store(int64(connections)) }
+
 // Address returns the address that the pool connects to.
 func (p *Pool) Address() string { return p.address }
 
@@ -158,6 +170,7 @@
 	}
 	c := p.idle[len(p.idle)-1]
 	p.idle = p.idle[:len(p.idle)-1]
+	idleConns.Add(-1)
 	return c
 }
 
@@ -178,11 +191,12 @@
 	c.returnBuffers()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || len(p.idle) >= maxIdleConns {
+	if p.closed || len(p.idle) >= maxIdleConns || idleConns.Load() >= maxIdleTotal.Load() {
 		_ = c.Close()
 		return
 	}
 	p.idle = append(p.idle, c)
+	idleConns.Add(1)
 	if p.reaper == nil {
 		p.reaper = time.AfterFunc(p.maxIdleTime, p.reap)
 	}
@@ -196,6 +210,7 @@
 	for len(p.idle) > 0 && time.Since(p.idle[0].idleSince) >= p.maxIdleTime {
 		_ = p.idle[0].Close()
 		p.idle = p.idle[1:]
+		idleConns.Add(-1)
 	}
 	if len(p.idle) == 0 {
 		p.idle, p.reaper = nil, nil
@@ -224,6 +239,7 @@
 	for _, c := range p.idle {
 		_ = c.Close()
 	}
+	idleConns.Add(-int64(len(p.idle)))
 	p.idle = nil
 	if p.reaper != nil {
 		p.reaper.Stop()
--- a/internal/hop/pool_test.go
+++ b/internal/hop/pool_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"runtime"
@@ -62,6 +63,24 @@
 	assert.Equal(t, idleCount(), 2)
 }
 
+// Guards against idle connections to many hosts that take the descriptors of a process: all pools
+// together keep a limited number.
+func TestIdleConnectionsOfAllPoolsAreLimited(t *testing.T) {
+	before := idleConns.Load()
+	LimitIdle(int(before) + 6)
+	defer LimitIdle(math.MaxInt)
+	var arrived sync.WaitGroup
+	kept := 0
+	for range 3 {
+		p := NewPool(barrierServer(t, &arrived), nil)
+		defer p.Close()
+		getConcurrently(t, p, 4, &arrived)
+		kept += len(p.idle)
+	}
+	assert.Equal(t, kept, 6)
+	assert.Equal(t, idleConns.Load(), before+6)
+}
+
 // An idle connection must hold no buffers, and get empty ones when it is reused.
 func TestIdleConnectionsHaveNoBuffers(t *testing.T) {
 	var arrived sync.WaitGroup
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -23,6 +23,7 @@
 	"cactuspath/core/usage"
 	"cactuspath/internal/adapter"
 	"cactuspath/internal/controlclient"
+	"cactuspath/internal/hop"
 	"cactuspath/internal/node"
 	"cactuspath/internal/proxy"
 	"cactuspath/internal/replica"
@@ -67,6 +68,7 @@
 	}
 	p := &Process{Settings: s, security: security, control: control, adapter: chosen, client: controlclient.New(security, s.ControlReplicas, ""),
 		resources: resources.New(s.MemoryMB, s.Descriptors)}
+	hop.LimitIdle(p.resources.MaxIdle())
 	if s.Control != nil {
 		if err := p.openControl(); err != nil {
 			return nil, err
