--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -261,9 +261,10 @@
 	w := newResponse(c, &http.Request{ProtoMajor: 1, ProtoMinor: 1, Method: http.MethodGet, Header: http.Header{}}, c.prevDone)
 	w.mustClose = true
 	if status == http.StatusServiceUnavailable {
-		refuseHeader(w.header)
+		writeRefusal(w)
+	} else {
+		http.Error(w, http.StatusText(status), status)
 	}
-	http.Error(w, http.StatusText(status), status)
 	w.finish()
 	c.lingerClose()
 }
--- a/internal/front/http2.go
+++ b/internal/front/http2.go
@@ -67,6 +67,7 @@
 		request, ok = c.account.Begin(headBytes(r.Header) + bodyBytes(r))
 		return ok
 	}) {
+		// A body would wait for the window that the client grants.
 		refuseHeader(w.Header())
 		w.WriteHeader(http.StatusServiceUnavailable)
 		// The stream refers to the request until its response is written, which a client can delay.
--- a/internal/front/stalls.go
+++ b/internal/front/stalls.go
@@ -2,12 +2,10 @@
 
 import (
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"cactuspath/api/fault"
 	"cactuspath/internal/logs"
 )
 
@@ -139,13 +137,3 @@
 	}
 	_ = c.raw.Close()
 }
-
-// refusedRetryAfter is when a caller should come back whose request needed more than was free, in
-// seconds.
-const refusedRetryAfter = "1"
-
-// refuseHeader sets the fields of a response to a request that was not run for lack of resources.
-func refuseHeader(h http.Header) {
-	h.Set("Retry-After", refusedRetryAfter)
-	h.Set(fault.Header, string(fault.Overloaded))
-}
--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -2,6 +2,7 @@
 
 import (
 	"expvar"
+	"maps"
 	"time"
 
 	"cactuspath/core/directory"
@@ -98,6 +99,7 @@
 		"directory_relay_false_alarms":  expvar.Func(func() any { return n.relay.falseSuspicions() }),
 		"directory_relay_marked_failed": expvar.Func(func() any { return n.relay.failures() }),
 	}
+	maps.Copy(vars, n.options.Resources.Vars())
 	if e := n.currentEndpoint(); e != nil {
 		vars["gate_load"] = expvar.Func(func() any { return e.Load() })
 	}
--- a/internal/process/extra.go
+++ b/internal/process/extra.go
@@ -80,6 +80,14 @@
 	if p.Replica != nil {
 		maps.Copy(all, p.Replica.Vars())
 	}
+	maps.Copy(all, p.resources.Vars())
+	return all
+}
+
+// replicaVars returns the metrics of the control replica and of the process.
+func (p *Process) replicaVars() map[string]expvar.Var {
+	all := p.Replica.Vars()
+	maps.Copy(all, p.resources.Vars())
 	return all
 }
 
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/binary"
-	"expvar"
 	"net"
 	"net/http"
 	"slices"
@@ -260,7 +259,7 @@
 
 func (p *Process) serveControl() *http.Server {
 	router := mux.NewRouter()
-	router.HandleFunc("/debug/vars", node.ServeVars(func() map[string]expvar.Var { return p.Replica.Vars() }))
+	router.HandleFunc("/debug/vars", node.ServeVars(p.replicaVars))
 	router.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	handler := p.Replica.Handler()
 	if p.adapter != nil {
--- a/internal/resources/resources.go
+++ b/internal/resources/resources.go
@@ -111,6 +111,29 @@
 // CountRefused counts a connection that was refused because there were too many.
 func (r *Resources) CountRefused() { r.Refused.Add("connections", 1) }
 
+// Vars returns the metrics of the resources by name; docs/operators/metrics.md describes each of them.
+func (r *Resources) Vars() map[string]expvar.Var {
+	if r == nil {
+		return nil
+	}
+	figure := func(f func() (used, limit int64), limit bool) expvar.Var {
+		return expvar.Func(func() any {
+			used, most := f()
+			if limit {
+				return most
+			}
+			return used
+		})
+	}
+	return map[string]expvar.Var{
+		"resources_memory_bytes":       figure(r.MemoryUsed, false),
+		"resources_memory_limit_bytes": figure(r.MemoryUsed, true),
+		"resources_requests":           figure(r.RequestsInProgress, false),
+		"resources_requests_limit":     figure(r.RequestsInProgress, true),
+		"resources_refused":            &r.Refused,
+	}
+}
+
 // MemoryUsed returns the memory that requests and connections have taken, in bytes, and its limit.
 func (r *Resources) MemoryUsed() (used, limit int64) {
 	r.mu.Lock()
