node: the clients for control calls are limited in number

A node kept a client for each address that another process ever named in a probe, and for each that a host of the fleet ever had. They are now dropped when there are 4,096, which is more than one node calls; connections are kept by the transport below them. The test needs the constant, so that it was not run on the code before, which has no limit.

--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -18,6 +18,10 @@
 	"cactuspath/internal/transport"
 )
 
+// maxPeerClients limits the clients that are cached: addresses come from other processes, and are used
+// again as hosts come and go.
+const maxPeerClients = 4096
+
 // peerClients caches one RPC client for control calls per peer address. It is safe for
 // concurrent use.
 type peerClients struct {
@@ -39,6 +43,9 @@
 	defer p.mu.Unlock()
 	c := p.clients[address]
 	if c == nil {
+		if len(p.clients) >= maxPeerClients {
+			clear(p.clients)
+		}
 		c = apiv1connect.NewNodeServiceClient(p.client, p.security.URL(address), transport.ReadLimit())
 		p.clients[address] = c
 	}
