front: a request that is refused for lack of resources is logged

Operators could not tell such a refusal from the log: it is decided before the request is parsed, so that there is no line of the proxy for it.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -261,6 +261,7 @@
 	w := newResponse(c, &http.Request{ProtoMajor: 1, ProtoMinor: 1, Method: http.MethodGet, Header: http.Header{}}, c.prevDone)
 	w.mustClose = true
 	if status == http.StatusServiceUnavailable {
+		c.logRefusal()
 		writeRefusal(w)
 	} else {
 		http.Error(w, http.StatusText(status), status)
--- a/internal/front/http2.go
+++ b/internal/front/http2.go
@@ -76,6 +76,7 @@
 		request, ok = c.account.Begin(headBytes(r.Header) + bodyBytes(r))
 		return ok
 	}) {
+		c.logRefusal()
 		// A body would wait for the window that the client grants.
 		refuseHeader(w.Header())
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/front/stalls.go
+++ b/internal/front/stalls.go
@@ -67,7 +67,7 @@
 	if c == nil {
 		return false
 	}
-	logs.Decision(true, "Caller's connection closed: it holds memory and does not read or write", "caller", c.raw.RemoteAddr().String(), "stalled", time.Duration(now()-c.stalls.stalledSince()))
+	logs.Decision(true, "Caller's connection closed: it holds resources and keeps this node waiting", "caller", c.raw.RemoteAddr().String(), "stalled", time.Duration(now()-c.stalls.stalledSince()))
 	c.reset()
 	return true
 }
