resources: one figure for the memory of a streamed body

internal/front and internal/node each had it. "Control group" of the operating system is called cgroup, since the control replicas are a group as well. No change of behavior.

--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -436,9 +436,6 @@
 	return r.ProtoMinor == 0 && !strings.EqualFold(r.Header.Get("Connection"), "keep-alive")
 }
 
-// streamedBodyBytes is the memory of a body that is sent on as it arrives, with its copies on the way.
-const streamedBodyBytes = 64 << 10
-
 // bodyBytes returns the memory that the body of a request needs: a small one is held twice, by the
 // connection and as a part of the request that is sent on.
 func bodyBytes(r *http.Request) int64 {
@@ -448,7 +445,7 @@
 	case r.ContentLength > 0 && r.ContentLength <= maxPrefetchedBody:
 		return 2 * r.ContentLength
 	}
-	return streamedBodyBytes
+	return resources.StreamedBodyBytes
 }
 
 // prepareBody reads a small body into memory. For a large one it returns a channel that is
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -83,15 +83,12 @@
 	endpoint.RefuseUnadmitted(w, r, gate.Draining, n.incarnation.Load(), n.Revision())
 }
 
-// streamedBodyBytes is the memory of a body that is sent on as it arrives.
-const streamedBodyBytes = 64 << 10
-
 // hopBodyBytes returns the memory that the body of a request of another node may need.
 func hopBodyBytes(r *http.Request) int64 {
 	if r.ContentLength < 0 {
-		return streamedBodyBytes
+		return resources.StreamedBodyBytes
 	}
-	return min(r.ContentLength, streamedBodyBytes)
+	return min(r.ContentLength, resources.StreamedBodyBytes)
 }
 
 // nodeService implements apiv1connect.NodeServiceHandler.
--- a/internal/resources/host.go
+++ b/internal/resources/host.go
@@ -10,7 +10,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// cgroupFiles hold the memory limit of the control group of a process, in bytes.
+// cgroupFiles hold the memory limit of the cgroup of a process, in bytes.
 var cgroupFiles = []string{"/sys/fs/cgroup/memory.max", "/sys/fs/cgroup/memory/memory.limit_in_bytes"}
 
 // hostMemory returns the memory that the operating system has for the process, in bytes.
@@ -33,7 +33,7 @@
 	if err != nil {
 		return 0, false
 	}
-	// A group without a limit has the word "max".
+	// A cgroup without a limit has the word "max".
 	n, err := strconv.ParseInt(strings.TrimSpace(string(text)), 10, 64)
 	return n, err == nil && n > 0
 }
--- a/internal/resources/resources.go
+++ b/internal/resources/resources.go
@@ -53,6 +53,9 @@
 	ConnectionBytes = 16 << 10
 	// RequestBytes is the memory of a request in progress without its head and bodies.
 	RequestBytes = 32 << 10
+	// StreamedBodyBytes is the memory of a body that is sent on as it arrives, with its copies on the
+	// way.
+	StreamedBodyBytes = 64 << 10
 	// fieldBytes is the memory of a field besides its bytes, and headFactor how many copies of the
 	// bytes of a head exist.
 	fieldBytes = 128
