gate: a full queue does not rule out siblings whose queues have room

Cause: a gate that refuses a request tells the caller's node whether the siblings have capacity. It compared expected finish times only. Where services take milliseconds and some moves have not been reported yet (each counts three times), the siblings look as slow as a full queue: "everywhere=true" in the gate's log, and the node gives up instead of trying the sibling.

Now a request for which this queue has no room is refused everywhere only if no known sibling accepts requests with room in its queue. Refusals for other reasons are unchanged.

Evidence: the new test fails on the code before in the two cases with room.

--- a/core/gate/admit.go
+++ b/core/gate/admit.go
@@ -136,6 +136,12 @@
 	g.emit(Event{Kind: Refused, Handle: it.Handle, Reason: reason, RetryAfter: g.retryAfter(now), SiblingsFull: g.fullEverywhere(now)})
 }
 
+// refuseForQueue refuses a request for which the queue has no room. A sibling whose queue
+// has room would accept it, even if the request waits as long there.
+func (g *Gate) refuseForQueue(now time.Duration, it *item) {
+	g.emit(Event{Kind: Refused, Handle: it.Handle, Reason: QueueFull, RetryAfter: g.retryAfter(now), SiblingsFull: !g.siblingHasRoom(now) && g.fullEverywhere(now)})
+}
+
 // queueFullPercent is the fill level of the queue, in percent, from which the gate
 // reports itself as full to its siblings. The rest of the queue is for requests that
 // siblings have sent before they received that report.
@@ -155,12 +161,12 @@
 func (g *Gate) evictFor(now time.Duration, it *item) bool {
 	last := g.queue.last()
 	if last == nil {
-		g.refuse(now, it, QueueFull)
+		g.refuseForQueue(now, it)
 		return false
 	}
 	longest := last.longest()
 	if !it.rank.before(last.rank) && longest.length < evictionShareFactor*(last.lengthOf(it.Caller)+1) {
-		g.refuse(now, it, QueueFull)
+		g.refuseForQueue(now, it)
 		return false
 	}
 	g.drop(longest.tail, QueueFull, g.retryAfter(now))
--- a/core/gate/moves.go
+++ b/core/gate/moves.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"slices"
 	"time"
 
 	"cactuspath/core/mechanism"
@@ -148,3 +149,12 @@
 	sib, there := g.fastestSibling(now, nil)
 	return known && (sib == nil || float64(there)*g.waitingMoveGain(now) > float64(g.estimateWait(now)+g.meanServiceTime(now)))
 }
+
+// siblingHasRoom reports whether the queue of a known sibling has room for a request. All
+// gates of a service have queues of the same length.
+func (g *Gate) siblingHasRoom(now time.Duration) bool {
+	return slices.ContainsFunc(g.siblings.list, func(sib *sibling) bool {
+		load := sib.report.Load
+		return sib.fresh(now) && load.acceptsRequests() && load.Running+load.Waiting+len(sib.unreportedMoves) < load.Slots+g.config.Queue
+	})
+}
--- a/core/gate/siblings_test.go
+++ b/core/gate/siblings_test.go
@@ -166,3 +166,35 @@
 	assert.Equal(t, len(reports(g.ObserveSlowdown(time.Second, 1))), minFanout)
 	assert.Equal(t, len(reports(g.SetDraining(2*time.Second, true))), maxNear)
 }
+
+// Guards against a gate with a full queue that tells the caller's node to try no other
+// endpoint although the queue of a sibling has room.
+func TestFullQueueDoesNotRuleOutSiblingsWithRoom(t *testing.T) {
+	const slots, queue = 4, 8
+	for _, c := range []struct {
+		desc         string
+		load         Load
+		siblingsFull bool
+	}{
+		{"the sibling's slots are in use and its queue is empty", Load{Running: slots}, false},
+		{"the sibling's queue has room", Load{Running: slots, Waiting: 5}, false},
+		{"the sibling reports itself as full", Load{Running: slots, Waiting: queue, Full: true}, true},
+		{"the sibling drains", Load{Running: 1, Draining: true}, true},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			g := New("self", Config{Slots: slots, Queue: queue, Siblings: true}, 0)
+			g.SetSiblings(makeSiblings(1, 0))
+			c.load.Slots, c.load.Service = slots, time.Second
+			g.ApplyReport(0, Report{Host: "near-0", Sequence: 1, Load: c.load})
+			var last []Event
+			for i := range slots + queue + 1 {
+				r := request(Handle(i + 1))
+				r.Movable = false
+				last = g.Arrive(0, r)
+			}
+			assert.DeepEqual(t, kinds(last), []EventKind{Refused})
+			assert.Equal(t, last[0].Reason, QueueFull)
+			assert.Equal(t, last[0].SiblingsFull, c.siblingsFull)
+		})
+	}
+}
