node: the first request for a service subscribes to it

Cause: a node gets a relay's entries only for services that it subscribes to. Without routes in the configuration it subscribes to a service when a request finds no endpoints. While a control replica named the endpoints, no request did, so that the heartbeat asked for no service. The first answer of a relay, which replaces what the control replica named, then was empty: seen in a trial with more logs as an answer with services=null, complete=true, followed within 200 us by requests with endpoints=0. A request that had passed the search for endpoints before was given up; the next one subscribed. Until then the node also used the record of the service that has no retry rules.

Change: the first request for a service subscribes to it, whether endpoints are known or not, and does not wait. A later request costs one atomic load more.

Evidence: the new test fails without the change (a mutation shows it).

--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -79,6 +79,7 @@
 	{"an idle gate reports to few siblings", "core/gate/report.go", "return s.fanout[:min(n, len(s.fanout))]", "return s.fanout[:min(max(n, 1000), len(s.fanout))]", "core/gate", "IdleGatesReport"},
 	{"a gate that drains tells all siblings", "core/gate/report.go", "if load.acceptsRequests() != s.reported.acceptsRequests() {", "if false {", "core/gate", "TellsAllSiblings"},
 	{"a full queue does not rule out siblings with room", "core/gate/admit.go", "SiblingsFull: !g.siblingHasRoom(now) && g.fullEverywhere(now)", "SiblingsFull: g.fullEverywhere(now)", "core/gate", "SiblingsWithRoom"},
+	{"a service that is called is subscribed to", "internal/proxy/handler.go", "if !s.subscribed.Load() && !s.subscribed.Swap(true) {", "if false {", "internal/proxy", "FirstRequestSubscribes"},
 	{"a change of the relay changes no tables", "core/directory/view.go", "if before != nil && sameForRequests(e, before) {", "if false {", "core/directory", "ChangeOfRelay"},
 	{"watches spread over the control replicas", "internal/node/watch.go", "ranked := directory.Rendezvous(w.n.options.Host, w.addresses())", "ranked := directory.Rendezvous(\"\", w.addresses())", "internal/node", "SpreadOver"},
 	{"entries are sent in batches", "internal/replica/presence.go", "if news && time.Since(begin) >= batch {", "if news {", "internal/replica", "InBatches"},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -180,7 +180,7 @@
 	n.overload = overload.NewMonitor(options.Host)
 	n.link = link.New(options.LinkBytesPerSecond)
 	n.proxy = proxy.New(proxy.Options{
-		Host: options.Host, DataCenter: options.DataCenter, Security: options.Security, Local: n, DiscoverService: n.awaitService, ObserveRevision: n.observeRevision, Revision: n.Revision, Revoke: n.revoke, Counters: n.calls,
+		Host: options.Host, DataCenter: options.DataCenter, Security: options.Security, Local: n, Subscribe: n.subscribe, DiscoverService: n.awaitService, ObserveRevision: n.observeRevision, Revision: n.Revision, Revoke: n.revoke, Counters: n.calls,
 		Dialect: options.Dialect, CallerService: n.service, SharedRetryBudget: options.Retry, RetryByNeed: options.RetryByNeed, ProbePeer: n.alive, Quarantine: n.quarantine, Overload: n.overload, Usage: n.usage, KeysTrusted: n.keysTrusted, Link: n.link,
 		ConfigurationAge: n.sinceControlHeard, ConfigurationLease: options.ConfigurationLease,
 	})
--- a/internal/node/subscription.go
+++ b/internal/node/subscription.go
@@ -8,24 +8,31 @@
 
 // A node receives directory entries only for the services that it subscribes to.
 
+// subscribe subscribes to a service that is called here. Without a subscription, the
+// endpoints that a control replica names are lost once a relay responds.
+func (n *Node) subscribe(service string) {
+	n.mu.Lock()
+	asked := n.requested[service]
+	n.requested[service] = true
+	n.mu.Unlock()
+	if !asked {
+		n.member.requestSync()
+	}
+}
+
 // awaitService subscribes to a service that this node does not know and waits until a
 // relay has responded for it. It returns immediately if a relay has responded before,
 // even if the service has no endpoints, because requests for such a service must fail
 // without delay.
 func (n *Node) awaitService(ctx context.Context, service string) error {
+	n.subscribe(service)
 	for {
 		n.mu.Lock()
-		answered := n.view.Answered(service)
-		asked := n.requested[service]
-		n.requested[service] = true
-		changed := n.changed
+		answered, changed := n.view.Answered(service), n.changed
 		n.mu.Unlock()
 		if answered {
 			return nil
 		}
-		if !asked {
-			n.member.requestSync()
-		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
--- a/internal/proxy/bench_test.go
+++ b/internal/proxy/bench_test.go
@@ -27,6 +27,7 @@
 	e.SetBackend(backend)
 	peer := startServer(b, http.HandlerFunc(e.ServeHop))
 	h := New(Options{Host: "front", Local: noLocal{}, Counters: NewCounters(), ObserveRevision: func(uint64) {}, Revision: func() uint64 { return 1 },
+		Subscribe:       func(string) {},
 		DiscoverService: func(context.Context, string) error { return nil }})
 	h.Configure([]*apiv1.ServiceRecord{{Name: "pay", Spec: &apiv1.ServiceSpec{Hosts: []string{"pay.example"}, Slots: 100, TimeoutMs: 5000, MaxAttempts: 3}}}, nil, nil)
 	h.Update(map[string][]balancer.Candidate{"pay": {{Host: "a", PeerAddress: peer, Incarnation: 1, Slots: 100}}})
--- a/internal/proxy/fakenode_test.go
+++ b/internal/proxy/fakenode_test.go
@@ -108,6 +108,7 @@
 // newTestHandler returns a handler with the addresses as endpoints of the service "pay".
 func newTestHandler(revoke gate.RevokeAnswer, addresses ...string) *Handler {
 	h := New(Options{Host: "front", Local: noLocal{}, Counters: NewCounters(), ObserveRevision: func(uint64) {}, Revision: func() uint64 { return 1 },
+		Subscribe:       func(string) {},
 		DiscoverService: func(context.Context, string) error { return nil },
 		Revoke: func(context.Context, string, uint64, gate.AttemptID, time.Duration) gate.RevokeAnswer {
 			return revoke
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -46,6 +46,9 @@
 	Incarnation uint64
 	Security    *transport.Security
 	Local       Local
+	// Subscribe makes the node keep the full record and all endpoints of a service. It is
+	// called with the first request for the service, and does not wait.
+	Subscribe func(service string)
 	// DiscoverService makes the node look up a called service that it does not fully know
 	// yet. It returns once the service is known or ctx ends.
 	DiscoverService func(ctx context.Context, service string) error
@@ -305,6 +308,9 @@
 		name = target.Route.Pick()
 	}
 	s := h.service(name)
+	if !s.subscribed.Load() && !s.subscribed.Swap(true) {
+		h.options.Subscribe(name)
+	}
 	if s.endpointCount() == 0 {
 		ctx, cancel := context.WithTimeout(r.Context(), discoveryTimeout(target.Route))
 		_ = h.options.DiscoverService(ctx, name)
--- a/internal/proxy/liveness_test.go
+++ b/internal/proxy/liveness_test.go
@@ -64,6 +64,7 @@
 	defer good.Close()
 	goodAddress, frozenAddress := good.Listener.Addr().String(), listenFrozen(t)
 	h := New(Options{Host: "front", Local: noLocal{}, Counters: NewCounters(), ObserveRevision: func(uint64) {}, Revision: func() uint64 { return 1 },
+		Subscribe:       func(string) {},
 		DiscoverService: func(context.Context, string) error { return nil },
 		ProbePeer:       func(_ context.Context, address string) bool { return address == goodAddress },
 		Revoke: func(context.Context, string, uint64, gate.AttemptID, time.Duration) gate.RevokeAnswer {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -113,3 +114,19 @@
 	resp, text = send(t, withoutEndpoints, "GET", "/", "")
 	assert.Equal(t, faultOf(t, resp, text).Fault, fault.NoEndpoint)
 }
+
+// Guards against a service that is called while a control replica names its endpoints, but
+// whose endpoints the node does not request from a relay: they are lost once a relay responds.
+func TestFirstRequestSubscribesToService(t *testing.T) {
+	n := newFakeNode(t, respondWith("ok"))
+	h := newTestHandler(gate.RevokeUnknown, n.Listener.Addr().String())
+	var subscribed []string
+	h.options.Subscribe = func(service string) { subscribed = append(subscribed, service) }
+	s := httptest.NewServer(h)
+	defer s.Close()
+	for range 3 {
+		_, text := send(t, s, "GET", "/", "")
+		assert.Equal(t, text, "ok")
+	}
+	assert.DeepEqual(t, subscribed, []string{"pay"})
+}
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	apiv1 "cactuspath/api/cactuspath/v1"
@@ -17,6 +18,8 @@
 // service is this node's state for one service that it calls.
 type service struct {
 	name string
+	// subscribed is set once a request was made for the service.
+	subscribed atomic.Bool
 
 	mu     sync.Mutex
 	spec   *apiv1.ServiceSpec
