resources, hop: limit what the kernel holds for connections

What the hosts saw: 220 clients that ask for 40 MB each and read nothing made the kernel hold 580 MB for the connections of the node that was asked, and 596 to 701 MB for those of the node of the backend server, where the host has 96 MB; 100 clients of 4 MB responses 52 MB, 200 clients with 64 responses of 60 kB each 68 MB. Figures are payload in the queues of /proc/net/tcp, one run each on the code before.

Cause: the kernel grows the send buffer of a fast connection to megabytes, and the receive buffer as well while the process reads fast. Both stay full once the receiver stops.

Change: the kernel may hold 128 KiB as unsent for a connection to a listener (TCP_NOTSENT_LOWAT, which does not limit what is under way), less for further ones once 5% of the memory is not enough for that, and 16 KiB at least. A connection to another node or the backend server has 64 KiB unsent, and a receive buffer of 64 KiB, 256 KiB from a delay of 2 ms on. Garbage is collected more often from 65% of the memory (75% before), which leaves the kernel its part.

Evidence: the crowd tests now check memory and kernel queues together while the clients hold their connections; two of them fail on the code before, as above.

Measured, and worse: the ordinary request beside 100 clients of 4 MB responses is answered only when slots of the backend server, which the responses hold for up to 30 s, are free: the case takes 43 and 51 s instead of 4 s, since the kernel took whole responses before.

--- a/internal/e2e/crowd_test.go
+++ b/internal/e2e/crowd_test.go
@@ -80,6 +80,9 @@
 	time.Sleep(crowdHold)
 	for _, p := range c.processes() {
 		most = max(most, descriptors(p))
+		resident, queued := statusMB(t, p, "VmRSS"), queuedMB(t, p)
+		t.Logf("%s uses %d MB, the kernel holds %d MB for its connections", p.name, resident, queued)
+		assert.Check(t, resident+queued <= crowdMemoryMB, "%s uses %d MB and the kernel holds %d MB for its connections, its host has %d MB", p.name, resident, queued, crowdMemoryMB)
 	}
 	front.waitOrdinaryRequest(t)
 	close(release)
@@ -135,6 +138,40 @@
 	return len(entries)
 }
 
+// queuedMB returns how much the kernel holds for the TCP connections of a process: received and not
+// read, or written and not acknowledged.
+func queuedMB(t testing.TB, p *process) int {
+	t.Helper()
+	folder := filepath.Join("/proc", strconv.Itoa(p.cmd.Process.Pid))
+	entries, err := os.ReadDir(filepath.Join(folder, "fd"))
+	assert.NilError(t, err)
+	sockets := map[string]bool{}
+	for _, e := range entries {
+		target, _ := os.Readlink(filepath.Join(folder, "fd", e.Name()))
+		if inode, ok := strings.CutPrefix(target, "socket:["); ok {
+			sockets[strings.TrimSuffix(inode, "]")] = true
+		}
+	}
+	table, err := os.ReadFile(filepath.Join(folder, "net/tcp"))
+	assert.NilError(t, err)
+	bytes := uint64(0)
+	for _, line := range strings.Split(string(table), "\n")[1:] {
+		columns := strings.Fields(line)
+		if len(columns) < 10 || columns[3] == tcpListen || !sockets[columns[9]] {
+			continue
+		}
+		for _, queue := range strings.Split(columns[4], ":") {
+			n, err := strconv.ParseUint(queue, 16, 64)
+			assert.NilError(t, err)
+			bytes += n
+		}
+	}
+	return int(bytes >> 20)
+}
+
+// tcpListen is the state of a listener in /proc/net/tcp, whose queues count connections.
+const tcpListen = "0A"
+
 // fields returns header lines with the given number of different names of three letters.
 func fields(n, names int, value string) string {
 	var b strings.Builder
@@ -188,6 +225,7 @@
 		{"a long query", 200, long},
 		{"small requests", 200, crowdRequest("", "")},
 		{"large responses", 100, "GET " + largeResponsePath + " HTTP/1.1\r\nHost: pay.example\r\n\r\n"},
+		{"responses that the buffers of a connection take", 200, "GET /?bytes=60000 HTTP/1.1\r\nHost: pay.example\r\n\r\n"},
 	} {
 		t.Run(k.desc, func(t *testing.T) {
 			front, _, c := newCrowdSite(t)
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -144,7 +144,7 @@
 }
 
 func (s *Server) startConn(raw net.Conn) {
-	account, ok := s.admitConn()
+	account, ok := s.admitConn(raw)
 	if !ok {
 		_ = raw.Close()
 		return
@@ -171,12 +171,13 @@
 
 // admitConn returns the account of a new connection. If there are too many connections, it closes
 // another one that does not need its place, and returns false if there is none.
-func (s *Server) admitConn() (account *resources.Account, ok bool) {
-	if s.openConns() >= s.resources.MaxConnections(resources.Callers) && !s.closeIdlest() {
+func (s *Server) admitConn(raw net.Conn) (account *resources.Account, ok bool) {
+	open := s.openConns()
+	if open >= s.resources.MaxConnections(resources.Callers) && !s.closeIdlest() {
 		s.resources.CountRefused()
 		return nil, false
 	}
-	if account, ok = s.resources.NewAccount(); !ok {
+	if account, ok = s.resources.NewAccount(raw, open); !ok {
 		// What the closed connection held is free a little later.
 		s.closeIdlest()
 	}
--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
 
 	"cactuspath/internal/resources"
 	"cactuspath/internal/transport"
@@ -66,6 +67,30 @@
 	return &Pool{address: address, security: security, maxIdleTime: peerIdleTimeout}
 }
 
+// maxUnsent is what the kernel may hold as unsent for a connection, in bytes.
+const maxUnsent = 64 << 10
+
+// What the kernel may hold as unread for a connection, in bytes. By default it grows the buffer of a
+// fast connection to megabytes, which then stay full while the receiver of a response waits for its
+// own. A response from far away needs more to be under way at a time.
+const (
+	nearReceiveBuffer = 64 << 10
+	farReceiveBuffer  = 256 << 10
+	// farDelay is the one-way delay from which an address counts as far.
+	farDelay = 2 * time.Millisecond
+)
+
+// limitUnread limits what the kernel may hold as unread for a connection to the pool's address.
+func (p *Pool) limitUnread(c *net.TCPConn) {
+	size := nearReceiveBuffer
+	if p.OneWayDelay() >= farDelay {
+		size = farReceiveBuffer
+	}
+	if err := c.SetReadBuffer(size); err != nil {
+		klog.V(2).InfoS("Unread bytes of a connection are not limited", "to", p.address, "err", err)
+	}
+}
+
 // Idle connections of all pools take descriptors, of which a process has a limited number.
 var (
 	idleConns    atomic.Int64
@@ -266,6 +291,8 @@
 	c := &conn{Conn: p.security.WrapClient(plain, p.address)}
 	c.takeBuffers()
 	if tcp, ok := plain.(*net.TCPConn); ok {
+		p.limitUnread(tcp)
+		resources.LimitUnsent(tcp, maxUnsent)
 		c.raw, _ = tcp.SyscallConn()
 	}
 	c.peek = func(fd uintptr) bool {
--- a/internal/resources/host.go
+++ b/internal/resources/host.go
@@ -48,8 +48,9 @@
 }
 
 // heapShare is the part of the memory from which on garbage is collected more often. The rest is for
-// the program itself, and for what is allocated while a collection runs.
-const heapShare = 0.75
+// the program itself, for what is allocated while a collection runs, and for what the kernel holds for
+// connections.
+const heapShare = 0.65
 
 // LimitHeap makes the runtime collect garbage more often before the process exceeds the given memory
 // in MB, or that of its host if it is 0.
--- a/internal/resources/listener.go
+++ b/internal/resources/listener.go
@@ -85,10 +85,11 @@
 }
 
 func (l *listener) admit(inner net.Conn) *conn {
-	if l.full() && !l.closeIdlest() {
+	open := l.open()
+	if open >= l.limit && !l.closeIdlest() {
 		return nil
 	}
-	account, ok := l.r.NewAccount()
+	account, ok := l.r.NewAccount(inner, open)
 	if !ok {
 		l.closeIdlest()
 		return nil
@@ -100,10 +101,10 @@
 	return c
 }
 
-func (l *listener) full() bool {
+func (l *listener) open() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.conns) >= l.limit
+	return len(l.conns)
 }
 
 // closeIdlest closes the connection that has been without a request for the longest time. It returns
--- a/internal/resources/resources.go
+++ b/internal/resources/resources.go
@@ -11,6 +11,7 @@
 	"context"
 	"expvar"
 	"math"
+	"net"
 	"sync"
 
 	"cactuspath/core/budget"
@@ -72,6 +73,8 @@
 	// connections for requests to other processes are kept open without one.
 	connections [len(connectionShares)]int
 	idle        int
+	// unsent is what the kernel may hold as unsent for connections, in bytes; see limitUnsent.
+	unsent int
 
 	// Refused counts, by resource, the requests and connections that got none.
 	Refused expvar.Map
@@ -88,7 +91,8 @@
 	}
 	available := descriptors - max(minReserved, int(reservedShare*float64(descriptors)))
 	share := func(part float64) int { return max(minConnections, int(part*float64(available))) }
-	r := &Resources{memory: budget.New(int64(memoryShare * float64(memoryBytes(memoryMB)))), requests: budget.New(int64(share(requestsShare))), idle: share(idleShare)}
+	memory := float64(memoryBytes(memoryMB))
+	r := &Resources{memory: budget.New(int64(memoryShare * memory)), unsent: int(unsentShare * memory), requests: budget.New(int64(share(requestsShare))), idle: share(idleShare)}
 	for kind, part := range connectionShares {
 		r.connections[kind] = share(part)
 	}
@@ -159,8 +163,9 @@
 	own int64
 }
 
-// NewAccount returns the account of a new connection, or nil and false if there is no memory for one.
-func (r *Resources) NewAccount() (a *Account, ok bool) {
+// NewAccount returns the account of a new connection of a listener that has the given number of others
+// open, or nil and false if there is no memory for one.
+func (r *Resources) NewAccount(c net.Conn, open int) (a *Account, ok bool) {
 	if r == nil {
 		return nil, true
 	}
@@ -168,6 +173,7 @@
 	if !a.Take(ConnectionBytes) {
 		return nil, false
 	}
+	r.limitUnsent(c, open)
 	return a, true
 }
 
