--- a/internal/resources/resources.go
+++ b/internal/resources/resources.go
@@ -164,7 +164,8 @@
 }
 
 // NewAccount returns the account of a new connection of a listener that has the given number of others
-// open, or nil and false if there is no memory for one.
+// open, or nil and false if there is no memory for one. It limits what the kernel holds for the
+// connection.
 func (r *Resources) NewAccount(c net.Conn, open int) (a *Account, ok bool) {
 	if r == nil {
 		return nil, true
--- a/internal/resources/socket.go
+++ b/internal/resources/socket.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 	"k8s.io/klog/v2"
 )
@@ -29,9 +30,11 @@
 func LimitUnsent(c *net.TCPConn, bytes int) {
 	raw, err := c.SyscallConn()
 	if err == nil {
+		var setErr error
 		err = raw.Control(func(fd uintptr) {
-			err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, bytes)
+			setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, bytes)
 		})
+		err = errors.CombineErrors(err, setErr)
 	}
 	if err != nil {
 		klog.V(2).InfoS("Unsent bytes of a connection are not limited", "peer", c.RemoteAddr().String(), "err", err)
