wal: log syncs that take half a second or more

Whether a sync took that long could not be told from its log. Now each slow one is logged with its file and duration. Nothing else changes.

--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -6,9 +6,11 @@
 	"os"
 	"path/filepath"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
 
 	apiv1 "cactuspath/api/cactuspath/v1"
 	"cactuspath/core/consensus"
@@ -215,7 +217,7 @@
 	if err := f.Truncate(size); err != nil {
 		return errors.Wrap(err, "truncate the log's torn tail")
 	}
-	if err := f.Sync(); err != nil {
+	if err := syncFile(f); err != nil {
 		return errors.Wrap(err, "sync the log")
 	}
 	if _, err := f.Seek(size, 0); err != nil {
@@ -317,7 +319,7 @@
 	if err != nil {
 		return errors.Wrap(err, "write the log; free disk space or replace the disk")
 	}
-	if err := l.file.Sync(); err != nil {
+	if err := syncFile(l.file); err != nil {
 		return errors.Wrap(err, "sync the log; replace the disk")
 	}
 	l.buffer, l.flushed = l.buffer[:0], 0
@@ -426,7 +428,7 @@
 	}
 	_, err = f.Write(data)
 	if err == nil {
-		err = f.Sync()
+		err = syncFile(f)
 	}
 	if closeErr := f.Close(); err == nil {
 		err = closeErr
@@ -448,5 +450,18 @@
 		return err
 	}
 	defer d.Close()
-	return d.Sync()
+	return syncFile(d)
+}
+
+// slowSync is the duration from which a sync is logged: until one of the log ends, the replica acknowledges
+// nothing.
+const slowSync = 500 * time.Millisecond
+
+func syncFile(f *os.File) error {
+	begin := time.Now()
+	err := f.Sync()
+	if took := time.Since(begin); took >= slowSync {
+		klog.InfoS("Disk slow: a sync took long", "file", f.Name(), "took", took, "err", err)
+	}
+	return err
 }
