link: the test of the shared scheduler runs in virtual time

It sends for half a second of real time to a model of a link; where the senders get the processor late, they send less in that time. It now runs with the virtual time of testing/synctest. Scenario and bounds are unchanged.

--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -13,6 +13,7 @@
 	"sync"
 	"testing"
 	"testing/iotest"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -380,13 +381,15 @@
 // Guards against a queue on hosts that send downloads to other nodes and also relay downloads
 // to their own callers: each use alone leaves the link free, both together do not.
 func TestBothUsesOfTheLinkShareOneScheduler(t *testing.T) {
-	separate := medianWait(t, New(modelBandwidth), New(modelBandwidth))
-	l := New(modelBandwidth)
-	shared := medianWait(t, l, l)
-	t.Logf("short responses wait %v at p50, with a scheduler for each use %v", shared, separate)
-	assert.Assert(t, separate > 100*time.Millisecond, "the scenario does not fill the link: %v", separate)
-	assert.Assert(t, shared < 30*time.Millisecond, "p50 of the wait is %v", shared)
-	assertIdle(t, l)
+	synctest.Test(t, func(t *testing.T) {
+		separate := medianWait(t, New(modelBandwidth), New(modelBandwidth))
+		l := New(modelBandwidth)
+		shared := medianWait(t, l, l)
+		t.Logf("short responses wait %v at p50, with a scheduler for each use %v", shared, separate)
+		assert.Assert(t, separate > 100*time.Millisecond, "the scenario does not fill the link: %v", separate)
+		assert.Assert(t, shared < 30*time.Millisecond, "p50 of the wait is %v", shared)
+		assertIdle(t, l)
+	})
 }
 
 // BenchmarkChunk measures the processor time of a chunk, on a link that is never the limit.
