--- a/internal/testport/testport_test.go
+++ b/internal/testport/testport_test.go
@@ -14,7 +14,7 @@
 // addressesVariable is set in a process that this test starts, which prints some addresses.
 const addressesVariable = "TESTPORT_ADDRESSES"
 
-// addressesPerProcess is as many as a package with end-to-end tests uses.
+// addressesPerProcess is more than a package with end-to-end tests uses.
 const addressesPerProcess = 2000
 
 // Guards against test processes that run at the same time and take each other's ports.
