front: one function resets a connection

A connection that is closed for others (stalls.go, added with the limits) repeated what a response that breaks off does: end the requests, reset instead of an orderly close. Both call closeWithReset now; the stalled one still leaves the list of connections first, which makes room at once. No behavior, check or bound changes.

--- a/internal/front/response.go
+++ b/internal/front/response.go
@@ -362,13 +362,17 @@
 	w.c.mu.Lock()
 	w.c.closing = true
 	w.c.mu.Unlock()
-	w.c.cancel()
-	if tcp, ok := w.c.raw.(*net.TCPConn); ok {
-		// Reset the connection instead of closing it in order: after an orderly close, a
-		// response without a length would look complete.
+	w.c.closeWithReset()
+}
+
+// closeWithReset ends the requests of the connection and resets it instead of closing it in order:
+// after an orderly close, a response without a length would look complete.
+func (c *conn) closeWithReset() {
+	c.cancel()
+	if tcp, ok := c.raw.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
-	_ = w.c.raw.Close()
+	_ = c.raw.Close()
 }
 
 // closeIfLast closes the connection after its last response.
--- a/internal/front/stalls.go
+++ b/internal/front/stalls.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -128,12 +127,8 @@
 	return found
 }
 
-// reset ends a connection and its requests.
+// reset ends a connection and its requests, and makes room for another one at once.
 func (c *conn) reset() {
 	c.server.forget(c)
-	c.cancel()
-	if tcp, ok := c.raw.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-	_ = c.raw.Close()
+	c.closeWithReset()
 }
